Serve a streamed completion from caller to engine and back

Cause: the whole path has to stand before its parts are widened. Change: workspace with the schema, the core types, the node, the fake engine and the fake platform; the node reads its configuration from the platform, routes a completion and streams the answer. Conclusion: the path works with one engine and one node; authority, drains, limits, retries and peers are still to come.

--- /dev/null
+++ b/crates/tealsaddle-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line for operators, over the administration API.
--- /dev/null
+++ b/crates/tealsaddle-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tealsaddlectl` program: operators' commands.
+
+fn main() {}
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -0,0 +1,6 @@
+//! The interface for callers: the usual HTTP interface for language models.
+
+pub mod completion;
+pub mod openai;
+pub mod response;
+pub mod server;
--- /dev/null
+++ b/crates/tealsaddle-node/src/engine/http.rs
@@ -0,0 +1,86 @@
+//! Engines over HTTP with lines of JSON.
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::{FutureExt, StreamExt, TryStreamExt};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tealsaddle_core::inventory::Engine;
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tokio_util::codec::{FramedRead, LinesCodec};
+use tokio_util::io::StreamReader;
+
+use super::{EngineClient, EventStream, GenerateEvent, GenerateRequest};
+
+/// Longest line of an answer; a token with its ids takes about 200 bytes.
+const MAX_LINE_BYTES: usize = 64 << 10;
+
+/// Client of all engines, with a connection pool.
+#[derive(Debug)]
+pub struct HttpEngines {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpEngines {
+    /// Opens a client; no call is made yet.
+    pub fn open() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    async fn start(
+        &self,
+        engine: &Engine,
+        request: &GenerateRequest,
+    ) -> Result<EventStream, AttemptOutcome> {
+        let body = serde_json::to_vec(request).expect("requests are plain JSON values");
+        let request = Request::post(format!("http://{}/generate", engine.address))
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("an address makes a valid URI");
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                AttemptOutcome::NotRun(NotRunReason::ConnectFailed)
+            } else {
+                AttemptOutcome::Unknown(UnknownReason::ConnectionLost)
+            }
+        })?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT | StatusCode::BAD_REQUEST => {
+                return Err(AttemptOutcome::NotRun(NotRunReason::TargetRefused));
+            }
+            _ => return Err(AttemptOutcome::Unknown(UnknownReason::InvalidAnswer)),
+        }
+        let reader = StreamReader::new(
+            response
+                .into_body()
+                .into_data_stream()
+                .map_err(std::io::Error::other),
+        );
+        let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_LINE_BYTES));
+        Ok(lines
+            .map(|line| match line {
+                Ok(line) => serde_json::from_str::<GenerateEvent>(&line)
+                    .map_err(|_invalid| AttemptOutcome::Unknown(UnknownReason::InvalidAnswer)),
+                Err(_broken) => Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost)),
+            })
+            .boxed())
+    }
+}
+
+impl EngineClient for HttpEngines {
+    fn generate<'a>(
+        &'a self,
+        engine: &'a Engine,
+        request: &'a GenerateRequest,
+    ) -> BoxFuture<'a, Result<EventStream, AttemptOutcome>> {
+        self.start(engine, request).boxed()
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/platform/http.rs
@@ -0,0 +1,145 @@
+//! The platform's services over HTTP and JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+use super::{Entry, KeyValue, PlatformError, PutOutcome};
+
+/// Largest answer that is read; values go up to a megabyte.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Client of the platform.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    address: SocketAddr,
+    timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EntryBody {
+    key: String,
+    version: u64,
+    value: serde_json::Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct VersionBody {
+    version: u64,
+}
+
+impl HttpPlatform {
+    /// Opens a client; no call is made yet.
+    pub fn open(address: SocketAddr, timeout: Duration) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Self {
+            address,
+            timeout,
+            client,
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(body))
+            .map_err(|error| PlatformError::Protocol(error.to_string()))?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    PlatformError::Unreachable(error.to_string())
+                } else {
+                    PlatformError::Unknown(error.to_string())
+                }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|error| PlatformError::Unknown(error.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        match tokio::time::timeout(self.timeout, exchange).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(PlatformError::Unknown("timeout".to_owned())),
+        }
+    }
+}
+
+fn parse<'a, T>(body: &'a Bytes) -> Result<T, PlatformError>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(body).map_err(|error| PlatformError::Protocol(error.to_string()))
+}
+
+fn unexpected(status: StatusCode) -> PlatformError {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => PlatformError::RateLimited,
+        StatusCode::SERVICE_UNAVAILABLE => PlatformError::Unreachable(status.to_string()),
+        _ => PlatformError::Protocol(format!("status {status}")),
+    }
+}
+
+impl KeyValue for HttpPlatform {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>, PlatformError>> {
+        async move {
+            let path = format!("/kv/{key}");
+            match self.call(Method::GET, &path, Bytes::new()).await? {
+                (StatusCode::OK, body) => {
+                    let EntryBody {
+                        key,
+                        version,
+                        value,
+                    } = parse(&body)?;
+                    Ok(Some(Entry {
+                        key,
+                        version,
+                        value,
+                    }))
+                }
+                (StatusCode::NOT_FOUND, _) => Ok(None),
+                (status, _) => Err(unexpected(status)),
+            }
+        }
+        .boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a serde_json::Value,
+        if_version: u64,
+    ) -> BoxFuture<'a, Result<PutOutcome, PlatformError>> {
+        async move {
+            let path = format!("/kv/{key}?if_version={if_version}");
+            let (status, body) = self
+                .call(Method::PUT, &path, value.to_string().into())
+                .await?;
+            match status {
+                StatusCode::OK => Ok(PutOutcome::Written(parse::<VersionBody>(&body)?.version)),
+                StatusCode::CONFLICT => {
+                    Ok(PutOutcome::Conflict(parse::<VersionBody>(&body)?.version))
+                }
+                status => Err(unexpected(status)),
+            }
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Integration tests with real node processes.
+
+mod path;
+mod support;
--- /dev/null
+++ b/crates/tealsaddle-testkit/src/engine/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-in of a model engine.
+//!
+//! Its output depends only on the prompt and the seed, so that a test can compare what a caller
+//! received with what the engine must have produced, also when a stream moved between engines.
+
+pub mod server;
+pub mod text;
+pub mod wire;
--- /dev/null
+++ b/crates/tealsaddle-testkit/src/http.rs
@@ -0,0 +1,115 @@
+//! A small HTTP server frame shared by the stand-ins.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Body of a stand-in's answer.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A running server; it stops when dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Address that the server is bound to.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the server ends, which it does only by a failure.
+    pub async fn join(mut self) {
+        if let Err(error) = (&mut self.task).await {
+            log_failure(&error);
+        }
+    }
+}
+
+fn log_failure(error: &tokio::task::JoinError) {
+    eprintln!("server task failed: {error}");
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Binds an address and answers each request with `handler`.
+pub async fn bind<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Server>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let handler = Arc::new(handler);
+    let task = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = Arc::clone(&handler);
+            tokio::spawn(async move {
+                // Nagle's algorithm would hold back single tokens of a stream.
+                if stream.set_nodelay(true).is_err() {
+                    return;
+                }
+                let service = service_fn(move |request| {
+                    let answer = handler(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                });
+                let connection = Builder::new(TokioExecutor::new());
+                // A broken connection ends its own requests and nothing else.
+                drop(
+                    connection
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await,
+                );
+            });
+        }
+    });
+    Ok(Server { address, task })
+}
+
+/// A body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An answer with a JSON body.
+pub fn json<T>(status: StatusCode, value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    let bytes = serde_json::to_vec(value).expect("stand-in answers are plain JSON values");
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    let content_type = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Value of a query parameter.
+pub fn query_value<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    request.uri().query()?.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
