Define the borders between control, traffic and platform

Cause: control state, traffic and the platform client are built side by side and need fixed borders. Measured: the end-to-end test passes as before. Conclusion: the borders hold the thin path; the new parts are not used yet.

--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -60,9 +60,11 @@
         .filter(|engine| engine.zone == traffic.settings.zone && !engine.withdrawn)
         .map(|engine| (Arc::clone(&engine.name), engine.initial_role))
         .collect();
+    let inventory = Some(Arc::new(inventory));
     let snapshot = Snapshot {
-        inventory: Some(Arc::new(inventory)),
+        inventory,
         open_engines,
+        ..Snapshot::default()
     };
     traffic.snapshot.store(Arc::new(snapshot));
 }
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -21,15 +21,19 @@
 
 async fn serve(settings: Settings) -> Result<(), Error> {
     let counters = Counters::open(&settings.metrics)?;
-    let platform = HttpPlatform::open(settings.platform_address, settings.platform_timeout);
+    let platform = Arc::new(HttpPlatform::open(
+        settings.platform_address,
+        settings.platform_timeout,
+    ));
     let caller_listen = settings.caller_listen;
     let admin_listen = settings.admin_listen;
     let traffic = Arc::new(Traffic::new(
         settings,
         Arc::new(HttpEngines::open()),
+        Arc::<HttpPlatform>::clone(&platform),
         counters,
     ));
-    control::spawn(Arc::clone(&traffic), Arc::new(platform))?;
+    control::spawn(Arc::clone(&traffic), platform)?;
     caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
     admin::bind(admin_listen, traffic).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
--- a/crates/tealsaddle-node/src/platform/http.rs
+++ b/crates/tealsaddle-node/src/platform/http.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 
-use super::{Entry, KeyValue, PlatformError, PutOutcome};
+use super::{Changes, Entry, KeyValue, PlatformError, PutOutcome, Vm, VmList, VmState};
 
 /// Largest answer that is read; values go up to a megabyte.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -33,6 +33,38 @@
     value: serde_json::Value,
 }
 
+impl From<EntryBody> for Entry {
+    fn from(body: EntryBody) -> Self {
+        Self {
+            key: body.key,
+            version: body.version,
+            value: body.value,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ChangesBody {
+    revision: u64,
+    changes: Vec<EntryBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct LeaseBody {
+    lease: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct VmsBody {
+    vms: Vec<VmBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct VmBody {
+    vm: String,
+    state: String,
+}
+
 #[derive(Debug, Deserialize)]
 struct VersionBody {
     version: u64,
@@ -54,6 +86,7 @@
         method: Method,
         path: &str,
         body: Bytes,
+        timeout: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let request = Request::builder()
             .method(method)
@@ -75,7 +108,7 @@
                 .map_err(|error| PlatformError::Unknown(error.to_string()))?;
             Ok((status, body.to_bytes()))
         };
-        match tokio::time::timeout(self.timeout, exchange).await {
+        match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(_elapsed) => Err(PlatformError::Unknown("timeout".to_owned())),
         }
@@ -101,7 +134,10 @@
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>, PlatformError>> {
         async move {
             let path = format!("/kv/{key}");
-            match self.call(Method::GET, &path, Bytes::new()).await? {
+            match self
+                .call(Method::GET, &path, Bytes::new(), self.timeout)
+                .await?
+            {
                 (StatusCode::OK, body) => {
                     let EntryBody {
                         key,
@@ -126,11 +162,16 @@
         key: &'a str,
         value: &'a serde_json::Value,
         if_version: u64,
+        lease: Option<&'a str>,
     ) -> BoxFuture<'a, Result<PutOutcome, PlatformError>> {
         async move {
-            let path = format!("/kv/{key}?if_version={if_version}");
+            let mut path = format!("/kv/{key}?if_version={if_version}");
+            if let Some(lease) = lease {
+                path.push_str("&lease=");
+                path.push_str(lease);
+            }
             let (status, body) = self
-                .call(Method::PUT, &path, value.to_string().into())
+                .call(Method::PUT, &path, value.to_string().into(), self.timeout)
                 .await?;
             match status {
                 StatusCode::OK => Ok(PutOutcome::Written(parse::<VersionBody>(&body)?.version)),
@@ -142,4 +183,93 @@
         }
         .boxed()
     }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Entry>, PlatformError>> {
+        async move {
+            let path = format!("/kv?prefix={prefix}");
+            match self
+                .call(Method::GET, &path, Bytes::new(), self.timeout)
+                .await?
+            {
+                (StatusCode::OK, body) => {
+                    let entries: Vec<EntryBody> = parse(&body)?;
+                    Ok(entries.into_iter().map(Entry::from).collect())
+                }
+                (status, _) => Err(unexpected(status)),
+            }
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after_revision: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Changes, PlatformError>> {
+        async move {
+            let wait_ms = wait.as_millis();
+            let path = format!("/watch?prefix={prefix}&after={after_revision}&wait_ms={wait_ms}");
+            match self
+                .call(Method::GET, &path, Bytes::new(), self.timeout + wait)
+                .await?
+            {
+                (StatusCode::OK, body) => {
+                    let changes: ChangesBody = parse(&body)?;
+                    let entries = changes.changes.into_iter().map(Entry::from).collect();
+                    Ok(Changes {
+                        revision: changes.revision,
+                        entries,
+                    })
+                }
+                (status, _) => Err(unexpected(status)),
+            }
+        }
+        .boxed()
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<String, PlatformError>> {
+        async move {
+            let body = serde_json::json!({ "ttl_ms": ttl.as_millis() as u64 }).to_string();
+            match self
+                .call(Method::POST, "/leases", body.into(), self.timeout)
+                .await?
+            {
+                (StatusCode::OK, body) => Ok(parse::<LeaseBody>(&body)?.lease),
+                (status, _) => Err(unexpected(status)),
+            }
+        }
+        .boxed()
+    }
+}
+
+impl VmList for HttpPlatform {
+    fn vms(&self) -> BoxFuture<'_, Result<Vec<Vm>, PlatformError>> {
+        async move {
+            match self
+                .call(Method::GET, "/vms", Bytes::new(), self.timeout)
+                .await?
+            {
+                (StatusCode::OK, body) => parse::<VmsBody>(&body)?
+                    .vms
+                    .into_iter()
+                    .map(read_vm)
+                    .collect(),
+                (status, _) => Err(unexpected(status)),
+            }
+        }
+        .boxed()
+    }
+}
+
+fn read_vm(body: VmBody) -> Result<Vm, PlatformError> {
+    let state = match body.state.as_str() {
+        "live" => VmState::Live,
+        "leaving" => VmState::Leaving,
+        other => return Err(PlatformError::Protocol(format!("VM state {other:?}"))),
+    };
+    Ok(Vm {
+        vm: body.vm.into(),
+        state,
+    })
 }
--- a/crates/tealsaddle-node/src/traffic.rs
+++ b/crates/tealsaddle-node/src/traffic.rs
@@ -3,13 +3,14 @@
 //! The control thread publishes an immutable snapshot; a request takes the one in force when it is
 //! routed. What the traffic threads count themselves stands beside it in atomics and short locks.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
-use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::decision::{Decision, DecisionRing};
 use tealsaddle_core::inventory::{Inventory, Role};
-use tealsaddle_core::load::EngineLoad;
+use tealsaddle_core::load::{EngineLoad, LoadReport, Send};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::route::Candidate;
 use tokio::sync::broadcast;
@@ -17,6 +18,7 @@
 use crate::clock;
 use crate::engine::EngineClient;
 use crate::metrics::Counters;
+use crate::platform::KeyValue;
 use crate::settings::Settings;
 
 /// Decisions kept for `explain`.
@@ -29,8 +31,113 @@
 pub struct Snapshot {
     /// Configuration in force; `None` before the first one.
     pub inventory: Option<Arc<Inventory>>,
+    /// Version of the routing table below.
+    pub table_version: TableVersion,
     /// Engines of this zone that take new work, with the role in force.
     pub open_engines: HashMap<Name, Role>,
+    /// Whether this node may route to engines of its zone; otherwise it forwards.
+    pub is_registered: bool,
+    /// Whether this node is stopping and takes no new work.
+    pub is_leaving: bool,
+    /// Whether new requests wait until the state is fresh again after a pause.
+    pub is_stale: bool,
+    /// Nodes that take forwarded requests, leaving ones left out.
+    pub peers: Vec<PeerEndpoint>,
+    /// VMs that are leaving; their targets take no new work.
+    pub leaving_vms: HashSet<Name>,
+    /// Spare capacity of other zones by zone and model.
+    pub zone_loads: HashMap<(Name, Name), ZoneLoad>,
+}
+
+/// Version of a routing table.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TableVersion {
+    /// Fencing token of the holder that made it.
+    pub epoch: u64,
+    /// Number within the epoch.
+    pub sequence: u64,
+}
+
+/// A node that takes forwarded requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerEndpoint {
+    /// VM of the node.
+    pub vm: Name,
+    /// Zone of the node.
+    pub zone: Name,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Whether it may route in its zone.
+    pub is_registered: bool,
+}
+
+/// Spare capacity of a zone for one model.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ZoneLoad {
+    /// Prompt tokens that its engines can still take now and answer on time.
+    pub spare_prefill_tokens: u64,
+    /// Requests that its engines can still decode on time.
+    pub spare_decode_requests: u32,
+}
+
+/// Requests of this node in flight per engine.
+///
+/// A request is counted before it looks at the snapshot. A count of zero that is read after a
+/// snapshot without the engine was stored therefore proves that no request of this node can reach
+/// the engine any more.
+#[derive(Debug, Default)]
+pub struct InFlight {
+    counts: Mutex<HashMap<Name, u32>>,
+}
+
+impl InFlight {
+    /// Counts a request until the guard is dropped.
+    pub fn begin(self: &Arc<Self>, engine: &Name) -> InFlightGuard {
+        let mut counts = self.counts.lock().expect("no holder of the lock panics");
+        *counts.entry(Name::clone(engine)).or_insert(0) += 1;
+        InFlightGuard {
+            in_flight: Arc::clone(self),
+            engine: Name::clone(engine),
+        }
+    }
+
+    /// Requests in flight on one engine.
+    pub fn count(&self, engine: &str) -> u32 {
+        let counts = self.counts.lock().expect("no holder of the lock panics");
+        counts.get(engine).copied().unwrap_or(0)
+    }
+
+    /// Engines with requests in flight.
+    pub fn nonzero(&self) -> Vec<(Name, u32)> {
+        let counts = self.counts.lock().expect("no holder of the lock panics");
+        counts
+            .iter()
+            .map(|(engine, count)| (Name::clone(engine), *count))
+            .collect()
+    }
+}
+
+/// One request in flight; dropping it ends the count.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    in_flight: Arc<InFlight>,
+    engine: Name,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let mut counts = self
+            .in_flight
+            .counts
+            .lock()
+            .expect("no holder of the lock panics");
+        if let Some(count) = counts.get_mut(&self.engine) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.engine);
+            }
+        }
+    }
 }
 
 /// State shared by all traffic threads of a node.
@@ -42,8 +149,12 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Client of the engines.
     pub engines: Arc<dyn EngineClient>,
+    /// The platform's key-value service, for claims.
+    pub key_value: Arc<dyn KeyValue>,
     /// Counters of the node.
     pub counters: Counters,
+    /// Requests of this node in flight per engine.
+    pub in_flight: Arc<InFlight>,
     loads: Mutex<HashMap<Name, EngineLoad>>,
     decisions: Mutex<DecisionRing>,
     watchers: broadcast::Sender<Decision>,
@@ -51,12 +162,19 @@
 
 impl Traffic {
     /// Makes the state of a node that has no configuration yet.
-    pub fn new(settings: Settings, engines: Arc<dyn EngineClient>, counters: Counters) -> Self {
+    pub fn new(
+        settings: Settings,
+        engines: Arc<dyn EngineClient>,
+        key_value: Arc<dyn KeyValue>,
+        counters: Counters,
+    ) -> Self {
         Self {
             settings,
             snapshot: ArcSwap::default(),
             engines,
+            key_value,
             counters,
+            in_flight: Arc::default(),
             loads: Mutex::default(),
             decisions: Mutex::new(DecisionRing::with_capacity(DECISIONS_KEPT)),
             watchers: broadcast::Sender::new(DECISIONS_BUFFERED),
@@ -85,6 +203,21 @@
             .collect()
     }
 
+    /// Takes a load report of an engine.
+    pub fn on_load_report(&self, engine: &Name, report: LoadReport) {
+        let mut loads = self.loads.lock().expect("no holder of the lock panics");
+        loads
+            .entry(Name::clone(engine))
+            .or_default()
+            .on_report(report);
+    }
+
+    /// Counts a request that this node sends to an engine.
+    pub fn on_send(&self, engine: &Name, send: Send) {
+        let mut loads = self.loads.lock().expect("no holder of the lock panics");
+        loads.entry(Name::clone(engine)).or_default().on_send(send);
+    }
+
     /// Records a decision and shows it to the watchers.
     pub fn record(&self, decision: Decision) {
         let mut ring = self.decisions.lock().expect("no holder of the lock panics");
