--- /dev/null
+++ b/crates/tealsaddle-ctl/src/args.rs
@@ -0,0 +1,294 @@
+//! Command line arguments.
+
+use std::net::SocketAddr;
+
+use getopts::{Matches, Options};
+
+use crate::Error;
+
+/// Environment variable with the administration address.
+pub const ADMIN_VARIABLE: &str = "TEALSADDLE_ADMIN";
+/// Environment variable with the bearer token.
+pub const TOKEN_VARIABLE: &str = "TEALSADDLE_TOKEN";
+
+/// Text of `tealsaddlectl --help`.
+pub const HELP: &str = "\
+Usage: tealsaddlectl [OPTIONS] COMMAND
+
+Commands:
+  status               show the node, its zone, engines and peers
+  counters             show the counters of the node
+  config check FILE    check a configuration file without a node
+  config get           print the configuration in force
+  config diff FILE     compare a file with the configuration in force
+  config apply FILE    put a file in force
+  config history       list the accepted versions
+  drain engine NAME    take no new work on an engine and wait for its requests
+  drain node           stop taking new work on the node
+  watch                show decisions as they are taken
+  explain REQUEST      show the decisions about one request
+
+Options of all commands:
+  -a, --admin IP:PORT  administration address of a node (or TEALSADDLE_ADMIN)
+      --token-file F   file with the bearer token (or TEALSADDLE_TOKEN)
+      --json           print JSON as the node sent it
+  -h, --help           print the help of a command
+      --version        print the version
+
+Exit status: 0 done, 1 refused, 2 wrong usage, 3 invalid file, 4 conflict with
+another change, 5 node not reached, 6 outcome not known.
+";
+
+/// What the program is asked to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Invocation {
+    /// Print a text and end.
+    Print(String),
+    /// Run a command.
+    Run {
+        /// The command.
+        command: Command,
+        /// How to reach the node.
+        connection: Connection,
+        /// Whether to print JSON.
+        is_json: bool,
+    },
+}
+
+/// How to reach the node.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Connection {
+    /// Administration address; commands without a node need none.
+    pub admin: Option<SocketAddr>,
+    /// File with the bearer token.
+    pub token_file: Option<String>,
+}
+
+/// A command with its arguments.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// `status`
+    Status,
+    /// `counters`
+    Counters,
+    /// `config check FILE`
+    ConfigCheck {
+        /// The file.
+        file: String,
+    },
+    /// `config get`
+    ConfigGet,
+    /// `config diff FILE`
+    ConfigDiff {
+        /// The file.
+        file: String,
+    },
+    /// `config apply FILE`
+    ConfigApply {
+        /// The file.
+        file: String,
+        /// Version that the file was made from; the one in force if absent.
+        if_version: Option<u64>,
+        /// Name of the operator.
+        author: Option<String>,
+    },
+    /// `config history`
+    ConfigHistory,
+    /// `drain engine NAME`
+    DrainEngine {
+        /// Name of the engine.
+        engine: String,
+    },
+    /// `drain node`
+    DrainNode,
+    /// `watch`
+    Watch {
+        /// Kinds of decisions to show; all if empty.
+        kinds: Vec<String>,
+    },
+    /// `explain REQUEST`
+    Explain {
+        /// Id of the request.
+        request_id: String,
+    },
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("a", "admin", "administration address of a node", "IP:PORT");
+    options.optopt("", "token-file", "file with the bearer token", "FILE");
+    options.optflag("", "json", "print JSON as the node sent it");
+    options.optflag("h", "help", "print this help");
+    options.optflag("", "version", "print the version");
+    options.optopt("", "if-version", "version that the file was made from", "N");
+    options.optopt("", "author", "name of the operator", "NAME");
+    options.optmulti("k", "kind", "kind of decisions to show", "KIND");
+    options
+}
+
+/// Options that only one command takes, with that command.
+const COMMAND_OPTIONS: [(&str, &str); 3] = [
+    ("if-version", "config apply"),
+    ("author", "config apply"),
+    ("kind", "watch"),
+];
+
+/// Help of one command.
+fn command_help(words: &[&str]) -> Option<&'static str> {
+    Some(match words {
+        ["status", ..] => {
+            "Usage: tealsaddlectl status\n\nShows the node, its zone, the holder of authority, the \
+             engines with role, load and order, and the peers.\n"
+        }
+        ["counters", ..] => {
+            "Usage: tealsaddlectl counters\n\nShows the counters of the node, one for each refusal \
+             and retry reason.\n"
+        }
+        ["config", "check", ..] => {
+            "Usage: tealsaddlectl config check FILE\n\nChecks a configuration file without a node. \
+             An error names the field and the rule, or the line.\n"
+        }
+        ["config", "get", ..] => {
+            "Usage: tealsaddlectl config get [--json]\n\nPrints the configuration in force as YAML; \
+             with --json, with its version and author.\n"
+        }
+        ["config", "diff", ..] => {
+            "Usage: tealsaddlectl config diff FILE\n\nCompares a file with the configuration in \
+             force. Exits with 0 when they are equal and with 1 when they differ.\n"
+        }
+        ["config", "apply", ..] => {
+            "Usage: tealsaddlectl config apply [--if-version N] [--author NAME] FILE\n\nChecks the \
+             file and puts it in force as a whole. With --if-version the change is made only if N is \
+             still in force; without it, the version in force when the command starts is used. When \
+             another operator was faster, nothing changes and the exit status is 4: look at `config \
+             diff FILE`, take over the other change and apply again.\n"
+        }
+        ["config", "history", ..] => {
+            "Usage: tealsaddlectl config history\n\nLists the accepted versions with author and \
+             time.\n"
+        }
+        ["config", ..] => {
+            "Usage: tealsaddlectl config check|get|diff|apply|history [FILE]\n\nWorks with the \
+             configuration. Each has a --help of its own.\n"
+        }
+        ["drain", ..] => {
+            "Usage: tealsaddlectl drain engine NAME\n       tealsaddlectl drain node\n\nStops new \
+             work on an engine, or on the node itself. Requests in flight are answered in full.\n"
+        }
+        ["watch", ..] => {
+            "Usage: tealsaddlectl watch [--kind KIND]...\n\nShows decisions as they are taken, with \
+             their reason. KIND is admit, route, retry, claim, drain, role, lease, config or \
+             member.\n"
+        }
+        ["explain", ..] => {
+            "Usage: tealsaddlectl explain REQUEST\n\nShows the decisions about one request, with \
+             their inputs and alternatives. REQUEST is the x-request-id of the answer.\n"
+        }
+        _ => return None,
+    })
+}
+
+/// Reads the arguments, without the program's name.
+///
+/// # Examples
+///
+/// ```
+/// use tealsaddle_ctl::args::{Command, Invocation, parse};
+///
+/// let invocation = parse(&["config", "check", "inventory.yaml"].map(String::from), None).unwrap();
+/// let Invocation::Run { command, .. } = invocation else { unreachable!() };
+/// assert_eq!(command, Command::ConfigCheck { file: "inventory.yaml".into() });
+/// ```
+pub fn parse(arguments: &[String], admin_variable: Option<String>) -> Result<Invocation, Error> {
+    let matches = options()
+        .parse(arguments)
+        .map_err(|error| Error::Usage(error.to_string()))?;
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    if matches.opt_present("help") {
+        return Ok(Invocation::Print(
+            command_help(&words).unwrap_or(HELP).to_owned(),
+        ));
+    }
+    if matches.opt_present("version") {
+        return Ok(Invocation::Print(format!(
+            "tealsaddlectl {}\n",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    let command = read_command(&words, &matches)?;
+    check_options(&words, &matches)?;
+    let admin = match matches.opt_str("admin").or(admin_variable) {
+        None => None,
+        Some(text) => Some(text.parse().map_err(|_parse| {
+            Error::Usage(format!("administration address {text:?} is not IP:port"))
+        })?),
+    };
+    Ok(Invocation::Run {
+        command,
+        connection: Connection {
+            admin,
+            token_file: matches.opt_str("token-file"),
+        },
+        is_json: matches.opt_present("json"),
+    })
+}
+
+fn check_options(words: &[&str], matches: &Matches) -> Result<(), Error> {
+    for (option, command) in COMMAND_OPTIONS {
+        if matches.opt_present(option) && !words.join(" ").starts_with(command) {
+            return Err(Error::Usage(format!("--{option} goes with `{command}`")));
+        }
+    }
+    Ok(())
+}
+
+fn read_command(words: &[&str], matches: &Matches) -> Result<Command, Error> {
+    Ok(match words {
+        [] => return Err(Error::Usage("a command is needed".to_owned())),
+        ["status"] => Command::Status,
+        ["counters"] => Command::Counters,
+        ["config", "check", file] => Command::ConfigCheck {
+            file: (*file).to_owned(),
+        },
+        ["config", "get"] => Command::ConfigGet,
+        ["config", "diff", file] => Command::ConfigDiff {
+            file: (*file).to_owned(),
+        },
+        ["config", "apply", file] => Command::ConfigApply {
+            file: (*file).to_owned(),
+            if_version: read_version(matches)?,
+            author: matches.opt_str("author"),
+        },
+        ["config", "history"] => Command::ConfigHistory,
+        ["drain", "engine", engine] => Command::DrainEngine {
+            engine: (*engine).to_owned(),
+        },
+        ["drain", "node"] => Command::DrainNode,
+        ["watch"] => Command::Watch {
+            kinds: matches.opt_strs("kind"),
+        },
+        ["explain", request] => Command::Explain {
+            request_id: (*request).to_owned(),
+        },
+        other => {
+            let message = if command_help(other).is_some() {
+                format!("wrong arguments for `{}`", other.join(" "))
+            } else {
+                format!("unknown command `{}`", other.join(" "))
+            };
+            return Err(Error::Usage(message));
+        }
+    })
+}
+
+fn read_version(matches: &Matches) -> Result<Option<u64>, Error> {
+    match matches.opt_str("if-version") {
+        None => Ok(None),
+        Some(text) => match text.parse() {
+            Ok(version) => Ok(Some(version)),
+            Err(_not_a_number) => Err(Error::Usage(format!(
+                "--if-version {text:?} is not a version"
+            ))),
+        },
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-ctl/src/client.rs
@@ -0,0 +1,139 @@
+//! Client of the administration API.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use crate::Error;
+
+/// Largest answer that is read; a configuration takes up to a megabyte.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Header that names the operator who makes a change.
+const OPERATOR_HEADER: &str = "x-operator";
+
+/// Client of one node.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    token: String,
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON.
+    pub fn json(&self) -> Result<serde_json::Value, Error> {
+        serde_json::from_slice(&self.body).map_err(|error| Error::Protocol(error.to_string()))
+    }
+
+    /// The node's error message, or the body where it has none.
+    pub fn error_message(&self) -> String {
+        match self.json() {
+            Ok(value) if value["error"].is_string() => {
+                value["error"].as_str().unwrap_or_default().to_owned()
+            }
+            _ => String::from_utf8_lossy(&self.body).into_owned(),
+        }
+    }
+}
+
+impl Client {
+    /// Opens a client; no call is made yet.
+    pub fn open(address: SocketAddr, token: String) -> Self {
+        Self {
+            address,
+            token,
+            http: HttpClient::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Sends a request and gives the answer as soon as its headers are there.
+    pub async fn start(
+        &self,
+        method: Method,
+        path: &str,
+        operator: Option<&str>,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, Error> {
+        let is_change = method != Method::GET;
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(AUTHORIZATION, format!("Bearer {}", self.token));
+        if let Some(operator) = operator {
+            request = request.header(OPERATOR_HEADER, operator);
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| Error::Usage(format!("token or name is not usable: {error}")))?;
+        self.http.request(request).await.map_err(|error| {
+            // Only a change whose bytes may have arrived can have taken effect.
+            self.lost(is_change && !error.is_connect(), &error.to_string())
+        })
+    }
+
+    fn lost(&self, may_have_effect: bool, message: &str) -> Error {
+        let address = self.address.to_string();
+        let message = message.to_owned();
+        if may_have_effect {
+            Error::OutcomeUnknown { address, message }
+        } else {
+            Error::Unreachable { address, message }
+        }
+    }
+
+    /// Sends a request and reads the whole answer, whatever its status.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        operator: Option<&str>,
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, Error> {
+        let is_change = method != Method::GET;
+        let response = self.start(method, path, operator, body.into()).await?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| self.lost(is_change, &error.to_string()))?
+            .to_bytes();
+        Ok(Answer { status, body })
+    }
+
+    /// Reads a path; any status but 200 is an error.
+    pub async fn get(&self, path: &str) -> Result<Answer, Error> {
+        let answer = self.call(Method::GET, path, None, Bytes::new()).await?;
+        expect_success(answer)
+    }
+}
+
+/// Turns a status other than 2xx into an error.
+pub fn expect_success(answer: Answer) -> Result<Answer, Error> {
+    match answer.status {
+        200..=299 => Ok(answer),
+        409 => Err(Error::Conflict {
+            message: answer.error_message(),
+        }),
+        status => Err(Error::Refused {
+            status,
+            message: answer.error_message(),
+        }),
+    }
+}
