Fit the operators' command line to the administration API

Cause: the API names an author, a next step and whether a change may have been written. Change: the command line sends the author, shows the next step, tells an unknown outcome apart from a refusal, filters watched kinds at the node and can open a drained engine again.

--- a/crates/tealsaddle-ctl/src/args.rs
+++ b/crates/tealsaddle-ctl/src/args.rs
@@ -98,6 +98,8 @@
     DrainEngine {
         /// Name of the engine.
         engine: String,
+        /// Whether to open the engine again.
+        is_undo: bool,
     },
     /// `drain node`
     DrainNode,
@@ -122,15 +124,17 @@
     options.optflag("", "version", "print the version");
     options.optopt("", "if-version", "version that the file was made from", "N");
     options.optopt("", "author", "name of the operator", "NAME");
+    options.optflag("", "undo", "open the engine again");
     options.optmulti("k", "kind", "kind of decisions to show", "KIND");
     options
 }
 
 /// Options that only one command takes, with that command.
-const COMMAND_OPTIONS: [(&str, &str); 3] = [
+const COMMAND_OPTIONS: [(&str, &str); 4] = [
     ("if-version", "config apply"),
     ("author", "config apply"),
     ("kind", "watch"),
+    ("undo", "drain engine"),
 ];
 
 /// Help of one command.
@@ -172,8 +176,9 @@
              configuration. Each has a --help of its own.\n"
         }
         ["drain", ..] => {
-            "Usage: tealsaddlectl drain engine NAME\n       tealsaddlectl drain node\n\nStops new \
-             work on an engine, or on the node itself. Requests in flight are answered in full.\n"
+            "Usage: tealsaddlectl drain engine [--undo] NAME\n       tealsaddlectl drain node\n\nStops new \
+             work on an engine, or on the node itself. Requests in flight are answered in full. With --undo an engine \
+             takes new work again.\n"
         }
         ["watch", ..] => {
             "Usage: tealsaddlectl watch [--kind KIND]...\n\nShows decisions as they are taken, with \
@@ -262,6 +267,7 @@
         ["config", "history"] => Command::ConfigHistory,
         ["drain", "engine", engine] => Command::DrainEngine {
             engine: (*engine).to_owned(),
+            is_undo: matches.opt_present("undo"),
         },
         ["drain", "node"] => Command::DrainNode,
         ["watch"] => Command::Watch {
--- a/crates/tealsaddle-ctl/src/client.rs
+++ b/crates/tealsaddle-ctl/src/client.rs
@@ -17,7 +17,7 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Header that names the operator who makes a change.
-const OPERATOR_HEADER: &str = "x-operator";
+const AUTHOR_HEADER: &str = "x-author";
 
 /// Client of one node.
 #[derive(Debug)]
@@ -42,15 +42,22 @@
         serde_json::from_slice(&self.body).map_err(|error| Error::Protocol(error.to_string()))
     }
 
-    /// The node's error message, or the body where it has none.
+    /// The node's error message and what to do, or the body where it has none.
     pub fn error_message(&self) -> String {
-        match self.json() {
-            Ok(value) if value["error"].is_string() => {
-                value["error"].as_str().unwrap_or_default().to_owned()
-            }
+        let value = self.json().unwrap_or_default();
+        let error = &value["error"];
+        match (error["message"].as_str(), error["next"].as_str()) {
+            (Some(message), Some(next)) => format!("{message}; {next}"),
+            (Some(message), None) => message.to_owned(),
             _ => String::from_utf8_lossy(&self.body).into_owned(),
         }
     }
+
+    /// Whether the node says that a change may have been written.
+    fn may_be_written(&self) -> bool {
+        self.json()
+            .is_ok_and(|value| value["error"]["may_be_written"] == true)
+    }
 }
 
 impl Client {
@@ -68,7 +75,7 @@
         &self,
         method: Method,
         path: &str,
-        operator: Option<&str>,
+        author: Option<&str>,
         body: Bytes,
     ) -> Result<Response<Incoming>, Error> {
         let is_change = method != Method::GET;
@@ -76,8 +83,8 @@
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header(AUTHORIZATION, format!("Bearer {}", self.token));
-        if let Some(operator) = operator {
-            request = request.header(OPERATOR_HEADER, operator);
+        if let Some(author) = author {
+            request = request.header(AUTHOR_HEADER, author);
         }
         let request = request
             .body(Full::new(body))
@@ -103,11 +110,11 @@
         &self,
         method: Method,
         path: &str,
-        operator: Option<&str>,
+        author: Option<&str>,
         body: impl Into<Bytes>,
     ) -> Result<Answer, Error> {
         let is_change = method != Method::GET;
-        let response = self.start(method, path, operator, body.into()).await?;
+        let response = self.start(method, path, author, body.into()).await?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
             .collect()
@@ -120,20 +127,17 @@
     /// Reads a path; any status but 200 is an error.
     pub async fn get(&self, path: &str) -> Result<Answer, Error> {
         let answer = self.call(Method::GET, path, None, Bytes::new()).await?;
-        expect_success(answer)
+        self.expect_success(answer)
     }
-}
 
-/// Turns a status other than 2xx into an error.
-pub fn expect_success(answer: Answer) -> Result<Answer, Error> {
-    match answer.status {
-        200..=299 => Ok(answer),
-        409 => Err(Error::Conflict {
-            message: answer.error_message(),
-        }),
-        status => Err(Error::Refused {
-            status,
-            message: answer.error_message(),
-        }),
+    /// Turns a status other than 2xx into an error.
+    pub fn expect_success(&self, answer: Answer) -> Result<Answer, Error> {
+        let message = answer.error_message();
+        match answer.status {
+            200..=299 => Ok(answer),
+            409 => Err(Error::Conflict { message }),
+            503 if answer.may_be_written() => Err(self.lost(true, &message)),
+            status => Err(Error::Refused { status, message }),
+        }
     }
 }
--- a/crates/tealsaddle-ctl/src/command/config.rs
+++ b/crates/tealsaddle-ctl/src/command/config.rs
@@ -8,7 +8,7 @@
 
 use super::{write, write_value};
 use crate::Error;
-use crate::client::{Client, expect_success};
+use crate::client::Client;
 
 fn read(file: &str) -> Result<String, Error> {
     std::fs::read_to_string(file).map_err(|source| Error::ReadFile {
@@ -35,7 +35,7 @@
     if answer.status == 404 {
         return Ok((0, String::new(), serde_json::Value::Null));
     }
-    let value = expect_success(answer)?.json()?;
+    let value = client.expect_success(answer)?.json()?;
     let version = value["version"].as_u64();
     let version =
         version.ok_or_else(|| Error::Protocol("the configuration has no version".to_owned()))?;
@@ -86,7 +86,7 @@
     };
     let path = format!("/admin/config?if_version={if_version}");
     let answer = client.call(Method::PUT, &path, author, text).await?;
-    let value = expect_success(answer)?.json()?;
+    let value = client.expect_success(answer)?.json()?;
     let version = value["version"].as_u64().unwrap_or(if_version + 1);
     write(out, &format!("accepted as version {version}\n"))
 }
--- a/crates/tealsaddle-ctl/src/command/decisions.rs
+++ b/crates/tealsaddle-ctl/src/command/decisions.rs
@@ -9,7 +9,7 @@
 
 use super::{write, write_value};
 use crate::Error;
-use crate::client::Client;
+use crate::client::{Answer, Client};
 use crate::output;
 
 /// Longest line of the stream; a decision lists at most the engines of a zone.
@@ -29,14 +29,6 @@
         return write_value(out, &value, true);
     }
     let decisions = value.as_array().cloned().unwrap_or_default();
-    if decisions.is_empty() {
-        return Err(Error::Refused {
-            status: StatusCode::NOT_FOUND.as_u16(),
-            message: format!(
-                "this node has no decision about {request_id}; it keeps the last ones only"
-            ),
-        });
-    }
     for decision in &decisions {
         write(out, &output::decision_block(decision))?;
     }
@@ -49,15 +41,20 @@
     is_json: bool,
     out: &mut impl Write,
 ) -> Result<(), Error> {
-    let response = client
-        .start(Method::GET, "/admin/watch", None, Bytes::new())
-        .await?;
+    let mut path = "/admin/watch".to_owned();
+    if !kinds.is_empty() {
+        path.push_str("?kind=");
+        path.push_str(&kinds.join(","));
+    }
+    let response = client.start(Method::GET, &path, None, Bytes::new()).await?;
     if response.status() != StatusCode::OK {
         let status = response.status().as_u16();
-        return Err(Error::Refused {
-            status,
-            message: "the node does not show it".to_owned(),
-        });
+        let body = response.into_body().collect().await;
+        let body = body
+            .map(http_body_util::Collected::to_bytes)
+            .unwrap_or_default();
+        client.expect_success(Answer { status, body })?;
+        return Err(Error::Protocol(format!("status {status}")));
     }
     let mut body = response.into_body();
     let mut buffer = Vec::new();
@@ -69,7 +66,7 @@
         buffer.extend_from_slice(&data);
         while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = buffer.drain(..=end).collect();
-            show_line(&String::from_utf8_lossy(&line), kinds, is_json, out)?;
+            show_line(&String::from_utf8_lossy(&line), is_json, out)?;
         }
         if buffer.len() > MAX_LINE_BYTES {
             return Err(Error::Protocol("a decision is too long".to_owned()));
@@ -78,24 +75,18 @@
     Ok(())
 }
 
-fn show_line(
-    line: &str,
-    kinds: &[String],
-    is_json: bool,
-    out: &mut impl Write,
-) -> Result<(), Error> {
+fn show_line(line: &str, is_json: bool, out: &mut impl Write) -> Result<(), Error> {
     let Some(data) = line.trim_end().strip_prefix("data:") else {
         return Ok(());
     };
-    let decision: Value = serde_json::from_str(data.trim_start())
+    let event: Value = serde_json::from_str(data.trim_start())
         .map_err(|error| Error::Protocol(error.to_string()))?;
-    let kind = decision["kind"].as_str().unwrap_or_default();
-    if !kinds.is_empty() && !kinds.iter().any(|wanted| wanted == kind) {
-        return Ok(());
-    }
-    if is_json {
-        write(out, &format!("{decision}\n"))
+    let text = if is_json {
+        format!("{event}\n")
+    } else if let Some(lost) = event["lost"].as_u64() {
+        format!("{lost} decisions were not shown, since they came too fast\n")
     } else {
-        write(out, &format!("{}\n", output::decision_line(&decision)))
-    }
+        format!("{}\n", output::decision_line(&event))
+    };
+    write(out, &text)
 }
--- a/crates/tealsaddle-ctl/src/command/mod.rs
+++ b/crates/tealsaddle-ctl/src/command/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::Error;
 use crate::args::{ADMIN_VARIABLE, Command, Connection, TOKEN_VARIABLE};
-use crate::client::{Answer, Client, expect_success};
+use crate::client::Client;
 use crate::output;
 
 /// Runs a command and writes its output to `out`.
@@ -39,14 +39,9 @@
             if_version,
             author,
         } => config::apply(&client, &file, if_version, author.as_deref(), out).await,
-        Command::DrainEngine { engine } => {
-            drain(
-                &client,
-                &serde_json::json!({ "engine": engine }),
-                is_json,
-                out,
-            )
-            .await
+        Command::DrainEngine { engine, is_undo } => {
+            let what = serde_json::json!({ "engine": engine, "undo": is_undo });
+            drain(&client, &what, is_json, out).await
         }
         Command::DrainNode => {
             drain(&client, &serde_json::json!({ "node": true }), is_json, out).await
@@ -108,8 +103,8 @@
     is_json: bool,
     out: &mut impl Write,
 ) -> Result<(), Error> {
-    let answer: Answer = client
+    let answer = client
         .call(Method::POST, "/admin/drain", None, what.to_string())
         .await?;
-    write_value(out, &expect_success(answer)?.json()?, is_json)
+    write_value(out, &client.expect_success(answer)?.json()?, is_json)
 }
