Answer operators from the control thread

The administration API could only read what the traffic threads held, and nothing wrote configurations. The administration API gains configuration changes by compare-and-swap with a history, checks, drains, and decisions as server-sent events. A write whose answer was lost is settled by its write id; the record in force is copied to the history before it is overwritten, so this also works when another change came after it.

--- a/crates/tealsaddle-node/src/admin/mod.rs
+++ b/crates/tealsaddle-node/src/admin/mod.rs
@@ -1,38 +1,88 @@
 //! The administration API: HTTP and JSON behind a bearer token.
+//!
+//! It has its own address, so that no path for callers ever reaches it. What it says about control
+//! state comes from the control thread by calls with deadlines; counters and decisions are read
+//! where the traffic threads keep them.
+
+pub mod auth;
+mod request;
+mod routes;
+mod watch;
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 use crate::Error;
 use crate::caller::response::{Body, json};
+use crate::control::api::ControlHandle;
 use crate::traffic::Traffic;
+use request::Refused;
+
+/// Connections open at once; operators need few, and a leak in a script must not starve callers.
+const MAX_CONNECTIONS: usize = 64;
+/// Watchers at once; each holds a place in the queue of decisions.
+const MAX_WATCHERS: usize = 16;
+/// Time for a client to send its request headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the administration API works on.
+#[derive(Debug)]
+pub struct Admin {
+    /// State of the traffic threads.
+    pub traffic: Arc<Traffic>,
+    /// The control thread.
+    pub control: ControlHandle,
+    watchers: Arc<Semaphore>,
+}
 
 /// Binds the address for operators and serves them until the runtime stops.
-pub async fn bind(address: SocketAddr, traffic: Arc<Traffic>) -> Result<(), Error> {
+pub async fn bind(
+    address: SocketAddr,
+    traffic: Arc<Traffic>,
+    control: ControlHandle,
+) -> Result<(), Error> {
     let listener = TcpListener::bind(address)
         .await
         .map_err(|source| Error::Listen { address, source })?;
+    let admin = Arc::new(Admin {
+        traffic,
+        control,
+        watchers: Arc::new(Semaphore::new(MAX_WATCHERS)),
+    });
+    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     tokio::spawn(async move {
         loop {
+            let permit = Arc::clone(&connections)
+                .acquire_owned()
+                .await
+                .expect("the semaphore is never closed");
             let Ok((stream, _)) = listener.accept().await else {
+                // Out of file descriptors, for example; a pause keeps the loop from spinning.
+                tokio::time::sleep(Duration::from_millis(50)).await;
                 continue;
             };
-            let traffic = Arc::clone(&traffic);
+            let admin = Arc::clone(&admin);
             tokio::spawn(async move {
+                let _permit = permit;
                 let service = service_fn(move |request| {
-                    let response = answer(&traffic, &request);
-                    async move { Ok::<_, Infallible>(response) }
+                    let admin = Arc::clone(&admin);
+                    async move { Ok::<_, Infallible>(answer(&admin, request).await) }
                 });
-                let connection = Builder::new(TokioExecutor::new());
+                let mut connection = Builder::new(TokioExecutor::new());
+                connection
+                    .http1()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(HEADER_TIMEOUT);
                 // A broken connection ends its own requests and nothing else.
                 drop(
                     connection
@@ -45,49 +95,30 @@
     Ok(())
 }
 
-fn is_authorized(traffic: &Traffic, request: &Request<Incoming>) -> bool {
-    request
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .is_some_and(|token| token == traffic.settings.admin_token)
+/// An answer that tells the operator what is wrong and what helps.
+fn refused(status: StatusCode, code: &str, message: &str, next: &str) -> Refused {
+    let error = serde_json::json!({ "code": code, "message": message, "next": next });
+    Refused(Box::new(json(
+        status,
+        &serde_json::json!({ "error": error }),
+    )))
 }
 
-fn answer(traffic: &Traffic, request: &Request<Incoming>) -> Response<Body> {
-    if !is_authorized(traffic, request) {
-        let message = serde_json::json!({ "error": "a bearer token is needed" });
-        return json(StatusCode::UNAUTHORIZED, &message);
+async fn answer(admin: &Arc<Admin>, request: Request<Incoming>) -> Response<Body> {
+    if !auth::is_authorized(request.headers(), &admin.traffic.settings.admin_token) {
+        admin.traffic.counters.increment("admin.refused.token");
+        let next = "send the header Authorization: Bearer TOKEN with admin.token of the settings";
+        return *refused(
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "a bearer token is needed",
+            next,
+        )
+        .0;
     }
-    let path = request.uri().path();
-    match (request.method(), path) {
-        (&Method::GET, "/admin/status") => {
-            let snapshot = traffic.snapshot.load();
-            let version = snapshot
-                .inventory
-                .as_ref()
-                .map_or(0, |inventory| inventory.version);
-            let open: std::collections::BTreeMap<_, _> = snapshot
-                .open_engines
-                .iter()
-                .map(|(name, role)| (&**name, role.as_str()))
-                .collect();
-            let status = serde_json::json!({
-                "vm": &*traffic.settings.vm,
-                "zone": &*traffic.settings.zone,
-                "config_version": version,
-                "open_engines": open,
-            });
-            json(StatusCode::OK, &status)
-        }
-        (&Method::GET, "/admin/counters") => json(StatusCode::OK, &traffic.counters.snapshot()),
-        (&Method::GET, _) if path.starts_with("/admin/explain/") => {
-            let request_id = path.trim_start_matches("/admin/explain/");
-            json(StatusCode::OK, &traffic.explain(request_id))
-        }
-        _ => json(
-            StatusCode::NOT_FOUND,
-            &serde_json::json!({ "error": "no such path" }),
-        ),
+    admin.traffic.counters.increment("admin.requests");
+    match routes::answer(admin, request).await {
+        Ok(response) => response,
+        Err(refused) => *refused.0,
     }
 }
--- /dev/null
+++ b/crates/tealsaddle-node/src/admin/request.rs
@@ -0,0 +1,94 @@
+//! Reading requests of operators, within bounds.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use super::refused;
+use crate::caller::response::Body;
+
+/// Largest body; the platform stores values up to 1 MB, and JSON adds escapes to the text.
+pub const MAX_BODY_BYTES: usize = 900 << 10;
+
+/// An answer that refuses the request.
+#[derive(Debug)]
+pub struct Refused(pub Box<Response<Body>>);
+
+/// Value of a query parameter; the values used here need no decoding.
+pub fn query<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    request.uri().query()?.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
+
+/// A whole number from the query; `None` when the parameter is absent.
+pub fn number(request: &Request<Incoming>, name: &str) -> Result<Option<u64>, Refused> {
+    let Some(text) = query(request, name) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|_parse| {
+        let message = format!("{name}: {text:?} is not a whole number");
+        refused(
+            StatusCode::BAD_REQUEST,
+            "invalid_parameter",
+            &message,
+            "correct the parameter",
+        )
+    })
+}
+
+/// Reads the whole body.
+pub async fn body(request: Request<Incoming>) -> Result<Bytes, Refused> {
+    match Limited::new(request.into_body(), MAX_BODY_BYTES)
+        .collect()
+        .await
+    {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(refused(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            &format!("the body is longer than {MAX_BODY_BYTES} bytes"),
+            "send a shorter body",
+        )),
+        Err(_cut_off) => Err(refused(
+            StatusCode::BAD_REQUEST,
+            "body_cut_off",
+            "the body was cut off",
+            "send it again",
+        )),
+    }
+}
+
+/// Reads the whole body as UTF-8 text.
+pub async fn text(request: Request<Incoming>) -> Result<String, Refused> {
+    String::from_utf8(body(request).await?.into()).map_err(|error| {
+        let message = format!(
+            "the body is not UTF-8 from byte {} on",
+            error.utf8_error().valid_up_to()
+        );
+        refused(
+            StatusCode::BAD_REQUEST,
+            "invalid_body",
+            &message,
+            "send UTF-8 text",
+        )
+    })
+}
+
+/// Reads the whole body as JSON.
+pub async fn parsed<T>(request: Request<Incoming>) -> Result<T, Refused>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(&body(request).await?).map_err(|error| {
+        refused(
+            StatusCode::BAD_REQUEST,
+            "invalid_body",
+            &error.to_string(),
+            "correct the body",
+        )
+    })
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/control/config_follow.rs
@@ -0,0 +1,76 @@
+//! Follows the configuration in the platform's key-value service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tealsaddle_schema::record::ConfigRecord;
+use tokio::sync::{mpsc, watch};
+
+use super::config_write::{self, CONFIG_KEY};
+use super::event::Event;
+use crate::platform::KeyValue;
+
+/// Time that one watch call stays open.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Time before the next call after a failed one.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Watches the configuration while `is_watcher` holds; every record found becomes an event.
+pub async fn follow(
+    platform: Arc<dyn KeyValue>,
+    events: mpsc::Sender<Event>,
+    mut is_watcher: watch::Receiver<bool>,
+) {
+    loop {
+        if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
+            return;
+        }
+        match config_write::read(&*platform, CONFIG_KEY).await {
+            Ok(stored) => {
+                if events
+                    .send(Event::ConfigRead(Some(stored.record)))
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+                watch_from(&*platform, &events, &mut is_watcher).await;
+            }
+            Err(_failed) => {
+                if events.send(Event::ConfigRead(None)).await.is_err() {
+                    return;
+                }
+            }
+        }
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Watches until a call fails or another node takes the watch over.
+async fn watch_from(
+    platform: &dyn KeyValue,
+    events: &mpsc::Sender<Event>,
+    is_watcher: &mut watch::Receiver<bool>,
+) {
+    let mut revision = 0;
+    loop {
+        let changes = tokio::select! {
+            changes = platform.watch(CONFIG_KEY, revision, WATCH_WAIT) => changes,
+            _ = is_watcher.wait_for(|is_watcher| !*is_watcher) => return,
+        };
+        let Ok(changes) = changes else {
+            return;
+        };
+        revision = changes.revision;
+        for entry in changes.entries {
+            if entry.key != CONFIG_KEY {
+                continue;
+            }
+            if let Ok(record) = serde_json::from_value::<ConfigRecord>(entry.value)
+                && events.send(Event::ConfigRead(Some(record))).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/control/config_write.rs
@@ -0,0 +1,258 @@
+//! Configuration changes by operators.
+//!
+//! `config/current` is written by compare-and-swap, so of two concurrent changes one is refused. A
+//! write whose answer was lost is settled by its write id: in the current record, or in the history
+//! if another change came after it. For that to hold, the record in force is copied to the history
+//! before it is overwritten.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use tealsaddle_core::collections::HashSet;
+use tealsaddle_core::inventory::Inventory;
+use tealsaddle_schema::record::ConfigRecord;
+use uuid::Uuid;
+
+use crate::clock;
+use crate::metrics::Counters;
+use crate::platform::{KeyValue, PlatformError, PutOutcome};
+
+/// Key of the configuration in force.
+pub const CONFIG_KEY: &str = "config/current";
+/// Tries of one write before it is reported as unsettled.
+const TRIES: u32 = 4;
+/// Time between two tries.
+const TRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Lines of difference shown with a conflict.
+const MAX_DIFF_LINES: usize = 200;
+
+/// How an operator's change ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigWrite {
+    /// Accepted and settled.
+    Accepted(ConfigRecord),
+    /// Refused; the message names the field and the rule, or the line.
+    Invalid(String),
+    /// Another version is in force.
+    Conflict {
+        /// Version in force.
+        version: u64,
+        /// Who made it.
+        author: String,
+        /// Lines that differ between the operator's base and the version in force.
+        diff: Vec<String>,
+    },
+    /// The platform does not answer.
+    Unavailable {
+        /// Whether the change may have been written all the same.
+        may_be_written: bool,
+        /// What failed.
+        message: String,
+    },
+}
+
+/// Accepted configurations, newest first.
+pub type ConfigHistory = Result<Vec<HistoryEntry>, String>;
+
+/// One accepted configuration.
+#[derive(Debug, Clone, Serialize)]
+pub struct HistoryEntry {
+    /// Version.
+    pub version: u64,
+    /// Who made it.
+    pub author: String,
+    /// Unix time of the change.
+    pub accepted_at_unix_ms: u64,
+    /// Lines that it added to or took from the version before.
+    pub diff: Vec<String>,
+}
+
+fn history_key(version: u64) -> String {
+    format!("config/history/{version}")
+}
+
+/// A stored configuration with the platform's version of its key.
+#[derive(Debug, Clone, Default)]
+pub struct Stored {
+    /// Version for compare-and-swap.
+    pub key_version: u64,
+    /// The record.
+    pub record: ConfigRecord,
+}
+
+/// Reads a stored configuration; version 0 stands for none.
+pub async fn read(platform: &dyn KeyValue, key: &str) -> Result<Stored, PlatformError> {
+    match platform.get(key).await? {
+        None => Ok(Stored::default()),
+        Some(entry) => Ok(Stored {
+            key_version: entry.version,
+            record: serde_json::from_value(entry.value)
+                .map_err(|error| PlatformError::Protocol(error.to_string()))?,
+        }),
+    }
+}
+
+async fn keep_in_history(
+    platform: &dyn KeyValue,
+    record: &ConfigRecord,
+) -> Result<(), PlatformError> {
+    let value = serde_json::to_value(record).expect("a record is plain JSON");
+    // A conflict means that the entry is there already.
+    platform
+        .put(&history_key(record.version), &value, 0, None)
+        .await?;
+    Ok(())
+}
+
+/// Lines that only one of two texts has, with `-` or `+` in front.
+pub fn diff(old: &str, new: &str) -> Vec<String> {
+    let old_lines: HashSet<&str> = old.lines().collect();
+    let new_lines: HashSet<&str> = new.lines().collect();
+    let removed = old.lines().filter(|line| !new_lines.contains(line));
+    let added = new.lines().filter(|line| !old_lines.contains(line));
+    removed
+        .map(|line| format!("-{line}"))
+        .chain(added.map(|line| format!("+{line}")))
+        .take(MAX_DIFF_LINES)
+        .collect()
+}
+
+/// Writes a configuration if the version in force is `if_version`.
+pub async fn write(
+    platform: &dyn KeyValue,
+    counters: &Counters,
+    if_version: u64,
+    author: String,
+    yaml: String,
+) -> ConfigWrite {
+    let record = ConfigRecord {
+        version: if_version + 1,
+        author,
+        write_id: Uuid::new_v4().to_string(),
+        yaml,
+        accepted_at_unix_ms: clock::unix_ms(),
+    };
+    if let Err(error) = Inventory::from_yaml(&record.yaml, record.version) {
+        counters.increment("config.refused.invalid");
+        return ConfigWrite::Invalid(error.to_string());
+    }
+    let mut may_be_written = false;
+    let mut message = String::new();
+    for attempt in 0..TRIES {
+        if attempt > 0 {
+            counters.increment("config.write_retry");
+            tokio::time::sleep(TRY_INTERVAL).await;
+        }
+        match try_write(platform, if_version, &record, &mut may_be_written).await {
+            Ok(outcome) => {
+                let name = match &outcome {
+                    ConfigWrite::Accepted(_) if attempt > 0 => "config.settled_after_lost_answer",
+                    ConfigWrite::Accepted(_) => "config.accepted",
+                    _ => "config.refused.conflict",
+                };
+                counters.increment(name);
+                return outcome;
+            }
+            Err(error) => message = error.to_string(),
+        }
+    }
+    counters.increment("config.refused.platform");
+    ConfigWrite::Unavailable {
+        may_be_written,
+        message,
+    }
+}
+
+/// One try. It is repeated with the same record, so a late copy of it changes nothing.
+async fn try_write(
+    platform: &dyn KeyValue,
+    if_version: u64,
+    record: &ConfigRecord,
+    may_be_written: &mut bool,
+) -> Result<ConfigWrite, PlatformError> {
+    let current = read(platform, CONFIG_KEY).await?;
+    if current.record.version != if_version {
+        return settle(platform, if_version, record, current).await;
+    }
+    if if_version > 0 {
+        keep_in_history(platform, &current.record).await?;
+    }
+    let value = serde_json::to_value(record).expect("a record is plain JSON");
+    match platform
+        .put(CONFIG_KEY, &value, current.key_version, None)
+        .await
+    {
+        Ok(PutOutcome::Written(_)) => {
+            // The next change writes the entry if this does not.
+            drop(keep_in_history(platform, record).await);
+            Ok(ConfigWrite::Accepted(record.clone()))
+        }
+        Ok(PutOutcome::Conflict(_)) => {
+            let current = read(platform, CONFIG_KEY).await?;
+            settle(platform, if_version, record, current).await
+        }
+        Err(error) => {
+            *may_be_written |= matches!(
+                error,
+                PlatformError::Unknown(_) | PlatformError::Protocol(_)
+            );
+            Err(error)
+        }
+    }
+}
+
+async fn settle(
+    platform: &dyn KeyValue,
+    if_version: u64,
+    record: &ConfigRecord,
+    current: Stored,
+) -> Result<ConfigWrite, PlatformError> {
+    if current.record.write_id == record.write_id {
+        drop(keep_in_history(platform, record).await);
+        return Ok(ConfigWrite::Accepted(record.clone()));
+    }
+    if current.record.version > record.version {
+        let kept = read(platform, &history_key(record.version)).await?;
+        if kept.record.write_id == record.write_id {
+            return Ok(ConfigWrite::Accepted(record.clone()));
+        }
+    }
+    let base = read(platform, &history_key(if_version)).await;
+    let diff = base.map_or_else(
+        |_unreadable| Vec::new(),
+        |base| diff(&base.record.yaml, &current.record.yaml),
+    );
+    Ok(ConfigWrite::Conflict {
+        version: current.record.version,
+        author: current.record.author,
+        diff,
+    })
+}
+
+/// Reads the last `limit` accepted configurations, newest first.
+pub async fn history(platform: &dyn KeyValue, limit: u64) -> ConfigHistory {
+    let current = read(platform, CONFIG_KEY)
+        .await
+        .map_err(|error| error.to_string())?;
+    let mut entries: Vec<HistoryEntry> = Vec::new();
+    let mut newer = current.record;
+    while newer.version > 0 && entries.len() < limit as usize {
+        let older = match newer.version - 1 {
+            0 => ConfigRecord::default(),
+            version => {
+                read(platform, &history_key(version))
+                    .await
+                    .map_err(|error| error.to_string())?
+                    .record
+            }
+        };
+        entries.push(HistoryEntry {
+            version: newer.version,
+            author: newer.author,
+            accepted_at_unix_ms: newer.accepted_at_unix_ms,
+            diff: diff(&older.yaml, &newer.yaml),
+        });
+        newer = older;
+    }
+    Ok(entries)
+}
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -33,9 +33,9 @@
         Arc::<HttpPlatform>::clone(&platform),
         counters,
     ));
-    control::spawn(Arc::clone(&traffic), platform)?;
+    let control = control::spawn(Arc::clone(&traffic), platform)?;
     caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
-    admin::bind(admin_listen, traffic).await?;
+    admin::bind(admin_listen, traffic, control).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(Error::Thread)?;
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -1,4 +1,6 @@
 //! Integration tests with real node processes.
 
+mod admin;
+mod config;
 mod path;
 mod support;
--- a/crates/tealsaddle-node/tests/it/support.rs
+++ b/crates/tealsaddle-node/tests/it/support.rs
@@ -4,7 +4,7 @@
 
 use hyper::Method;
 use tealsaddle_schema::record::ConfigRecord;
-use tealsaddle_testkit::client::Client;
+use tealsaddle_testkit::client::{Answer, Client, ClientError};
 use tealsaddle_testkit::process::{NodeConfig, NodeProcess};
 
 /// Starts a node; `test` keeps the files of different tests apart.
@@ -32,3 +32,27 @@
         .await;
     assert_eq!(answer.expect("the platform answers").status, 200);
 }
+
+/// Header of an operator.
+pub const AUTHORIZATION: (&str, &str) = ("authorization", "Bearer test-token");
+
+/// Sends a request to the administration API of a node.
+pub async fn admin(
+    method: Method,
+    address: std::net::SocketAddr,
+    path: &str,
+    body: &str,
+) -> Result<Answer, ClientError> {
+    let body = body.to_owned();
+    Client::open()
+        .call(method, address, path, &[AUTHORIZATION], body)
+        .await
+}
+
+/// Configuration version in force at a node; `None` while it does not answer.
+pub async fn config_version(address: std::net::SocketAddr) -> Option<u64> {
+    let status = admin(Method::GET, address, "/admin/status", "")
+        .await
+        .ok()?;
+    status.json()["config_version"].as_u64()
+}
