--- a/crates/tealsaddle-testkit/src/http.rs
+++ b/crates/tealsaddle-testkit/src/http.rs
@@ -1,6 +1,5 @@
 //! A small HTTP server frame shared by the stand-ins.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -55,6 +54,19 @@
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    bind_lossy(address, move |request| {
+        let answer = handler(request);
+        async move { Some(answer.await) }
+    })
+    .await
+}
+
+/// As [`bind`], but `None` breaks the connection instead of answering.
+pub async fn bind_lossy<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Server>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
@@ -69,7 +81,7 @@
                 }
                 let service = service_fn(move |request| {
                     let answer = handler(request);
-                    async move { Ok::<_, Infallible>(answer.await) }
+                    async move { answer.await.ok_or("answer withheld") }
                 });
                 let connection = Builder::new(TokioExecutor::new());
                 // A broken connection ends its own requests and nothing else.
@@ -108,7 +120,12 @@
 
 /// Value of a query parameter.
 pub fn query_value<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
-    request.uri().query()?.split('&').find_map(|pair| {
+    query_of(request.uri().query()?, name)
+}
+
+/// Value of a parameter in a query.
+pub fn query_of<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| {
         let (key, value) = pair.split_once('=')?;
         (key == name).then_some(value)
     })
--- /dev/null
+++ b/crates/tealsaddle-testkit/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins: a test of the system is worth no more than they are.
+
+mod platform;
