Decide on authority, drains, claims, members and rollout

Cause: the control thread needs the decisions of design sections 4 to 7 and 10 as code without I/O before it can be built. Change: modules authority, drain, claim, member and rollout in tealsaddle-core, with events that carry a time going in and actions coming out. Conclusion: the public types can be built on; first versions, not yet tested.

--- /dev/null
+++ b/crates/tealsaddle-core/src/authority/lease_flow.rs
@@ -0,0 +1,235 @@
+//! Taking, renewing, losing and handing over the lease.
+
+use tealsaddle_schema::record::LeaseRecord;
+
+use super::event::{Action, Stored, WriteOutcome};
+use super::lease::RENEW_US;
+use super::order;
+use super::{Authority, PendingWrite, RETRY_US, Standing, is_due};
+use crate::decision::DecisionKind;
+
+impl Authority {
+    pub(super) fn on_lease_read(
+        &mut self,
+        stored: Option<Stored<LeaseRecord>>,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let stored = stored.unwrap_or_else(|| Stored {
+            version: 0,
+            record: LeaseRecord::default(),
+        });
+        if self
+            .lease
+            .as_ref()
+            .is_some_and(|l| l.version > stored.version)
+        {
+            return;
+        }
+        self.lease_watch.on_read(&stored.record, now_us);
+        if let Some(write) = self.lease_write.take_if(|write| write.is_unsettled)
+            && stored.record.write_id == write.id
+        {
+            self.on_lease_confirmed(&write, actions);
+        }
+        self.lease = Some(stored);
+        self.check_lease_epoch(now_us, actions);
+    }
+
+    pub(super) fn on_lease_write(
+        &mut self,
+        write_id: &str,
+        outcome: WriteOutcome,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut write) = self.lease_write.take_if(|write| write.id == write_id) else {
+            return;
+        };
+        match outcome {
+            WriteOutcome::Written(version) => {
+                if self
+                    .lease
+                    .as_ref()
+                    .is_none_or(|lease| lease.version < version)
+                {
+                    self.lease_watch.on_read(&write.record, now_us);
+                    self.lease = Some(Stored {
+                        version,
+                        record: write.record.clone(),
+                    });
+                }
+                self.on_lease_confirmed(&write, actions);
+                self.check_lease_epoch(now_us, actions);
+            }
+            WriteOutcome::Conflict => {
+                if matches!(self.standing, Standing::Taking(epoch) if epoch == write.record.epoch)
+                    && self
+                        .lease
+                        .as_ref()
+                        .is_none_or(|l| l.record.epoch < write.record.epoch)
+                {
+                    self.step_down("another process wrote the lease", now_us, actions);
+                }
+                // Nothing is written over it before it was read.
+                self.lease = None;
+                self.read_lease(now_us, actions);
+            }
+            WriteOutcome::Unknown => {
+                write.is_unsettled = true;
+                self.lease_write = Some(write);
+                self.read_lease(now_us, actions);
+            }
+        }
+    }
+
+    fn on_lease_confirmed(&mut self, write: &PendingWrite<LeaseRecord>, actions: &mut Vec<Action>) {
+        actions.extend(write.decisions.iter().cloned().map(Action::Decided));
+        if write.record.released {
+            self.standing = Standing::Follower;
+            self.table = None;
+        } else {
+            self.held_lease.on_renewed(write.begun_at_us);
+        }
+    }
+
+    /// Gives the authority up when the lease carries a higher epoch, or the taking of it has failed.
+    fn check_lease_epoch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let Some(lease) = self.lease.as_ref().map(|stored| &stored.record) else {
+            return;
+        };
+        let is_lost = match self.standing {
+            Standing::Follower => false,
+            Standing::Holder(epoch) => lease.epoch > epoch,
+            Standing::Taking(epoch) => {
+                let is_mine =
+                    lease.epoch == epoch && lease.holder.as_ref() == Some(&self.me.process);
+                !is_mine && self.lease_write.is_none()
+            }
+        };
+        if is_lost {
+            self.step_down("the lease is held by another process", now_us, actions);
+        }
+    }
+
+    /// Becomes a follower. Sends that are pending stay noted.
+    pub(super) fn step_down(&mut self, reason: &str, now_us: u64, actions: &mut Vec<Action>) {
+        self.standing = Standing::Follower;
+        self.held_lease = super::HeldLease::default();
+        self.table = None;
+        self.wants.clear();
+        self.unwanted.clear();
+        self.joins.clear();
+        self.probes.clear();
+        self.resigned.clear();
+        self.views.clear();
+        actions.push(Action::Decided(Self::decide(
+            DecisionKind::Lease,
+            &self.me.zone,
+            "lost",
+            reason,
+            now_us,
+        )));
+    }
+
+    fn read_lease(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.lease_read_at_us = Some(now_us);
+        actions.push(Action::ReadLease);
+    }
+
+    /// Reads, renews, takes or hands over the lease as the time asks for it.
+    pub(super) fn drive_lease(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let is_unsettled = self.lease_write.as_ref().is_some_and(|w| w.is_unsettled);
+        let is_follower = self.standing == Standing::Follower;
+        let has_to_read = is_follower || is_unsettled || self.lease.is_none();
+        if has_to_read && is_due(self.lease_read_at_us, RETRY_US, now_us) {
+            self.read_lease(now_us, actions);
+        }
+        if self.lease_write.is_some() {
+            return;
+        }
+        let Some(lease) = &self.lease else {
+            return;
+        };
+        match self.standing {
+            Standing::Follower => {
+                let is_free = lease.version == 0 || self.lease_watch.is_lapsed(now_us);
+                if is_free && !self.is_leaving && self.vms.shows(&self.me.process.vm) {
+                    self.begin_taking(now_us, actions);
+                }
+            }
+            Standing::Holder(epoch) if self.is_leaving && self.may_hand_over() => {
+                self.write_lease(epoch, true, now_us, actions);
+            }
+            Standing::Holder(epoch) | Standing::Taking(epoch) => {
+                if is_due(self.lease_renewal_at_us, RENEW_US, now_us) {
+                    self.write_lease(epoch, false, now_us, actions);
+                }
+            }
+        }
+    }
+
+    fn may_hand_over(&self) -> bool {
+        let is_sender = self
+            .record
+            .as_ref()
+            .is_some_and(|stored| order::is_sender(&stored.record, &self.me.process));
+        self.record_write.is_none() && self.sends.is_empty() && !is_sender
+    }
+
+    fn begin_taking(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let lease_epoch = self.lease.as_ref().map_or(0, |lease| lease.record.epoch);
+        let record_epoch = self.record.as_ref().map_or(0, |stored| stored.record.epoch);
+        let epoch = lease_epoch.max(record_epoch) + 1;
+        self.standing = Standing::Taking(epoch);
+        // What was read before the lease is not fresh enough to write over.
+        self.record = None;
+        self.record_read_at_us = None;
+        self.write_lease(epoch, false, now_us, actions);
+    }
+
+    fn write_lease(
+        &mut self,
+        epoch: u64,
+        is_released: bool,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(lease) = &self.lease else {
+            return;
+        };
+        let if_version = lease.version;
+        let is_renewal = lease.record.epoch == epoch;
+        let renewals = if is_renewal {
+            lease.record.renewals + 1
+        } else {
+            0
+        };
+        let record = LeaseRecord {
+            epoch,
+            holder: Some(self.me.process.clone()),
+            address: self.me.address.clone(),
+            renewals,
+            write_id: self.write_id(),
+            released: is_released,
+        };
+        let choice = match (is_released, is_renewal) {
+            (true, _) => Some(("handed over", "the node is stopping")),
+            (false, false) => Some(("taken", "the lease was free or had lapsed")),
+            (false, true) => None,
+        };
+        let decisions = choice.map(|(choice, reason)| {
+            Self::decide(DecisionKind::Lease, &self.me.zone, choice, reason, now_us)
+        });
+        self.lease_renewal_at_us = Some(now_us);
+        self.lease_write = Some(PendingWrite {
+            id: record.write_id.clone(),
+            if_version,
+            record: record.clone(),
+            begun_at_us: now_us,
+            is_unsettled: false,
+            decisions: decisions.into_iter().collect(),
+        });
+        actions.push(Action::WriteLease { if_version, record });
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-core/src/authority/reconcile.rs
@@ -0,0 +1,446 @@
+//! The holder's work: the next zone record, the routing table, and the orders.
+
+use std::collections::BTreeMap;
+
+use tealsaddle_schema::record::{EngineEntry, ProcessId, RouterEntry, ZoneRecord};
+
+use super::engines::Stage;
+use super::event::{Action, EngineFacts, OrderReply};
+use super::order::{self, Change, Copies, Phase};
+use super::release::{TRANSIT_BOUND_US, remove_unreleased};
+use super::{Authority, Join, Probe, RETRY_US, Standing, is_due, routers};
+use crate::decision::{Decision, DecisionKind};
+use crate::drain::{Drain, RoutingTable, TableVersion};
+use crate::inventory::Role;
+use crate::name::Name;
+
+impl Authority {
+    pub(super) fn on_vms(&mut self, vms: &[(Name, bool)], now_us: u64) {
+        self.vms.set(vms);
+        self.note_gone(now_us);
+    }
+
+    pub(super) fn on_register(
+        &mut self,
+        process: ProcessId,
+        address: String,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.record.as_ref().map(|stored| &stored.record) else {
+            return;
+        };
+        // Only a VM that the list has shown can later be known to be gone.
+        if !matches!(self.standing, Standing::Holder(_))
+            || !self.vms.shows(&process.vm)
+            || routers::is_registered(record, &process)
+        {
+            return;
+        }
+        let occupant = routers::at_address(record, &address).cloned();
+        let router = RouterEntry {
+            process: Some(process),
+            address,
+        };
+        self.joins.retain(|join| join.router != router);
+        match occupant {
+            None => self.joins.push(Join {
+                router,
+                replaces: None,
+            }),
+            // A delayed request of an older process must not push out the newer one.
+            Some(occupant) => {
+                let id = self.next_id();
+                let address = router.address.clone();
+                self.probes.retain(|probe| probe.router != router);
+                self.probes.push(Probe {
+                    id,
+                    router,
+                    occupant,
+                });
+                actions.push(Action::ProbeAddress { probe: id, address });
+            }
+        }
+    }
+
+    pub(super) fn on_probed(&mut self, probe: u64, answered: Option<&ProcessId>) {
+        let Some(index) = self.probes.iter().position(|p| p.id == probe) else {
+            return;
+        };
+        let probe = self.probes.remove(index);
+        // Both processes had been started when the probe was begun, and only the later one can answer.
+        if answered.is_some() && answered == probe.router.process.as_ref() {
+            self.joins.push(Join {
+                router: probe.router,
+                replaces: Some(probe.occupant),
+            });
+        }
+    }
+
+    pub(super) fn on_order_reply(
+        &mut self,
+        send: u64,
+        reply: OrderReply,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let order_id = self.sends.going_on(send).map(|(_, id)| id.to_owned());
+        let engine = match reply {
+            OrderReply::Unknown => self.sends.give_up(send, now_us),
+            _ => self.sends.end(send),
+        };
+        let Some(engine) = engine else {
+            return;
+        };
+        let next_query = self.next_id + 1;
+        if let Some(view) = self.views.get_mut(&engine) {
+            view.forget_state(next_query);
+            let is_current = view.stage.as_ref().map(|s| &s.order_id) == order_id.as_ref();
+            view.has_accepted |= reply == OrderReply::Accepted && is_current;
+            if reply != OrderReply::Accepted {
+                // The next question, and so the next attempt, waits for the retry interval.
+                view.asked_at_us = Some(now_us);
+            }
+        }
+        if reply == OrderReply::StaleFence {
+            actions.push(Action::ReadLease);
+            actions.push(Action::ReadRecord);
+        }
+    }
+
+    /// Notes since when former senders are known to be gone.
+    fn note_gone(&mut self, now_us: u64) {
+        let Some(record) = self.record.as_ref().map(|stored| &stored.record) else {
+            return;
+        };
+        for unreleased in record.engines.iter().flat_map(|entry| &entry.unreleased) {
+            let Some(process) = &unreleased.process else {
+                continue;
+            };
+            let is_replaced = routers::at_address(record, &unreleased.address)
+                .is_some_and(|newer| newer != process);
+            if is_replaced || self.vms.has_dropped(&process.vm) {
+                self.gone_since_us.entry(process.clone()).or_insert(now_us);
+            }
+        }
+    }
+
+    /// Applies to the record everything that is due.
+    pub(super) fn reconcile(&mut self, next: &mut ZoneRecord, now_us: u64) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        self.note_gone(now_us);
+        self.reconcile_routers(next);
+        let (me, sends, gone) = (&self.me.process, &self.sends, &self.gone_since_us);
+        remove_unreleased(next, |engine, unreleased| {
+            let Some(process) = &unreleased.process else {
+                return true;
+            };
+            if process == me {
+                return !sends.may_arrive(engine);
+            }
+            gone.get(process)
+                .is_some_and(|since_us| now_us >= since_us + TRANSIT_BOUND_US)
+        });
+        let Some(engines) = self.engines.take() else {
+            return decisions;
+        };
+        next.engines.retain(|entry| {
+            engines.contains_key(entry.engine.as_str())
+                || entry.order.is_some()
+                || !entry.unreleased.is_empty()
+        });
+        for facts in engines.values() {
+            if order::entry(next, &facts.name).is_none() {
+                next.engines.push(EngineEntry {
+                    engine: facts.name.to_string(),
+                    role: facts.initial_role.as_str().to_owned(),
+                    ..EngineEntry::default()
+                });
+            }
+            if let Some(decision) = self.reconcile_engine(next, facts, now_us) {
+                decisions.push(decision);
+            }
+        }
+        self.engines = Some(engines);
+        decisions
+    }
+
+    fn reconcile_routers(&mut self, next: &mut ZoneRecord) {
+        let me = &self.me.process;
+        self.resigned
+            .retain(|process| process != me && routers::is_registered(next, process));
+        for process in &self.resigned {
+            routers::remove(next, process);
+        }
+        let vms = &self.vms;
+        routers::remove_gone(next, |process| {
+            process != me && vms.has_dropped(&process.vm)
+        });
+        self.joins.retain(|join| {
+            let process = join.router.process.as_ref();
+            process.is_some_and(|process| !routers::is_registered(next, process))
+        });
+        for join in &self.joins {
+            let occupant = routers::at_address(next, &join.router.address);
+            if occupant.is_none() || occupant == join.replaces.as_ref() {
+                routers::register(next, join.router.clone());
+            }
+        }
+    }
+
+    /// Applies what is due for one engine and says what was decided.
+    fn reconcile_engine(
+        &mut self,
+        next: &mut ZoneRecord,
+        facts: &EngineFacts,
+        now_us: u64,
+    ) -> Option<Decision> {
+        let name = &facts.name;
+        let recorded = order::entry(next, name)?.order.clone();
+        let decided = |kind, choice: &str, reason: String| {
+            Some(Self::decide(kind, name, choice, reason, now_us))
+        };
+        let Some(recorded) = recorded else {
+            self.unwanted.remove(name);
+            return self.reconcile_free_engine(next, facts, now_us);
+        };
+        let is_withdrawal = recorded.kind == Change::Withdraw.kind();
+        // It is either this order, or must wait until this order is done and be wanted anew.
+        self.wants.remove(name);
+        if Phase::of(&recorded) == Phase::Draining {
+            let is_unwanted = self.unwanted.remove(name);
+            let reason = match (is_withdrawal, facts.is_withdrawn) {
+                (true, false) => Some("the engine is back in service"),
+                (false, true) => Some("the engine is withdrawn"),
+                (false, false) if is_unwanted => Some("the planner no longer wants it"),
+                _ => None,
+            };
+            if let Some(reason) = reason {
+                order::cancel(next, name).ok()?;
+                return decided(DecisionKind::Role, "cancel", reason.to_owned());
+            }
+        }
+        if is_withdrawal {
+            return None;
+        }
+        let view = self.views.get(name)?;
+        let me = &self.me.process;
+        if !recorded.senders.contains(me) {
+            let drained = view.drain.as_ref()?.prove(next).ok()?;
+            order::issue(next, name, &drained, me).ok()?;
+            let reason = format!("{} is drained", recorded.order_id);
+            return decided(DecisionKind::Role, "issue", reason);
+        }
+        let state = view.state()?;
+        let copies = Copies {
+            own_pending: self.sends.may_arrive(name),
+            is_fence_raised: facts.checks_fence && view.has_accepted,
+        };
+        if !order::is_in_effect(&recorded, state) || self.has_to_raise(facts, next) {
+            return None;
+        }
+        order::complete(next, name, me, copies).ok()?;
+        let reason = format!("{} is in effect", recorded.order_id);
+        decided(DecisionKind::Role, "done", reason)
+    }
+
+    fn reconcile_free_engine(
+        &mut self,
+        next: &mut ZoneRecord,
+        facts: &EngineFacts,
+        now_us: u64,
+    ) -> Option<Decision> {
+        let name = &facts.name;
+        if facts.is_withdrawn {
+            self.wants.remove(name);
+            order::intend(next, name, &Change::Withdraw).ok()?;
+            let reason = "withdrawn by the configuration or leaving with its VM";
+            return Some(Self::decide(
+                DecisionKind::Drain,
+                name,
+                "drain",
+                reason,
+                now_us,
+            ));
+        }
+        let found = self.views.get(name).and_then(|view| view.state());
+        if let Some(found) = found.filter(|state| !state.is_changing).map(|s| s.role)
+            && order::record_role(next, name, found).is_ok()
+        {
+            let reason = format!("found in role {found} without an order");
+            return Some(Self::decide(
+                DecisionKind::Role,
+                name,
+                "record",
+                reason,
+                now_us,
+            ));
+        }
+        let change = self.wants.get(name)?;
+        match order::intend(next, name, change) {
+            Ok(()) => {
+                let reason = format!("wanted: {}", change.kind());
+                Some(Self::decide(
+                    DecisionKind::Drain,
+                    name,
+                    "drain",
+                    reason,
+                    now_us,
+                ))
+            }
+            Err(refusal) => {
+                self.wants.remove(name);
+                let reason = refusal.to_string();
+                Some(Self::decide(
+                    DecisionKind::Role,
+                    name,
+                    "refuse",
+                    reason,
+                    now_us,
+                ))
+            }
+        }
+    }
+
+    /// Whether an order must be sent although its content is in effect, so that the engine refuses the
+    /// copies of former holders from then on.
+    fn has_to_raise(&self, facts: &EngineFacts, record: &ZoneRecord) -> bool {
+        let has_accepted = self.views.get(&facts.name).is_some_and(|v| v.has_accepted);
+        let entry = order::entry(record, &facts.name);
+        facts.checks_fence && !has_accepted && entry.is_some_and(|e| !e.unreleased.is_empty())
+    }
+
+    /// Publishes the table, begins drains, asks engines and sends orders.
+    pub(super) fn drive_engines(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let Standing::Holder(epoch) = self.standing else {
+            return;
+        };
+        let Some(stored) = self.record.take() else {
+            return;
+        };
+        if let Some(engines) = self.engines.take() {
+            self.enter_stages(&stored.record);
+            self.publish(&stored.record, &engines, epoch, actions);
+            for facts in engines.values() {
+                if let Some(entry) = order::entry(&stored.record, &facts.name) {
+                    self.drive_engine(&stored.record, entry, facts, now_us, actions);
+                }
+            }
+            self.engines = Some(engines);
+        }
+        self.record = Some(stored);
+    }
+
+    fn enter_stages(&mut self, record: &ZoneRecord) {
+        let next_query = self.next_id + 1;
+        for entry in &record.engines {
+            let stage = entry.order.as_ref().map(|order| Stage {
+                order_id: order.order_id.clone(),
+                phase: Phase::of(order),
+                is_sender: order.senders.contains(&self.me.process),
+            });
+            let view = self.views.entry(entry.engine.as_str().into()).or_default();
+            if view.stage != stage {
+                view.enter(stage, next_query);
+            }
+        }
+    }
+
+    fn publish(
+        &mut self,
+        record: &ZoneRecord,
+        engines: &BTreeMap<Name, EngineFacts>,
+        epoch: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let open: Vec<(Name, Role)> = engines
+            .values()
+            .filter(|facts| !facts.is_withdrawn)
+            .filter_map(|facts| {
+                let entry = order::entry(record, &facts.name)?;
+                let role: Role = entry.role.parse().ok()?;
+                // A late copy could change an engine that was found in another role.
+                let found = self.views.get(&facts.name).and_then(|view| view.state());
+                let is_as_recorded = found.is_none_or(|state| state.role == role);
+                (entry.order.is_none() && is_as_recorded).then(|| (Name::clone(&facts.name), role))
+            })
+            .collect();
+        let last = self
+            .table
+            .as_ref()
+            .filter(|table| table.version.epoch == epoch);
+        if last.is_some_and(|table| table.open == open) {
+            return;
+        }
+        let sequence = last.map_or(1, |table| table.version.sequence + 1);
+        let version = TableVersion { epoch, sequence };
+        let table = RoutingTable { version, open };
+        self.table = Some(table.clone());
+        actions.push(Action::Publish(table));
+    }
+
+    fn drive_engine(
+        &mut self,
+        record: &ZoneRecord,
+        entry: &EngineEntry,
+        facts: &EngineFacts,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let name = &facts.name;
+        let may_order = self.may_order(now_us);
+        let has_to_raise = self.has_to_raise(facts, record);
+        let is_sending = self.sends.is_sending(name);
+        let Some(table) = self.table.as_ref().map(|table| table.version) else {
+            return;
+        };
+        let next_id = self.next_id + 1;
+        let Some(view) = self.views.get_mut(name) else {
+            return;
+        };
+        if let Some(order) = &entry.order
+            && view.drain.is_none()
+        {
+            // The table in force leaves the engine out because the record holds an order for it.
+            view.drain = Some(Drain::new(&*order.order_id, table));
+        }
+        let issuing = entry
+            .order
+            .as_ref()
+            .filter(|order| order.senders.contains(&self.me.process));
+        let has_to_ask = match (issuing, &entry.order) {
+            (Some(order), _) => {
+                let state = view.state();
+                !is_sending && !state.is_some_and(|state| order::is_in_effect(order, state))
+            }
+            (None, Some(_)) => false,
+            (None, None) => match view.state() {
+                None => true,
+                Some(state) => view.reported_role.is_some_and(|role| role != state.role),
+            },
+        };
+        if has_to_ask && is_due(view.asked_at_us, RETRY_US, now_us) {
+            view.asked_at_us = Some(now_us);
+            self.next_id = next_id;
+            actions.push(Action::AskState {
+                engine: Name::clone(name),
+                query: next_id,
+            });
+        }
+        let Some(order) = issuing else {
+            return;
+        };
+        let is_ready = view.state().is_some_and(|state| {
+            !state.is_changing && (!order::is_in_effect(order, state) || has_to_raise)
+        });
+        if is_ready && may_order && !is_sending {
+            view.forget_state(self.next_id + 1);
+            let send = self.sends.begin(name, &order.order_id);
+            actions.push(Action::SendOrder {
+                send,
+                engine: Name::clone(name),
+                fence: record.epoch,
+                order: order.clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-core/src/authority/record_flow.rs
@@ -0,0 +1,212 @@
+//! Reading and writing the zone record: takeover, settled answers, release.
+
+use tealsaddle_schema::record::ZoneRecord;
+
+use super::event::{Action, Stored, WriteOutcome};
+use super::order;
+use super::release::release;
+use super::takeover::take_over;
+use super::{Authority, PendingWrite, RETRY_US, Standing, is_due};
+use crate::decision::{Decision, DecisionKind};
+
+impl Authority {
+    pub(super) fn on_record_read(
+        &mut self,
+        stored: Option<Stored<ZoneRecord>>,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let stored = stored.unwrap_or_else(|| Stored {
+            version: 0,
+            record: ZoneRecord::default(),
+        });
+        if self
+            .record
+            .as_ref()
+            .is_some_and(|r| r.version > stored.version)
+        {
+            return;
+        }
+        if let Some(write) = self.record_write.take_if(|write| write.is_unsettled)
+            && write.record.write_id == stored.record.write_id
+        {
+            actions.extend(write.decisions.into_iter().map(Action::Decided));
+        }
+        self.adopt(stored, now_us, actions);
+    }
+
+    pub(super) fn on_record_write(
+        &mut self,
+        write_id: &str,
+        outcome: WriteOutcome,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut write) = self.record_write.take_if(|write| write.id == write_id) else {
+            return;
+        };
+        match outcome {
+            WriteOutcome::Written(version) => {
+                actions.extend(write.decisions.into_iter().map(Action::Decided));
+                if self.record.as_ref().is_none_or(|r| r.version < version) {
+                    let record = write.record;
+                    self.adopt(Stored { version, record }, now_us, actions);
+                }
+            }
+            WriteOutcome::Conflict => {
+                self.conflict_version = Some(write.if_version);
+                self.read_record(now_us, actions);
+            }
+            WriteOutcome::Unknown => {
+                // It may still take effect after the next read. That does no harm: whatever is decided
+                // then is written under the same version, so at most one of the two writes succeeds.
+                write.is_unsettled = true;
+                self.record_write = Some(write);
+                self.read_record(now_us, actions);
+            }
+        }
+    }
+
+    /// Takes a record as the current one and draws the conclusions for the own standing.
+    fn adopt(&mut self, stored: Stored<ZoneRecord>, now_us: u64, actions: &mut Vec<Action>) {
+        let epoch = stored.record.epoch;
+        let is_mine = stored.record.holder.as_ref() == Some(&self.me.process);
+        self.record = Some(stored);
+        match self.standing {
+            Standing::Holder(held) if epoch > held => {
+                self.step_down("the zone record carries a higher epoch", now_us, actions);
+            }
+            Standing::Taking(taking) if epoch == taking && is_mine => {
+                self.standing = Standing::Holder(taking);
+                self.last_held_epoch = taking;
+                self.views.clear();
+                actions.push(Action::Decided(Self::decide(
+                    DecisionKind::Lease,
+                    &self.me.zone,
+                    "holder",
+                    format!("the zone record carries epoch {taking} of this process"),
+                    now_us,
+                )));
+            }
+            Standing::Taking(taking) if epoch >= taking => {
+                self.step_down("the zone record carries a higher epoch", now_us, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn read_record(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.record_read_at_us = Some(now_us);
+        actions.push(Action::ReadRecord);
+    }
+
+    /// Whether this former holder stands in an unreleased list, or may, as far as it knows.
+    pub(super) fn has_to_release(&self) -> bool {
+        if self.last_held_epoch == 0 {
+            return false;
+        }
+        let Some(record) = self.record.as_ref().map(|stored| &stored.record) else {
+            return true;
+        };
+        // Under its own epoch the process is a sender of orders that a successor will list.
+        let is_sender = order::is_sender(record, &self.me.process);
+        is_sender
+            || record.engines.iter().any(|entry| {
+                let mut unreleased = entry.unreleased.iter();
+                unreleased.any(|u| u.process.as_ref() == Some(&self.me.process))
+            })
+    }
+
+    /// Reads the record while something is unsettled, and writes the next one.
+    pub(super) fn drive_record(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        let is_unsettled = self.record_write.as_ref().is_some_and(|w| w.is_unsettled);
+        let has_to_read = match self.standing {
+            Standing::Follower => self.has_to_release(),
+            // The lease must be confirmed first, so that two candidates seldom write both.
+            Standing::Taking(_) => self.lease_write.is_none() && self.record.is_none(),
+            // A former holder releases itself by a write of its own.
+            Standing::Holder(_) => self.record.as_ref().is_some_and(|stored| {
+                let mut entries = stored.record.engines.iter();
+                entries.any(|entry| !entry.unreleased.is_empty())
+            }),
+        };
+        let record_version = self.record.as_ref().map(|stored| stored.version);
+        let is_outdated =
+            self.conflict_version.is_some() && record_version <= self.conflict_version;
+        if (has_to_read || is_unsettled || is_outdated)
+            && is_due(self.record_read_at_us, RETRY_US, now_us)
+        {
+            self.read_record(now_us, actions);
+        }
+        if self.record_write.is_some() || is_outdated {
+            return;
+        }
+        let Some(stored) = &self.record else {
+            return;
+        };
+        let mut next = stored.record.clone();
+        let mut decisions = Vec::new();
+        match self.standing {
+            Standing::Follower => {
+                let sends = &self.sends;
+                if next.epoch <= self.last_held_epoch
+                    || !release(&mut next, &self.me.process, |engine| {
+                        sends.may_arrive(engine)
+                    })
+                {
+                    return;
+                }
+                // The holder finds its own last write by this id, so a release leaves it as it is.
+                let write_id = self.write_id();
+                self.write_record(write_id, next, decisions, now_us, actions);
+                return;
+            }
+            Standing::Taking(epoch) => {
+                let is_confirmed = self.lease_write.is_none() && self.held_lease.may_send(now_us);
+                let me = &self.me;
+                if !is_confirmed || take_over(&mut next, &me.process, &me.address, epoch).is_err() {
+                    return;
+                }
+            }
+            Standing::Holder(_) => {
+                if !self.is_leaving {
+                    decisions = self.reconcile(&mut next, now_us);
+                } else if self.sends.is_empty() {
+                    order::drop_sender(&mut next, &self.me.process);
+                }
+                let is_same = self.record.as_ref().is_some_and(|r| r.record == next);
+                if is_same {
+                    actions.extend(decisions.into_iter().map(Action::Decided));
+                    return;
+                }
+            }
+        }
+        let write_id = self.write_id();
+        next.write_id.clone_from(&write_id);
+        self.write_record(write_id, next, decisions, now_us, actions);
+    }
+
+    fn write_record(
+        &mut self,
+        write_id: String,
+        record: ZoneRecord,
+        decisions: Vec<Decision>,
+        now_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let if_version = self.record.as_ref().map_or(0, |stored| stored.version);
+        actions.push(Action::WriteRecord {
+            if_version,
+            write_id: write_id.clone(),
+            record: Box::new(record.clone()),
+        });
+        self.record_write = Some(PendingWrite {
+            id: write_id,
+            if_version,
+            record,
+            begun_at_us: now_us,
+            is_unsettled: false,
+            decisions,
+        });
+    }
+}
--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -8,13 +8,18 @@
 //! Times are `now_us`, microseconds of a clock that counts suspended time, so that a process that was
 //! paused sees how long it was away.
 
+pub mod authority;
+pub mod claim;
 pub mod collections;
 pub mod decision;
+pub mod drain;
 pub mod error;
 pub mod inventory;
 pub mod load;
+pub mod member;
 pub mod name;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod stream;
 
