Add the fault-injecting proxy and the service stand-in

A late, doubled or lost message cannot be brought about by signals alone. The service counts executions apart from answers.

--- a/crates/tealsaddle-testkit/src/lib.rs
+++ b/crates/tealsaddle-testkit/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod http;
 pub mod platform;
 pub mod process;
+pub mod proxy;
+pub mod service;
--- /dev/null
+++ b/crates/tealsaddle-testkit/src/service.rs
@@ -0,0 +1,169 @@
+//! Stand-in of a plain service, such as the league ladder or the logbook records.
+//!
+//! It records every call and counts executions apart from answers, so that a test can tell a call
+//! that ran from a call that was answered.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::http::{self, Body, Server};
+
+/// What goes wrong.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// Time before the execution.
+    pub delay_before: Duration,
+    /// Time between the execution and the answer.
+    pub delay_after: Duration,
+    /// Number of next calls that are executed and then break the connection.
+    pub crash_after_execution: u32,
+    /// Number of next calls that are refused with 503 before any execution.
+    pub refuse: u32,
+    /// Whether every call breaks its connection without an execution.
+    pub is_down: bool,
+}
+
+/// A call that reached the service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Call {
+    /// Milliseconds since the service started.
+    pub at_ms: u64,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Value of `Idempotency-Key`; empty without one.
+    pub key: String,
+    /// Body.
+    pub body: String,
+    /// Whether it was executed.
+    pub is_executed: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    started: Instant,
+    inner: Mutex<(Faults, Vec<Call>)>,
+}
+
+/// A running service; it stops when dropped.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    state: Arc<State>,
+}
+
+impl Service {
+    /// Binds a service stand-in without faults.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let state = Arc::new(State {
+            started: Instant::now(),
+            inner: Mutex::default(),
+        });
+        let server = http::bind_lossy(address, {
+            let state = Arc::clone(&state);
+            move |request| answer(request, Arc::clone(&state))
+        })
+        .await?;
+        Ok(Self { server, state })
+    }
+
+    /// Address that the service is bound to.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Waits until the server ends, which it does only by a failure.
+    pub async fn join(self) {
+        self.server.join().await;
+    }
+
+    /// Changes what goes wrong from now on.
+    pub fn update<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Faults),
+    {
+        change(&mut self.state.lock().0);
+    }
+
+    /// Calls that reached the service, in order of arrival.
+    pub fn calls(&self) -> Vec<Call> {
+        self.state.lock().1.clone()
+    }
+
+    /// Number of executions of calls with this body.
+    pub fn executions(&self, body: &str) -> usize {
+        let calls = self.calls();
+        let executed = calls.iter().filter(|call| call.is_executed);
+        executed.filter(|call| call.body == body).count()
+    }
+}
+
+impl State {
+    fn lock(&self) -> std::sync::MutexGuard<'_, (Faults, Vec<Call>)> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+}
+
+async fn answer(request: Request<Incoming>, state: Arc<State>) -> Option<Response<Body>> {
+    let (parts, body) = request.into_parts();
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned();
+    if path == "/control/calls" {
+        return Some(http::json(StatusCode::OK, &state.lock().1));
+    }
+    // A request that was cut off never reached the service as a whole.
+    let body = body.collect().await.ok()?.to_bytes();
+    let key = parts
+        .headers
+        .get("idempotency-key")
+        .and_then(|key| key.to_str().ok());
+    let call = Call {
+        at_ms: state.started.elapsed().as_millis() as u64,
+        method: parts.method.to_string(),
+        path,
+        key: key.unwrap_or_default().to_owned(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+        is_executed: false,
+    };
+    // Executed to the end even if the caller gives up, as a real service does.
+    let task = tokio::spawn(execute(call, state));
+    task.await.expect("a call of the stand-in does not panic")
+}
+
+async fn execute(call: Call, state: Arc<State>) -> Option<Response<Body>> {
+    let (index, before) = {
+        let mut inner = state.lock();
+        inner.1.push(call.clone());
+        if inner.0.is_down {
+            return None;
+        }
+        if inner.0.refuse > 0 {
+            inner.0.refuse -= 1;
+            return Some(http::json(StatusCode::SERVICE_UNAVAILABLE, &"refused"));
+        }
+        (inner.1.len() - 1, inner.0.delay_before)
+    };
+    tokio::time::sleep(before).await;
+    let (execution, is_crash, after) = {
+        let mut inner = state.lock();
+        inner.1[index].is_executed = true;
+        let execution = inner.1.iter().filter(|call| call.is_executed).count();
+        let is_crash = inner.0.crash_after_execution > 0;
+        inner.0.crash_after_execution -= u32::from(is_crash);
+        (execution, is_crash, inner.0.delay_after)
+    };
+    tokio::time::sleep(after).await;
+    let echo = json!({ "execution": execution, "path": call.path, "body": call.body });
+    (!is_crash).then(|| http::json(StatusCode::OK, &echo))
+}
--- a/crates/tealsaddle-testkit/tests/it/main.rs
+++ b/crates/tealsaddle-testkit/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the stand-ins: a test of the system is worth no more than they are.
 
 mod platform;
+mod proxy;
