Add a discrete-event model of an engine

Cause: the engine stand-in has one fixed speed and no queue, so neither the HTTP tests nor experiments in virtual time can show what roles, batches and role changes cost. Change: tealsaddle_testkit::engine::sim with continuous batching, chunked prefill and its interference, a limited prefix cache with late and lost events, KV export and import, priorities, cancel, resume, lagging load reports, orders with and without fencing, and crashes. Decided: a crash in the first half of a change leaves the old role, later the new one, in both cases without the order id; the fencing token survives a crash.

--- a/crates/tealsaddle-testkit/src/engine/mod.rs
+++ b/crates/tealsaddle-testkit/src/engine/mod.rs
@@ -4,5 +4,6 @@
 //! received with what the engine must have produced, also when a stream moved between engines.
 
 pub mod server;
+pub mod sim;
 pub mod text;
 pub mod wire;
