Run the engine stand-in on the engine model

Tests of orders and drains need an engine that changes its role, cuts off what still runs, checks fencing tokens or ignores them, crashes half way and keeps a record of its own. The stand-in now runs the discrete-event model in real time and serves the whole protocol: generate in three stages with KV import, cancel, load, state, order and cache events. A crash closes the listening socket, so that connections are refused as by a dead process. Tests read conflicts and cut-off streams from the record.

--- /dev/null
+++ b/crates/tealsaddle-testkit/src/engine/answers.rs
@@ -0,0 +1,70 @@
+//! Faults of an answer stream.
+
+use super::wire::GenerateEvent;
+
+/// What goes wrong with the events of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerFault {
+    /// Each event comes twice.
+    Duplicate,
+    /// Each two neighbouring tokens are exchanged.
+    Reorder,
+    /// Before each event comes one of an attempt that does not exist.
+    Foreign,
+    /// Before each event comes one of the attempt that the engine served before.
+    Late,
+    /// The stream ends without an error after so many tokens.
+    EndEarly(u64),
+}
+
+/// Applies a fault to a stream, event by event.
+#[derive(Debug)]
+pub(super) struct Distorter {
+    fault: Option<AnswerFault>,
+    earlier_attempt: String,
+    kept: Option<GenerateEvent>,
+    tokens: u64,
+}
+
+impl Distorter {
+    pub(super) const fn new(fault: Option<AnswerFault>, earlier_attempt: String) -> Self {
+        Self {
+            fault,
+            earlier_attempt,
+            kept: None,
+            tokens: 0,
+        }
+    }
+
+    /// Events to send for one event; `None` ends the stream.
+    pub(super) fn on_event(&mut self, event: GenerateEvent) -> Option<Vec<GenerateEvent>> {
+        let of_attempt = |attempt_id: &str| GenerateEvent {
+            attempt_id: attempt_id.to_owned(),
+            text: event.text.as_ref().map(|_| "foreign ".to_owned()),
+            ..event.clone()
+        };
+        match self.fault {
+            None => Some(vec![event]),
+            Some(AnswerFault::Duplicate) => Some(vec![event.clone(), event]),
+            Some(AnswerFault::Foreign) => Some(vec![of_attempt("no-such-attempt"), event]),
+            Some(AnswerFault::Late) => Some(vec![of_attempt(&self.earlier_attempt), event]),
+            Some(AnswerFault::Reorder) if event.index.is_none() => {
+                Some(self.kept.take().into_iter().chain([event]).collect())
+            }
+            Some(AnswerFault::Reorder) => {
+                if let Some(kept) = self.kept.take() {
+                    return Some(vec![event, kept]);
+                }
+                self.kept = Some(event);
+                Some(Vec::new())
+            }
+            Some(AnswerFault::EndEarly(after)) => {
+                if self.tokens >= after || event.done {
+                    return None;
+                }
+                self.tokens += 1;
+                Some(vec![event])
+            }
+        }
+    }
+}
--- a/crates/tealsaddle-testkit/src/engine/text.rs
+++ b/crates/tealsaddle-testkit/src/engine/text.rs
@@ -2,6 +2,8 @@
 
 use std::hash::{Hash, Hasher};
 
+use sha2::{Digest, Sha256};
+
 const WORDS: [&str; 16] = [
     "ball", "drain", "tilt", "page", "score", "valve", "rivet", "lane", "spar", "flip", "bolt",
     "bonus", "log", "rule", "wing", "ramp",
@@ -29,3 +31,24 @@
 pub fn count_tokens(text: &str) -> u64 {
     text.split_whitespace().count() as u64
 }
+
+/// Hashes of the prompt's whole leading blocks of `block_tokens`.
+///
+/// The hash of a block is the first 8 bytes, big-endian, of the SHA-256 of the hash before it (8
+/// bytes, 0 for the first block) and the block's words joined by single spaces.
+pub fn prefix_blocks(prompt: &str, block_tokens: u64) -> Vec<u64> {
+    let words: Vec<&str> = prompt.split_whitespace().collect();
+    let mut before = 0_u64;
+    words
+        .chunks_exact(block_tokens as usize)
+        .map(|block| {
+            let hash = Sha256::new()
+                .chain_update(before.to_be_bytes())
+                .chain_update(block.join(" "))
+                .finalize();
+            let first = hash.first_chunk().expect("a SHA-256 has 32 bytes");
+            before = u64::from_be_bytes(*first);
+            before
+        })
+        .collect()
+}
--- a/crates/tealsaddle-testkit/src/engine/wire.rs
+++ b/crates/tealsaddle-testkit/src/engine/wire.rs
@@ -59,3 +59,33 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub kv_handle: Option<String>,
 }
+
+/// Body of `POST /order`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct OrderRequest {
+    /// Id of the order.
+    pub order_id: String,
+    /// Fencing token of the sender.
+    pub fence: u64,
+    /// `role`, `model` or `adapter`.
+    pub kind: String,
+    /// Role to take, for `role`.
+    #[serde(default)]
+    pub role: String,
+    /// Model or adapter to load.
+    #[serde(default)]
+    pub model: String,
+    /// Version to load.
+    #[serde(default)]
+    pub version: String,
+}
+
+impl OrderRequest {
+    /// Whether both ask for the same.
+    pub fn has_same_content(&self, other: &Self) -> bool {
+        self.kind == other.kind
+            && self.role == other.role
+            && self.model == other.model
+            && self.version == other.version
+    }
+}
--- a/crates/tealsaddle-testkit/src/http.rs
+++ b/crates/tealsaddle-testkit/src/http.rs
@@ -13,7 +13,7 @@
 use hyper_util::server::conn::auto::Builder;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// Body of a stand-in's answer.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -72,9 +72,12 @@
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
     let task = tokio::spawn(async move {
+        // The connections break with the server, as they do when a process dies.
+        let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
+            while connections.try_join_next().is_some() {}
             let handler = Arc::clone(&handler);
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 // Nagle's algorithm would hold back single tokens of a stream.
                 if stream.set_nodelay(true).is_err() {
                     return;
--- /dev/null
+++ b/crates/tealsaddle-testkit/tests/it/engine.rs
@@ -0,0 +1,180 @@
+//! The engine stand-in over HTTP.
+
+use std::net::SocketAddr;
+
+use hyper::Method;
+use serde_json::{Value, json};
+use tealsaddle_core::inventory::Role;
+use tealsaddle_testkit::client::{Answer, Client, wait_until};
+use tealsaddle_testkit::engine::answers::AnswerFault;
+use tealsaddle_testkit::engine::record::{OrderEffect, conflicts, cut_off_by_role_change};
+use tealsaddle_testkit::engine::server::{Engine, bind, model_version};
+use tealsaddle_testkit::engine::sim::SimConfig;
+use tealsaddle_testkit::engine::text;
+
+async fn start(checks_fence: bool) -> Engine {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let config = SimConfig {
+        models: vec![model_version("rules", "1")],
+        step_us: 1_000,
+        role_change_us: 50_000,
+        checks_fence,
+        ..SimConfig::default()
+    };
+    bind(any, config).await.expect("the engine starts")
+}
+
+async fn post(address: SocketAddr, path: &str, body: Value) -> Answer {
+    let client = Client::open();
+    let answer = client.call(Method::POST, address, path, &[], body.to_string());
+    answer.await.expect("an answer")
+}
+
+fn generate(attempt: &str, max_tokens: u64) -> Value {
+    json!({ "attempt_id": attempt, "model": "rules", "prompt": "a b c", "max_tokens": max_tokens,
+            "stage": "full" })
+}
+
+fn order(id: &str, fence: u64, role: &str) -> Value {
+    json!({ "order_id": id, "fence": fence, "kind": "role", "role": role })
+}
+
+fn events(answer: &Answer) -> Vec<Value> {
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    text.lines()
+        .map(|line| serde_json::from_str(line).expect("a JSON line"))
+        .collect()
+}
+
+/// Guards against an answer that differs between a whole run, a resumed run and one with KV import.
+#[tokio::test]
+async fn answers_are_the_same_however_they_are_run() {
+    let engine = start(true).await;
+    let address = engine.address();
+    let mut resumed = generate("2", 8);
+    resumed["resume_at"] = json!(3);
+    let mut prefill = generate("3", 8);
+    prefill["stage"] = json!("prefill");
+    let handle = events(&post(address, "/generate", prefill).await)[0]["kv_handle"].clone();
+    let handle = handle.as_str().expect("a handle").to_owned();
+    let mut decode = generate("4", 8);
+    decode["stage"] = json!("decode");
+    decode["kv_from"] = json!(format!("http://{address}/kv/{handle}"));
+    for (request, first) in [(generate("1", 8), 0), (resumed, 3), (decode.clone(), 0)] {
+        let answer = events(&post(address, "/generate", request).await);
+        let texts = answer.iter().filter_map(|event| event["text"].as_str());
+        let expected: String = (first..8).map(|i| text::token("a b c", 0, i)).collect();
+        assert_eq!(texts.collect::<String>(), expected);
+        assert_eq!(
+            answer.last().map(|event| event["done"].clone()),
+            Some(json!(true))
+        );
+    }
+    // The KV cache was handed out and freed.
+    assert_eq!(post(address, "/generate", decode).await.status, 503);
+}
+
+/// Guards against a stand-in that hides a cut-off stream or lets an old order through.
+#[tokio::test]
+async fn orders_are_fenced_and_recorded() {
+    for checks_fence in [true, false] {
+        let engine = start(checks_fence).await;
+        let address = engine.address();
+        let stream = tokio::spawn(async move {
+            Client::open()
+                .call(
+                    Method::POST,
+                    address,
+                    "/generate",
+                    &[],
+                    generate("1", 100_000).to_string(),
+                )
+                .await
+        });
+        wait_until(|| async { engine.attempts_running() == 1 }).await;
+        assert_eq!(
+            post(address, "/order", order("o2", 2, "prefill"))
+                .await
+                .status,
+            200
+        );
+        stream
+            .await
+            .expect("no panic")
+            .expect_err("the stream is cut off");
+        assert_eq!(
+            post(address, "/order", order("o2", 2, "prefill"))
+                .await
+                .status,
+            200
+        );
+        let busy = post(address, "/order", order("o3", 3, "decode")).await;
+        assert_eq!(
+            (busy.status, busy.json()["error"].as_str()),
+            (409, Some("busy"))
+        );
+        wait_until(|| async { engine.role() == Some((Role::Prefill, false)) }).await;
+        assert_eq!(cut_off_by_role_change(&engine.record()), ["1"]);
+        let late = post(address, "/order", order("o1", 1, "mixed")).await;
+        assert_eq!(late.status, if checks_fence { 409 } else { 200 });
+        let expected = if checks_fence {
+            OrderEffect::StaleFence
+        } else {
+            OrderEffect::Started
+        };
+        assert_eq!(
+            engine.orders().last().map(|(_, effect)| *effect),
+            Some(expected)
+        );
+        assert_eq!(
+            conflicts(&engine.record()).len(),
+            if checks_fence { 1 } else { 2 }
+        );
+    }
+}
+
+/// Guards against a crashed engine that still answers, or that comes back at another address.
+#[tokio::test]
+async fn crash_breaks_streams_and_restart_answers_again() {
+    let engine = start(true).await;
+    let address = engine.address();
+    let client = Client::open();
+    let stream = tokio::spawn(async move {
+        let body = generate("1", 100_000).to_string();
+        client
+            .call(Method::POST, address, "/generate", &[], body)
+            .await
+    });
+    wait_until(|| async { engine.attempts_running() == 1 }).await;
+    engine.crash();
+    stream
+        .await
+        .expect("no panic")
+        .expect_err("the stream breaks");
+    let load =
+        |client: Client| async move { client.call(Method::GET, address, "/load", &[], "").await };
+    load(Client::open()).await.expect_err("no answer");
+    engine.restart().await.expect("the address is free");
+    let answer = load(Client::open()).await.expect("an answer");
+    assert_eq!(answer.json()["running"], 0);
+}
+
+/// Guards against tests of faulty answers that meet none.
+#[tokio::test]
+async fn distorted_answers_differ() {
+    let engine = start(true).await;
+    let plain = events(&post(engine.address(), "/generate", generate("0", 4)).await);
+    let faults = [
+        (AnswerFault::Duplicate, 10),
+        (AnswerFault::Reorder, 5),
+        (AnswerFault::Foreign, 10),
+        (AnswerFault::Late, 10),
+        (AnswerFault::EndEarly(2), 2),
+    ];
+    for (fault, count) in faults {
+        engine.distort(fault, 1);
+        let answer = events(&post(engine.address(), "/generate", generate("0", 4)).await);
+        assert_eq!(answer.len(), count, "{fault:?}");
+        assert_ne!(answer, plain, "{fault:?}");
+    }
+}
--- a/crates/tealsaddle-testkit/tests/it/main.rs
+++ b/crates/tealsaddle-testkit/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the stand-ins: a test of the system is worth no more than they are.
 
+mod engine;
 mod platform;
 mod proxy;
