Bound retries by a budget and check the end of an attempt

Cause: an outage of one target would multiply the load on the others, and an engine that says "done" after losing tokens would pass a truncated answer as whole. Change: core::retry has a token bucket per service (10% of the requests, at least 3 a second, one second carried over) and the count of attempts, which keeps an unknown outcome of an earlier attempt; core::stream checks the end of an attempt and the length asked for. Conclusion: the decisions are in place; the node does not use the budget yet.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -58,3 +58,146 @@
     /// It may have run.
     Unknown(UnknownReason),
 }
+
+/// Most attempts for one request.
+pub const MAX_ATTEMPTS: u32 = 3;
+
+/// Why a failed request gets no further attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GiveUp {
+    /// It has had all its attempts.
+    Attempts,
+    /// The service's retry budget is used up.
+    Budget,
+    /// It may have run and may not be repeated.
+    NotRepeatable,
+}
+
+impl GiveUp {
+    /// The name used in counters and decision events.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Attempts => "attempts_used_up",
+            Self::Budget => "budget_used_up",
+            Self::NotRepeatable => "not_repeatable",
+        }
+    }
+}
+
+/// Attempts of one request so far.
+///
+/// A request is only reported as not run when none of its attempts may have run, whatever the last
+/// one was.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempts {
+    is_repeatable: bool,
+    made: u32,
+    unknown: Option<UnknownReason>,
+}
+
+impl Attempts {
+    /// A request without an attempt yet; `is_repeatable` says whether it may run twice.
+    pub const fn new(is_repeatable: bool) -> Self {
+        Self {
+            is_repeatable,
+            made: 0,
+            unknown: None,
+        }
+    }
+
+    /// Number of failed attempts.
+    pub const fn made(&self) -> u32 {
+        self.made
+    }
+
+    /// Counts a failed attempt and decides whether another one may follow.
+    pub fn on_failure(
+        &mut self,
+        outcome: AttemptOutcome,
+        budget: &mut RetryBudget,
+        now_us: u64,
+    ) -> Result<(), GiveUp> {
+        self.made += 1;
+        if let AttemptOutcome::Unknown(reason) = outcome {
+            self.unknown = Some(reason);
+        }
+        if self.unknown.is_some() && !self.is_repeatable {
+            return Err(GiveUp::NotRepeatable);
+        }
+        if self.made >= MAX_ATTEMPTS {
+            return Err(GiveUp::Attempts);
+        }
+        if budget.may_retry(now_us) {
+            Ok(())
+        } else {
+            Err(GiveUp::Budget)
+        }
+    }
+
+    /// Outcome of the whole request when its last attempt ended with `last`.
+    pub const fn outcome(&self, last: AttemptOutcome) -> AttemptOutcome {
+        match (last, self.unknown) {
+            (AttemptOutcome::NotRun(_), Some(reason)) => AttemptOutcome::Unknown(reason),
+            (last, _) => last,
+        }
+    }
+}
+
+/// Retries granted per request.
+const SHARE: f64 = 0.1;
+/// Retries granted in each second, however few requests there are.
+const FLOOR_PER_S: f64 = 3.0;
+/// Length of a period of the bucket.
+const PERIOD_US: u64 = 1_000_000;
+
+/// Retry budget of one service: a token bucket.
+///
+/// Each second grants [`FLOOR_PER_S`] retries, or a share of the requests in that second where that
+/// is more. What one second leaves over may be used in the next one and then lapses, so that a quiet
+/// hour saves up no burst.
+#[derive(Debug, Clone, Default)]
+pub struct RetryBudget {
+    period_start_us: u64,
+    requests: u64,
+    carried: f64,
+    used: f64,
+}
+
+impl RetryBudget {
+    /// Counts a request, by its first attempt.
+    pub fn on_attempt(&mut self, now_us: u64) {
+        self.advance(now_us);
+        self.requests += 1;
+    }
+
+    /// Takes one retry out of the budget; `false` when there is none.
+    pub fn may_retry(&mut self, now_us: u64) -> bool {
+        self.advance(now_us);
+        if self.used + 1.0 > self.granted() + self.carried {
+            return false;
+        }
+        self.used += 1.0;
+        true
+    }
+
+    fn granted(&self) -> f64 {
+        (self.requests as f64 * SHARE).max(FLOOR_PER_S)
+    }
+
+    fn advance(&mut self, now_us: u64) {
+        let elapsed = now_us.saturating_sub(self.period_start_us);
+        if elapsed < PERIOD_US {
+            return;
+        }
+        let rest = (self.granted() + self.carried - self.used).max(0.0);
+        // After a longer gap the periods in between were idle and left the floor over.
+        self.carried = if elapsed < 2 * PERIOD_US {
+            rest.min(self.granted())
+        } else {
+            FLOOR_PER_S
+        };
+        self.requests = 0;
+        self.used = 0.0;
+        self.period_start_us += elapsed - elapsed % PERIOD_US;
+    }
+}
--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -88,7 +88,7 @@
         .generate(&engine, &request)
         .await
         .map_err(refusal)?;
-    let mut joiner = StreamJoiner::default();
+    let mut joiner = StreamJoiner::new(completion.max_tokens);
     while let Some(event) = events.next().await {
         let event = event.map_err(refusal)?;
         if event.done {
@@ -109,6 +109,7 @@
             }
             TokenAction::DropDuplicate => traffic.counters.increment("stream.duplicate"),
             TokenAction::DropForeign => traffic.counters.increment("stream.foreign"),
+            TokenAction::DropExcess => traffic.counters.increment("stream.excess"),
             TokenAction::Gap => {
                 traffic.counters.increment("stream.gap");
                 break;
