--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -0,0 +1,335 @@
+//! One attempt of a completion on one engine, or on two for a split of prefill and decode.
+//!
+//! Whatever ends an attempt early also cancels it at its engine, and the count of the request on
+//! that engine is kept until the engine has taken the cancellation, so that a drain waits for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tealsaddle_core::inventory::Engine;
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tealsaddle_core::stream::{EndAction, StreamJoiner, TokenAction};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::completion::{Completion, Done, Output};
+use super::select::{Counted, Plan};
+use crate::engine::{EngineLine, EventStream, GenerateEvent, GenerateRequest, Stage};
+use crate::traffic::{InFlightGuard, Traffic};
+
+/// The first token may take this many times its target. The target is for the 95th percentile, and
+/// giving up costs a second prefill.
+const FIRST_TOKEN_FACTOR: u64 = 20;
+/// The same for the time between tokens.
+const BETWEEN_TOKENS_FACTOR: u64 = 50;
+/// Shortest timeout: a pause of an engine of less than this is not worth another attempt.
+const MIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Prompt tokens that the slowest engine is expected to read in a millisecond; a longer prompt gets
+/// a longer timeout.
+const SLOW_PREFILL_TOKENS_PER_MS: u64 = 1;
+/// Time for an engine to take a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a reader may leave a full buffer untouched before its request is given up.
+const READER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest handle of exported KV cache.
+const MAX_HANDLE_BYTES: usize = 256;
+
+/// What one attempt works with.
+#[derive(Debug)]
+pub struct Attempt<'a> {
+    /// State of the node.
+    pub traffic: &'a Arc<Traffic>,
+    /// The request.
+    pub completion: &'a Completion,
+    /// Where the output goes.
+    pub sender: &'a mpsc::Sender<Output>,
+    /// Position in the answer.
+    pub joiner: &'a mut StreamJoiner,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The answer is whole.
+    Done(Done),
+    /// Nobody waits for it any more.
+    CallerGone,
+    /// The engine named failed.
+    Failed(Name, AttemptOutcome),
+}
+
+/// Work at an engine; dropped before its end, it is cancelled there.
+#[derive(Debug)]
+struct AtEngine<'a> {
+    traffic: &'a Arc<Traffic>,
+    engine: Arc<Engine>,
+    attempt_id: String,
+    guard: Option<InFlightGuard>,
+    is_running: bool,
+}
+
+impl Drop for AtEngine<'_> {
+    fn drop(&mut self) {
+        // Without a runtime the process is ending, and its connections with it.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        if !self.is_running {
+            return;
+        }
+        self.traffic.counters.increment("engine.cancelled");
+        let traffic = Arc::clone(self.traffic);
+        let engine = Arc::clone(&self.engine);
+        let attempt_id = std::mem::take(&mut self.attempt_id);
+        let guard = self.guard.take();
+        runtime.spawn(async move {
+            let cancel = traffic.engines.cancel(&engine, &attempt_id);
+            if !matches!(
+                tokio::time::timeout(CANCEL_TIMEOUT, cancel).await,
+                Ok(Ok(()))
+            ) {
+                traffic.counters.increment("engine.cancel_failed");
+            }
+            drop(guard);
+        });
+    }
+}
+
+impl Attempt<'_> {
+    /// Runs the attempt to its end.
+    pub async fn run(mut self, plan: Plan) -> AttemptEnd {
+        match plan {
+            Plan::Single(counted) => self.generate(counted, None, None).await,
+            Plan::Split { prefill, decode } => self.split(prefill, decode).await,
+        }
+    }
+
+    async fn split(&mut self, prefill: Counted, decode: Arc<Engine>) -> AttemptEnd {
+        let engine = Arc::clone(&prefill.engine);
+        let mut held = AtEngine {
+            traffic: self.traffic,
+            engine: Arc::clone(&engine),
+            attempt_id: Uuid::new_v4().to_string(),
+            guard: Some(prefill.guard),
+            is_running: true,
+        };
+        let request = self.request(&held.attempt_id, Stage::Prefill, None, 0);
+        let exported = tokio::select! {
+            exported = self.export(&engine, &request) => exported,
+            () = self.sender.closed() => return AttemptEnd::CallerGone,
+        };
+        let handle = match exported {
+            Ok(handle) => handle,
+            Err(outcome) => {
+                held.is_running = !matches!(outcome, AttemptOutcome::NotRun(_));
+                return AttemptEnd::Failed(Name::clone(&engine.name), outcome);
+            }
+        };
+        let kv_from = format!("http://{}/kv/{handle}", engine.address);
+        let Some(guard) = self.traffic.enter(&decode.name) else {
+            let outcome = AttemptOutcome::NotRun(NotRunReason::NoTarget);
+            return AttemptEnd::Failed(Name::clone(&decode.name), outcome);
+        };
+        let counted = Counted {
+            engine: decode,
+            guard,
+        };
+        self.generate(counted, Some(kv_from), Some(held)).await
+    }
+
+    /// Lets an engine read the prompt; the result is the handle of its KV cache.
+    async fn export(
+        &self,
+        engine: &Engine,
+        request: &GenerateRequest,
+    ) -> Result<String, AttemptOutcome> {
+        let deadline = Instant::now() + self.first_token_timeout();
+        let mut events = self.start(engine, request, deadline).await?;
+        loop {
+            let event = self.next(&mut events, deadline).await?;
+            if event.attempt_id != request.attempt_id {
+                self.traffic.counters.increment("stream.foreign");
+            } else if let Some(handle) = event.kv_handle {
+                let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+                if (1..=MAX_HANDLE_BYTES).contains(&handle.len()) && handle.bytes().all(is_plain) {
+                    return Ok(handle);
+                }
+                return Err(AttemptOutcome::Unknown(UnknownReason::InvalidAnswer));
+            } else if event.done {
+                return Err(AttemptOutcome::Unknown(UnknownReason::InvalidAnswer));
+            }
+        }
+    }
+
+    /// Lets an engine generate. `held` is the work at the engine that exports the KV cache; it ends
+    /// with the first token.
+    async fn generate(
+        &mut self,
+        counted: Counted,
+        kv_from: Option<String>,
+        mut held: Option<AtEngine<'_>>,
+    ) -> AttemptEnd {
+        let engine = Arc::clone(&counted.engine);
+        let mut running = AtEngine {
+            traffic: self.traffic,
+            engine: Arc::clone(&engine),
+            attempt_id: Uuid::new_v4().to_string(),
+            guard: Some(counted.guard),
+            is_running: true,
+        };
+        let stage = if kv_from.is_some() {
+            Stage::Decode
+        } else {
+            Stage::Full
+        };
+        let resume_at = self.joiner.begin_attempt();
+        let request = self.request(&running.attempt_id, stage, kv_from, resume_at);
+        let sender = self.sender;
+        let end = tokio::select! {
+            end = self.deliver(&engine, &request, &mut held) => end,
+            () = sender.closed() => Ok(None),
+        };
+        match end {
+            Ok(Some(done)) => {
+                running.is_running = false;
+                AttemptEnd::Done(done)
+            }
+            Ok(None) => AttemptEnd::CallerGone,
+            Err(outcome) => {
+                running.is_running = !matches!(outcome, AttemptOutcome::NotRun(_));
+                AttemptEnd::Failed(Name::clone(&engine.name), outcome)
+            }
+        }
+    }
+
+    /// Passes tokens on until the end; `None` means that the reader stopped reading.
+    async fn deliver(
+        &mut self,
+        engine: &Engine,
+        request: &GenerateRequest,
+        held: &mut Option<AtEngine<'_>>,
+    ) -> Result<Option<Done>, AttemptOutcome> {
+        // Only a token that is delivered moves the deadline; an engine that sends anything else
+        // without end still runs into it.
+        let mut deadline = Instant::now() + self.first_token_timeout();
+        let mut events = self.start(engine, request, deadline).await?;
+        loop {
+            let event = self.next(&mut events, deadline).await?;
+            let own = request.attempt_id.as_str();
+            if event.done {
+                match self
+                    .joiner
+                    .on_end(own, &event.attempt_id, event.output_tokens)
+                {
+                    EndAction::Finish => {
+                        release(held);
+                        return Ok(Some(Done {
+                            finish_reason: event.finish_reason.unwrap_or_else(|| "stop".to_owned()),
+                            prompt_tokens: event.prompt_tokens.unwrap_or(0),
+                        }));
+                    }
+                    EndAction::DropForeign => self.traffic.counters.increment("stream.foreign"),
+                    EndAction::Gap => return Err(self.gap()),
+                }
+                continue;
+            }
+            let (Some(index), Some(text)) = (event.index, event.text) else {
+                self.traffic.counters.increment("stream.junk");
+                continue;
+            };
+            match self.joiner.on_token(own, &event.attempt_id, index) {
+                TokenAction::Deliver => {
+                    release(held);
+                    let sent = self
+                        .sender
+                        .send_timeout(Output::Token(text), READER_TIMEOUT);
+                    if sent.await.is_err() {
+                        self.traffic.counters.increment("caller.not_reading");
+                        return Ok(None);
+                    }
+                    deadline = Instant::now() + self.idle_timeout();
+                }
+                TokenAction::DropDuplicate => self.traffic.counters.increment("stream.duplicate"),
+                TokenAction::DropForeign => self.traffic.counters.increment("stream.foreign"),
+                TokenAction::DropExcess => self.traffic.counters.increment("stream.excess"),
+                TokenAction::Gap => return Err(self.gap()),
+            }
+        }
+    }
+
+    fn gap(&self) -> AttemptOutcome {
+        self.traffic.counters.increment("stream.gap");
+        AttemptOutcome::Unknown(UnknownReason::InvalidAnswer)
+    }
+
+    async fn start(
+        &self,
+        engine: &Engine,
+        request: &GenerateRequest,
+        deadline: Instant,
+    ) -> Result<EventStream, AttemptOutcome> {
+        let start = self.traffic.engines.generate(engine, request);
+        match tokio::time::timeout_at(deadline, start).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+        }
+    }
+
+    async fn next(
+        &self,
+        events: &mut EventStream,
+        deadline: Instant,
+    ) -> Result<GenerateEvent, AttemptOutcome> {
+        loop {
+            match tokio::time::timeout_at(deadline, events.next()).await {
+                Ok(Some(Ok(EngineLine::Event(event)))) => return Ok(event),
+                Ok(Some(Ok(EngineLine::Junk))) => self.traffic.counters.increment("stream.junk"),
+                Ok(Some(Err(outcome))) => return Err(outcome),
+                Ok(None) => return Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost)),
+                Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        attempt_id: &str,
+        stage: Stage,
+        kv_from: Option<String>,
+        resume_at: u64,
+    ) -> GenerateRequest {
+        GenerateRequest {
+            attempt_id: attempt_id.to_owned(),
+            model: Name::clone(&self.completion.model.name),
+            prompt: Arc::clone(&self.completion.prompt),
+            max_tokens: self.completion.max_tokens,
+            priority: self.completion.priority,
+            stage,
+            kv_from,
+            resume_at,
+            seed: self.completion.seed,
+        }
+    }
+
+    fn first_token_timeout(&self) -> Duration {
+        let target_ms = self.completion.model.first_token_ms * FIRST_TOKEN_FACTOR;
+        // Words are fewer than tokens, so the length in bytes gives the cautious bound.
+        let prompt_ms = self.completion.prompt.len() as u64 / 4 / SLOW_PREFILL_TOKENS_PER_MS;
+        Duration::from_millis(target_ms + prompt_ms).max(MIN_TIMEOUT)
+    }
+
+    fn idle_timeout(&self) -> Duration {
+        let target_ms = self.completion.model.between_tokens_ms * BETWEEN_TOKENS_FACTOR;
+        Duration::from_millis(target_ms).max(MIN_TIMEOUT)
+    }
+}
+
+/// Ends the count at the engine whose KV cache has been taken over.
+fn release(held: &mut Option<AtEngine<'_>>) {
+    if let Some(mut held) = held.take() {
+        held.is_running = false;
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/auth.rs
@@ -0,0 +1,53 @@
+//! Customers by API key.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+use hyper::StatusCode;
+use hyper::header::{AUTHORIZATION, HeaderMap};
+use sha2::{Digest, Sha256};
+use tealsaddle_core::inventory::{Customer, Inventory};
+
+use super::response::Refusal;
+
+/// SHA-256 of some parts, in lower-case hexadecimal.
+pub fn sha256_hex(parts: &[&[u8]]) -> String {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    let mut hex = String::with_capacity(64);
+    for byte in hasher.finalize() {
+        write!(hex, "{byte:02x}").expect("writing to a string cannot fail");
+    }
+    hex
+}
+
+/// The customer whose key a request carries; `None` where the configuration names no key.
+pub fn customer(
+    inventory: &Inventory,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Customer>>, Refusal> {
+    if inventory.customers_by_key.is_empty() {
+        return Ok(None);
+    }
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_, key)| key.trim());
+    let customer = key.and_then(|key| {
+        inventory
+            .customers_by_key
+            .get(&sha256_hex(&[key.as_bytes()]))
+    });
+    match customer {
+        Some(customer) => Ok(Some(Arc::clone(customer))),
+        None => Err(Refusal::not_run(
+            StatusCode::UNAUTHORIZED,
+            "invalid_api_key",
+            "the API key is missing or unknown",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -0,0 +1,171 @@
+//! Answers completions, plain and streamed.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::mpsc;
+
+use super::completion::{self, Completion, Done, Output};
+use super::dispatch::Context;
+use super::forward::{self, Forward};
+use super::openai::{AnswerShape, CompletionRequest, Interface, Usage};
+use super::proxy::read_body;
+use super::response::{self, Body, BodyError, Refusal};
+use super::select::{self, Selection};
+use crate::traffic::Traffic;
+
+/// Answers `POST /v1/chat/completions` and `POST /v1/completions`.
+pub async fn complete(
+    traffic: &Arc<Traffic>,
+    request: Request<Incoming>,
+    context: Context,
+    interface: Interface,
+) -> Result<Response<Body>, Refusal> {
+    let limit = traffic.settings.limits.request_body_bytes as usize;
+    let (head, body) = request.into_parts();
+    let body = read_body(body, limit).await?;
+    let wanted = CompletionRequest::from_json(interface, &body)
+        .map_err(|invalid| Refusal::invalid(invalid.field, invalid.rule))?;
+    let forward = Forward {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        headers: head.headers,
+        body,
+        is_repeatable: !context.is_non_repeatable,
+        is_streamed: wanted.is_streamed,
+    };
+    let snapshot = traffic.snapshot.load_full();
+    let Some(inventory) = snapshot
+        .inventory
+        .as_ref()
+        .filter(|_| snapshot.is_registered)
+    else {
+        let peers = forward::any_peers(traffic, &snapshot);
+        return forward::send(traffic, &context, forward, &peers, "not_registered").await;
+    };
+    let Some(model) = inventory.models.get(wanted.model.as_str()) else {
+        let message = format!("model {:?} does not exist", wanted.model);
+        return Err(Refusal {
+            param: Some("model".to_owned()),
+            ..Refusal::not_run(StatusCode::NOT_FOUND, "model_not_found", message)
+        });
+    };
+    let most_tokens = u64::from(model.max_output_tokens);
+    let shape = AnswerShape::new(interface, &context.request_id, &model.name);
+    let completion = Completion {
+        request_id: context.request_id.clone(),
+        model: Arc::clone(model),
+        prompt: wanted.prompt.into(),
+        max_tokens: wanted.max_tokens.unwrap_or(most_tokens).min(most_tokens),
+        seed: wanted.seed.unwrap_or_else(rand::random),
+        priority: context
+            .customer
+            .as_ref()
+            .map_or(0, |customer| customer.priority),
+        is_repeatable: !context.is_non_repeatable,
+    };
+    drop(snapshot);
+    let plan = match select::choose(traffic, &completion, &[], true) {
+        Selection::Here(plan) => plan,
+        Selection::Elsewhere(peers) => {
+            return forward::send(traffic, &context, forward, &peers, "no_engine").await;
+        }
+        Selection::None => return Err(select::no_engine()),
+    };
+    let request_id = completion.request_id.clone();
+    let output = completion::spawn(Arc::clone(traffic), completion, plan);
+    if wanted.is_streamed {
+        stream_answer(output, &shape, request_id, wanted.includes_usage).await
+    } else {
+        whole_answer(output, &shape).await
+    }
+}
+
+fn usage(done: &Done, completion_tokens: u64) -> Usage {
+    Usage::new(done.prompt_tokens, completion_tokens)
+}
+
+async fn whole_answer(
+    mut output: mpsc::Receiver<Output>,
+    shape: &AnswerShape,
+) -> Result<Response<Body>, Refusal> {
+    let mut text = String::new();
+    let mut tokens = 0;
+    while let Some(next) = output.recv().await {
+        match next {
+            Output::Token(token) => {
+                text.push_str(&token);
+                tokens += 1;
+            }
+            Output::Done(done) => {
+                let value = shape.whole(&text, &done.finish_reason, usage(&done, tokens));
+                return Ok(response::json(StatusCode::OK, &value));
+            }
+            Output::Failed(refusal) => return Err(refusal),
+        }
+    }
+    Err(completion::broken_off())
+}
+
+async fn stream_answer(
+    mut output: mpsc::Receiver<Output>,
+    shape: &AnswerShape,
+    request_id: String,
+    includes_usage: bool,
+) -> Result<Response<Body>, Refusal> {
+    // The status is only sent with the first output, so that a refusal keeps its own status.
+    let first = match output.recv().await {
+        Some(Output::Failed(refusal)) => return Err(refusal),
+        Some(first) => first,
+        None => return Err(completion::broken_off()),
+    };
+    let rest = stream::unfold((output, false), |(mut output, has_ended)| async move {
+        if has_ended {
+            return None;
+        }
+        // A channel that closes without an end is a failure, never the end of the answer.
+        let next = output
+            .recv()
+            .await
+            .unwrap_or_else(|| Output::Failed(completion::broken_off()));
+        let has_ended = !matches!(next, Output::Token(_));
+        Some((next, (output, has_ended)))
+    });
+    let has_rest = matches!(first, Output::Token(_));
+    let rest = if has_rest {
+        rest.left_stream()
+    } else {
+        stream::empty().right_stream()
+    };
+    let mut chunks = shape.chunks();
+    let mut tokens = 0;
+    let frames = stream::once(async { first }).chain(rest).map(move |next| {
+        let bytes = match next {
+            Output::Token(text) => {
+                tokens += 1;
+                chunks.token(&text)
+            }
+            Output::Done(done) => {
+                let usage = includes_usage.then(|| usage(&done, tokens));
+                chunks.end(&done.finish_reason, usage)
+            }
+            Output::Failed(refusal) => error_event(&refusal, &request_id),
+        };
+        Ok::<_, BodyError>(Frame::data(bytes))
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    Ok(response)
+}
+
+/// The event that ends a stream which cannot be completed.
+pub fn error_event(refusal: &Refusal, request_id: &str) -> Bytes {
+    Bytes::from(format!("data: {}\n\n", refusal.to_json(request_id)))
+}
--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -1,25 +1,21 @@
-//! Runs a completion: choice of engines, attempts, and the joined token stream.
+//! Runs a completion: attempts one after another, and their joined output.
 
 use std::sync::Arc;
 
-use futures::StreamExt;
 use hyper::StatusCode;
-use tealsaddle_core::decision::{Decision, DecisionKind};
-use tealsaddle_core::inventory::{Engine, Model};
-use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::AttemptOutcome;
-use tealsaddle_core::route::{self, RequestFacts, RouteChoice};
-use tealsaddle_core::stream::{StreamJoiner, TokenAction};
+use tealsaddle_core::inventory::Model;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason};
+use tealsaddle_core::stream::StreamJoiner;
 use tokio::sync::mpsc;
-use uuid::Uuid;
 
+use super::attempt::{Attempt, AttemptEnd};
 use super::response::Refusal;
-use crate::clock;
-use crate::engine::{GenerateRequest, Stage};
+use super::select::{self, Plan, Selection};
 use crate::traffic::Traffic;
 
-/// Tokens buffered for a slow reader before the engine's stream is held back.
-const TOKENS_BUFFERED: usize = 64;
+/// Tokens of one answer that wait for a slow reader. It is more than most answers have, so that a
+/// slow reader rarely keeps its place in an engine's batch longer than the engine needs.
+const TOKENS_BUFFERED: u64 = 4_096;
 
 /// A checked request for a completion.
 #[derive(Debug, Clone)]
@@ -34,30 +30,43 @@
     pub max_tokens: u64,
     /// Seed of the output.
     pub seed: u64,
+    /// Priority class, 0 first.
+    pub priority: u32,
+    /// Whether it may run twice.
+    pub is_repeatable: bool,
+}
+
+/// The end of a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Done {
+    /// Why generation ended.
+    pub finish_reason: String,
+    /// Length of the prompt.
+    pub prompt_tokens: u64,
 }
 
 /// What the caller gets, in order.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub enum Output {
     /// The next token.
     Token(String),
     /// The end of a whole answer.
-    Done {
-        /// Why generation ended.
-        finish_reason: String,
-        /// Length of the prompt.
-        prompt_tokens: u64,
-    },
+    Done(Done),
     /// The answer cannot be completed.
     Failed(Refusal),
 }
 
-/// Starts a completion; the receiver gets its output.
-pub fn spawn(traffic: Arc<Traffic>, completion: Completion) -> mpsc::Receiver<Output> {
-    let (sender, receiver) = mpsc::channel(TOKENS_BUFFERED);
+/// Starts a completion; the receiver gets its output, and dropping it cancels the work.
+pub fn spawn(traffic: Arc<Traffic>, completion: Completion, plan: Plan) -> mpsc::Receiver<Output> {
+    let places = completion.max_tokens.clamp(1, TOKENS_BUFFERED) as usize;
+    let (sender, receiver) = mpsc::channel(places);
     tokio::spawn(async move {
-        let last = match run(&traffic, &completion, &sender).await {
-            Ok(last) => last,
+        let last = match run(&traffic, &completion, plan, &sender).await {
+            Ok(Some(done)) => Output::Done(done),
+            Ok(None) => {
+                traffic.counters.increment("caller.gone");
+                return;
+            }
             Err(refusal) => Output::Failed(refusal),
         };
         // A caller that went away needs no ending.
@@ -66,117 +75,76 @@
     receiver
 }
 
+/// `None` means that the caller went away.
 async fn run(
-    traffic: &Traffic,
+    traffic: &Arc<Traffic>,
     completion: &Completion,
+    plan: Plan,
     sender: &mpsc::Sender<Output>,
-) -> Result<Output, Refusal> {
-    let engine = choose(traffic, completion)?;
-    let request = GenerateRequest {
-        attempt_id: Uuid::new_v4().to_string(),
-        model: Name::clone(&completion.model.name),
-        prompt: Arc::clone(&completion.prompt),
-        max_tokens: completion.max_tokens,
-        priority: 0,
-        stage: Stage::Full,
-        kv_from: None,
-        resume_at: 0,
-        seed: completion.seed,
-    };
-    let mut events = traffic
-        .engines
-        .generate(&engine, &request)
-        .await
-        .map_err(refusal)?;
+) -> Result<Option<Done>, Refusal> {
     let mut joiner = StreamJoiner::new(completion.max_tokens);
-    while let Some(event) = events.next().await {
-        let event = event.map_err(refusal)?;
-        if event.done {
-            return Ok(Output::Done {
-                finish_reason: event.finish_reason.unwrap_or_else(|| "stop".to_owned()),
-                prompt_tokens: event.prompt_tokens.unwrap_or(0),
-            });
-        }
-        let (Some(index), Some(text)) = (event.index, event.text) else {
-            continue;
+    let mut attempts = Attempts::new(completion.is_repeatable);
+    let mut failed = Vec::new();
+    let mut may_split = true;
+    let mut plan = plan;
+    traffic.on_first_attempt(&completion.model.name);
+    loop {
+        let is_split = matches!(plan, Plan::Split { .. });
+        let attempt = Attempt {
+            traffic,
+            completion,
+            sender,
+            joiner: &mut joiner,
         };
-        match joiner.on_token(&request.attempt_id, &event.attempt_id, index) {
-            TokenAction::Deliver => {
-                if sender.send(Output::Token(text)).await.is_err() {
-                    traffic.counters.increment("caller.gone");
-                    break;
-                }
-            }
-            TokenAction::DropDuplicate => traffic.counters.increment("stream.duplicate"),
-            TokenAction::DropForeign => traffic.counters.increment("stream.foreign"),
-            TokenAction::DropExcess => traffic.counters.increment("stream.excess"),
-            TokenAction::Gap => {
-                traffic.counters.increment("stream.gap");
-                break;
-            }
+        let (engine, outcome) = match attempt.run(plan).await {
+            AttemptEnd::Done(done) => return Ok(Some(done)),
+            AttemptEnd::CallerGone => return Ok(None),
+            AttemptEnd::Failed(engine, outcome) => (engine, outcome),
+        };
+        failed.push(engine);
+        may_split &= !is_split;
+        let service = &completion.model.name;
+        let id = &completion.request_id;
+        if traffic
+            .on_failure(service, id, &mut attempts, outcome)
+            .is_err()
+        {
+            return Err(refusal(attempts.outcome(outcome)));
         }
+        plan = match select::choose(traffic, completion, &failed, may_split) {
+            Selection::Here(plan) => plan,
+            // What is left of an answer is not passed on; another node would start it anew.
+            Selection::Elsewhere(_) | Selection::None => {
+                let last = AttemptOutcome::NotRun(NotRunReason::NoTarget);
+                return Err(refusal(attempts.outcome(last)));
+            }
+        };
     }
-    Err(Refusal::unknown(
-        StatusCode::BAD_GATEWAY,
-        "connection_lost",
-        "the engine's answer broke off",
-    ))
 }
 
-fn choose(traffic: &Traffic, completion: &Completion) -> Result<Arc<Engine>, Refusal> {
-    let snapshot = traffic.snapshot.load();
-    let candidates = traffic.candidates(&snapshot, &completion.model.name);
-    let now_us = clock::now_us();
-    let facts = RequestFacts {
-        model: Name::clone(&completion.model.name),
-        prompt_tokens: completion.prompt.split_whitespace().count() as u64,
-        max_output_tokens: completion.max_tokens as u32,
-        priority: 0,
-        prefix_hash: 0,
-        first_token_due_us: now_us + completion.model.first_token_ms * 1_000,
-    };
-    let choice = route::choose(&candidates, &facts, &mut rand::rng());
-    let engine = match choice {
-        RouteChoice::Single(engine) => engine,
-        RouteChoice::Split { decode, .. } => decode,
-        RouteChoice::None => {
-            let mut refusal = Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no_engine",
-                "no engine of this zone takes work for the model",
-            );
-            refusal.retry_after_s = Some(1);
-            return Err(refusal);
-        }
-    };
-    traffic.record(Decision {
-        at_us: now_us,
-        kind: DecisionKind::Route,
-        subject: completion.request_id.clone(),
-        choice: engine.name.to_string(),
-        reason: "lowest estimated time to the first token of two samples".to_owned(),
-        inputs: vec![("prompt_tokens".to_owned(), facts.prompt_tokens.to_string())],
-        alternatives: Vec::new(),
-    });
-    Ok(engine)
+/// The refusal for an answer that ended without its end.
+pub fn broken_off() -> Refusal {
+    Refusal::unknown(
+        StatusCode::BAD_GATEWAY,
+        "connection_lost",
+        "the answer broke off",
+    )
 }
 
-fn refusal(outcome: AttemptOutcome) -> Refusal {
+/// The refusal for the outcome of a request that gets no further attempt.
+pub fn refusal(outcome: AttemptOutcome) -> Refusal {
     match outcome {
-        AttemptOutcome::NotRun(reason) => Refusal::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            reason.as_str(),
-            "the engine did not run the request",
-        ),
-        AttemptOutcome::Unknown(reason) => Refusal::unknown(
-            StatusCode::BAD_GATEWAY,
-            reason.as_str(),
-            "the engine's answer is not known",
-        ),
-        AttemptOutcome::Answered => Refusal::unknown(
-            StatusCode::BAD_GATEWAY,
-            "invalid_answer",
-            "the answer had no end",
-        ),
+        AttemptOutcome::NotRun(reason) => {
+            Refusal::busy(reason.as_str(), "the request was not run; try again")
+        }
+        AttemptOutcome::Unknown(reason) => {
+            let status = match reason {
+                tealsaddle_core::retry::UnknownReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+                _ => StatusCode::BAD_GATEWAY,
+            };
+            let message = "the request may have been run, and its answer is lost";
+            Refusal::unknown(status, reason.as_str(), message)
+        }
+        AttemptOutcome::Answered => broken_off(),
     }
 }
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -0,0 +1,246 @@
+//! Passes requests on to another node, when this one may not route or its zone has no engine.
+//!
+//! A peer is a target like any other, with one difference: its refusals say whether the request was
+//! run, so that a refusal "not run" allows another peer to be tried.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use rand::seq::SliceRandom;
+use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
+use tokio::time::Instant;
+
+use super::chat::error_event;
+use super::completion;
+use super::dispatch::{Context, HOPS, MAX_HOPS};
+use super::proxy::{Payload, strip_hop_headers};
+use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState};
+use crate::clock;
+use crate::traffic::{PeerEndpoint, Snapshot, Traffic};
+
+/// Time for the head of a streamed answer; the peer may need all its attempts before its first
+/// token.
+const STREAM_HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time for a plain answer, which is sent only when the last token is there.
+const PLAIN_HEAD_TIMEOUT: Duration = Duration::from_secs(600);
+/// Time between two parts of a streamed answer; the peer may change engines in between.
+const PART_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A request to be passed on.
+#[derive(Debug)]
+pub struct Forward {
+    /// HTTP method.
+    pub method: Method,
+    /// Path with the query.
+    pub path: String,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether it may run twice.
+    pub is_repeatable: bool,
+    /// Whether the answer is a stream of events.
+    pub is_streamed: bool,
+}
+
+/// Peers that may route: those of the own zone first, then of the zones to spill to, then others.
+pub fn any_peers(traffic: &Traffic, snapshot: &Snapshot) -> Vec<PeerEndpoint> {
+    let own = &traffic.settings.zone;
+    let spill_to = spill_zones(traffic, snapshot);
+    let rank = |zone: &Name| {
+        if zone == own {
+            return 0;
+        }
+        let place = spill_to.iter().position(|near| near == zone);
+        1 + place.unwrap_or(spill_to.len())
+    };
+    let mut peers = registered(traffic, snapshot);
+    peers.sort_by_key(|peer| rank(&peer.zone));
+    peers
+}
+
+/// Peers of the zones that may take this zone's overflow of a model, those with spare capacity
+/// first.
+pub fn spill_peers(traffic: &Traffic, snapshot: &Snapshot, model: &Name) -> Vec<PeerEndpoint> {
+    let spill_to = spill_zones(traffic, snapshot);
+    let rank = |zone: &Name| {
+        let key = (Name::clone(zone), Name::clone(model));
+        let has_spare = snapshot
+            .zone_loads
+            .get(&key)
+            .is_some_and(|load| load.spare_decode_requests > 0);
+        let place = spill_to.iter().position(|near| near == zone);
+        (!has_spare, place)
+    };
+    let serves = |zone: &Name| {
+        let inventory = snapshot.inventory.as_ref();
+        inventory.is_some_and(|inventory| inventory.engines_for(zone, model).next().is_some())
+    };
+    let mut peers = registered(traffic, snapshot);
+    peers.retain(|peer| spill_to.contains(&peer.zone) && serves(&peer.zone));
+    peers.sort_by_key(|peer| rank(&peer.zone));
+    peers
+}
+
+fn spill_zones(traffic: &Traffic, snapshot: &Snapshot) -> Vec<Name> {
+    let inventory = snapshot.inventory.as_ref();
+    let zone = inventory.and_then(|inventory| inventory.zones.get(&traffic.settings.zone));
+    zone.map(|zone| zone.spill_to.clone()).unwrap_or_default()
+}
+
+fn registered(traffic: &Traffic, snapshot: &Snapshot) -> Vec<PeerEndpoint> {
+    let mut peers: Vec<PeerEndpoint> = snapshot
+        .peers
+        .iter()
+        .filter(|peer| peer.is_registered && peer.vm != traffic.settings.vm)
+        .cloned()
+        .collect();
+    // The stable sort that follows keeps this order among equals and so spreads the load.
+    peers.shuffle(&mut rand::rng());
+    peers
+}
+
+/// Passes a request on to one of `peers` and its answer back.
+pub async fn send(
+    traffic: &Arc<Traffic>,
+    context: &Context,
+    forward: Forward,
+    peers: &[PeerEndpoint],
+    reason: &'static str,
+) -> Result<Response<Body>, Refusal> {
+    if context.hops >= MAX_HOPS {
+        let message = "no node on the way could take the request";
+        return Err(Refusal::busy("too_many_hops", message));
+    }
+    record(traffic, context, peers, reason);
+    if peers.is_empty() {
+        return Err(Refusal::busy(reason, "no node can take the request now"));
+    }
+    traffic.counters.increment(&format!("forward.{reason}"));
+    let budget = Name::from("peers");
+    let mut attempts = Attempts::new(forward.is_repeatable);
+    traffic.on_first_attempt(&budget);
+    let head_timeout = if forward.is_streamed {
+        STREAM_HEAD_TIMEOUT
+    } else {
+        PLAIN_HEAD_TIMEOUT
+    };
+    let mut last = AttemptOutcome::NotRun(NotRunReason::NoTarget);
+    for (i, peer) in peers.iter().enumerate() {
+        let request = request(context, &forward, peer);
+        let deadline = Instant::now() + head_timeout;
+        let is_repeatable = forward.is_repeatable;
+        let sent = traffic.targets.send(request, is_repeatable, deadline).await;
+        let refused = match sent {
+            Ok(response) if !is_busy(&response) => return Ok(pass_back(context, response)),
+            Ok(response) => Some(response),
+            Err(outcome) => {
+                last = outcome;
+                None
+            }
+        };
+        if refused.is_some() {
+            last = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
+        }
+        let id = &context.request_id;
+        let next = traffic.on_failure(&budget, id, &mut attempts, last);
+        if next.is_err() || i + 1 == peers.len() {
+            let outcome = attempts.outcome(last);
+            return match refused {
+                Some(response) if matches!(outcome, AttemptOutcome::NotRun(_)) => {
+                    Ok(pass_back(context, response))
+                }
+                _ => Err(completion::refusal(outcome)),
+            };
+        }
+    }
+    Err(completion::refusal(attempts.outcome(last)))
+}
+
+/// Whether a peer refused the request as not run in a way that another node may not share.
+fn is_busy(response: &Response<Incoming>) -> bool {
+    let not_run = RunState::NotRun.as_str().as_bytes();
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response
+            .headers()
+            .get(OUTCOME)
+            .is_some_and(|outcome| outcome.as_bytes() == not_run)
+}
+
+fn request(context: &Context, forward: &Forward, peer: &PeerEndpoint) -> Request<Body> {
+    let mut request = Request::new(Payload::Whole(forward.body.clone()).body());
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = format!("http://{}{}", peer.caller_address, forward.path)
+        .parse()
+        .expect("an address and a path that was a URI make a URI");
+    let mut headers = forward.headers.clone();
+    strip_hop_headers(&mut headers);
+    headers.remove(HOST);
+    headers.remove(CONTENT_LENGTH);
+    headers.insert(HOPS, HeaderValue::from(context.hops + 1));
+    let id = HeaderValue::from_str(&context.request_id).expect("request ids are visible ASCII");
+    headers.insert(REQUEST_ID, id);
+    *request.headers_mut() = headers;
+    request
+}
+
+fn pass_back(context: &Context, response: Response<Incoming>) -> Response<Body> {
+    let (mut head, body) = response.into_parts();
+    strip_hop_headers(&mut head.headers);
+    let is_events = head
+        .headers
+        .get(CONTENT_TYPE)
+        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
+    let body = pass_body(body, is_events.then(|| context.request_id.clone()));
+    Response::from_parts(head, body)
+}
+
+/// Passes a body on. One that breaks off ends with an error event where it is a stream of events,
+/// and otherwise with a broken connection.
+fn pass_body(body: Incoming, events_of: Option<String>) -> Body {
+    let frames = stream::unfold(Some((body, events_of)), |state| async move {
+        let (mut body, events_of) = state?;
+        let refusal = match tokio::time::timeout(PART_TIMEOUT, body.frame()).await {
+            Ok(None) => return None,
+            Ok(Some(Ok(frame))) => return Some((Ok(frame), Some((body, events_of)))),
+            Ok(Some(Err(_broken))) => completion::broken_off(),
+            Err(_elapsed) => completion::refusal(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+        };
+        let last = match events_of {
+            Some(request_id) => Ok(Frame::data(error_event(&refusal, &request_id))),
+            None => Err(BodyError::from(refusal.message)),
+        };
+        Some((last, None))
+    });
+    StreamBody::new(frames.boxed()).boxed_unsync()
+}
+
+fn record(traffic: &Traffic, context: &Context, peers: &[PeerEndpoint], reason: &str) {
+    let alternatives = peers
+        .iter()
+        .enumerate()
+        .map(|(i, peer)| Alternative {
+            name: peer.vm.to_string(),
+            score: i as f64,
+            reason: format!("node of zone {}", peer.zone),
+        })
+        .collect();
+    let choice = peers.first().map_or("none", |peer| &*peer.vm);
+    traffic.record(Decision {
+        at_us: clock::now_us(),
+        kind: DecisionKind::Route,
+        subject: context.request_id.clone(),
+        choice: choice.to_owned(),
+        reason: reason.to_owned(),
+        inputs: vec![("hops".to_owned(), context.hops.to_string())],
+        alternatives,
+    });
+}
--- a/crates/tealsaddle-node/src/caller/openai.rs
+++ b/crates/tealsaddle-node/src/caller/openai.rs
@@ -1,64 +1,196 @@
 //! Shapes of the usual HTTP interface for language models.
+//!
+//! Requests are read field by field, so that a refusal can name the field. Fields that only change
+//! the style of sampling are accepted and ignored; fields that would change the shape of the answer
+//! are refused, because ignoring them would give a wrong answer.
 
-use serde::{Deserialize, Serialize};
+use std::fmt::Write as _;
 
-/// Body of `POST /v1/chat/completions` and `POST /v1/completions`.
-///
-/// Fields that only change the style of sampling are accepted and ignored.
-#[derive(Debug, Clone, Deserialize)]
+use bytes::Bytes;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// Which of the two interfaces a request came by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Interface {
+    /// `/v1/chat/completions`
+    Chat,
+    /// `/v1/completions`
+    Text,
+}
+
+/// A request that was read and checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CompletionRequest {
     /// Model to run.
     pub model: String,
-    /// The prompt, for `/v1/completions`.
-    pub prompt: Option<String>,
-    /// The conversation, for `/v1/chat/completions`.
-    pub messages: Option<Vec<Message>>,
-    /// Most tokens to generate.
+    /// The text that is given to the engine.
+    pub prompt: String,
+    /// Most tokens to generate, where the caller says it.
     pub max_tokens: Option<u64>,
-    /// The newer name of `max_tokens`.
-    pub max_completion_tokens: Option<u64>,
     /// Whether to stream the answer.
-    #[serde(default)]
-    pub stream: bool,
-    /// What to add to a stream.
-    pub stream_options: Option<StreamOptions>,
-    /// Seed of the output.
+    pub is_streamed: bool,
+    /// Whether a stream ends with the usage.
+    pub includes_usage: bool,
+    /// Seed of the output, where the caller says it.
     pub seed: Option<u64>,
 }
 
-/// One message of a conversation.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Message {
-    /// Who speaks.
-    pub role: String,
-    /// What is said.
-    pub content: Content,
+/// A field that breaks a rule.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidField {
+    /// Path of the field, such as `messages[0].content`.
+    pub field: String,
+    /// The rule.
+    pub rule: String,
 }
 
-/// Content of a message: text or parts.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(untagged)]
-pub enum Content {
-    /// Plain text.
-    Text(String),
-    /// Parts, of which the texts are read.
-    Parts(Vec<Part>),
+fn invalid<T>(field: impl Into<String>, rule: impl Into<String>) -> Result<T, InvalidField> {
+    Err(InvalidField {
+        field: field.into(),
+        rule: rule.into(),
+    })
 }
 
-/// A part of a message.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Part {
-    /// Text of the part.
-    #[serde(default)]
-    pub text: String,
+impl CompletionRequest {
+    /// Reads the body of a request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tealsaddle_node::caller::openai::{CompletionRequest, Interface};
+    ///
+    /// let body = br#"{"model": "rules", "prompt": ["a", "b"]}"#;
+    /// let error = CompletionRequest::from_json(Interface::Text, body).unwrap_err();
+    /// assert_eq!(error.field, "prompt");
+    /// ```
+    pub fn from_json(interface: Interface, body: &[u8]) -> Result<Self, InvalidField> {
+        let value: Value = match serde_json::from_slice(body) {
+            Ok(value) => value,
+            Err(error) => return invalid("body", format!("is not JSON: {error}")),
+        };
+        let Value::Object(mut fields) = value else {
+            return invalid("body", "must be a JSON object");
+        };
+        let model = match fields.remove("model") {
+            Some(Value::String(model)) if !model.is_empty() => model,
+            _ => return invalid("model", "must be the name of a model"),
+        };
+        let prompt = match interface {
+            Interface::Text => text_prompt(fields.remove("prompt"))?,
+            Interface::Chat => chat_prompt(fields.remove("messages"))?,
+        };
+        refuse_unsupported(&fields)?;
+        let newer = positive(&fields, "max_completion_tokens")?;
+        let includes_usage = match fields.get("stream_options") {
+            None | Some(Value::Null) => false,
+            Some(Value::Object(options)) => boolean(options, "include_usage")?,
+            Some(_) => return invalid("stream_options", "must be an object"),
+        };
+        Ok(Self {
+            model,
+            prompt,
+            max_tokens: newer.or(positive(&fields, "max_tokens")?),
+            is_streamed: boolean(&fields, "stream")?,
+            includes_usage,
+            seed: match fields.get("seed") {
+                None | Some(Value::Null) => None,
+                Some(seed) => match (seed.as_u64(), seed.as_i64()) {
+                    (Some(seed), _) => Some(seed),
+                    (None, Some(seed)) => Some(seed.cast_unsigned()),
+                    (None, None) => return invalid("seed", "must be an integer of 64 bits"),
+                },
+            },
+        })
+    }
 }
 
-/// What to add to a stream.
-#[derive(Debug, Clone, Deserialize)]
-pub struct StreamOptions {
-    /// Whether the last event carries the usage.
-    #[serde(default)]
-    pub include_usage: bool,
+fn text_prompt(prompt: Option<Value>) -> Result<String, InvalidField> {
+    match prompt {
+        Some(Value::String(text)) => Ok(text),
+        Some(Value::Array(mut list)) if list.len() == 1 && list[0].is_string() => {
+            text_prompt(list.pop())
+        }
+        _ => invalid("prompt", "must be a text"),
+    }
+}
+
+fn chat_prompt(messages: Option<Value>) -> Result<String, InvalidField> {
+    let Some(Value::Array(messages)) = messages else {
+        return invalid("messages", "must be a list of messages");
+    };
+    if messages.is_empty() {
+        return invalid("messages", "must not be empty");
+    }
+    let mut prompt = String::new();
+    for (i, message) in messages.iter().enumerate() {
+        let Some(role) = message.get("role").and_then(Value::as_str) else {
+            return invalid(format!("messages[{i}].role"), "must be a text");
+        };
+        if i > 0 {
+            prompt.push('\n');
+        }
+        prompt.push_str(role);
+        prompt.push_str(": ");
+        let field = || format!("messages[{i}].content");
+        match message.get("content") {
+            Some(Value::String(text)) => prompt.push_str(text),
+            Some(Value::Array(parts)) => {
+                for (j, part) in parts.iter().enumerate() {
+                    let Some(text) = part.get("text").and_then(Value::as_str) else {
+                        return invalid(format!("{}[{j}].text", field()), "must be a text");
+                    };
+                    if j > 0 {
+                        prompt.push(' ');
+                    }
+                    prompt.push_str(text);
+                }
+            }
+            _ => return invalid(field(), "must be a text or a list of text parts"),
+        }
+    }
+    Ok(prompt)
+}
+
+fn refuse_unsupported(fields: &Map<String, Value>) -> Result<(), InvalidField> {
+    for field in ["n", "best_of"] {
+        if fields
+            .get(field)
+            .is_some_and(|n| !n.is_null() && n.as_u64() != Some(1))
+        {
+            return invalid(field, "only one answer per request is supported");
+        }
+    }
+    for field in ["tools", "functions", "stop", "suffix", "audio"] {
+        let is_empty = match fields.get(field) {
+            None | Some(Value::Null) => true,
+            Some(Value::Array(list)) => list.is_empty(),
+            Some(Value::String(text)) => text.is_empty(),
+            Some(_) => false,
+        };
+        if !is_empty {
+            return invalid(field, "is not supported");
+        }
+    }
+    Ok(())
+}
+
+fn positive(fields: &Map<String, Value>, field: &str) -> Result<Option<u64>, InvalidField> {
+    match fields.get(field) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64() {
+            Some(number) if number > 0 => Ok(Some(number)),
+            _ => invalid(field, "must be an integer above 0"),
+        },
+    }
+}
+
+fn boolean(fields: &Map<String, Value>, field: &str) -> Result<bool, InvalidField> {
+    match fields.get(field) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(_) => invalid(field, "must be true or false"),
+    }
 }
 
 /// Tokens of a request.
@@ -72,106 +204,136 @@
     pub total_tokens: u64,
 }
 
-/// Which of the two interfaces a request came by.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Interface {
-    /// `/v1/chat/completions`
-    Chat,
-    /// `/v1/completions`
-    Text,
+impl Usage {
+    /// Counts the total.
+    pub const fn new(prompt_tokens: u64, completion_tokens: u64) -> Self {
+        Self {
+            prompt_tokens,
+            completion_tokens,
+            total_tokens: prompt_tokens.saturating_add(completion_tokens),
+        }
+    }
 }
 
-impl CompletionRequest {
-    /// The text that is given to the engine; an error names the missing field.
-    pub fn prompt_text(&self, interface: Interface) -> Result<String, &'static str> {
-        match interface {
-            Interface::Text => self.prompt.clone().ok_or("prompt: must be given"),
-            Interface::Chat => {
-                let messages = self.messages.as_ref().ok_or("messages: must be given")?;
-                if messages.is_empty() {
-                    return Err("messages: must not be empty");
-                }
-                Ok(messages
-                    .iter()
-                    .map(message_text)
-                    .collect::<Vec<_>>()
-                    .join("\n"))
-            }
+/// What all parts of one answer have in common.
+#[derive(Debug, Clone)]
+pub struct AnswerShape {
+    interface: Interface,
+    id: String,
+    model: String,
+    created: u64,
+}
+
+impl AnswerShape {
+    /// The shape of an answer that starts now.
+    pub fn new(interface: Interface, request_id: &str, model: &str) -> Self {
+        let prefix = match interface {
+            Interface::Chat => "chatcmpl",
+            Interface::Text => "cmpl",
+        };
+        Self {
+            interface,
+            id: format!("{prefix}-{request_id}"),
+            model: model.to_owned(),
+            created: crate::clock::unix_ms() / 1_000,
         }
     }
-}
 
-fn message_text(message: &Message) -> String {
-    match &message.content {
-        Content::Text(text) => format!("{}: {text}", message.role),
-        Content::Parts(parts) => {
-            let texts: Vec<&str> = parts.iter().map(|part| part.text.as_str()).collect();
-            format!("{}: {}", message.role, texts.join(" "))
+    /// A whole answer.
+    pub fn whole(&self, text: &str, finish: &str, usage: Usage) -> Value {
+        let (object, choice) = match self.interface {
+            Interface::Chat => (
+                "chat.completion",
+                serde_json::json!({
+                    "index": 0,
+                    "message": { "role": "assistant", "content": text },
+                    "logprobs": null,
+                    "finish_reason": finish,
+                }),
+            ),
+            Interface::Text => (
+                "text_completion",
+                serde_json::json!({
+                    "index": 0, "text": text, "logprobs": null, "finish_reason": finish,
+                }),
+            ),
+        };
+        serde_json::json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage,
+        })
+    }
+
+    /// The writer of a streamed answer.
+    pub fn chunks(&self) -> Chunks {
+        let object = match self.interface {
+            Interface::Chat => "chat.completion.chunk",
+            Interface::Text => "text_completion",
+        };
+        let head = serde_json::json!({
+            "id": self.id, "object": object, "created": self.created, "model": self.model,
+        });
+        let mut head = format!("data: {head}");
+        // The rest of each object follows the common fields.
+        head.pop();
+        Chunks {
+            interface: self.interface,
+            head,
+            is_first: true,
         }
     }
 }
 
-/// A whole answer.
-pub fn whole(
+/// Writes the events of a streamed answer.
+///
+/// The fields that all events share are written once; a token then costs one short copy, since this
+/// runs for every token that the node passes on.
+#[derive(Debug)]
+pub struct Chunks {
     interface: Interface,
-    id: &str,
-    model: &str,
-    text: &str,
-    finish: &str,
-    usage: Usage,
-) -> serde_json::Value {
-    let (object, choice) = match interface {
-        Interface::Chat => (
-            "chat.completion",
-            serde_json::json!({
-                "index": 0,
-                "message": { "role": "assistant", "content": text },
-                "finish_reason": finish,
-            }),
-        ),
-        Interface::Text => (
-            "text_completion",
-            serde_json::json!({ "index": 0, "text": text, "finish_reason": finish }),
-        ),
-    };
-    serde_json::json!({
-        "id": id,
-        "object": object,
-        "created": crate::clock::unix_ms() / 1_000,
-        "model": model,
-        "choices": [choice],
-        "usage": usage,
-    })
+    head: String,
+    is_first: bool,
 }
 
-/// One event of a streamed answer; `finish` is set on the last one.
-pub fn chunk(
-    interface: Interface,
-    id: &str,
-    model: &str,
-    text: &str,
-    finish: Option<&str>,
-) -> serde_json::Value {
-    let (object, choice) = match interface {
-        Interface::Chat => {
-            let delta = if finish.is_some() {
-                serde_json::json!({})
-            } else {
-                serde_json::json!({ "role": "assistant", "content": text })
-            };
-            let choice = serde_json::json!({ "index": 0, "delta": delta, "finish_reason": finish });
-            ("chat.completion.chunk", choice)
+impl Chunks {
+    /// The event of one token.
+    pub fn token(&mut self, text: &str) -> Bytes {
+        let text = Value::from(text);
+        let choice = match self.interface {
+            Interface::Chat if self.is_first => {
+                format!("\"delta\":{{\"role\":\"assistant\",\"content\":{text}}}")
+            }
+            Interface::Chat => format!("\"delta\":{{\"content\":{text}}}"),
+            Interface::Text => format!("\"text\":{text}"),
+        };
+        self.is_first = false;
+        let head = &self.head;
+        Bytes::from(format!(
+            "{head},\"choices\":[{{\"index\":0,{choice},\"finish_reason\":null}}]}}\n\n"
+        ))
+    }
+
+    /// The last events: why generation ended, the usage where asked for, and the end mark.
+    pub fn end(&self, finish: &str, usage: Option<Usage>) -> Bytes {
+        let finish = Value::from(finish);
+        let head = &self.head;
+        let choice = match self.interface {
+            Interface::Chat => "\"delta\":{}",
+            Interface::Text => "\"text\":\"\"",
+        };
+        let mut last = format!(
+            "{head},\"choices\":[{{\"index\":0,{choice},\"finish_reason\":{finish}}}]}}\n\n"
+        );
+        if let Some(usage) = usage {
+            let usage = serde_json::json!(usage);
+            write!(last, "{head},\"choices\":[],\"usage\":{usage}}}\n\n")
+                .expect("writing to a string cannot fail");
         }
-        Interface::Text => (
-            "text_completion",
-            serde_json::json!({ "index": 0, "text": text, "finish_reason": finish }),
-        ),
-    };
-    serde_json::json!({
-        "id": id,
-        "object": object,
-        "created": crate::clock::unix_ms() / 1_000,
-        "model": model,
-        "choices": [choice],
-    })
+        last.push_str("data: [DONE]\n\n");
+        Bytes::from(last)
+    }
 }
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/proxy.rs
@@ -0,0 +1,259 @@
+//! What calls to targets and forwarded calls share: client, headers and bodies.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tokio::time::Instant;
+
+use super::response::{Body, BodyError, Refusal};
+
+/// Time to connect. Within a region a connection takes about a millisecond, and a lost SYN is sent
+/// again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time in which a caller must send the next part of a body.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Client of the targets of plain services and of peers.
+#[derive(Debug)]
+pub struct TargetClient {
+    pooled: Client<HttpConnector, Body>,
+    fresh: Client<HttpConnector, Body>,
+}
+
+impl TargetClient {
+    /// Opens a client; no call is made yet.
+    pub fn open() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Self {
+            pooled: Client::builder(TokioExecutor::new()).build(connector.clone()),
+            fresh: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .retry_canceled_requests(false)
+                .build(connector),
+        }
+    }
+
+    /// Sends a request and waits for the head of the answer until `deadline`.
+    ///
+    /// A call that may not be repeated gets a fresh connection: an idle one that the target closes
+    /// at this moment would make its outcome unknown. Dropping the call after a timeout closes its
+    /// connection, so no late answer meets a later request.
+    pub async fn send(
+        &self,
+        request: Request<Body>,
+        is_repeatable: bool,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, AttemptOutcome> {
+        let client = if is_repeatable {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
+        match tokio::time::timeout_at(deadline, client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => {
+                Err(AttemptOutcome::NotRun(NotRunReason::ConnectFailed))
+            }
+            Ok(Err(_broken)) => Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost)),
+            Err(_elapsed) => Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+        }
+    }
+}
+
+/// Removes the headers that concern one connection only, also those that `Connection` names.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Reads a whole body.
+pub async fn read_body<B>(body: B, limit_bytes: usize) -> Result<Bytes, Refusal>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(too_large(limit_bytes));
+    }
+    let mut body = std::pin::pin!(Limited::new(body, limit_bytes));
+    let mut bytes = bytes::BytesMut::new();
+    loop {
+        match tokio::time::timeout(BODY_IDLE_TIMEOUT, body.frame()).await {
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Ok(Some(Err(error))) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(too_large(limit_bytes));
+            }
+            Ok(Some(Err(_broken))) => {
+                let message = "the body was cut off";
+                return Err(Refusal::not_run(
+                    StatusCode::BAD_REQUEST,
+                    "body_cut_off",
+                    message,
+                ));
+            }
+            Err(_elapsed) => {
+                let message = "the body did not arrive in time";
+                return Err(Refusal::not_run(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "body_timeout",
+                    message,
+                ));
+            }
+        }
+    }
+}
+
+fn too_large(limit_bytes: usize) -> Refusal {
+    let message = format!("the body is longer than {limit_bytes} bytes");
+    Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+}
+
+/// Body of a request that may be sent more than once.
+#[derive(Debug, Clone)]
+pub enum Payload {
+    /// A body that was read as a whole.
+    Whole(Bytes),
+    /// A body that is passed on while it arrives. It can be sent again as long as nothing of it was
+    /// read.
+    Stream(Arc<Mutex<StreamedBody>>),
+}
+
+/// A body that is passed on while it arrives.
+#[derive(Debug)]
+pub struct StreamedBody {
+    body: Limited<Incoming>,
+    is_touched: bool,
+}
+
+impl Payload {
+    /// A body that is passed on while it arrives, up to a length.
+    pub fn stream(body: Incoming, limit_bytes: usize) -> Self {
+        Self::Stream(Arc::new(Mutex::new(StreamedBody {
+            body: Limited::new(body, limit_bytes),
+            is_touched: false,
+        })))
+    }
+
+    /// Whether the body can be sent (again) from its start.
+    pub fn is_intact(&self) -> bool {
+        match self {
+            Self::Whole(_) => true,
+            Self::Stream(body) => {
+                !body
+                    .lock()
+                    .expect("no holder of the lock panics")
+                    .is_touched
+            }
+        }
+    }
+
+    /// The body for one attempt.
+    pub fn body(&self) -> Body {
+        match self {
+            Self::Whole(bytes) => Full::new(bytes.clone())
+                .map_err(|never| match never {})
+                .boxed_unsync(),
+            Self::Stream(body) => Shared(Arc::clone(body)).boxed_unsync(),
+        }
+    }
+}
+
+struct Shared(Arc<Mutex<StreamedBody>>);
+
+impl HttpBody for Shared {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let mut shared = self.0.lock().expect("no holder of the lock panics");
+        shared.is_touched = true;
+        Pin::new(&mut shared.body).poll_frame(cx)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let shared = self.0.lock().expect("no holder of the lock panics");
+        shared.body.size_hint()
+    }
+}
+
+/// Passes a body on; what it holds is released with it.
+#[derive(Debug)]
+pub struct Holding<T> {
+    body: Body,
+    _held: T,
+}
+
+impl<T> Holding<T>
+where
+    T: Send + Unpin + 'static,
+{
+    /// A body that holds `held` until it ends or the caller goes away.
+    pub fn wrap(body: Body, held: T) -> Body {
+        Self { body, _held: held }.boxed_unsync()
+    }
+}
+
+impl<T> HttpBody for Holding<T>
+where
+    T: Unpin,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/tealsaddle-node/src/caller/response.rs
+++ b/crates/tealsaddle-node/src/caller/response.rs
@@ -1,16 +1,17 @@
 //! Answers to callers, with the usual error object.
 
-use std::convert::Infallible;
-
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
+/// Failure of a body; it breaks the connection, so that the caller sees no clean end.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Body of an answer to a caller.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
 /// Header that names the request.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -51,6 +52,10 @@
     pub message: String,
     /// When a later try helps.
     pub retry_after_s: Option<u64>,
+    /// Field of the request that is at fault.
+    pub param: Option<String>,
+    /// Whether the connection is closed, so that the caller's next request opens another one.
+    pub closes: bool,
 }
 
 impl Refusal {
@@ -63,6 +68,26 @@
             reason,
             message,
             retry_after_s: None,
+            param: None,
+            closes: false,
+        }
+    }
+
+    /// A request with a fault in one field.
+    pub fn invalid(param: impl Into<String>, message: impl std::fmt::Display) -> Self {
+        let param = param.into();
+        let message = format!("{param}: {message}");
+        Self {
+            param: Some(param),
+            ..Self::not_run(StatusCode::BAD_REQUEST, "invalid_request", message)
+        }
+    }
+
+    /// A refusal after which a later try helps.
+    pub fn busy(reason: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            retry_after_s: Some(1),
+            ..Self::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, message)
         }
     }
 
@@ -77,14 +102,18 @@
     /// The usual error object, with the outcome and the reason added.
     pub fn to_json(&self, request_id: &str) -> serde_json::Value {
         let kind = if self.status.is_client_error() {
-            "invalid_request_error"
+            match self.status {
+                StatusCode::UNAUTHORIZED => "authentication_error",
+                StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+                _ => "invalid_request_error",
+            }
         } else {
             "server_error"
         };
         serde_json::json!({ "error": {
             "message": self.message,
             "type": kind,
-            "param": null,
+            "param": self.param,
             "code": self.reason,
             "outcome": self.run_state.as_str(),
             "reason": self.reason,
@@ -101,13 +130,18 @@
         if let Some(seconds) = self.retry_after_s {
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
         }
+        if self.closes {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         response
     }
 }
 
 /// A body of known bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// An answer with a JSON body.
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -0,0 +1,316 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use rand::seq::SliceRandom;
+use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
+use tealsaddle_core::inventory::{Service, Target};
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
+use tokio::time::Instant;
+
+use super::completion;
+use super::dispatch::{Context, HOPS};
+use super::forward::{self, Forward};
+use super::proxy::{Payload, read_body, strip_hop_headers};
+use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState};
+use crate::clock;
+use crate::traffic::{Snapshot, Traffic};
+
+/// Longest body that is read as a whole before the call is sent, so that it can be sent again.
+const WHOLE_BODY_BYTES: u64 = 64 << 10;
+
+/// Answers `ANY /services/NAME/...`.
+pub async fn call(
+    traffic: &Arc<Traffic>,
+    request: Request<Incoming>,
+    context: Context,
+) -> Result<Response<Body>, Refusal> {
+    let snapshot = traffic.snapshot.load_full();
+    let (head, body) = request.into_parts();
+    let limit = traffic.settings.limits.request_body_bytes as usize;
+    let Some(inventory) = &snapshot.inventory else {
+        return forward_call(traffic, &snapshot, &context, head, body).await;
+    };
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let below = path.strip_prefix("/services/").unwrap_or_default();
+    let (name, _) = below.split_once(['/', '?']).unwrap_or((below, ""));
+    let rest = &below[name.len()..];
+    let Some(service) = inventory.services.get(name) else {
+        let message = format!("service {name:?} does not exist");
+        return Err(Refusal::not_run(
+            StatusCode::NOT_FOUND,
+            "service_not_found",
+            message,
+        ));
+    };
+    let is_repeatable = head.method.is_idempotent()
+        && !context.is_non_repeatable
+        && !is_marked(service, &head.method, rest);
+    let payload = payload(body, limit).await?;
+    let mut headers = head.headers;
+    prepare(&mut headers, &context);
+    let call = Call {
+        traffic,
+        context: &context,
+        service,
+        method: head.method,
+        path: if rest.starts_with('/') {
+            rest.to_owned()
+        } else {
+            format!("/{rest}")
+        },
+        headers,
+        payload,
+        is_repeatable,
+        deadline: Instant::now() + Duration::from_millis(service.timeout_ms),
+    };
+    call.run(&targets(traffic, &snapshot, service)).await
+}
+
+/// A node without a configuration knows no services; it passes the call on.
+async fn forward_call(
+    traffic: &Arc<Traffic>,
+    snapshot: &Snapshot,
+    context: &Context,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+) -> Result<Response<Body>, Refusal> {
+    let limit = traffic.settings.limits.request_body_bytes as usize;
+    let forward = Forward {
+        // The rules of the service are not known here, so a call that may be marked by them is
+        // treated as marked.
+        is_repeatable: head.method.is_safe() && !context.is_non_repeatable,
+        path: head
+            .uri
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), ToString::to_string),
+        method: head.method,
+        headers: head.headers,
+        body: read_body(body, limit).await?,
+        is_streamed: false,
+    };
+    let peers = forward::any_peers(traffic, snapshot);
+    forward::send(traffic, context, forward, &peers, "no_configuration").await
+}
+
+async fn payload(body: Incoming, limit: usize) -> Result<Payload, Refusal> {
+    let size = body.size_hint();
+    if size.upper().is_some_and(|bytes| bytes <= WHOLE_BODY_BYTES) {
+        return Ok(Payload::Whole(read_body(body, limit).await?));
+    }
+    if size.lower() > limit as u64 {
+        // It refuses without reading.
+        read_body(body, limit).await?;
+        unreachable!("a body above the limit is refused");
+    }
+    Ok(Payload::stream(body, limit))
+}
+
+/// Whether a rule marks the call, also when its path is written in another way.
+///
+/// A target may decode `%73cores` or resolve `x/../scores`, and then runs what the rule protects.
+fn is_marked(service: &Service, method: &Method, path_and_query: &str) -> bool {
+    let path = path_and_query.split('?').next().unwrap_or_default();
+    let plain = plain_path(path);
+    [
+        path,
+        path.trim_start_matches('/'),
+        &plain,
+        plain.trim_start_matches('/'),
+    ]
+    .iter()
+    .any(|path| service.is_non_repeatable(method.as_str(), path))
+}
+
+/// The path with escapes decoded, and empty and dot segments resolved.
+pub fn plain_path(path: &str) -> String {
+    let mut decoded = Vec::with_capacity(path.len());
+    let mut bytes = path.as_bytes();
+    while let [first, rest @ ..] = bytes {
+        let escaped = match rest {
+            [high, low, ..] if *first == b'%' => std::str::from_utf8(&[*high, *low])
+                .ok()
+                .and_then(|digits| u8::from_str_radix(digits, 16).ok()),
+            _ => None,
+        };
+        decoded.push(escaped.unwrap_or(*first));
+        bytes = if escaped.is_some() { &rest[2..] } else { rest };
+    }
+    let decoded = String::from_utf8_lossy(&decoded);
+    let mut segments = Vec::new();
+    for segment in decoded.split('/') {
+        match segment {
+            "" | "." => {}
+            ".." => drop(segments.pop()),
+            segment => segments.push(segment),
+        }
+    }
+    format!("/{}", segments.join("/"))
+}
+
+fn prepare(headers: &mut HeaderMap, context: &Context) {
+    strip_hop_headers(headers);
+    headers.remove(HOST);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(HOPS);
+    if context.customer.is_some() {
+        // The key is between the caller and this deployment.
+        headers.remove(AUTHORIZATION);
+    }
+    let id = HeaderValue::from_str(&context.request_id).expect("request ids are visible ASCII");
+    headers.insert(REQUEST_ID, id);
+}
+
+/// Targets that take work, those of the own zone first.
+fn targets(traffic: &Traffic, snapshot: &Snapshot, service: &Service) -> Vec<Arc<Target>> {
+    let is_leaving = |target: &Target| {
+        let vm = target.vm.as_ref();
+        vm.is_some_and(|vm| snapshot.leaving_vms.contains(vm))
+    };
+    let mut targets: Vec<Arc<Target>> = service
+        .targets
+        .iter()
+        .filter(|target| !target.withdrawn && !is_leaving(target))
+        .cloned()
+        .collect();
+    targets.shuffle(&mut rand::rng());
+    targets.sort_by_key(|target| target.zone != traffic.settings.zone);
+    targets
+}
+
+struct Call<'a> {
+    traffic: &'a Arc<Traffic>,
+    context: &'a Context,
+    service: &'a Arc<Service>,
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    payload: Payload,
+    is_repeatable: bool,
+    deadline: Instant,
+}
+
+impl Call<'_> {
+    async fn run(&self, targets: &[Arc<Target>]) -> Result<Response<Body>, Refusal> {
+        self.record(targets);
+        let service = &self.service.name;
+        let mut attempts = Attempts::new(self.is_repeatable);
+        self.traffic.on_first_attempt(service);
+        let mut next_target = targets.iter().cycle();
+        loop {
+            let Some(target) = next_target.next() else {
+                let message = "no target of the service takes work now";
+                return Err(Refusal::busy("no_target", message));
+            };
+            let (outcome, refused) = match self.send(target).await {
+                Ok(response) => match self.judge(&response) {
+                    None => return Ok(self.pass_back(response)),
+                    Some(outcome) => (outcome, Some(response)),
+                },
+                Err(outcome) => (outcome, None),
+            };
+            let id = &self.context.request_id;
+            let next = self.traffic.on_failure(service, id, &mut attempts, outcome);
+            let is_over = Instant::now() >= self.deadline || !self.payload.is_intact();
+            if next.is_ok() && !is_over {
+                continue;
+            }
+            return match (refused, attempts.outcome(outcome)) {
+                // The target's own words say more than an answer made here, but not about the
+                // attempts before it.
+                (Some(response), outcome) => {
+                    let mut response = self.pass_back(response);
+                    if matches!(outcome, AttemptOutcome::Unknown(_)) {
+                        let unknown = HeaderValue::from_static(RunState::Unknown.as_str());
+                        response.headers_mut().insert(OUTCOME, unknown);
+                    }
+                    Ok(response)
+                }
+                (None, outcome) => Err(completion::refusal(outcome)),
+            };
+        }
+    }
+
+    async fn send(&self, target: &Target) -> Result<Response<Incoming>, AttemptOutcome> {
+        let mut request = Request::new(self.payload.body());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = format!("http://{}{}", target.address, self.path)
+            .parse()
+            .map_err(|_invalid| AttemptOutcome::NotRun(NotRunReason::NoTarget))?;
+        *request.headers_mut() = self.headers.clone();
+        let client = &self.traffic.targets;
+        client
+            .send(request, self.is_repeatable, self.deadline)
+            .await
+    }
+
+    /// The outcome of an answer that is a failure; `None` for an answer to pass back.
+    fn judge(&self, response: &Response<Incoming>) -> Option<AttemptOutcome> {
+        let says_not_run = response
+            .headers()
+            .get(OUTCOME)
+            .is_some_and(|outcome| outcome.as_bytes() == RunState::NotRun.as_str().as_bytes());
+        let is_busy = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        match (is_busy, says_not_run) {
+            (true, true) => Some(AttemptOutcome::NotRun(NotRunReason::TargetRefused)),
+            // A plain 503 does not say whether anything was done before it.
+            (true, false) if self.is_repeatable => {
+                Some(AttemptOutcome::Unknown(UnknownReason::InvalidAnswer))
+            }
+            _ => None,
+        }
+    }
+
+    fn pass_back(&self, response: Response<Incoming>) -> Response<Body> {
+        let (mut head, body) = response.into_parts();
+        strip_hop_headers(&mut head.headers);
+        let deadline = self.deadline;
+        // A body that breaks off breaks the caller's connection, so that it is never taken as
+        // whole.
+        let frames = stream::unfold(Some(body), move |body| async move {
+            let mut body = body?;
+            match tokio::time::timeout_at(deadline, body.frame()).await {
+                Ok(None) => None,
+                Ok(Some(Ok(frame))) => Some((Ok(frame), Some(body))),
+                Ok(Some(Err(error))) => Some((Err(BodyError::from(error)), None)),
+                Err(_elapsed) => Some((Err(BodyError::from("the call took too long")), None)),
+            }
+        });
+        Response::from_parts(head, StreamBody::new(frames.boxed()).boxed_unsync())
+    }
+
+    fn record(&self, targets: &[Arc<Target>]) {
+        let alternatives = targets
+            .iter()
+            .enumerate()
+            .map(|(i, target)| Alternative {
+                name: target.name.to_string(),
+                score: i as f64,
+                reason: format!("target of zone {}", target.zone),
+            })
+            .collect();
+        let choice = targets.first().map_or("none", |target| &*target.name);
+        self.traffic.record(Decision {
+            at_us: clock::now_us(),
+            kind: DecisionKind::Route,
+            subject: self.context.request_id.clone(),
+            choice: choice.to_owned(),
+            reason: "own zone first, then at random".to_owned(),
+            inputs: vec![
+                (
+                    "service".to_owned(),
+                    Name::clone(&self.service.name).to_string(),
+                ),
+                ("repeatable".to_owned(), self.is_repeatable.to_string()),
+            ],
+            alternatives,
+        });
+    }
+}
--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -64,6 +64,7 @@
     let snapshot = Snapshot {
         inventory,
         open_engines,
+        is_registered: true,
         ..Snapshot::default()
     };
     traffic.snapshot.store(Arc::new(snapshot));
--- a/crates/tealsaddle-node/src/engine/http.rs
+++ b/crates/tealsaddle-node/src/engine/http.rs
@@ -1,4 +1,9 @@
 //! Engines over HTTP with lines of JSON.
+//!
+//! What an engine sends is not trusted: a line that is no event is reported as such, so that the
+//! caller of this module can count it, and a line of excessive length ends the stream.
+
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -13,11 +18,15 @@
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
-use super::{EngineClient, EventStream, GenerateEvent, GenerateRequest};
+use super::{EngineClient, EngineLine, EventStream, GenerateRequest};
 
 /// Longest line of an answer; a token with its ids takes about 200 bytes.
 const MAX_LINE_BYTES: usize = 64 << 10;
 
+/// Time to connect. Within a region a connection takes about a millisecond, and a lost SYN is sent
+/// again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Client of all engines, with a connection pool.
 #[derive(Debug)]
 pub struct HttpEngines {
@@ -29,30 +38,44 @@
     pub fn open() -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
         }
     }
 
-    async fn start(
+    async fn post<T>(
         &self,
         engine: &Engine,
-        request: &GenerateRequest,
-    ) -> Result<EventStream, AttemptOutcome> {
-        let body = serde_json::to_vec(request).expect("requests are plain JSON values");
-        let request = Request::post(format!("http://{}/generate", engine.address))
+        path: &str,
+        body: &T,
+    ) -> Result<hyper::Response<hyper::body::Incoming>, AttemptOutcome>
+    where
+        T: serde::Serialize + Sync,
+    {
+        let body = serde_json::to_vec(body).expect("requests are plain JSON values");
+        let request = Request::post(format!("http://{}{path}", engine.address))
             .header(hyper::header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .expect("an address makes a valid URI");
-        let response = self.client.request(request).await.map_err(|error| {
+        self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 AttemptOutcome::NotRun(NotRunReason::ConnectFailed)
             } else {
                 AttemptOutcome::Unknown(UnknownReason::ConnectionLost)
             }
-        })?;
+        })
+    }
+
+    async fn start(
+        &self,
+        engine: &Engine,
+        request: &GenerateRequest,
+    ) -> Result<EventStream, AttemptOutcome> {
+        let response = self.post(engine, "/generate", request).await?;
         match response.status() {
             StatusCode::OK => {}
+            // An engine checks a request before it runs any of it.
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT | StatusCode::BAD_REQUEST => {
                 return Err(AttemptOutcome::NotRun(NotRunReason::TargetRefused));
             }
@@ -67,8 +90,12 @@
         let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_LINE_BYTES));
         Ok(lines
             .map(|line| match line {
-                Ok(line) => serde_json::from_str::<GenerateEvent>(&line)
-                    .map_err(|_invalid| AttemptOutcome::Unknown(UnknownReason::InvalidAnswer)),
+                Ok(line) => {
+                    Ok(serde_json::from_str(&line).map_or(EngineLine::Junk, EngineLine::Event))
+                }
+                Err(tokio_util::codec::LinesCodecError::MaxLineLengthExceeded) => {
+                    Err(AttemptOutcome::Unknown(UnknownReason::InvalidAnswer))
+                }
                 Err(_broken) => Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost)),
             })
             .boxed())
@@ -83,4 +110,16 @@
     ) -> BoxFuture<'a, Result<EventStream, AttemptOutcome>> {
         self.start(engine, request).boxed()
     }
+
+    fn cancel<'a>(
+        &'a self,
+        engine: &'a Engine,
+        attempt_id: &'a str,
+    ) -> BoxFuture<'a, Result<(), AttemptOutcome>> {
+        async move {
+            let body = serde_json::json!({ "attempt_id": attempt_id });
+            self.post(engine, "/cancel", &body).await.map(drop)
+        }
+        .boxed()
+    }
 }
--- a/crates/tealsaddle-node/src/engine/mod.rs
+++ b/crates/tealsaddle-node/src/engine/mod.rs
@@ -64,12 +64,23 @@
     pub prompt_tokens: Option<u64>,
     /// Prompt tokens found in the prefix cache.
     pub cached_tokens: Option<u64>,
+    /// Tokens generated in this attempt.
+    pub output_tokens: Option<u64>,
     /// Handle of the exported KV cache.
     pub kv_handle: Option<String>,
 }
 
-/// Events of one attempt; an error ends the stream.
-pub type EventStream = BoxStream<'static, Result<GenerateEvent, AttemptOutcome>>;
+/// One line of an engine's answer, as it was read.
+#[derive(Debug, Clone)]
+pub enum EngineLine {
+    /// An event of the protocol.
+    Event(GenerateEvent),
+    /// Something else.
+    Junk,
+}
+
+/// Lines of one attempt; an error ends the stream.
+pub type EventStream = BoxStream<'static, Result<EngineLine, AttemptOutcome>>;
 
 /// The engines' protocol.
 pub trait EngineClient: std::fmt::Debug + Send + Sync {
@@ -79,4 +90,11 @@
         engine: &'a Engine,
         request: &'a GenerateRequest,
     ) -> BoxFuture<'a, Result<EventStream, AttemptOutcome>>;
+
+    /// Ends an attempt that nobody waits for any more.
+    fn cancel<'a>(
+        &'a self,
+        engine: &'a Engine,
+        attempt_id: &'a str,
+    ) -> BoxFuture<'a, Result<(), AttemptOutcome>>;
 }
--- a/crates/tealsaddle-node/src/traffic.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -3,18 +3,23 @@
 //! The control thread publishes an immutable snapshot; a request takes the one in force when it is
 //! routed. What the traffic threads count themselves stands beside it in atomics and short locks.
 
+mod in_flight;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use tealsaddle_core::collections::{HashMap, HashSet};
-use tealsaddle_core::decision::{Decision, DecisionRing};
+use tealsaddle_core::decision::{Decision, DecisionKind, DecisionRing};
 use tealsaddle_core::inventory::{Inventory, Role};
 use tealsaddle_core::load::{EngineLoad, LoadReport, Send};
 use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, RetryBudget};
 use tealsaddle_core::route::Candidate;
-use tokio::sync::broadcast;
+use tokio::sync::{Semaphore, broadcast};
 
+pub use self::in_flight::{InFlight, InFlightGuard};
+use crate::caller::proxy::TargetClient;
 use crate::clock;
 use crate::engine::EngineClient;
 use crate::metrics::Counters;
@@ -80,66 +85,6 @@
     pub spare_decode_requests: u32,
 }
 
-/// Requests of this node in flight per engine.
-///
-/// A request is counted before it looks at the snapshot. A count of zero that is read after a
-/// snapshot without the engine was stored therefore proves that no request of this node can reach
-/// the engine any more.
-#[derive(Debug, Default)]
-pub struct InFlight {
-    counts: Mutex<HashMap<Name, u32>>,
-}
-
-impl InFlight {
-    /// Counts a request until the guard is dropped.
-    pub fn begin(self: &Arc<Self>, engine: &Name) -> InFlightGuard {
-        let mut counts = self.counts.lock().expect("no holder of the lock panics");
-        *counts.entry(Name::clone(engine)).or_insert(0) += 1;
-        InFlightGuard {
-            in_flight: Arc::clone(self),
-            engine: Name::clone(engine),
-        }
-    }
-
-    /// Requests in flight on one engine.
-    pub fn count(&self, engine: &str) -> u32 {
-        let counts = self.counts.lock().expect("no holder of the lock panics");
-        counts.get(engine).copied().unwrap_or(0)
-    }
-
-    /// Engines with requests in flight.
-    pub fn nonzero(&self) -> Vec<(Name, u32)> {
-        let counts = self.counts.lock().expect("no holder of the lock panics");
-        counts
-            .iter()
-            .map(|(engine, count)| (Name::clone(engine), *count))
-            .collect()
-    }
-}
-
-/// One request in flight; dropping it ends the count.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    in_flight: Arc<InFlight>,
-    engine: Name,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let mut counts = self
-            .in_flight
-            .counts
-            .lock()
-            .expect("no holder of the lock panics");
-        if let Some(count) = counts.get_mut(&self.engine) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&self.engine);
-            }
-        }
-    }
-}
-
 /// State shared by all traffic threads of a node.
 #[derive(Debug)]
 pub struct Traffic {
@@ -155,6 +100,11 @@
     pub counters: Counters,
     /// Requests of this node in flight per engine.
     pub in_flight: Arc<InFlight>,
+    /// Client of the targets of plain services and of peers.
+    pub targets: TargetClient,
+    /// Places for requests in flight at once.
+    pub places: Arc<Semaphore>,
+    retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
     loads: Mutex<HashMap<Name, EngineLoad>>,
     decisions: Mutex<DecisionRing>,
     watchers: broadcast::Sender<Decision>,
@@ -168,6 +118,7 @@
         key_value: Arc<dyn KeyValue>,
         counters: Counters,
     ) -> Self {
+        let places = Arc::new(Semaphore::new(settings.limits.requests_in_flight));
         Self {
             settings,
             snapshot: ArcSwap::default(),
@@ -175,6 +126,9 @@
             key_value,
             counters,
             in_flight: Arc::default(),
+            targets: TargetClient::open(),
+            places,
+            retry_budgets: Mutex::default(),
             loads: Mutex::default(),
             decisions: Mutex::new(DecisionRing::with_capacity(DECISIONS_KEPT)),
             watchers: broadcast::Sender::new(DECISIONS_BUFFERED),
@@ -203,6 +157,72 @@
             .collect()
     }
 
+    /// Counts a request for an engine and then checks that the engine still takes work.
+    ///
+    /// The order matters: a drain is proven by a count of zero that was read after the table
+    /// without the engine came into force.
+    pub fn enter(&self, engine: &Name) -> Option<InFlightGuard> {
+        let guard = self.in_flight.begin(engine);
+        let is_open = self.snapshot.load().open_engines.contains_key(engine);
+        is_open.then_some(guard)
+    }
+
+    /// Counts the first attempt of a request of a model or service.
+    pub fn on_first_attempt(&self, service: &Name) {
+        let mut budgets = self.budgets();
+        budgets
+            .entry(Name::clone(service))
+            .or_default()
+            .on_attempt(clock::now_us());
+    }
+
+    /// Counts a failed attempt and decides whether another one may follow.
+    pub fn on_failure(
+        &self,
+        service: &Name,
+        subject: &str,
+        attempts: &mut Attempts,
+        outcome: AttemptOutcome,
+    ) -> Result<(), GiveUp> {
+        let now_us = clock::now_us();
+        let next = {
+            let mut budgets = self.budgets();
+            let budget = budgets.entry(Name::clone(service)).or_default();
+            attempts.on_failure(outcome, budget, now_us)
+        };
+        let reason = match outcome {
+            AttemptOutcome::Answered => "answered",
+            AttemptOutcome::NotRun(reason) => reason.as_str(),
+            AttemptOutcome::Unknown(reason) => reason.as_str(),
+        };
+        let choice = match next {
+            Ok(()) => {
+                self.counters.increment(&format!("retry.{reason}"));
+                "repeat"
+            }
+            Err(give_up) => {
+                let name = format!("given_up.{}", give_up.as_str());
+                self.counters.increment(&name);
+                give_up.as_str()
+            }
+        };
+        self.record(Decision {
+            at_us: now_us,
+            kind: DecisionKind::Retry,
+            subject: subject.to_owned(),
+            choice: choice.to_owned(),
+            reason: reason.to_owned(),
+            inputs: vec![("attempts".to_owned(), attempts.made().to_string())],
+            alternatives: Vec::new(),
+        });
+        next
+    }
+
+    fn budgets(&self) -> std::sync::MutexGuard<'_, HashMap<Name, RetryBudget>> {
+        let budgets = self.retry_budgets.lock();
+        budgets.expect("no holder of the lock panics")
+    }
+
     /// Takes a load report of an engine.
     pub fn on_load_report(&self, engine: &Name, report: LoadReport) {
         let mut loads = self.loads.lock().expect("no holder of the lock panics");
