Admit by deadline, rate and fair share of engine time

Cause: nothing refuses work that cannot be on time, so an overload makes every answer late. Change: core::admission refuses with a reason and a retry time. Shares count estimated engine time, max-min fair by weight within a class, classes filled in order; when deadlines show that the pool gives less than nominal, what it admits is what is shared.

--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! Times are `now_us`, microseconds of a clock that counts suspended time, so that a process that was
 //! paused sees how long it was away.
 
+pub mod admission;
 pub mod collections;
 pub mod decision;
 pub mod error;
