Route by estimated lateness over mixed, split and borrowed engines

Cause: the choice looked at one role at a time, so a pool of prefill and decode engines could not trade them off, and nothing said when another zone should take a request. Change: route::Router weighs single engines, KV transfer to a decode engine and prompts read in decode steps within a time budget; ways that meet both targets go first, two random draws among the nearly best, a zone to spill to when the own one would be late, and the alternatives of every choice.

--- a/crates/tealsaddle-core/src/load.rs
+++ b/crates/tealsaddle-core/src/load.rs
@@ -2,7 +2,10 @@
 //!
 //! A report describes the engine some time ago. What this node has sent since then is not in it yet,
 //! so an engine that looks idle may already be full. [`EngineLoad`] keeps the node's own sends and
-//! adds those that are younger than the sample.
+//! completions, adds the sends that are younger than the sample and takes the completions off.
+//!
+//! A request that is split between two engines is promised to the second one while the first still
+//! reads the prompt. Promises count until they are kept or withdrawn, whatever the reports say.
 
 use std::collections::VecDeque;
 
@@ -40,7 +43,20 @@
     pub kv_tokens: u64,
 }
 
-/// Load with the node's own sends since the report.
+/// Work of this node that an engine completed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Completion {
+    /// Time at which this node saw it.
+    pub at_us: u64,
+    /// Prompt tokens that no longer wait.
+    pub prefill_tokens: u64,
+    /// Whether a request left the batch.
+    pub ends_decode: bool,
+    /// KV cache that was freed.
+    pub kv_tokens: u64,
+}
+
+/// Load with the node's own sends and completions since the report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct CorrectedLoad {
     /// Requests being decoded or about to be.
@@ -60,9 +76,12 @@
 pub struct EngineLoad {
     report: Option<LoadReport>,
     sends: VecDeque<Send>,
+    completions: VecDeque<Completion>,
+    promised_requests: u32,
+    promised_kv_tokens: u64,
 }
 
-/// Sends kept at most, so that an engine that never reports costs bounded memory.
+/// Sends and completions kept at most, so that an engine that never reports costs bounded memory.
 const MAX_SENDS: usize = 1_024;
 
 impl EngineLoad {
@@ -75,6 +94,8 @@
             return;
         }
         self.sends.retain(|send| send.at_us >= report.sampled_at_us);
+        self.completions
+            .retain(|completion| completion.at_us >= report.sampled_at_us);
         self.report = Some(report);
     }
 
@@ -86,12 +107,32 @@
         self.sends.push_back(send);
     }
 
+    /// Counts work that this node saw completed.
+    pub fn on_completion(&mut self, completion: Completion) {
+        if self.completions.len() == MAX_SENDS {
+            self.completions.pop_front();
+        }
+        self.completions.push_back(completion);
+    }
+
+    /// Promises the engine a request whose prompt is being read elsewhere.
+    pub fn on_promise(&mut self, kv_tokens: u64) {
+        self.promised_requests += 1;
+        self.promised_kv_tokens += kv_tokens;
+    }
+
+    /// Ends a promise, since the request was sent or will not come.
+    pub fn on_promise_ended(&mut self, kv_tokens: u64) {
+        self.promised_requests = self.promised_requests.saturating_sub(1);
+        self.promised_kv_tokens = self.promised_kv_tokens.saturating_sub(kv_tokens);
+    }
+
     /// The last report.
     pub fn report(&self) -> Option<&LoadReport> {
         self.report.as_ref()
     }
 
-    /// The last report plus the sends that it cannot contain.
+    /// The last report plus the sends, minus the completions, that it cannot contain.
     pub fn corrected(&self, now_us: u64) -> CorrectedLoad {
         let mut load = CorrectedLoad::default();
         if let Some(report) = &self.report {
@@ -108,6 +149,16 @@
                 load.running += 1;
             }
         }
+        for completion in &self.completions {
+            let queued = &mut load.queued_prefill_tokens;
+            *queued = queued.saturating_sub(completion.prefill_tokens);
+            load.kv_used_tokens = load.kv_used_tokens.saturating_sub(completion.kv_tokens);
+            if completion.ends_decode {
+                load.running = load.running.saturating_sub(1);
+            }
+        }
+        load.running += self.promised_requests;
+        load.kv_used_tokens += self.promised_kv_tokens;
         load
     }
 }
--- /dev/null
+++ b/crates/tealsaddle-core/tests/load.rs
@@ -0,0 +1,65 @@
+//! Tests of the corrected load.
+
+use tealsaddle_core::inventory::Role;
+use tealsaddle_core::load::{Completion, EngineLoad, LoadReport, Send};
+
+fn report(sampled_at_us: u64, running: u32) -> LoadReport {
+    LoadReport {
+        sampled_at_us,
+        role: Role::Mixed,
+        is_changing: false,
+        running,
+        waiting: 0,
+        queued_prefill_tokens: 0,
+        kv_used_tokens: 0,
+    }
+}
+
+fn send(at_us: u64) -> Send {
+    Send {
+        at_us,
+        prefill_tokens: 100,
+        decodes: true,
+        kv_tokens: 150,
+    }
+}
+
+/// Guards against an engine that looks full for a lag after its work is over, or empty before.
+#[test]
+fn sends_and_completions_count_until_a_report_contains_them() {
+    let mut load = EngineLoad::default();
+    load.on_report(report(10, 2));
+    load.on_send(send(20));
+    load.on_send(send(40));
+    assert_eq!(load.corrected(50).running, 4);
+    assert_eq!(load.corrected(50).queued_prefill_tokens, 200);
+    load.on_completion(Completion {
+        at_us: 50,
+        prefill_tokens: 100,
+        ends_decode: true,
+        kv_tokens: 150,
+    });
+    let corrected = load.corrected(60);
+    let counts = (
+        corrected.running,
+        corrected.queued_prefill_tokens,
+        corrected.kv_used_tokens,
+    );
+    assert_eq!(counts, (3, 100, 150));
+    load.on_report(report(30, 3));
+    assert_eq!(load.corrected(60).running, 3);
+    load.on_report(report(55, 3));
+    assert_eq!(load.corrected(60).running, 3);
+}
+
+/// Guards against a report that makes the node forget what it promised to an engine.
+#[test]
+fn promises_outlast_reports() {
+    let mut load = EngineLoad::default();
+    load.on_promise(500);
+    load.on_report(report(100, 1));
+    let corrected = load.corrected(100);
+    assert_eq!((corrected.running, corrected.kv_used_tokens), (2, 500));
+    load.on_promise_ended(500);
+    assert_eq!(load.corrected(100).running, 1);
+}
--- /dev/null
+++ b/crates/tealsaddle-core/tests/route.rs
@@ -0,0 +1,156 @@
+//! Tests of the router.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tealsaddle_core::admission::Targets;
+use tealsaddle_core::inventory::{Engine, Role};
+use tealsaddle_core::load::CorrectedLoad;
+use tealsaddle_core::name::Name;
+use tealsaddle_core::route::{
+    Candidate, RequestFacts, RouteChoice, RouteTable, Routed, Router, ZoneOffer,
+};
+
+fn candidate(name: &str, role: Role, queued: u64, running: u32) -> Candidate {
+    let engine = Engine {
+        name: Name::from(name),
+        zone: Name::from("buda-hall"),
+        vm: None,
+        address: "127.0.0.1:1".parse().unwrap(),
+        models: vec![Name::from("rules")],
+        initial_role: role,
+        checks_fence: true,
+        prefill_tokens_per_s: 8_000,
+        decode_tokens_per_s: 1_500,
+        batch_requests: 48,
+        kv_capacity_tokens: 200_000,
+        role_change_ms: 5_000,
+        withdrawn: false,
+    };
+    Candidate {
+        engine: Arc::new(engine),
+        role,
+        load: CorrectedLoad {
+            running,
+            queued_prefill_tokens: queued,
+            ..CorrectedLoad::default()
+        },
+        cached_tokens: 0,
+    }
+}
+
+fn route(candidates: &[Candidate], neighbours: &[ZoneOffer], prompt_tokens: u64) -> Routed {
+    let targets = Targets {
+        first_token_us: 490_000 + prompt_tokens * 250,
+        between_tokens_us: 37_000,
+    };
+    let table = RouteTable {
+        candidates,
+        neighbours,
+        targets,
+    };
+    let request = RequestFacts {
+        model: Name::from("rules"),
+        prompt_tokens,
+        max_output_tokens: 200,
+        priority: 0,
+        prefix_hash: 0,
+        first_token_due_us: targets.first_token_us,
+    };
+    Router::default().choose(&table, &request, 0, &mut ChaCha8Rng::seed_from_u64(1))
+}
+
+fn explain(routed: &Routed) -> String {
+    let choice = match &routed.choice {
+        RouteChoice::Single(engine) => engine.name.to_string(),
+        RouteChoice::Split { prefill, decode } => format!("{} -> {}", prefill.name, decode.name),
+        RouteChoice::None => "none".to_owned(),
+    };
+    let first = format!(
+        "{choice}, spill to {:?}: {}",
+        routed.spill_to, routed.reason
+    );
+    let alternatives = routed.alternatives.iter().map(|alternative| {
+        let (name, score, reason) = (&alternative.name, alternative.score, &alternative.reason);
+        format!("{name} {score:.0} ms: {reason}")
+    });
+    let lines: Vec<String> = std::iter::once(first).chain(alternatives).collect();
+    lines.join("\n")
+}
+
+/// Guards against a long prompt that stops the batch of a decode engine.
+#[test]
+fn a_long_prompt_goes_to_a_prefill_engine() {
+    let candidates = [
+        candidate("p1", Role::Prefill, 4_000, 0),
+        candidate("p2", Role::Prefill, 0, 0),
+        candidate("d1", Role::Decode, 0, 20),
+        candidate("d2", Role::Decode, 0, 46),
+    ];
+    insta::assert_snapshot!(explain(&route(&candidates, &[], 3_000)), @r#"
+        p2 -> d1, spill to None: KV cache moves: earliest first token of two drawn
+        p2 -> d1 425 ms: moves KV cache, on time, 22 ms between tokens, 0 tokens cached
+        p2 -> d2 439 ms: moves KV cache, on time, 31 ms between tokens, 0 tokens cached
+        p1 -> d1 925 ms: moves KV cache, on time, 22 ms between tokens, 0 tokens cached
+        p1 -> d2 939 ms: moves KV cache, on time, 31 ms between tokens, 0 tokens cached
+        d1 1568 ms: borrows decode steps, first token late, 29 ms between tokens, 0 tokens cached
+    "#);
+}
+
+/// Guards against a short prompt that waits behind long ones while decode steps have room.
+#[test]
+fn a_short_prompt_borrows_decode_steps_when_prefill_is_busy() {
+    let candidates = [
+        candidate("p1", Role::Prefill, 12_000, 0),
+        candidate("d1", Role::Decode, 0, 20),
+    ];
+    insta::assert_snapshot!(explain(&route(&candidates, &[], 300)), @r#"
+        d1, spill to None: decode steps have room for the prompt: earliest first token of two drawn
+        d1 170 ms: borrows decode steps, on time, 29 ms between tokens, 0 tokens cached
+        p1 -> d1 1574 ms: moves KV cache, first token late, 22 ms between tokens, 0 tokens cached
+    "#);
+}
+
+/// Guards against work that is moved to a zone without room, or kept in one that would be late.
+#[test]
+fn spills_to_the_nearest_zone_with_room_when_late() {
+    let candidates = [
+        candidate("p1", Role::Prefill, 30_000, 0),
+        candidate("d1", Role::Decode, 0, 47),
+    ];
+    let offer = |zone: &str, tokens| ZoneOffer {
+        zone: Name::from(zone),
+        spare_prefill_tokens: tokens,
+        spare_decode_requests: 3,
+    };
+    let neighbours = [offer("pest-hall", 1_000), offer("csepel-hall", 9_000)];
+    insta::assert_snapshot!(explain(&route(&candidates, &neighbours, 3_000)), @r#"
+        d1, spill to Some("csepel-hall"): the own zone would be late and a near zone has room
+        d1 2103 ms: borrows decode steps, first token late, 39 ms between tokens, 0 tokens cached
+        p1 -> d1 4190 ms: moves KV cache, first token late, 32 ms between tokens, 0 tokens cached
+        zone pest-hall 2 ms: spare for 1000 prompt tokens and 3 requests
+        zone csepel-hall 2 ms: spare for 9000 prompt tokens and 3 requests
+    "#);
+}
+
+/// Guards against affinity that sends everything to the engine with the cached prefix.
+#[test]
+fn affinity_gives_way_to_load() {
+    let mut warm = candidate("warm", Role::Mixed, 0, 0);
+    warm.cached_tokens = 2_000;
+    let cold = candidate("cold", Role::Mixed, 0, 0);
+    let routed = route(&[warm.clone(), cold.clone()], &[], 3_000);
+    assert!(matches!(routed.choice, RouteChoice::Single(engine) if &*engine.name == "warm"));
+    warm.load.queued_prefill_tokens = 4_000;
+    let routed = route(&[warm, cold], &[], 3_000);
+    assert!(matches!(routed.choice, RouteChoice::Single(engine) if &*engine.name == "cold"));
+}
+
+/// Guards against a choice among no engines.
+#[test]
+fn no_engine_is_no_choice() {
+    let routed = route(&[], &[], 100);
+    assert!(matches!(routed.choice, RouteChoice::None));
+    assert!(routed.first_token_us.is_none() && !routed.is_on_time);
+}
