--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -164,6 +164,7 @@
         let mut snapshot = Snapshot {
             inventory: self.inventory.clone(),
             is_leaving: self.is_leaving,
+            is_registered: true,
             ..Snapshot::default()
         };
         if let Some(inventory) = &self.inventory {
--- a/crates/tealsaddle-node/tests/it/admin.rs
+++ b/crates/tealsaddle-node/tests/it/admin.rs
@@ -5,8 +5,8 @@
 use http_body_util::BodyExt;
 use hyper::Method;
 use tealsaddle_testkit::client::{Client, wait_until};
-use tealsaddle_testkit::http::Server;
 use tealsaddle_testkit::platform;
+use tealsaddle_testkit::platform::Platform;
 use tealsaddle_testkit::process::{NodeConfig, NodeProcess};
 use yare::parameterized;
 
@@ -19,7 +19,7 @@
   - {name: e1, zone: buda-hall, address: \"127.0.0.1:9\", models: [rules], role: mixed, prefill_tokens_per_s: 1, decode_tokens_per_s: 1, batch_requests: 1, kv_capacity_tokens: 1}
 ";
 
-async fn start(test: &str) -> (Server, NodeProcess) {
+async fn start(test: &str) -> (Platform, NodeProcess) {
     let any = "127.0.0.1:0".parse().expect("an address");
     let platform = platform::bind(any).await.expect("the platform starts");
     let node = spawn_node(
