--- a/crates/tealsaddle-testkit/src/http.rs
+++ b/crates/tealsaddle-testkit/src/http.rs
@@ -1,6 +1,5 @@
 //! A small HTTP server frame shared by the stand-ins.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,7 +13,7 @@
 use hyper_util::server::conn::auto::Builder;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// Body of a stand-in's answer.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -55,21 +54,37 @@
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    bind_lossy(address, move |request| {
+        let answer = handler(request);
+        async move { Some(answer.await) }
+    })
+    .await
+}
+
+/// As [`bind`], but `None` breaks the connection instead of answering.
+pub async fn bind_lossy<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Server>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
     let task = tokio::spawn(async move {
+        // The connections break with the server, as they do when a process dies.
+        let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
+            while connections.try_join_next().is_some() {}
             let handler = Arc::clone(&handler);
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 // Nagle's algorithm would hold back single tokens of a stream.
                 if stream.set_nodelay(true).is_err() {
                     return;
                 }
                 let service = service_fn(move |request| {
                     let answer = handler(request);
-                    async move { Ok::<_, Infallible>(answer.await) }
+                    async move { answer.await.ok_or("answer withheld") }
                 });
                 let connection = Builder::new(TokioExecutor::new());
                 // A broken connection ends its own requests and nothing else.
@@ -108,7 +123,12 @@
 
 /// Value of a query parameter.
 pub fn query_value<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
-    request.uri().query()?.split('&').find_map(|pair| {
+    query_of(request.uri().query()?, name)
+}
+
+/// Value of a parameter in a query.
+pub fn query_of<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| {
         let (key, value) = pair.split_once('=')?;
         (key == name).then_some(value)
     })
