--- a/crates/tealsaddle-testkit/src/lib.rs
+++ b/crates/tealsaddle-testkit/src/lib.rs
@@ -4,8 +4,10 @@
 //! them, so that tests and measurements need no third-party server. Nothing here is shipped.
 
 pub mod client;
+pub mod deployment;
 pub mod engine;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod proxy;
--- a/crates/tealsaddle-testkit/src/service.rs
+++ b/crates/tealsaddle-testkit/src/service.rs
@@ -24,8 +24,10 @@
     pub delay_after: Duration,
     /// Number of next calls that are executed and then break the connection.
     pub crash_after_execution: u32,
-    /// Number of next calls that are refused with 503 before any execution.
+    /// Number of next calls that are refused with 503 and `x-outcome: not-run`.
     pub refuse: u32,
+    /// Number of next calls that are executed and then answered with a plain 503.
+    pub fail_after_execution: u32,
     /// Whether every call breaks its connection without an execution.
     pub is_down: bool,
 }
@@ -150,20 +152,31 @@
         }
         if inner.0.refuse > 0 {
             inner.0.refuse -= 1;
-            return Some(http::json(StatusCode::SERVICE_UNAVAILABLE, &"refused"));
+            let mut refusal = http::json(StatusCode::SERVICE_UNAVAILABLE, &"refused");
+            let not_run = hyper::header::HeaderValue::from_static("not-run");
+            refusal.headers_mut().insert("x-outcome", not_run);
+            return Some(refusal);
         }
         (inner.1.len() - 1, inner.0.delay_before)
     };
     tokio::time::sleep(before).await;
-    let (execution, is_crash, after) = {
-        let mut inner = state.lock();
-        inner.1[index].is_executed = true;
-        let execution = inner.1.iter().filter(|call| call.is_executed).count();
-        let is_crash = inner.0.crash_after_execution > 0;
-        inner.0.crash_after_execution -= u32::from(is_crash);
-        (execution, is_crash, inner.0.delay_after)
+    let (execution, is_crash, is_failure, after) = {
+        let mut guard = state.lock();
+        let (faults, calls) = &mut *guard;
+        calls[index].is_executed = true;
+        let execution = calls.iter().filter(|call| call.is_executed).count();
+        let is_crash = faults.crash_after_execution > 0;
+        faults.crash_after_execution -= u32::from(is_crash);
+        let is_failure = faults.fail_after_execution > 0;
+        faults.fail_after_execution -= u32::from(is_failure);
+        (execution, is_crash, is_failure, faults.delay_after)
     };
     tokio::time::sleep(after).await;
+    let status = if is_failure {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
     let echo = json!({ "execution": execution, "path": call.path, "body": call.body });
-    (!is_crash).then(|| http::json(StatusCode::OK, &echo))
+    (!is_crash).then(|| http::json(status, &echo))
 }
