--- a/crates/tealsaddle-ctl/src/output.rs
+++ b/crates/tealsaddle-ctl/src/output.rs
@@ -69,7 +69,8 @@
     let mut columns: Vec<&str> = Vec::new();
     for row in rows.iter().filter_map(Value::as_object) {
         for name in row.keys() {
-            if !columns.contains(&name.as_str()) {
+            // Nested values would break the table; --json shows them.
+            if !is_nested(&row[name]) && !columns.contains(&name.as_str()) {
                 columns.push(name);
             }
         }
