--- /dev/null
+++ b/crates/tealsaddle-testkit/src/experiment/report.rs
@@ -0,0 +1,1 @@
+//! Reports.
--- a/crates/tealsaddle-testkit/src/lib.rs
+++ b/crates/tealsaddle-testkit/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod experiment;
 pub mod http;
 pub mod platform;
 pub mod process;
