Count the wait for a place in the batch into the first token

Cause: an engine with a full batch only made a way late in rank; admission saw a first token on time and admitted requests that then waited seconds for a place. Change: the router estimates when a place becomes free and takes the later of that and the prompt.

--- a/crates/tealsaddle-core/src/route.rs
+++ b/crates/tealsaddle-core/src/route.rs
@@ -78,8 +78,13 @@
         self.load.kv_used_tokens + own <= self.engine.kv_capacity_tokens
     }
 
-    fn is_batch_full(&self) -> bool {
-        self.batch() >= self.engine.batch_requests
+    /// Estimated time until the batch has a place for one more request, when the requests in it are
+    /// like this one.
+    fn place_us(&self, request: &RequestFacts) -> f64 {
+        let most = self.engine.batch_requests;
+        let too_many = (self.batch() + 1).saturating_sub(most);
+        let answer_us = self.step_us(most) * f64::from(request.max_output_tokens);
+        f64::from(too_many) * answer_us / f64::from(most)
     }
 }
 
@@ -374,7 +379,7 @@
         } as f64;
         let own_us = candidate.first_token_us(request) as f64;
         let batch = candidate.batch();
-        let step_us = candidate.step_us(batch + 1);
+        let step_us = candidate.step_us((batch + 1).min(candidate.engine.batch_requests));
         // A step reads one chunk; without a batch beside it the prompt is read at full rate.
         let steps = (own_us / chunk_us).ceil();
         let first_us = if batch == 0 {
@@ -382,6 +387,7 @@
         } else {
             own_us + steps * step_us
         };
+        let first_us = first_us.max(candidate.place_us(request));
         // Until the prompts are read each step is longer by a chunk.
         let outputs = f64::from(request.max_output_tokens.max(1));
         let chunked = (steps / outputs).min(1.0);
@@ -406,10 +412,11 @@
         targets: Targets,
     ) -> Way<'a> {
         let moved_us = request.prompt_tokens * 1_000_000 / self.config.transfer_tokens_per_s;
-        let step_us = decode.step_us(decode.batch() + 1);
+        let step_us = decode.step_us((decode.batch() + 1).min(decode.engine.batch_requests));
         let read_us = prefill.first_token_us(request) as f64;
         // The request joins the batch at the end of the step in progress.
-        let first_us = read_us + (self.config.transfer_us + moved_us) as f64 + 1.5 * step_us;
+        let moved_us = (self.config.transfer_us + moved_us) as f64;
+        let first_us = (read_us + moved_us).max(decode.place_us(request)) + 1.5 * step_us;
         way(prefill, decode, first_us, step_us, targets)
     }
 
@@ -444,8 +451,7 @@
         first_token_us,
         between_tokens_us,
         is_on_time: first_token_us <= targets.first_token_us
-            && between_tokens_us <= targets.between_tokens_us
-            && !decode.is_batch_full(),
+            && between_tokens_us <= targets.between_tokens_us,
     }
 }
 
