Route by estimated lateness and admit by rate, share and deadline

Cause: the node chose engines by the first token alone and admitted everything. Change: the choice uses core::route::Router with the spare capacity of the zones to spill to; admission runs per model with this node's part of rates and capacity; work is taken off the estimated load when it ends, and the decode part of a split is promised ahead. Conclusion: a target grows by the prompt's own reading time, so that length alone makes no request infeasible.

--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/admit.rs
@@ -0,0 +1,117 @@
+//! Admission of completions: whether a request is run at all.
+//!
+//! The rules count over a deployment, and every node applies its part: the rate of a customer and
+//! the capacity of a pool are divided by the nodes that share them.
+
+use tealsaddle_core::admission::{AdmissionRequest, Estimate, RefusalReason, Refused, Targets};
+use tealsaddle_core::decision::{Decision, DecisionKind};
+use tealsaddle_core::name::Name;
+
+use hyper::StatusCode;
+
+use super::completion::Completion;
+use super::dispatch::Context;
+use super::response::Refusal;
+use crate::clock;
+use crate::traffic::{Snapshot, Traffic};
+
+/// Admits a completion or refuses it as not run.
+pub fn admit(
+    traffic: &Traffic,
+    context: &Context,
+    completion: &Completion,
+    targets: Targets,
+    estimate: &Estimate,
+) -> Result<(), Refusal> {
+    let snapshot = traffic.snapshot.load();
+    let customer = context.customer.as_ref();
+    let nodes = snapshot
+        .peers
+        .iter()
+        .filter(|peer| peer.is_registered)
+        .count()
+        + 1;
+    let request = AdmissionRequest {
+        customer: customer.map_or_else(|| Name::from(""), |customer| Name::clone(&customer.name)),
+        priority: completion.priority,
+        share: customer.map_or(1.0, |customer| customer.share),
+        requests_per_s: customer
+            .and_then(|customer| customer.requests_per_s)
+            .map(|rate| rate / nodes as f64),
+        targets,
+    };
+    let now_us = clock::now_us();
+    let model = &completion.model.name;
+    let capacity = capacity_us_per_s(traffic, &snapshot, model);
+    let admitted = traffic.with_admission(model, |admission| {
+        admission.set_capacity(capacity);
+        admission.admit(&request, estimate, now_us)
+    });
+    let choice = match &admitted {
+        Ok(()) => "admitted",
+        Err(refused) => refused.reason.as_str(),
+    };
+    let first_token_ms = estimate.first_token_us.unwrap_or(0) / 1_000;
+    traffic.record(Decision {
+        at_us: now_us,
+        kind: DecisionKind::Admit,
+        subject: completion.request_id.clone(),
+        choice: choice.to_owned(),
+        reason: "rate, share, queue and deadline of the customer".to_owned(),
+        inputs: vec![
+            ("customer".to_owned(), request.customer.to_string()),
+            ("first_token_ms".to_owned(), first_token_ms.to_string()),
+            (
+                "engine_ms".to_owned(),
+                (estimate.engine_us / 1_000).to_string(),
+            ),
+            ("waiting".to_owned(), estimate.waiting.to_string()),
+        ],
+        alternatives: Vec::new(),
+    });
+    admitted.map_err(refusal)
+}
+
+/// Engine time per second that this node may give out for a model.
+fn capacity_us_per_s(traffic: &Traffic, snapshot: &Snapshot, model: &str) -> f64 {
+    let zone = &traffic.settings.zone;
+    let open = snapshot.inventory.as_ref().map_or(0, |inventory| {
+        inventory
+            .engines_for(zone, model)
+            .filter(|engine| snapshot.open_engines.contains_key(&engine.name))
+            .count()
+    });
+    let is_neighbour =
+        |peer: &&crate::traffic::PeerEndpoint| peer.is_registered && peer.zone == *zone;
+    let nodes = snapshot.peers.iter().filter(is_neighbour).count() + 1;
+    open as f64 * 1e6 / nodes as f64
+}
+
+fn refusal(refused: Refused) -> Refusal {
+    let (status, message) = match refused.reason {
+        RefusalReason::CustomerRate => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the customer sends more requests than agreed",
+        ),
+        RefusalReason::FairShare => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the customer has used its share while others wait",
+        ),
+        RefusalReason::QueueFull => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too many requests wait for the model",
+        ),
+        RefusalReason::DeadlineInfeasible => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the answer would be late; try again later",
+        ),
+        RefusalReason::NoEngine | RefusalReason::Draining => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no engine takes work for the model now",
+        ),
+    };
+    Refusal {
+        retry_after_s: Some(refused.retry_after_ms.div_ceil(1_000).max(1)),
+        ..Refusal::not_run(status, refused.reason.as_str(), message)
+    }
+}
--- a/crates/tealsaddle-node/src/caller/attempt.rs
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -1,7 +1,4 @@
 //! One attempt of a completion on one engine, or on two for a split of prefill and decode.
-//!
-//! Whatever ends an attempt early also cancels it at its engine, and the count of the request on
-//! that engine is kept until the engine has taken the cancellation, so that a drain waits for it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,12 +10,12 @@
 use tealsaddle_core::stream::{EndAction, StreamJoiner, TokenAction};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use uuid::Uuid;
 
+use super::at_engine::{AtEngine, Promise, Work};
 use super::completion::{Completion, Done, Output};
 use super::select::{Counted, Plan};
 use crate::engine::{EngineLine, EventStream, GenerateEvent, GenerateRequest, Stage};
-use crate::traffic::{InFlightGuard, Traffic};
+use crate::traffic::Traffic;
 
 /// The first token may take this many times its target. The target is for the 95th percentile, and
 /// giving up costs a second prefill.
@@ -30,8 +27,6 @@
 /// Prompt tokens that the slowest engine is expected to read in a millisecond; a longer prompt gets
 /// a longer timeout.
 const SLOW_PREFILL_TOKENS_PER_MS: u64 = 1;
-/// Time for an engine to take a cancellation.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that a reader may leave a full buffer untouched before its request is given up.
 const READER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest handle of exported KV cache.
@@ -61,43 +56,6 @@
     Failed(Name, AttemptOutcome),
 }
 
-/// Work at an engine; dropped before its end, it is cancelled there.
-#[derive(Debug)]
-struct AtEngine<'a> {
-    traffic: &'a Arc<Traffic>,
-    engine: Arc<Engine>,
-    attempt_id: String,
-    guard: Option<InFlightGuard>,
-    is_running: bool,
-}
-
-impl Drop for AtEngine<'_> {
-    fn drop(&mut self) {
-        // Without a runtime the process is ending, and its connections with it.
-        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
-            return;
-        };
-        if !self.is_running {
-            return;
-        }
-        self.traffic.counters.increment("engine.cancelled");
-        let traffic = Arc::clone(self.traffic);
-        let engine = Arc::clone(&self.engine);
-        let attempt_id = std::mem::take(&mut self.attempt_id);
-        let guard = self.guard.take();
-        runtime.spawn(async move {
-            let cancel = traffic.engines.cancel(&engine, &attempt_id);
-            if !matches!(
-                tokio::time::timeout(CANCEL_TIMEOUT, cancel).await,
-                Ok(Ok(()))
-            ) {
-                traffic.counters.increment("engine.cancel_failed");
-            }
-            drop(guard);
-        });
-    }
-}
-
 impl Attempt<'_> {
     /// Runs the attempt to its end.
     pub async fn run(mut self, plan: Plan) -> AttemptEnd {
@@ -109,14 +67,10 @@
 
     async fn split(&mut self, prefill: Counted, decode: Arc<Engine>) -> AttemptEnd {
         let engine = Arc::clone(&prefill.engine);
-        let mut held = AtEngine {
-            traffic: self.traffic,
-            engine: Arc::clone(&engine),
-            attempt_id: Uuid::new_v4().to_string(),
-            guard: Some(prefill.guard),
-            is_running: true,
-        };
-        let request = self.request(&held.attempt_id, Stage::Prefill, None, 0);
+        let kv_tokens = self.completion.prompt_tokens + self.completion.max_tokens;
+        let promise = Promise::open(self.traffic, &decode.name, kv_tokens);
+        let mut held = AtEngine::start(self.traffic, prefill, self.work(true, false));
+        let request = self.request(held.attempt_id(), Stage::Prefill, None, 0);
         let exported = tokio::select! {
             exported = self.export(&engine, &request) => exported,
             () = self.sender.closed() => return AttemptEnd::CallerGone,
@@ -124,10 +78,11 @@
         let handle = match exported {
             Ok(handle) => handle,
             Err(outcome) => {
-                held.is_running = !matches!(outcome, AttemptOutcome::NotRun(_));
+                held.on_failure(outcome);
                 return AttemptEnd::Failed(Name::clone(&engine.name), outcome);
             }
         };
+        held.on_first_token();
         let kv_from = format!("http://{}/kv/{handle}", engine.address);
         let Some(guard) = self.traffic.enter(&decode.name) else {
             let outcome = AttemptOutcome::NotRun(NotRunReason::NoTarget);
@@ -137,6 +92,7 @@
             engine: decode,
             guard,
         };
+        drop(promise);
         self.generate(counted, Some(kv_from), Some(held)).await
     }
 
@@ -170,36 +126,31 @@
         &mut self,
         counted: Counted,
         kv_from: Option<String>,
-        mut held: Option<AtEngine<'_>>,
+        mut held: Option<AtEngine>,
     ) -> AttemptEnd {
         let engine = Arc::clone(&counted.engine);
-        let mut running = AtEngine {
-            traffic: self.traffic,
-            engine: Arc::clone(&engine),
-            attempt_id: Uuid::new_v4().to_string(),
-            guard: Some(counted.guard),
-            is_running: true,
-        };
+        let work = self.work(kv_from.is_none(), true);
+        let mut running = AtEngine::start(self.traffic, counted, work);
         let stage = if kv_from.is_some() {
             Stage::Decode
         } else {
             Stage::Full
         };
         let resume_at = self.joiner.begin_attempt();
-        let request = self.request(&running.attempt_id, stage, kv_from, resume_at);
+        let request = self.request(running.attempt_id(), stage, kv_from, resume_at);
         let sender = self.sender;
         let end = tokio::select! {
-            end = self.deliver(&engine, &request, &mut held) => end,
+            end = self.deliver(&request, &mut running, &mut held) => end,
             () = sender.closed() => Ok(None),
         };
         match end {
             Ok(Some(done)) => {
-                running.is_running = false;
+                running.finish();
                 AttemptEnd::Done(done)
             }
             Ok(None) => AttemptEnd::CallerGone,
             Err(outcome) => {
-                running.is_running = !matches!(outcome, AttemptOutcome::NotRun(_));
+                running.on_failure(outcome);
                 AttemptEnd::Failed(Name::clone(&engine.name), outcome)
             }
         }
@@ -208,14 +159,15 @@
     /// Passes tokens on until the end; `None` means that the reader stopped reading.
     async fn deliver(
         &mut self,
-        engine: &Engine,
         request: &GenerateRequest,
-        held: &mut Option<AtEngine<'_>>,
+        running: &mut AtEngine,
+        held: &mut Option<AtEngine>,
     ) -> Result<Option<Done>, AttemptOutcome> {
+        let engine = Arc::clone(running.engine());
         // Only a token that is delivered moves the deadline; an engine that sends anything else
         // without end still runs into it.
         let mut deadline = Instant::now() + self.first_token_timeout();
-        let mut events = self.start(engine, request, deadline).await?;
+        let mut events = self.start(&engine, request, deadline).await?;
         loop {
             let event = self.next(&mut events, deadline).await?;
             let own = request.attempt_id.as_str();
@@ -242,6 +194,7 @@
             };
             match self.joiner.on_token(own, &event.attempt_id, index) {
                 TokenAction::Deliver => {
+                    running.on_first_token();
                     release(held);
                     let sent = self
                         .sender
@@ -314,6 +267,20 @@
         }
     }
 
+    const fn work(&self, reads: bool, decodes: bool) -> Work {
+        let prompt_tokens = self.completion.prompt_tokens;
+        Work {
+            prefill_tokens: if reads { prompt_tokens } else { 0 },
+            decodes,
+            kv_tokens: prompt_tokens
+                + if decodes {
+                    self.completion.max_tokens
+                } else {
+                    0
+                },
+        }
+    }
+
     fn first_token_timeout(&self) -> Duration {
         let target_ms = self.completion.model.first_token_ms * FIRST_TOKEN_FACTOR;
         // Words are fewer than tokens, so the length in bytes gives the cautious bound.
@@ -328,8 +295,8 @@
 }
 
 /// Ends the count at the engine whose KV cache has been taken over.
-fn release(held: &mut Option<AtEngine<'_>>) {
-    if let Some(mut held) = held.take() {
-        held.is_running = false;
+fn release(held: &mut Option<AtEngine>) {
+    if let Some(held) = held.take() {
+        held.finish();
     }
 }
--- a/crates/tealsaddle-node/src/caller/chat.rs
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -10,8 +10,9 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::mpsc;
 
+use super::admit;
 use super::completion::{self, Completion, Done, Output};
-use super::dispatch::Context;
+use super::dispatch::{Context, MAX_HOPS};
 use super::forward::{self, Forward};
 use super::openai::{AnswerShape, CompletionRequest, Interface, Usage};
 use super::proxy::read_body;
@@ -60,6 +61,7 @@
     let completion = Completion {
         request_id: context.request_id.clone(),
         model: Arc::clone(model),
+        prompt_tokens: wanted.prompt.split_whitespace().count() as u64,
         prompt: wanted.prompt.into(),
         max_tokens: wanted.max_tokens.unwrap_or(most_tokens).min(most_tokens),
         seed: wanted.seed.unwrap_or_else(rand::random),
@@ -67,13 +69,19 @@
             .customer
             .as_ref()
             .map_or(0, |customer| customer.priority),
+        arrived_us: context.arrived_us,
         is_repeatable: !context.is_non_repeatable,
     };
+    let candidates = traffic.candidates(&snapshot, &completion.model.name);
+    let targets = select::targets(&completion, &candidates);
     drop(snapshot);
-    let plan = match select::choose(traffic, &completion, &[], true) {
-        Selection::Here(plan) => plan,
+    let plan = match select::first(traffic, &completion, context.hops < MAX_HOPS) {
+        Selection::Here(plan, estimate) => {
+            admit::admit(traffic, &context, &completion, targets, &estimate)?;
+            plan
+        }
         Selection::Elsewhere(peers) => {
-            return forward::send(traffic, &context, forward, &peers, "no_engine").await;
+            return forward::send(traffic, &context, forward, &peers, "spill").await;
         }
         Selection::None => return Err(select::no_engine()),
     };
--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::{Attempt, AttemptEnd};
 use super::response::Refusal;
-use super::select::{self, Plan, Selection};
+use super::select::{self, Plan};
 use crate::traffic::Traffic;
 
 /// Tokens of one answer that wait for a slow reader. It is more than most answers have, so that a
@@ -32,6 +32,10 @@
     pub seed: u64,
     /// Priority class, 0 first.
     pub priority: u32,
+    /// Length of the prompt, estimated.
+    pub prompt_tokens: u64,
+    /// Time of its arrival.
+    pub arrived_us: u64,
     /// Whether it may run twice.
     pub is_repeatable: bool,
 }
@@ -111,14 +115,11 @@
         {
             return Err(refusal(attempts.outcome(outcome)));
         }
-        plan = match select::choose(traffic, completion, &failed, may_split) {
-            Selection::Here(plan) => plan,
-            // What is left of an answer is not passed on; another node would start it anew.
-            Selection::Elsewhere(_) | Selection::None => {
-                let last = AttemptOutcome::NotRun(NotRunReason::NoTarget);
-                return Err(refusal(attempts.outcome(last)));
-            }
+        let Some(next) = select::again(traffic, completion, &failed, may_split) else {
+            let last = AttemptOutcome::NotRun(NotRunReason::NoTarget);
+            return Err(refusal(attempts.outcome(last)));
         };
+        plan = next;
     }
 }
 
--- a/crates/tealsaddle-node/src/caller/dispatch.rs
+++ b/crates/tealsaddle-node/src/caller/dispatch.rs
@@ -14,6 +14,7 @@
 use super::proxy::Holding;
 use super::response::{self, Body, REQUEST_ID, Refusal};
 use super::{auth, chat, service};
+use crate::clock;
 use crate::traffic::{Snapshot, Traffic};
 
 /// Header with the number of nodes that have passed the request on.
@@ -40,6 +41,8 @@
     pub hops: u32,
     /// Whether the caller marked the call as not repeatable.
     pub is_non_repeatable: bool,
+    /// Time of the request's arrival.
+    pub arrived_us: u64,
 }
 
 /// Answers one request.
@@ -115,6 +118,7 @@
     request_id: &str,
     hops: u32,
 ) -> Result<Response<Body>, Refusal> {
+    let arrived_us = clock::now_us();
     let Ok(place) = Arc::clone(&traffic.places).try_acquire_owned() else {
         let message = "too many requests are in flight at this node";
         return Err(Refusal::busy("queue_full", message));
@@ -138,6 +142,7 @@
         customer,
         hops,
         is_non_repeatable,
+        arrived_us,
     };
     let response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/v1/models") => Ok(models(&snapshot)),
--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -67,30 +67,28 @@
     peers
 }
 
-/// Peers of the zones that may take this zone's overflow of a model, those with spare capacity
-/// first.
-pub fn spill_peers(traffic: &Traffic, snapshot: &Snapshot, model: &Name) -> Vec<PeerEndpoint> {
-    let spill_to = spill_zones(traffic, snapshot);
-    let rank = |zone: &Name| {
-        let key = (Name::clone(zone), Name::clone(model));
-        let has_spare = snapshot
-            .zone_loads
-            .get(&key)
-            .is_some_and(|load| load.spare_decode_requests > 0);
-        let place = spill_to.iter().position(|near| near == zone);
-        (!has_spare, place)
-    };
-    let serves = |zone: &Name| {
+/// Peers of the zones that may take this zone's overflow of a model, nearest first; only those of
+/// `zone`, where it is given.
+pub fn spill_peers(
+    traffic: &Traffic,
+    snapshot: &Snapshot,
+    model: &str,
+    zone: Option<&Name>,
+) -> Vec<PeerEndpoint> {
+    let mut zones = spill_zones(traffic, snapshot);
+    zones.retain(|near| {
         let inventory = snapshot.inventory.as_ref();
-        inventory.is_some_and(|inventory| inventory.engines_for(zone, model).next().is_some())
-    };
+        let serves = inventory.is_some_and(|all| all.engines_for(near, model).next().is_some());
+        serves && zone.is_none_or(|zone| zone == near)
+    });
     let mut peers = registered(traffic, snapshot);
-    peers.retain(|peer| spill_to.contains(&peer.zone) && serves(&peer.zone));
-    peers.sort_by_key(|peer| rank(&peer.zone));
+    peers.retain(|peer| zones.contains(&peer.zone));
+    peers.sort_by_key(|peer| zones.iter().position(|near| *near == peer.zone));
     peers
 }
 
-fn spill_zones(traffic: &Traffic, snapshot: &Snapshot) -> Vec<Name> {
+/// Zones that may take this zone's overflow, nearest first.
+pub fn spill_zones(traffic: &Traffic, snapshot: &Snapshot) -> Vec<Name> {
     let inventory = snapshot.inventory.as_ref();
     let zone = inventory.and_then(|inventory| inventory.zones.get(&traffic.settings.zone));
     zone.map(|zone| zone.spill_to.clone()).unwrap_or_default()
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -4,6 +4,8 @@
 //! which handler; `chat` and `service` answer it; `completion` and `attempt` run the work on engines;
 //! `forward` passes it to another node.
 
+pub mod admit;
+pub mod at_engine;
 pub mod attempt;
 pub mod auth;
 pub mod chat;
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -9,13 +9,14 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
+use tealsaddle_core::admission::{Admission, AdmissionConfig};
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::decision::{Decision, DecisionKind, DecisionRing};
 use tealsaddle_core::inventory::{Inventory, Role};
-use tealsaddle_core::load::{EngineLoad, LoadReport, Send};
+use tealsaddle_core::load::{Completion, EngineLoad, LoadReport, Send};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, RetryBudget};
-use tealsaddle_core::route::Candidate;
+use tealsaddle_core::route::{Candidate, Router};
 use tokio::sync::{Semaphore, broadcast};
 
 pub use self::in_flight::{InFlight, InFlightGuard};
@@ -104,7 +105,10 @@
     pub targets: TargetClient,
     /// Places for requests in flight at once.
     pub places: Arc<Semaphore>,
+    /// Chooses engines.
+    pub router: Router,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
+    admissions: Mutex<HashMap<Name, Admission>>,
     loads: Mutex<HashMap<Name, EngineLoad>>,
     decisions: Mutex<DecisionRing>,
     watchers: broadcast::Sender<Decision>,
@@ -128,7 +132,9 @@
             in_flight: Arc::default(),
             targets: TargetClient::open(),
             places,
+            router: Router::default(),
             retry_budgets: Mutex::default(),
+            admissions: Mutex::default(),
             loads: Mutex::default(),
             decisions: Mutex::new(DecisionRing::with_capacity(DECISIONS_KEPT)),
             watchers: broadcast::Sender::new(DECISIONS_BUFFERED),
@@ -238,6 +244,41 @@
         loads.entry(Name::clone(engine)).or_default().on_send(send);
     }
 
+    /// Counts work that this node saw completed on an engine.
+    pub fn on_completion(&self, engine: &Name, completion: Completion) {
+        let mut loads = self.loads.lock().expect("no holder of the lock panics");
+        loads
+            .entry(Name::clone(engine))
+            .or_default()
+            .on_completion(completion);
+    }
+
+    /// Promises an engine the decode part of a request, or ends the promise.
+    pub fn promise(&self, engine: &Name, kv_tokens: u64, is_open: bool) {
+        let mut loads = self.loads.lock().expect("no holder of the lock panics");
+        let load = loads.entry(Name::clone(engine)).or_default();
+        if is_open {
+            load.on_promise(kv_tokens);
+        } else {
+            load.on_promise_ended(kv_tokens);
+        }
+    }
+
+    /// Asks the admission of a model.
+    pub fn with_admission<F, T>(&self, model: &Name, ask: F) -> T
+    where
+        F: FnOnce(&mut Admission) -> T,
+    {
+        let mut admissions = self
+            .admissions
+            .lock()
+            .expect("no holder of the lock panics");
+        let admission = admissions
+            .entry(Name::clone(model))
+            .or_insert_with(|| Admission::new(AdmissionConfig::default()));
+        ask(admission)
+    }
+
     /// Records a decision and shows it to the watchers.
     pub fn record(&self, decision: Decision) {
         let mut ring = self.decisions.lock().expect("no holder of the lock panics");
