--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -3,4 +3,6 @@
 mod admin;
 mod config;
 mod path;
+mod rig;
+mod stream;
 mod support;
