Keep what the engines' prefix caches are thought to hold

Cause: the node routed without prefix affinity, since it knew nothing of the engines' caches. Change: core module `prefix`: chained block hashes of a prompt, and per engine the blocks it has read, bounded by its cache and corrected by what its answers found. Conclusion: cache events name blocks by hashes of the engine's own, so the node's own requests and the answers are the source.

--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod name;
 pub mod planner;
+pub mod prefix;
 pub mod retry;
 pub mod rollout;
 pub mod route;
