Test the operators' command line against a node

Cause: the exchange of tealsaddlectl with a node was not tested. Change: tests run the commands against a node process: apply with a conflict and a faulty file, diff, history, explain, status, counters, drain and opening again, and a node that is not there. Conclusion: both sides agree on the exchange.

--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod config;
+mod operator;
 mod path;
 mod rig;
 mod stream;
