--- a/crates/tealsaddle-core/src/authority/reconcile.rs
+++ b/crates/tealsaddle-core/src/authority/reconcile.rs
@@ -400,6 +400,9 @@
             // The table in force leaves the engine out because the record holds an order for it.
             view.drain = Some(Drain::new(&*order.order_id, table));
         }
+        if let Some(drain) = &mut view.drain {
+            drain.on_record(record, now_us);
+        }
         let issuing = entry
             .order
             .as_ref()
--- a/crates/tealsaddle-core/src/drain.rs
+++ b/crates/tealsaddle-core/src/drain.rs
@@ -63,7 +63,7 @@
 pub enum Blocker {
     /// router {0:?} has not reported zero requests in flight under a table without the engine
     Router(ProcessId),
-    /// no idle sample of the engine after the last router's report
+    /// no idle sample of the engine after the last router's report or removal
     NoIdleSample,
 }
 
@@ -80,12 +80,7 @@
 impl Drained {
     /// Whether the proof is for this order and covers all routers of the record.
     pub fn covers(&self, order_id: &str, record: &ZoneRecord) -> bool {
-        self.order_id == order_id
-            && record
-                .routers
-                .iter()
-                .filter_map(|router| router.process.as_ref())
-                .all(|router| self.routers.contains(router))
+        self.order_id == order_id && processes(record).all(|router| self.routers.contains(router))
     }
 }
 
@@ -96,6 +91,10 @@
     since: TableVersion,
     /// Time of the first report of zero per router.
     clear: HashMap<ProcessId, u64>,
+    /// Routers of the last record.
+    listed: Vec<ProcessId>,
+    /// Time at which a router was last removed without having reported zero.
+    removed_at_us: Option<u64>,
     idle_sampled_at_us: Option<u64>,
 }
 
@@ -106,6 +105,8 @@
             order_id: order_id.into(),
             since,
             clear: HashMap::default(),
+            listed: Vec::new(),
+            removed_at_us: None,
             idle_sampled_at_us: None,
         }
     }
@@ -115,6 +116,17 @@
         &self.order_id
     }
 
+    /// Takes the record that is in force.
+    ///
+    /// A router that was removed, because its VM is gone, may have left a request at the engine until
+    /// then.
+    pub fn on_record(&mut self, record: &ZoneRecord, now_us: u64) {
+        if self.has_unseen_removal(record) {
+            self.removed_at_us = Some(now_us);
+        }
+        self.listed = processes(record).cloned().collect();
+    }
+
     /// Takes a router's report: the table in force there, and the requests in flight on this engine
     /// counted after that table came into force.
     pub fn on_router(
@@ -141,23 +153,37 @@
 
     /// Proves the drain for the routers of a record, or names what is missing.
     pub fn prove(&self, record: &ZoneRecord) -> Result<Drained, Blocker> {
-        let mut last_clear_us = 0;
+        let mut last_us = self.removed_at_us.unwrap_or(0);
         let mut routers = Vec::with_capacity(record.routers.len());
-        for router in record.routers.iter().filter_map(|r| r.process.as_ref()) {
+        for router in processes(record) {
             let Some(clear_us) = self.clear.get(router) else {
                 return Err(Blocker::Router(router.clone()));
             };
-            last_clear_us = last_clear_us.max(*clear_us);
+            last_us = last_us.max(*clear_us);
             routers.push(router.clone());
         }
+        if self.has_unseen_removal(record) {
+            return Err(Blocker::NoIdleSample);
+        }
         match self.idle_sampled_at_us {
-            Some(sampled_us) if sampled_us > last_clear_us => Ok(Drained {
+            Some(sampled_us) if sampled_us > last_us => Ok(Drained {
                 order_id: self.order_id.clone(),
                 routers,
             }),
             _ => Err(Blocker::NoIdleSample),
         }
     }
+
+    /// Whether a router without a report of zero was listed before and is not in this record.
+    fn has_unseen_removal(&self, record: &ZoneRecord) -> bool {
+        self.listed.iter().any(|router| {
+            !self.clear.contains_key(router) && processes(record).all(|listed| listed != router)
+        })
+    }
+}
+
+fn processes(record: &ZoneRecord) -> impl Iterator<Item = &ProcessId> {
+    record.routers.iter().filter_map(|r| r.process.as_ref())
 }
 
 /// Earliest time on the asking node's clock at which a load report can have been sampled.
--- a/crates/tealsaddle-core/tests/it/model/mod.rs
+++ b/crates/tealsaddle-core/tests/it/model/mod.rs
@@ -2,7 +2,7 @@
 
 mod authority;
 mod check;
-
+mod claims;
 mod explore;
 mod records;
 mod world;
