Let the slow average confirm a gain instead of outweighing it

Cause: right after a shift the slow average still speaks for the old mix, so adding its gain to that of the fast one delayed every change by tens of seconds. Change: the gain under the fast average counts for 105 s; the smaller of both gains, where positive, for 60 s more. The fast average takes 5 s, not 8.

--- a/crates/tealsaddle-core/src/planner/cost.rs
+++ b/crates/tealsaddle-core/src/planner/cost.rs
@@ -1,11 +1,11 @@
 //! Weighs the cost of a role change against the late answers that it avoids.
 //!
 //! The demand is averaged twice. The fast average sees a swing within seconds, but says nothing of
-//! how long it lasts, so what a split would gain under it counts for a short time ahead. The slow
-//! average sees only what lasts, and its gain counts for longer. A change costs the engine for the
-//! drain and the change itself; the answers that it could have given in that time, times the weight,
-//! are the price. With a small weight the gain under the fast average pays for a change, with a large
-//! one only the gain under the slow average does.
+//! how long it lasts. The slow average sees only what lasts: where it agrees with the fast one, the
+//! gain counts for longer. A change costs the engine for the drain and the change itself; the answers
+//! that it could have given in that time, times the weight, are the price. With a small weight a
+//! moderate gain under the fast average pays for a change; with a large one the slow average has to
+//! confirm it, or the gain has to be large.
 
 use super::baseline::first_moves;
 use super::pool::{Split, capacity_scale, late_share};
@@ -34,11 +34,11 @@
     fn default() -> Self {
         Self {
             role_change_weight: 1.0,
-            fast_us: 8_000_000,
+            fast_us: 5_000_000,
             slow_us: 90_000_000,
-            fast_horizon_s: 60.0,
+            fast_horizon_s: 105.0,
             slow_horizon_s: 60.0,
-            hysteresis: 0.01,
+            hysteresis: 0.02,
         }
     }
 }
@@ -126,27 +126,34 @@
         }
         let config = &self.config;
         let now = view.split();
-        let late = |split: Split| {
-            let late = |demand: &Demand| {
-                demand.requests_per_s * late_share(capacity_scale(view, split, demand))
-            };
-            late(&fast) * config.fast_horizon_s + late(&slow) * config.slow_horizon_s
+        let late = |split: Split, demand: &Demand| {
+            demand.requests_per_s * late_share(capacity_scale(view, split, demand))
+        };
+        let (fast_stay, slow_stay) = (late(now, &fast), late(now, &slow));
+        let stay = fast_stay * config.fast_horizon_s + slow_stay * config.slow_horizon_s;
+        // Right after a shift the slow average still speaks for the old mix. It may confirm a gain
+        // under the fast one, but neither outweigh it nor make one by itself.
+        let gain = |split: Split| {
+            let fast_gain = fast_stay - late(split, &fast);
+            let lasting_gain = fast_gain.min(slow_stay - late(split, &slow)).max(0.0);
+            fast_gain * config.fast_horizon_s + lasting_gain * config.slow_horizon_s
         };
         let answers_per_engine_s = slow.requests_per_s / now.total().max(1) as f64;
         let price = config.role_change_weight * answers_per_engine_s * Self::change_s(view, &slow);
-        let horizons = fast.requests_per_s * config.fast_horizon_s
-            + slow.requests_per_s * config.slow_horizon_s;
-        let stay = late(now);
         let mut goals: Vec<(f64, Split)> = now
             .others(self.limits.role_floor.max(1))
             .into_iter()
-            .map(|split| (late(split) + price * now.distance(&split) as f64, split))
+            .map(|split| {
+                let price = price * now.distance(&split) as f64;
+                (stay - gain(split) + price, split)
+            })
             .collect();
         goals.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let Some((score, goal)) = goals.first().copied() else {
             return Vec::new();
         };
-        if score + config.hysteresis * horizons >= stay {
+        let margin = config.hysteresis * fast.requests_per_s * config.fast_horizon_s;
+        if score + margin >= stay {
             return Vec::new();
         }
         let reason = format!(
