Estimate how often a mixed engine reads prompts beside its batch

Change: requests that replace those of the batch bring chunks of a typical prompt; the route table carries the mean request of late. The planners' pools have no mixed engines and are unchanged.

--- a/crates/tealsaddle-core/src/route.rs
+++ b/crates/tealsaddle-core/src/route.rs
@@ -131,6 +131,17 @@
     pub neighbours: &'a [ZoneOffer],
     /// Latency targets of the request.
     pub targets: Targets,
+    /// Requests for the model of late.
+    pub typical: Typical,
+}
+
+/// Mean of the requests for a model.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Typical {
+    /// Prompt tokens that no prefix cache holds.
+    pub read_tokens: f64,
+    /// Output tokens.
+    pub output_tokens: f64,
 }
 
 /// Settings of the router.
@@ -273,7 +284,7 @@
             first_token_us: table.targets.first_token_us.min(left_us),
             ..table.targets
         };
-        let mut ways = self.ways(table.candidates, request, targets);
+        let mut ways = self.ways(table, request, targets);
         ways.sort_by_key(Way::rank);
         let mut routed = Routed {
             choice: RouteChoice::None,
@@ -343,14 +354,15 @@
 
     fn ways<'a>(
         &self,
-        candidates: &'a [Candidate],
+        table: &RouteTable<'a>,
         request: &RequestFacts,
         targets: Targets,
     ) -> Vec<Way<'a>> {
+        let candidates = table.candidates;
         let mut ways = Vec::new();
         let usable = candidates.iter().filter(|c| c.has_kv_room(request));
         for candidate in usable.filter(|c| c.role != Role::Prefill) {
-            ways.push(self.single(candidate, request, targets));
+            ways.push(self.single(candidate, request, targets, table.typical));
         }
         // The decode engine matters for the split only through its batch, so the two emptiest do.
         let mut decode: Vec<&Candidate> = candidates
@@ -372,6 +384,7 @@
         candidate: &'a Candidate,
         request: &RequestFacts,
         targets: Targets,
+        typical: Typical,
     ) -> Way<'a> {
         let chunk_us = match candidate.role {
             Role::Decode => self.config.borrow_us,
@@ -388,9 +401,13 @@
             own_us + steps * step_us
         };
         let first_us = first_us.max(candidate.place_us(request));
-        // Until the prompts are read each step is longer by a chunk.
+        // While prompts are read each step is longer by a chunk. Besides those that wait now, requests
+        // that replace those of the batch bring theirs.
         let outputs = f64::from(request.max_output_tokens.max(1));
-        let chunked = (steps / outputs).min(1.0);
+        let typical_us =
+            typical.read_tokens * 1e6 / f64::from(candidate.engine.prefill_tokens_per_s);
+        let replaced = f64::from(batch) / typical.output_tokens.max(1.0);
+        let chunked = (steps / outputs + replaced * typical_us / chunk_us).min(1.0);
         let busy = match candidate.role {
             Role::Decode => 1.0,
             Role::Prefill | Role::Mixed => chunked,
@@ -480,6 +497,7 @@
         candidates,
         neighbours: &[],
         targets,
+        typical: Typical::default(),
     };
     Router::default().choose(&table, request, 0, rng).choice
 }
--- a/crates/tealsaddle-core/tests/route.rs
+++ b/crates/tealsaddle-core/tests/route.rs
@@ -9,7 +9,7 @@
 use tealsaddle_core::load::CorrectedLoad;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::route::{
-    Candidate, RequestFacts, RouteChoice, RouteTable, Routed, Router, ZoneOffer,
+    Candidate, RequestFacts, RouteChoice, RouteTable, Routed, Router, Typical, ZoneOffer,
 };
 
 fn candidate(name: &str, role: Role, queued: u64, running: u32) -> Candidate {
@@ -49,6 +49,7 @@
         candidates,
         neighbours,
         targets,
+        typical: Typical::default(),
     };
     let request = RequestFacts {
         model: Name::from("rules"),
--- a/crates/tealsaddle-testkit/src/experiment/traffic.rs
+++ b/crates/tealsaddle-testkit/src/experiment/traffic.rs
@@ -14,6 +14,8 @@
 
 /// Weight of the newest answer in the learned length of outputs.
 const OUTPUT_SHARE_WEIGHT: f64 = 0.02;
+/// Weight of the newest request in the typical one.
+const TYPICAL_WEIGHT: f64 = 0.01;
 /// Hop to a node of another zone.
 const HOP_US: u64 = 1_000;
 /// Attempts of a request at most.
@@ -81,6 +83,7 @@
                 &[]
             },
             targets: self.targets(arrival),
+            typical: self.typical,
         };
         self.router.choose(&table, &facts, now_us, &mut self.rng)
     }
@@ -113,6 +116,9 @@
         let cached = self.cached_tokens(home, &arrival.prefix_blocks, now_us);
         let read = arrival.prompt_tokens.saturating_sub(cached);
         let output = arrival.max_tokens as f64 * self.output_share;
+        let typical = &mut self.typical;
+        typical.read_tokens += (read as f64 - typical.read_tokens) * TYPICAL_WEIGHT;
+        typical.output_tokens += (output - typical.output_tokens) * TYPICAL_WEIGHT;
         let request = AdmissionRequest {
             customer: Name::from(format!("customer-{}", arrival.customer)),
             priority: 0,
--- a/crates/tealsaddle-testkit/src/experiment/world.rs
+++ b/crates/tealsaddle-testkit/src/experiment/world.rs
@@ -12,7 +12,7 @@
 use tealsaddle_core::planner::{
     AllMixed, CostConfig, CostPlanner, FixedSplit, Oracle, Planner, Split, Threshold,
 };
-use tealsaddle_core::route::{Router, RouterConfig};
+use tealsaddle_core::route::{Router, RouterConfig, Typical};
 
 use super::Run;
 use super::measure::{BIN_US, Outcome};
@@ -56,6 +56,8 @@
     pub(super) outcome: Outcome,
     /// Output relative to the most that the caller accepts, as learned from answers.
     pub(super) output_share: f64,
+    /// Mean of the requests of late.
+    pub(super) typical: Typical,
     can_order: bool,
     crash: CrashState,
     queue: BinaryHeap<Reverse<(u64, u64, Wake)>>,
@@ -105,6 +107,7 @@
             rng: ChaCha8Rng::seed_from_u64(run.seed ^ 0x005a_dd1e),
             outcome: Outcome::new(scenario.length_us),
             output_share: 0.75,
+            typical: Typical::default(),
             can_order: true,
             crash: CrashState::None,
             queue: BinaryHeap::new(),
