Report the experiments as tables, JSON and plots

Cause: outcomes of a run were printed ad hoc. Change: medians over seeds, targets with their figures, Markdown tables, one JSON report per deployment and SVG plots of goodput over time; example `experiment` makes all of them. Scenario "swings at 85%" added beside the one at 80%.

--- /dev/null
+++ b/crates/tealsaddle-testkit/examples/experiment.rs
@@ -0,0 +1,151 @@
+//! Compares policies on simulated fleets and writes tables, JSON and plots.
+//!
+//! `cargo run --release -p tealsaddle-testkit --example experiment` runs everything; seeds are fixed.
+
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Instant;
+
+use getopts::Options;
+use serde::Serialize;
+use tealsaddle_testkit::experiment::report::{Cell, Row, Target, table, target_table, targets};
+use tealsaddle_testkit::experiment::scenario::{
+    Deployment, PolicyKind, Scenario, flipperliga, karoo, scenarios,
+};
+use tealsaddle_testkit::experiment::{Run, plot, run_all};
+
+/// Content of a report file.
+#[derive(Debug, Serialize)]
+struct Report {
+    deployment: &'static str,
+    seeds: u64,
+    rows: Vec<Row>,
+    targets: Vec<Target>,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut options = Options::new();
+    options.optopt("s", "seeds", "number of seeds, from 1 on; default 10", "N");
+    options.optopt("t", "threads", "threads; default 6", "N");
+    options.optopt(
+        "o",
+        "out",
+        "directory of the report files; default reports",
+        "DIR",
+    );
+    options.optmulti("c", "scenario", "scenario to run; default all", "NAME");
+    options.optflag("h", "help", "show this text");
+    let given = options.parse(std::env::args().skip(1))?;
+    if given.opt_present("h") {
+        print!("{}", options.usage("experiment [options]"));
+        return Ok(());
+    }
+    let seeds: u64 = given.opt_get_default("s", 10)?;
+    let threads = given.opt_get_default("t", 6)?;
+    let out = given.opt_get_default("o", "reports".to_owned())?;
+    let wanted = given.opt_strs("c");
+    fs::create_dir_all(&out)?;
+    let started = Instant::now();
+    for deployment in [flipperliga(), karoo()] {
+        let deployment = Arc::new(deployment);
+        let scenarios = scenarios().into_iter();
+        let scenarios =
+            scenarios.filter(|s| wanted.is_empty() || wanted.iter().any(|w| w == s.name));
+        let scenarios: Vec<Arc<Scenario>> = scenarios.map(Arc::new).collect();
+        let runs = runs(&deployment, &scenarios, seeds);
+        let outcomes = run_all(&runs, threads);
+        let chunks = runs
+            .chunks(seeds as usize)
+            .zip(outcomes.chunks(seeds as usize));
+        let cells: Vec<Cell<'_>> = chunks
+            .map(|(runs, outcomes)| Cell { runs, outcomes })
+            .collect();
+        write_report(&deployment, &cells, seeds, Path::new(&out))?;
+    }
+    eprintln!("{:.0} s", started.elapsed().as_secs_f64());
+    Ok(())
+}
+
+fn runs(deployment: &Arc<Deployment>, scenarios: &[Arc<Scenario>], seeds: u64) -> Vec<Run> {
+    let mut runs = Vec::new();
+    for scenario in scenarios {
+        let mut policies = vec![
+            PolicyKind::Cost(1.0),
+            PolicyKind::Cost(10.0),
+            PolicyKind::Threshold,
+            PolicyKind::Oracle,
+        ];
+        if scenario.compares_all {
+            policies.push(PolicyKind::Mixed);
+            policies.extend(
+                deployment
+                    .fixed_splits
+                    .iter()
+                    .copied()
+                    .map(PolicyKind::Fixed),
+            );
+        }
+        for policy in policies {
+            runs.extend((1..=seeds).map(|seed| Run {
+                deployment: Arc::clone(deployment),
+                scenario: Arc::clone(scenario),
+                policy,
+                seed,
+            }));
+        }
+    }
+    runs
+}
+
+fn write_report(
+    deployment: &Deployment,
+    cells: &[Cell<'_>],
+    seeds: u64,
+    out: &Path,
+) -> Result<(), Box<dyn Error>> {
+    let name = deployment.name;
+    let rows: Vec<Row> = cells.iter().map(Cell::row).collect();
+    let by_scenario = cells.chunk_by(|a, b| a.runs[0].scenario.name == b.runs[0].scenario.name);
+    let mut all_targets = Vec::new();
+    for cells in by_scenario {
+        all_targets.extend(targets(cells));
+        let scenario = &cells[0].runs[0].scenario;
+        if ["swings", "shift"].contains(&scenario.name) {
+            let path = out.join(format!("policy-{name}-{}.svg", scenario.name));
+            let title = format!("{name}, {}, median of {seeds} seeds", scenario.name);
+            plot::goodput(&path, &title, &plotted(cells))?;
+        }
+    }
+    println!(
+        "## {name}\n\n{}\n{}",
+        target_table(&all_targets),
+        table(&rows)
+    );
+    let report = Report {
+        deployment: name,
+        seeds,
+        rows,
+        targets: all_targets,
+    };
+    let json = serde_json::to_string_pretty(&report)?;
+    fs::write(out.join(format!("policy-{name}.json")), json + "\n")?;
+    Ok(())
+}
+
+/// The planners and the best fixed split; more lines would hide each other.
+fn plotted<'a, 'b>(cells: &'b [Cell<'a>]) -> Vec<&'b Cell<'a>> {
+    let is_planner = |cell: &&Cell<'_>| {
+        !matches!(
+            cell.runs[0].policy,
+            PolicyKind::Fixed(_) | PolicyKind::Mixed
+        )
+    };
+    let mut plotted: Vec<&Cell<'a>> = cells.iter().filter(is_planner).collect();
+    let fixed = cells
+        .iter()
+        .filter(|cell| matches!(cell.runs[0].policy, PolicyKind::Fixed(_)));
+    plotted.extend(fixed.max_by(|a, b| a.row().goodput_per_s.total_cmp(&b.row().goodput_per_s)));
+    plotted
+}
--- a/crates/tealsaddle-testkit/src/experiment/report.rs
+++ b/crates/tealsaddle-testkit/src/experiment/report.rs
@@ -1,1 +1,436 @@
-//! Reports.
+//! Medians over seeds, targets and tables.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use tealsaddle_core::admission::RefusalReason;
+
+use super::Run;
+use super::measure::Outcome;
+use super::scenario::{PolicyKind, S, WARM_UP_US};
+
+/// Time after a shift of load within an overload that is not counted.
+const SETTLE_US: u64 = 30 * S;
+/// Length of the comparison before and after a fault.
+const COMPARED_US: u64 = 60 * S;
+
+/// All seeds of one policy in one scenario.
+#[derive(Debug, Clone)]
+pub struct Cell<'a> {
+    /// The runs, by seed.
+    pub runs: &'a [Run],
+    /// Their outcomes.
+    pub outcomes: &'a [Outcome],
+}
+
+/// Quantiles of a latency, over all seeds.
+#[derive(Debug, Clone, Serialize)]
+pub struct Quantiles {
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// One level of load within an overload.
+#[derive(Debug, Clone, Serialize)]
+pub struct LoadLevel {
+    /// Load relative to what the fleet carries in the best split.
+    pub load: f64,
+    /// Answers on time a second.
+    pub goodput_per_s: f64,
+    /// Share of the admitted requests answered on time.
+    pub admitted_on_time_share: f64,
+}
+
+/// Medians over the seeds of a cell.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// Name of the scenario.
+    pub scenario: &'static str,
+    /// Name of the policy.
+    pub policy: String,
+    /// Answers on time a second.
+    pub goodput_per_s: f64,
+    /// Share of the requests answered on time.
+    pub on_time_share: f64,
+    /// Share of the admitted requests answered on time.
+    pub admitted_on_time_share: f64,
+    /// Requests answered late.
+    pub late: f64,
+    /// Requests admitted and not answered.
+    pub failed: f64,
+    /// Requests refused, by reason.
+    pub refused: BTreeMap<&'static str, f64>,
+    /// Requests moved to another zone.
+    pub spilled: f64,
+    /// Changes of role.
+    pub role_changes: f64,
+    /// Engine time out of service for changes of role.
+    pub engine_seconds_lost: f64,
+    /// Changes within a dwell time, over all seeds.
+    pub dwell_breaches: u64,
+    /// Time to the first token.
+    pub first_token: Quantiles,
+    /// Mean time between tokens of an answer.
+    pub between_tokens: Quantiles,
+    /// On-time share after a fault relative to before, median and lowest.
+    pub recovery: Option<(f64, f64)>,
+    /// By level of load, where the scenario is an overload.
+    pub levels: Vec<LoadLevel>,
+}
+
+/// Median of some values; 0 without any.
+pub fn median(values: impl IntoIterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.into_iter().collect();
+    values.sort_by(f64::total_cmp);
+    let middle = values.len() / 2;
+    match values.len() {
+        0 => 0.0,
+        odd if odd % 2 == 1 => values[middle],
+        _ => f64::midpoint(values[middle - 1], values[middle]),
+    }
+}
+
+impl Cell<'_> {
+    fn median<F>(&self, of: F) -> f64
+    where
+        F: Fn(&Outcome) -> f64,
+    {
+        median(self.outcomes.iter().map(of))
+    }
+
+    fn quantiles<F>(&self, of: F) -> Quantiles
+    where
+        F: Fn(&Outcome) -> &Histogram<u64>,
+    {
+        let mut sum = of(&self.outcomes[0]).clone();
+        for outcome in &self.outcomes[1..] {
+            sum.add(of(outcome))
+                .expect("the histograms have the same bounds");
+        }
+        let ms = |quantile| sum.value_at_quantile(quantile) as f64 / 1e3;
+        Quantiles {
+            p50_ms: ms(0.5),
+            p95_ms: ms(0.95),
+            p99_ms: ms(0.99),
+        }
+    }
+
+    /// Median over the seeds of this cell's goodput relative to another's.
+    pub fn goodput_ratio(&self, other: &Self) -> f64 {
+        let pairs = self.outcomes.iter().zip(other.outcomes);
+        median(pairs.map(|(a, b)| a.on_time as f64 / b.on_time.max(1) as f64))
+    }
+
+    /// On-time share after the fault, from three times of a role change after the repair on, relative
+    /// to before it, by seed.
+    fn recoveries(&self) -> Option<Vec<f64>> {
+        let (from_us, ..) = self.runs[0].scenario.fault?;
+        let role_change_us = self.runs[0].deployment.engine.role_change_us;
+        let recovery = |outcome: &Outcome| {
+            // Without a change there was no crash in one.
+            let again_us = outcome.repaired_us? + 3 * role_change_us;
+            let before = outcome
+                .between(from_us - COMPARED_US, from_us)
+                .on_time_share();
+            let after = outcome
+                .between(again_us, again_us + COMPARED_US)
+                .on_time_share();
+            Some(after / before.max(1e-3))
+        };
+        let recoveries: Vec<f64> = self.outcomes.iter().filter_map(recovery).collect();
+        (!recoveries.is_empty()).then_some(recoveries)
+    }
+
+    fn levels(&self) -> Vec<LoadLevel> {
+        let scenario = &self.runs[0].scenario;
+        if scenario.name != "overload" {
+            return Vec::new();
+        }
+        let ends = scenario.phases.iter().skip(1).map(|phase| phase.from_us);
+        let ends = ends.chain([scenario.length_us]);
+        let phases = scenario.phases.iter().zip(ends);
+        phases
+            .map(|(phase, end_us)| {
+                let from_us = phase.from_us.max(WARM_UP_US) + SETTLE_US;
+                let seconds = (end_us - from_us) as f64 / S as f64;
+                let bins = || {
+                    self.outcomes
+                        .iter()
+                        .map(|outcome| outcome.between(from_us, end_us))
+                };
+                LoadLevel {
+                    load: phase.load,
+                    goodput_per_s: median(bins().map(|bin| f64::from(bin.on_time) / seconds)),
+                    admitted_on_time_share: median(
+                        bins().map(|bin| f64::from(bin.on_time) / f64::from(bin.admitted.max(1))),
+                    ),
+                }
+            })
+            .collect()
+    }
+
+    /// The medians.
+    pub fn row(&self) -> Row {
+        let run = &self.runs[0];
+        let seconds = (run.scenario.length_us - WARM_UP_US) as f64 / S as f64;
+        let refused = RefusalReason::ALL.iter().filter_map(|reason| {
+            let refused = |o: &Outcome| o.refused.get(reason).copied().unwrap_or(0) as f64;
+            let refused = self.median(refused);
+            (refused > 0.0).then(|| (reason.as_str(), refused))
+        });
+        let recovery = self.recoveries().map(|recoveries| {
+            let lowest = recoveries.iter().copied().fold(f64::INFINITY, f64::min);
+            (median(recoveries), lowest)
+        });
+        Row {
+            scenario: run.scenario.name,
+            policy: run.policy.label(),
+            goodput_per_s: self.median(|o| o.on_time as f64 / seconds),
+            on_time_share: self.median(|o| o.on_time as f64 / o.offered as f64),
+            admitted_on_time_share: self
+                .median(|o| o.on_time as f64 / (o.on_time + o.late + o.failed).max(1) as f64),
+            late: self.median(|o| o.late as f64),
+            failed: self.median(|o| o.failed as f64),
+            refused: refused.collect(),
+            spilled: self.median(|o| o.spilled as f64),
+            role_changes: self.median(|o| o.role_changes as f64),
+            engine_seconds_lost: self.median(|o| o.lost_us as f64 / 1e6),
+            dwell_breaches: self.outcomes.iter().map(|o| o.dwell_breaches).sum(),
+            first_token: self.quantiles(|o| &o.first_token),
+            between_tokens: self.quantiles(|o| &o.between_tokens),
+            recovery,
+            levels: self.levels(),
+        }
+    }
+}
+
+/// A target with its figure.
+#[derive(Debug, Clone, Serialize)]
+pub struct Target {
+    /// Name of the scenario.
+    pub scenario: &'static str,
+    /// What is compared.
+    pub name: String,
+    /// What was measured.
+    pub value: f64,
+    /// Lowest value, or highest where `is_upper` is set.
+    pub bound: f64,
+    /// Whether the bound is an upper one.
+    pub is_upper: bool,
+}
+
+impl Target {
+    fn at_least(name: &str, value: f64, bound: f64) -> Self {
+        let (scenario, name, is_upper) = ("", name.to_owned(), false);
+        Self {
+            scenario,
+            name,
+            value,
+            bound,
+            is_upper,
+        }
+    }
+
+    fn at_most(name: &str, value: f64, bound: f64) -> Self {
+        Self {
+            is_upper: true,
+            ..Self::at_least(name, value, bound)
+        }
+    }
+
+    /// Whether the target was met.
+    pub fn is_met(&self) -> bool {
+        if self.is_upper {
+            self.value <= self.bound
+        } else {
+            self.value >= self.bound
+        }
+    }
+}
+
+/// Targets of one scenario.
+pub fn targets(cells: &[Cell<'_>]) -> Vec<Target> {
+    let find = |policy: PolicyKind| {
+        let mut cells = cells.iter();
+        cells.find(|cell| cell.runs[0].policy == policy)
+    };
+    let (Some(light), Some(heavy)) = (find(PolicyKind::Cost(1.0)), find(PolicyKind::Cost(10.0)))
+    else {
+        return Vec::new();
+    };
+    let first = &cells[0].runs[0];
+    let is_heavy = first.deployment.role_change_weight > 1.0;
+    let own = if is_heavy { heavy } else { light };
+    let breaches = light.row().dwell_breaches + heavy.row().dwell_breaches;
+    let mut found = vec![Target::at_most(
+        "changes within the dwell time",
+        breaches as f64,
+        0.0,
+    )];
+    if let Some((_, lowest)) = own.row().recovery {
+        let name = "on-time share after the repair / before, lowest seed";
+        found.push(Target::at_least(name, lowest, 0.95));
+    }
+    if first.scenario.compares_all {
+        let threshold = find(PolicyKind::Threshold);
+        compare_goodput(
+            cells,
+            light,
+            threshold,
+            find(PolicyKind::Oracle),
+            &mut found,
+        );
+        compare_weights(light, heavy, threshold, &mut found);
+    }
+    overload_targets(own, &mut found);
+    for target in &mut found {
+        target.scenario = first.scenario.name;
+    }
+    found
+}
+
+fn compare_goodput(
+    cells: &[Cell<'_>],
+    light: &Cell<'_>,
+    threshold: Option<&Cell<'_>>,
+    oracle: Option<&Cell<'_>>,
+    found: &mut Vec<Target>,
+) {
+    let fixed = cells
+        .iter()
+        .filter(|cell| matches!(cell.runs[0].policy, PolicyKind::Fixed(_)));
+    let best = fixed.max_by(|a, b| a.row().goodput_per_s.total_cmp(&b.row().goodput_per_s));
+    if let Some(best) = best {
+        let name = format!("goodput, weight 1 / best {}", best.runs[0].policy.label());
+        found.push(Target::at_least(&name, light.goodput_ratio(best), 1.15));
+    }
+    if let Some(threshold) = threshold {
+        let ratio = light.goodput_ratio(threshold);
+        found.push(Target::at_least(
+            "goodput, weight 1 / threshold",
+            ratio,
+            1.0,
+        ));
+    }
+    if let Some(oracle) = oracle {
+        let ratio = light.goodput_ratio(oracle);
+        found.push(Target::at_least("goodput, weight 1 / oracle", ratio, 0.95));
+    }
+}
+
+fn compare_weights(
+    light: &Cell<'_>,
+    heavy: &Cell<'_>,
+    threshold: Option<&Cell<'_>>,
+    found: &mut Vec<Target>,
+) {
+    let ratio = heavy.goodput_ratio(light);
+    found.push(Target::at_least(
+        "goodput, weight 10 / weight 1",
+        ratio,
+        0.97,
+    ));
+    let changes = |cell: &Cell<'_>| cell.row().role_changes;
+    let ratio = changes(heavy) / changes(light).max(1.0);
+    found.push(Target::at_most(
+        "role changes, weight 10 / weight 1",
+        ratio,
+        0.5,
+    ));
+    if let Some(threshold) = threshold {
+        let ratio = changes(heavy) / changes(threshold).max(1.0);
+        found.push(Target::at_most(
+            "role changes, weight 10 / threshold",
+            ratio,
+            0.25,
+        ));
+    }
+}
+
+fn overload_targets(own: &Cell<'_>, found: &mut Vec<Target>) {
+    let levels = own.row().levels;
+    let Some(twice) = levels.last() else { return };
+    let share = twice.admitted_on_time_share;
+    found.push(Target::at_least(
+        "admitted work on time at twice the load",
+        share,
+        0.95,
+    ));
+    let peak = levels
+        .iter()
+        .map(|level| level.goodput_per_s)
+        .fold(0.0, f64::max);
+    let ratio = twice.goodput_per_s / peak;
+    found.push(Target::at_least(
+        "goodput at twice the load / peak",
+        ratio,
+        0.9,
+    ));
+}
+
+/// Rows as a Markdown table.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = String::from(
+        "| scenario | policy | goodput/s | on time | of admitted | late | refused | spilled | \
+         changes | engine s lost | first token p50/p95 ms | between tokens p95 ms | recovery |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for row in rows {
+        let refused: Vec<String> = row
+            .refused
+            .iter()
+            .map(|(reason, count)| format!("{reason} {count:.0}"))
+            .collect();
+        let recovery = row.recovery.map_or(String::new(), |(median, lowest)| {
+            format!("{median:.3} (lowest {lowest:.3})")
+        });
+        writeln!(
+            text,
+            "| {} | {} | {:.2} | {:.3} | {:.3} | {:.0} | {} | {:.0} | {:.0} | {:.0} | {:.0}/{:.0} \
+             | {:.0} | {recovery} |",
+            row.scenario,
+            row.policy,
+            row.goodput_per_s,
+            row.on_time_share,
+            row.admitted_on_time_share,
+            row.late,
+            refused.join(", "),
+            row.spilled,
+            row.role_changes,
+            row.engine_seconds_lost,
+            row.first_token.p50_ms,
+            row.first_token.p95_ms,
+            row.between_tokens.p95_ms,
+        )
+        .expect("a string takes any text");
+    }
+    text
+}
+
+/// Targets as a Markdown table.
+pub fn target_table(targets: &[Target]) -> String {
+    let mut text =
+        String::from("| scenario | target | bound | measured | |\n|---|---|---|---|---|\n");
+    for target in targets {
+        let sign = if target.is_upper {
+            "at most"
+        } else {
+            "at least"
+        };
+        let met = if target.is_met() { "met" } else { "missed" };
+        let (scenario, name) = (target.scenario, &target.name);
+        let (bound, value) = (target.bound, target.value);
+        writeln!(
+            text,
+            "| {scenario} | {name} | {sign} {bound} | {value:.3} | {met} |"
+        )
+        .expect("a string takes any text");
+    }
+    text
+}
--- a/crates/tealsaddle-testkit/src/experiment/scenario.rs
+++ b/crates/tealsaddle-testkit/src/experiment/scenario.rs
@@ -287,7 +287,10 @@
         fault: None,
         compares_all: true,
     };
-    let swings = (0..6).map(|i| phase(i * 240, if i % 2 == 0 { 0.92 } else { 0.08 }, 0.8));
+    let swings = |load| {
+        let phases = (0..6).map(|i| phase(i * 240, if i % 2 == 0 { 0.92 } else { 0.08 }, load));
+        phases.collect()
+    };
     let shift = || vec![phase(0, 0.92, 0.8), phase(300, 0.08, 0.8)];
     let faulty = |name, from_s: u64, to_s: u64, fault| Scenario {
         name,
@@ -298,7 +301,8 @@
     };
     vec![
         plain("calm", vec![phase(0, 0.5, 0.6)], 900),
-        plain("swings", swings.collect(), 1_440),
+        plain("swings", swings(0.8), 1_440),
+        plain("swings at 85%", swings(0.85), 1_440),
         plain("shift", shift(), 900),
         plain(
             "overload",
