--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -9,13 +9,18 @@
 //! paused sees how long it was away.
 
 pub mod admission;
+pub mod authority;
+pub mod claim;
 pub mod collections;
 pub mod decision;
+pub mod drain;
 pub mod error;
 pub mod inventory;
 pub mod load;
+pub mod member;
 pub mod name;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod stream;
 
