Claim keyed calls and test services, callers and hostile input

Cause: a call with an Idempotency-Key ran without a claim, and the data plane had tests for streams only. Change: a keyed call is claimed in the platform's key-value service before any byte leaves, runs in a task of its own that outlives its caller, and stores its answer up to 64 KiB; a stop waits for such tasks.

--- a/crates/tealsaddle-core/src/stream.rs
+++ b/crates/tealsaddle-core/src/stream.rs
@@ -68,12 +68,12 @@
         if index < self.next_index {
             return TokenAction::DropDuplicate;
         }
+        if self.next_index >= self.max_tokens {
+            return TokenAction::DropExcess;
+        }
         if index > self.next_index {
             return TokenAction::Gap;
         }
-        if index >= self.max_tokens {
-            return TokenAction::DropExcess;
-        }
         self.next_index += 1;
         TokenAction::Deliver
     }
--- a/crates/tealsaddle-node/src/caller/at_engine.rs
+++ b/crates/tealsaddle-node/src/caller/at_engine.rs
@@ -116,14 +116,16 @@
         let engine = Arc::clone(&self.engine);
         let attempt_id = std::mem::take(&mut self.attempt_id);
         let guard = self.guard.take();
-        runtime.spawn(async move {
+        let tasks = self.traffic.tasks.clone();
+        let cancelling = async move {
             let cancel = traffic.engines.cancel(&engine, &attempt_id);
             let cancel = tokio::time::timeout(CANCEL_TIMEOUT, cancel).await;
             if !matches!(cancel, Ok(Ok(()))) {
                 traffic.counters.increment("engine.cancel_failed");
             }
             drop(guard);
-        });
+        };
+        tasks.spawn_on(cancelling, &runtime);
     }
 }
 
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/claim.rs
@@ -0,0 +1,305 @@
+//! Claims of keyed calls in the platform's key-value service.
+//!
+//! `core::claim` decides each step; this module carries it out and gives the answers to calls that
+//! get no attempt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+use tealsaddle_core::authority::{Stored, WriteOutcome};
+use tealsaddle_core::claim::{
+    CLAIM_TTL_MS, ClaimAttempt, ClaimStep, Refused, StoredAnswer, claim_key, request_sha256,
+};
+use tealsaddle_core::decision::{Decision, DecisionKind};
+use tealsaddle_core::retry::AttemptOutcome;
+use tealsaddle_schema::record::{ClaimRecord, ProcessId};
+use tokio::sync::Mutex;
+use uuid::Uuid;
+
+use super::dispatch::Context;
+use super::response::{Body, OUTCOME, Refusal, full};
+use crate::clock;
+use crate::platform::{KeyValue, PlatformError, PutOutcome};
+use crate::traffic::{Snapshot, Traffic};
+
+/// Header with the caller's key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Longest key.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Time for which one lease is put under new claims. A claim is therefore kept for at least an hour
+/// less than the lease's time.
+const LEASE_USE_US: u64 = 3_600 * 1_000_000;
+
+/// The lease under which this node writes claims.
+#[derive(Debug, Default)]
+pub struct ClaimLease {
+    current: Mutex<Option<(String, u64)>>,
+}
+
+impl ClaimLease {
+    async fn get(&self, key_value: &dyn KeyValue) -> Result<String, PlatformError> {
+        // Held during the call, so that concurrent calls grant one lease together.
+        let mut current = self.current.lock().await;
+        let now_us = clock::now_us();
+        if let Some((lease, granted_us)) = &*current
+            && now_us.saturating_sub(*granted_us) < LEASE_USE_US
+        {
+            return Ok(lease.clone());
+        }
+        let lease = key_value
+            .grant_lease(Duration::from_millis(CLAIM_TTL_MS))
+            .await?;
+        *current = Some((lease.clone(), now_us));
+        Ok(lease)
+    }
+
+    /// The platform may have lost the lease; the next claim grants another one.
+    async fn forget(&self, lease: &str) {
+        let mut current = self.current.lock().await;
+        if current.as_ref().is_some_and(|(known, _)| known == lease) {
+            *current = None;
+        }
+    }
+}
+
+/// Reads the caller's key; it must be visible ASCII.
+pub fn key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let bytes = value.as_bytes();
+    let is_valid = (1..=MAX_KEY_BYTES).contains(&bytes.len())
+        && bytes.iter().all(u8::is_ascii_graphic)
+        && values.next().is_none();
+    if !is_valid {
+        let rule = "must be given once, with 1 to 128 visible ASCII characters";
+        return Err(Refusal::invalid("Idempotency-Key", rule));
+    }
+    Ok(Some(String::from_utf8_lossy(bytes).into_owned()))
+}
+
+/// What identifies a keyed call.
+#[derive(Debug)]
+pub struct KeyedCall<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// The caller's key.
+    pub key: &'a str,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path below the service, with the query.
+    pub path: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+/// A claim that is owned; the call may run once.
+#[derive(Debug)]
+pub struct Claim {
+    traffic: Arc<Traffic>,
+    key: String,
+    request_id: String,
+    attempt: ClaimAttempt,
+}
+
+/// A call that gets no attempt.
+#[derive(Debug)]
+pub enum NoAttempt {
+    /// It was answered before.
+    Answered(Box<Response<Body>>),
+    /// It is refused.
+    Refused(Refusal),
+}
+
+impl Claim {
+    /// Claims the call, before any byte of it leaves.
+    pub async fn make(
+        traffic: &Arc<Traffic>,
+        context: &Context,
+        call: &KeyedCall<'_>,
+    ) -> Result<Self, NoAttempt> {
+        let customer = context
+            .customer
+            .as_ref()
+            .map_or("", |customer| &customer.name);
+        let (attempt, first) = ClaimAttempt::begin(
+            Uuid::new_v4().to_string(),
+            traffic.process.clone(),
+            request_sha256(call.method, call.path, call.body),
+        );
+        let mut claim = Self {
+            traffic: Arc::clone(traffic),
+            key: claim_key(call.service, customer, call.key),
+            request_id: context.request_id.clone(),
+            attempt,
+        };
+        let refused = match claim.drive(first).await {
+            ClaimStep::Run => {
+                claim.record("claimed");
+                return Ok(claim);
+            }
+            ClaimStep::Refuse(refused) => refused,
+            _ => Refused::NotRun,
+        };
+        claim.record(name(&refused));
+        Err(no_attempt(refused))
+    }
+
+    /// Stores how the call ended.
+    pub async fn settle(mut self, outcome: AttemptOutcome, answer: Option<StoredAnswer>) {
+        let step = self.attempt.on_outcome(outcome, answer);
+        self.drive(step).await;
+        self.record(match outcome {
+            AttemptOutcome::Answered => "done",
+            AttemptOutcome::NotRun(_) => "not_run",
+            AttemptOutcome::Unknown(_) => "left_started",
+        });
+    }
+
+    /// Carries out steps until one is left that is not a read or a write.
+    async fn drive(&mut self, first: ClaimStep) -> ClaimStep {
+        let mut step = first;
+        loop {
+            step = match step {
+                ClaimStep::Read => self.read().await,
+                ClaimStep::Write { if_version, record } => {
+                    let outcome = self.write(if_version, &record).await;
+                    self.attempt.on_write(outcome)
+                }
+                last => return last,
+            };
+        }
+    }
+
+    async fn read(&mut self) -> ClaimStep {
+        let Ok(entry) = self.traffic.key_value.get(&self.key).await else {
+            self.traffic.counters.increment("claim.read_failed");
+            return self.attempt.on_read_failed();
+        };
+        let stored = match entry {
+            None => None,
+            Some(entry) => match serde_json::from_value(entry.value) {
+                Ok(record) => Some(Stored {
+                    version: entry.version,
+                    record,
+                }),
+                Err(_invalid) => {
+                    self.traffic.counters.increment("claim.invalid_record");
+                    return self.attempt.on_read_failed();
+                }
+            },
+        };
+        let snapshot = self.traffic.snapshot.load_full();
+        let own = &self.traffic.process;
+        self.attempt
+            .on_read(stored.as_ref(), |process| is_live(process, own, &snapshot))
+    }
+
+    async fn write(&self, if_version: u64, record: &ClaimRecord) -> WriteOutcome {
+        let key_value = &*self.traffic.key_value;
+        let lease = match self.traffic.claim_lease.get(key_value).await {
+            Ok(lease) => lease,
+            Err(_unavailable) => {
+                self.traffic.counters.increment("claim.no_lease");
+                return WriteOutcome::Unknown;
+            }
+        };
+        let value = serde_json::to_value(record).expect("a record is JSON");
+        match key_value
+            .put(&self.key, &value, if_version, Some(&lease))
+            .await
+        {
+            Ok(PutOutcome::Written(version)) => WriteOutcome::Written(version),
+            Ok(PutOutcome::Conflict(_)) => WriteOutcome::Conflict,
+            Err(error) => {
+                self.traffic.counters.increment("claim.write_failed");
+                if matches!(error, PlatformError::Protocol(_)) {
+                    self.traffic.claim_lease.forget(&lease).await;
+                }
+                WriteOutcome::Unknown
+            }
+        }
+    }
+
+    fn record(&self, choice: &str) {
+        self.traffic.counters.increment(&format!("claim.{choice}"));
+        self.traffic.record(Decision {
+            at_us: clock::now_us(),
+            kind: DecisionKind::Claim,
+            subject: self.request_id.clone(),
+            choice: choice.to_owned(),
+            reason: "state of the claim record".to_owned(),
+            inputs: vec![("key".to_owned(), self.key.clone())],
+            alternatives: Vec::new(),
+        });
+    }
+}
+
+/// Whether a process is live as far as this node knows. A peer is known by its VM alone; taking a
+/// newer process there for the one that claimed only words the refusal differently.
+fn is_live(process: &ProcessId, own: &ProcessId, snapshot: &Snapshot) -> bool {
+    if process.vm == own.vm {
+        return process.incarnation == own.incarnation;
+    }
+    snapshot.peers.iter().any(|peer| *peer.vm == process.vm)
+}
+
+const fn name(refused: &Refused) -> &'static str {
+    match refused {
+        Refused::Answered(_) => "answered_before",
+        Refused::InProgress => "in_progress",
+        Refused::Unknown => "outcome_unknown",
+        Refused::KeyReused => "key_reused",
+        Refused::NotRun => "claim_unavailable",
+    }
+}
+
+fn no_attempt(refused: Refused) -> NoAttempt {
+    let reason = name(&refused);
+    let conflict = StatusCode::CONFLICT;
+    NoAttempt::Refused(match refused {
+        Refused::Answered(answer) => return NoAttempt::Answered(Box::new(replay(answer))),
+        Refused::InProgress => Refusal {
+            retry_after_s: Some(1),
+            ..Refusal::unknown(conflict, reason, "a call with this key is in progress")
+        },
+        Refused::Unknown => Refusal::unknown(
+            conflict,
+            reason,
+            "a call with this key may have run, and its answer is lost",
+        ),
+        Refused::KeyReused => Refusal::not_run(
+            conflict,
+            reason,
+            "the key was used for another request; use a new key",
+        ),
+        Refused::NotRun => Refusal::busy(
+            reason,
+            "the platform did not confirm the claim of the call; it was not run",
+        ),
+    })
+}
+
+fn replay(answer: StoredAnswer) -> Response<Body> {
+    let is_kept = answer.body.is_some();
+    let mut response = Response::new(full(answer.body.unwrap_or_default()));
+    let status = u16::try_from(answer.status).ok();
+    *response.status_mut() = status
+        .and_then(|status| StatusCode::from_u16(status).ok())
+        .unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    if let Ok(content_type) = HeaderValue::from_str(&answer.content_type)
+        && !answer.content_type.is_empty()
+    {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    if !is_kept {
+        headers.insert(OUTCOME, HeaderValue::from_static("answered-before"));
+    }
+    response
+}
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod auth;
 pub mod chat;
+pub mod claim;
 pub mod completion;
 pub mod dispatch;
 pub mod forward;
--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -39,6 +39,7 @@
     accepting: JoinHandle<()>,
     stop: CancellationToken,
     connections: TaskTracker,
+    traffic: Arc<Traffic>,
 }
 
 impl CallerServer {
@@ -47,7 +48,8 @@
         self.address
     }
 
-    /// Stops accepting connections and waits until all requests in flight are answered.
+    /// Stops accepting connections and waits until all requests in flight are answered, and until
+    /// cancellations and outcomes of keyed calls have been passed on.
     ///
     /// Idle connections are closed at once. A connection that never sent a whole request is closed
     /// when its header time is over.
@@ -58,6 +60,8 @@
         self.stop.cancel();
         self.connections.close();
         self.connections.wait().await;
+        self.traffic.tasks.close();
+        self.traffic.tasks.wait().await;
     }
 }
 
@@ -68,12 +72,18 @@
     let address = listener.local_addr().map_err(listen_error)?;
     let stop = CancellationToken::new();
     let connections = TaskTracker::new();
-    let accepting = tokio::spawn(accept(listener, traffic, stop.clone(), connections.clone()));
+    let accepting = tokio::spawn(accept(
+        listener,
+        Arc::clone(&traffic),
+        stop.clone(),
+        connections.clone(),
+    ));
     Ok(CallerServer {
         address,
         accepting,
         stop,
         connections,
+        traffic,
     })
 }
 
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -3,29 +3,35 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body as _, Incoming};
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::body::{Body as _, Frame, Incoming};
+use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::SliceRandom;
+use tealsaddle_core::claim::{MAX_STORED_BODY_BYTES, StoredAnswer};
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
 use tealsaddle_core::inventory::{Service, Target};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
+use super::claim::{self, Claim, KeyedCall, NoAttempt};
 use super::completion;
 use super::dispatch::{Context, HOPS};
 use super::forward::{self, Forward};
 use super::proxy::{Payload, read_body, strip_hop_headers};
-use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState};
+use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState, full};
 use crate::clock;
 use crate::traffic::{Snapshot, Traffic};
 
 /// Longest body that is read as a whole before the call is sent, so that it can be sent again.
 const WHOLE_BODY_BYTES: u64 = 64 << 10;
 
+/// Time that an answer waits for its claim to be stored.
+const SETTLE_WAIT: Duration = Duration::from_millis(250);
+
 /// Answers `ANY /services/NAME/...`.
 pub async fn call(
     traffic: &Arc<Traffic>,
@@ -50,16 +56,28 @@
             message,
         ));
     };
-    let is_repeatable = head.method.is_idempotent()
+    // What may run any number of times needs no claim.
+    let key = if head.method.is_safe() {
+        None
+    } else {
+        claim::key(&head.headers)?
+    };
+    let is_repeatable = key.is_none()
+        && head.method.is_idempotent()
         && !context.is_non_repeatable
         && !is_marked(service, &head.method, rest);
-    let payload = payload(body, limit).await?;
+    let payload = if key.is_some() {
+        // The claim covers the whole body, so it must be there before the call is sent.
+        Payload::Whole(read_body(body, limit).await?)
+    } else {
+        payload(body, limit).await?
+    };
     let mut headers = head.headers;
     prepare(&mut headers, &context);
     let call = Call {
-        traffic,
-        context: &context,
-        service,
+        traffic: Arc::clone(traffic),
+        context,
+        service: Arc::clone(service),
         method: head.method,
         path: if rest.starts_with('/') {
             rest.to_owned()
@@ -71,7 +89,14 @@
         is_repeatable,
         deadline: Instant::now() + Duration::from_millis(service.timeout_ms),
     };
-    call.run(&targets(traffic, &snapshot, service)).await
+    let Some(key) = key else {
+        return call.run().await;
+    };
+    // It goes on when the caller goes away, so that the outcome is stored for its next call.
+    let keyed = traffic.tasks.spawn(call.run_keyed(key));
+    keyed
+        .await
+        .unwrap_or_else(|_panicked| Err(completion::broken_off()))
 }
 
 /// A node without a configuration knows no services; it passes the call on.
@@ -169,7 +194,8 @@
 }
 
 /// Targets that take work, those of the own zone first.
-fn targets(traffic: &Traffic, snapshot: &Snapshot, service: &Service) -> Vec<Arc<Target>> {
+fn targets(traffic: &Traffic, service: &Service) -> Vec<Arc<Target>> {
+    let snapshot = traffic.snapshot.load();
     let is_leaving = |target: &Target| {
         let vm = target.vm.as_ref();
         vm.is_some_and(|vm| snapshot.leaving_vms.contains(vm))
@@ -185,10 +211,66 @@
     targets
 }
 
-struct Call<'a> {
-    traffic: &'a Arc<Traffic>,
-    context: &'a Context,
-    service: &'a Arc<Service>,
+/// Reads an answer as far as a claim keeps it; a longer one is passed on while it arrives.
+async fn keep(
+    response: Response<Body>,
+) -> (
+    Result<Response<Body>, Refusal>,
+    AttemptOutcome,
+    Option<StoredAnswer>,
+) {
+    let says_not_run = response
+        .headers()
+        .get(OUTCOME)
+        .is_some_and(|outcome| outcome.as_bytes() == RunState::NotRun.as_str().as_bytes());
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE && says_not_run {
+        let outcome = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
+        return (Ok(response), outcome, None);
+    }
+    let (head, mut body) = response.into_parts();
+    let mut stored = StoredAnswer {
+        status: u32::from(head.status.as_u16()),
+        content_type: head
+            .headers
+            .get(CONTENT_TYPE)
+            .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+            .unwrap_or_default(),
+        body: None,
+    };
+    let mut bytes = BytesMut::new();
+    loop {
+        match body.frame().await {
+            None => {
+                stored.body = Some(bytes.to_vec());
+                let response = Response::from_parts(head, full(bytes.freeze()));
+                return (Ok(response), AttemptOutcome::Answered, Some(stored));
+            }
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+                if bytes.len() > MAX_STORED_BODY_BYTES {
+                    let first = stream::once(async { Ok(Frame::data(bytes.freeze())) });
+                    let rest = stream::unfold(body, |mut body| async move {
+                        body.frame().await.map(|frame| (frame, body))
+                    });
+                    let body = StreamBody::new(first.chain(rest).boxed()).boxed_unsync();
+                    let response = Response::from_parts(head, body);
+                    return (Ok(response), AttemptOutcome::Answered, Some(stored));
+                }
+            }
+            Some(Err(_broken)) => {
+                let outcome = AttemptOutcome::Unknown(UnknownReason::ConnectionLost);
+                return (Err(completion::broken_off()), outcome, None);
+            }
+        }
+    }
+}
+
+struct Call {
+    traffic: Arc<Traffic>,
+    context: Context,
+    service: Arc<Service>,
     method: Method,
     path: String,
     headers: HeaderMap,
@@ -197,8 +279,45 @@
     deadline: Instant,
 }
 
-impl Call<'_> {
-    async fn run(&self, targets: &[Arc<Target>]) -> Result<Response<Body>, Refusal> {
+impl Call {
+    /// Claims the call, runs it once and stores how it ended.
+    async fn run_keyed(mut self, key: String) -> Result<Response<Body>, Refusal> {
+        let Payload::Whole(body) = &self.payload else {
+            unreachable!("the body of a keyed call was read as a whole");
+        };
+        let keyed = KeyedCall {
+            service: &self.service.name,
+            key: &key,
+            method: self.method.as_str(),
+            path: &self.path,
+            body,
+        };
+        let claim = match Claim::make(&self.traffic, &self.context, &keyed).await {
+            Ok(claim) => claim,
+            Err(NoAttempt::Answered(response)) => return Ok(*response),
+            Err(NoAttempt::Refused(refusal)) => return Err(refusal),
+        };
+        // The claim's time is the platform's, not the service's.
+        self.deadline = Instant::now() + Duration::from_millis(self.service.timeout_ms);
+        let (result, outcome, answer) = match self.run().await {
+            Ok(response) => keep(response).await,
+            Err(refusal) => {
+                let outcome = match refusal.run_state {
+                    RunState::NotRun => AttemptOutcome::NotRun(NotRunReason::NoTarget),
+                    RunState::Unknown => AttemptOutcome::Unknown(UnknownReason::ConnectionLost),
+                };
+                (Err(refusal), outcome, None)
+            }
+        };
+        // The answer waits a moment for the claim, so that a repeated call meets the stored
+        // answer, but not for a platform that is down.
+        let settling = self.traffic.tasks.spawn(claim.settle(outcome, answer));
+        drop(tokio::time::timeout(SETTLE_WAIT, settling).await);
+        result
+    }
+
+    async fn run(&self) -> Result<Response<Body>, Refusal> {
+        let targets = &targets(&self.traffic, &self.service);
         self.record(targets);
         let service = &self.service.name;
         let mut attempts = Attempts::new(self.is_repeatable);
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -17,9 +17,13 @@
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, RetryBudget};
 use tealsaddle_core::route::{Candidate, Router};
+use tealsaddle_schema::record::ProcessId;
 use tokio::sync::{Semaphore, broadcast};
+use tokio_util::task::TaskTracker;
+use uuid::Uuid;
 
 pub use self::in_flight::{InFlight, InFlightGuard};
+use crate::caller::claim::ClaimLease;
 use crate::caller::proxy::TargetClient;
 use crate::clock;
 use crate::engine::EngineClient;
@@ -107,6 +111,12 @@
     pub places: Arc<Semaphore>,
     /// Chooses engines.
     pub router: Router,
+    /// This process, as claims name it.
+    pub process: ProcessId,
+    /// The lease under which claims are written.
+    pub claim_lease: ClaimLease,
+    /// Work that goes on when its caller goes away; a planned stop waits for it.
+    pub tasks: TaskTracker,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
     admissions: Mutex<HashMap<Name, Admission>>,
     loads: Mutex<HashMap<Name, EngineLoad>>,
@@ -122,6 +132,10 @@
         key_value: Arc<dyn KeyValue>,
         counters: Counters,
     ) -> Self {
+        let process = ProcessId {
+            vm: settings.vm.to_string(),
+            incarnation: Uuid::new_v4().to_string(),
+        };
         let places = Arc::new(Semaphore::new(settings.limits.requests_in_flight));
         Self {
             settings,
@@ -133,6 +147,9 @@
             targets: TargetClient::open(),
             places,
             router: Router::default(),
+            process,
+            claim_lease: ClaimLease::default(),
+            tasks: TaskTracker::new(),
             retry_budgets: Mutex::default(),
             admissions: Mutex::default(),
             loads: Mutex::default(),
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/caller.rs
@@ -0,0 +1,406 @@
+//! What callers of completions see: answers, refusals, limits, stopping and forwarding.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use hyper::{Method, StatusCode};
+use serde_json::json;
+use tealsaddle_node::caller::auth::sha256_hex;
+use tealsaddle_testkit::client::wait_until;
+use tealsaddle_testkit::http;
+use tealsaddle_testkit::process::free_address;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use yare::parameterized;
+
+use crate::rig::{ANY, Engine, Rig, Step, answer_text, body, config, whole};
+
+async fn rig_with(engine: &Engine, limits: &str, more: &str) -> Rig {
+    let yaml = config(&[(engine.address(), "mixed")]) + more;
+    Rig::with(&yaml, free_address(), limits).await
+}
+
+/// Guards against an answer that an unmodified client of the usual interface cannot read.
+#[tokio::test]
+async fn answers_have_the_usual_shape() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "", "").await;
+    assert_eq!(rig.get("/v1/models").await.json()["data"][0]["id"], "m");
+    let usage = json!({ "prompt_tokens": 2, "completion_tokens": 4, "total_tokens": 6 });
+
+    let whole = rig.complete(4, false).await.json();
+    assert_eq!(whole["object"], "text_completion");
+    assert_eq!(whole["choices"][0]["text"], answer_text(4));
+    assert_eq!(whole["choices"][0]["finish_reason"], "length");
+    assert_eq!(whole["usage"], usage);
+
+    let streamed = rig.complete(4, true).await;
+    assert_eq!(streamed.header("content-type"), "text/event-stream");
+    let events = String::from_utf8_lossy(&streamed.body).into_owned();
+    let events: Vec<&str> = events.split_terminator("\n\n").collect();
+    assert_eq!(events.last(), Some(&"data: [DONE]"));
+    let last: serde_json::Value =
+        serde_json::from_str(events[events.len() - 2].trim_start_matches("data: ")).expect("JSON");
+    assert_eq!((&last["usage"], &last["choices"]), (&usage, &json!([])));
+
+    let chat = json!({
+        "model": "m", "max_completion_tokens": 4, "seed": 7, "temperature": 0.5,
+        "messages": [{ "role": "user", "content": [{ "type": "text", "text": "hi" }] }],
+    });
+    let answer = rig
+        .post("/v1/chat/completions", &[], &chat.to_string())
+        .await;
+    assert_eq!(answer.json()["object"], "chat.completion");
+    assert_eq!(answer.json()["choices"][0]["message"]["role"], "assistant");
+    assert_eq!(engine.asked("/generate")[2]["prompt"], "user: hi");
+    assert_eq!(answer.header("x-request-id").len(), 36);
+}
+
+/// Guards against a refusal that does not say what is wrong and that nothing was run.
+#[parameterized(
+    no_path = { "GET", "/v2", "", 404, "no_such_path", None },
+    method = { "GET", "/v1/completions", "", 405, "method_not_allowed", None },
+    not_json = { "POST", "/v1/completions", "{", 400, "invalid_request", Some("body") },
+    no_model = { "POST", "/v1/completions", r#"{"prompt": "a"}"#, 400, "invalid_request", Some("model") },
+    unknown_model = { "POST", "/v1/completions", r#"{"model": "x", "prompt": "a"}"#, 404, "model_not_found", Some("model") },
+    prompt = { "POST", "/v1/completions", r#"{"model": "m", "prompt": 1}"#, 400, "invalid_request", Some("prompt") },
+    content = { "POST", "/v1/chat/completions", r#"{"model": "m", "messages": [{"role": "user"}]}"#, 400, "invalid_request", Some("messages[0].content") },
+    tokens = { "POST", "/v1/completions", r#"{"model": "m", "prompt": "a", "max_tokens": -1}"#, 400, "invalid_request", Some("max_tokens") },
+    several = { "POST", "/v1/completions", r#"{"model": "m", "prompt": "a", "n": 2}"#, 400, "invalid_request", Some("n") },
+    service = { "POST", "/services/x/y", "", 404, "service_not_found", None },
+)]
+#[test_macro(tokio::test)]
+async fn refusal_names_the_fault(
+    method: &str,
+    path: &str,
+    body: &'static str,
+    status: u16,
+    reason: &str,
+    param: Option<&str>,
+) {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "", "").await;
+    let method: Method = method.parse().expect("a method");
+    let answer = rig.client.call(method, rig.address, path, &[], body).await;
+    let answer = answer.expect("an answer");
+    let headers = (answer.header("x-outcome"), answer.header("x-reason"));
+    assert_eq!((answer.status, headers), (status, ("not-run", reason)));
+    let error = &answer.json()["error"];
+    assert_eq!(error["param"], json!(param));
+    assert_eq!(error["type"], "invalid_request_error");
+    assert_eq!(rig.count(&format!("refused.{reason}")), 1);
+    assert_eq!(engine.generated(), 0);
+}
+
+/// Guards against strangers, and against a body that is read without bound.
+#[tokio::test]
+async fn keys_rates_and_sizes_are_checked() {
+    let engine = Engine::good(0).await;
+    let key = sha256_hex(&[b"secret"]);
+    let customers =
+        format!("customers: [{{name: c, api_key_sha256: [{key}], requests_per_s: 0.01}}]\n");
+    let rig = rig_with(&engine, "request_body_bytes: 1000", &customers).await;
+    for headers in [vec![], vec![("authorization", "Bearer wrong")]] {
+        let answer = rig.post("/v1/completions", &headers, &body(1, false)).await;
+        assert_eq!(
+            (answer.status, answer.header("x-outcome")),
+            (401, "not-run")
+        );
+    }
+    let known = [("authorization", "Bearer secret")];
+    let long = body(1, false).replace("p q", &"p ".repeat(1_000));
+    let answer = rig.post("/v1/completions", &known, &long).await;
+    assert_eq!(
+        (answer.status, answer.header("x-reason")),
+        (413, "body_too_large")
+    );
+    let answer = rig.post("/v1/completions", &known, &body(1, false)).await;
+    assert_eq!(answer.status, 200);
+    let answer = rig.post("/v1/completions", &known, &body(1, false)).await;
+    assert_eq!(
+        (answer.status, answer.header("x-reason")),
+        (429, "customer_rate")
+    );
+    assert!(
+        answer
+            .header("retry-after")
+            .parse::<u64>()
+            .expect("seconds")
+            > 10
+    );
+    assert_eq!(engine.generated(), 1);
+    let explained = rig.traffic.explain(answer.header("x-request-id"));
+    assert!(
+        explained
+            .iter()
+            .any(|decision| decision.choice == "customer_rate")
+    );
+}
+
+/// Guards against work without bound, and against one slow reader that stops the others.
+#[tokio::test]
+async fn requests_in_flight_are_bounded() {
+    let engine = Engine::good(20).await;
+    let rig = rig_with(&engine, "requests_in_flight: 2", "").await;
+    let start = || {
+        let (path, body) = ("/v1/completions", body(20, true));
+        rig.client.start(Method::POST, rig.address, path, &[], body)
+    };
+    // Two readers that have read nothing but the head.
+    let first = start().await.expect("an answer");
+    let second = start().await.expect("an answer");
+    let refused = rig.complete(1, false).await;
+    assert_eq!(
+        (refused.status, refused.header("x-reason")),
+        (503, "queue_full")
+    );
+    assert_eq!(refused.header("retry-after"), "1");
+    drop(first);
+    wait_until(|| async { rig.complete(1, false).await.status == 200 }).await;
+    drop(second);
+}
+
+/// Guards against a request that reaches an engine which is drained, and against a count that is
+/// missing while the request runs.
+#[tokio::test]
+async fn only_open_engines_get_work() {
+    let engine = Engine::good(20).await;
+    let rig = rig_with(&engine, "", "").await;
+    let watch = async {
+        wait_until(|| async { rig.traffic.in_flight.count("e0") == 1 }).await;
+        rig.publish(|snapshot| snapshot.open_engines.clear());
+    };
+    let (running, ()) = tokio::join!(rig.complete(10, true), watch);
+    // What is in flight when the engine is closed runs to its end.
+    assert_eq!(running.streamed_text(), (answer_text(10), true));
+    assert_eq!(rig.traffic.in_flight.count("e0"), 0);
+    let refused = rig.complete(1, false).await;
+    assert_eq!(
+        (refused.status, refused.header("x-reason")),
+        (503, "no_engine")
+    );
+    assert_eq!(engine.generated(), 1);
+    assert!(rig.traffic.enter(&"e0".into()).is_none());
+    assert_eq!(rig.traffic.in_flight.count("e0"), 0);
+}
+
+/// Guards against an engine that goes on with work that nobody waits for.
+#[parameterized(
+    streamed = { true },
+    plain = { false },
+)]
+#[test_macro(tokio::test)]
+async fn caller_that_goes_away_cancels_the_attempt(is_streamed: bool) {
+    let engine = Engine::good(20).await;
+    let rig = rig_with(&engine, "", "").await;
+    let call = rig.complete(1_000, is_streamed);
+    let cut = tokio::time::timeout(Duration::from_millis(300), call);
+    cut.await.expect_err("the call takes longer");
+    wait_until(|| async { engine.asked("/cancel").len() == 1 }).await;
+    let attempt = &engine.asked("/generate")[0]["attempt_id"];
+    assert_eq!(&engine.asked("/cancel")[0]["attempt_id"], attempt);
+    wait_until(|| async { rig.traffic.in_flight.count("e0") == 0 }).await;
+    assert_eq!(rig.count("caller.gone"), 1);
+}
+
+/// Guards against new work on a node that is leaving, and against a stop that cuts answers short.
+#[tokio::test]
+async fn leaving_node_finishes_what_it_has() {
+    let engine = Engine::good(50).await;
+    let mut rig = rig_with(&engine, "", "").await;
+    assert_eq!(rig.get("/readyz").await.status, 200);
+    let server = rig.server.take().expect("a server");
+    let rig = Arc::new(rig);
+    let running = tokio::spawn({
+        let rig = Arc::clone(&rig);
+        async move { rig.complete(20, true).await }
+    });
+    wait_until(|| async { rig.traffic.in_flight.count("e0") == 1 }).await;
+    rig.publish(|snapshot| snapshot.is_leaving = true);
+    assert_eq!(rig.get("/readyz").await.status, 503);
+    let refused = rig.complete(1, false).await;
+    let headers = (refused.header("x-outcome"), refused.header("x-reason"));
+    assert_eq!((refused.status, headers), (503, ("not-run", "draining")));
+    assert_eq!(refused.header("retry-after"), "1");
+    assert_eq!(refused.header("connection"), "close");
+
+    server.shutdown().await;
+    let refused = TcpStream::connect(rig.address).await;
+    refused.expect_err("the port is closed");
+    let running = running.await.expect("no panic");
+    assert_eq!(running.streamed_text(), (answer_text(20), true));
+}
+
+/// Guards against routing on old state after a pause, and against a hang when it stays old.
+#[tokio::test]
+async fn stale_node_holds_new_requests() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "", "").await;
+    rig.publish(|snapshot| snapshot.is_stale = true);
+    let refresh = async {
+        wait_until(|| async { rig.count("caller.held_while_stale") == 1 }).await;
+        assert_eq!(engine.generated(), 0);
+        rig.publish(|snapshot| snapshot.is_stale = false);
+    };
+    let (answer, ()) = tokio::join!(rig.complete(1, false), refresh);
+    assert_eq!(answer.status, 200);
+    rig.publish(|snapshot| snapshot.is_stale = true);
+    assert_eq!(rig.complete(1, false).await.status, 200);
+}
+
+/// Guards against connections that are held open by callers that send nothing or a part.
+#[parameterized(
+    nothing = { b"" },
+    part_of_a_head = { b"POST /v1/completions HTTP/1.1\r\nhost: a\r\n" },
+    part_of_http2 = { b"PRI * HT" },
+)]
+#[test_macro(tokio::test)]
+async fn head_has_a_time_limit(sent: &[u8]) {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "header_timeout_ms: 200", "").await;
+    let mut stream = TcpStream::connect(rig.address).await.expect("a connection");
+    stream.write_all(sent).await.expect("sent");
+    let mut rest = Vec::new();
+    // It ends only when the node closes the connection.
+    drop(stream.read_to_end(&mut rest).await);
+    assert_eq!(rig.complete(1, false).await.status, 200);
+}
+
+/// Guards against more connections than the node has room for.
+#[tokio::test]
+async fn connections_are_bounded() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "connections: 2", "").await;
+    let kept = [
+        TcpStream::connect(rig.address).await,
+        TcpStream::connect(rig.address).await,
+    ];
+    let mut third = TcpStream::connect(rig.address).await.expect("a connection");
+    let mut byte = [0; 1];
+    assert!(matches!(third.read(&mut byte).await, Ok(0) | Err(_)));
+    assert_eq!(rig.count("refused.connections"), 1);
+    drop(kept);
+}
+
+/// Guards against a node that routes before it may, and against an id or a key lost on the way.
+#[tokio::test]
+async fn unregistered_node_forwards() {
+    let engine = Engine::good(0).await;
+    let other = rig_with(&engine, "", "").await;
+    let rig = rig_with(&engine, "", "").await;
+    rig.publish(|snapshot| {
+        snapshot.is_registered = false;
+        snapshot.peers = vec![other.as_peer("a")];
+    });
+    for is_streamed in [true, false] {
+        let answer = rig.complete(5, is_streamed).await;
+        assert_eq!(answer.status, 200);
+        // Both nodes explain the request under the id that the caller got.
+        let id = answer.header("x-request-id");
+        assert_eq!(rig.traffic.explain(id)[0].reason, "not_registered");
+        assert_eq!(other.traffic.explain(id)[0].choice, "e0");
+        if is_streamed {
+            assert_eq!(answer.streamed_text(), (answer_text(5), true));
+        }
+    }
+    assert_eq!(rig.traffic.in_flight.count("e0"), 0);
+
+    let hops = [("x-tealsaddle-hops", "2")];
+    let answer = rig.post("/v1/completions", &hops, &body(1, false)).await;
+    let headers = (answer.header("x-outcome"), answer.header("x-reason"));
+    assert_eq!(
+        (answer.status, headers),
+        (503, ("not-run", "too_many_hops"))
+    );
+}
+
+/// Guards against a refusal while a near zone has room.
+#[tokio::test]
+async fn request_spills_to_another_zone() {
+    let engine = Engine::good(0).await;
+    let yaml =
+        config(&[(engine.address(), "mixed")]).replace("zone: a, address", "zone: b, address");
+    let rig = Rig::start(&yaml).await;
+    let near = rig_with(&engine, "", "").await;
+    rig.publish(|snapshot| snapshot.peers = vec![near.as_peer("b")]);
+    let answer = rig.complete(5, true).await;
+    assert_eq!(answer.streamed_text(), (answer_text(5), true));
+    assert_eq!(rig.count("forward.spill"), 1);
+}
+
+/// Guards against a second run over a hop, and against giving up when a peer says "not run".
+#[parameterized(
+    refusing_peer = { true, true, 200, 1 },
+    broken_peer = { false, false, 200, 1 },
+    broken_peer_marked = { false, true, 502, 0 },
+)]
+#[test_macro(tokio::test)]
+async fn peer_that_fails(says_not_run: bool, is_marked: bool, status: u16, generated: usize) {
+    let engine = Engine::good(0).await;
+    let failing = http::bind_lossy(ANY, move |request| async move {
+        drop(request.into_body().collect().await);
+        says_not_run.then(|| {
+            let mut response = http::json(StatusCode::SERVICE_UNAVAILABLE, &"leaving");
+            let outcome = "not-run".parse().expect("a header value");
+            response.headers_mut().insert("x-outcome", outcome);
+            response
+        })
+    });
+    let failing = failing.await.expect("a server");
+    let good = rig_with(&engine, "", "").await;
+    let rig = rig_with(&engine, "", "").await;
+    rig.publish(|snapshot| {
+        snapshot.is_registered = false;
+        // The own zone goes first.
+        let mut first = good.as_peer("a");
+        first.caller_address = failing.address();
+        snapshot.peers = vec![good.as_peer("b"), first];
+    });
+    let marks: &[(&str, &str)] = if is_marked {
+        &[("x-non-repeatable", "true")]
+    } else {
+        &[]
+    };
+    let answer = rig.post("/v1/completions", marks, &body(3, false)).await;
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(engine.generated(), generated);
+    if status != 200 {
+        assert_eq!(answer.header("x-outcome"), "unknown");
+    }
+}
+
+/// Guards against a clean end of a forwarded stream whose peer broke off.
+#[tokio::test]
+async fn forwarded_stream_that_breaks_ends_with_an_error() {
+    let peer = Engine::start(|_, request| Ok([whole(request, 0), vec![Step::Break]].concat()));
+    let peer = peer.await;
+    let broken = http::bind(ANY, |_| async {
+        let frames = futures::stream::iter([
+            Ok(hyper::body::Frame::data("data: {}\n\n".into())),
+            Err(std::io::Error::other("scripted")),
+        ])
+        .then(|frame| async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            frame
+        });
+        let body = http_body_util::StreamBody::new(frames).boxed_unsync();
+        let mut response = hyper::Response::new(body);
+        let kind = "text/event-stream".parse().expect("a header value");
+        response.headers_mut().insert("content-type", kind);
+        response
+    });
+    let broken = broken.await.expect("a server");
+    let rig = rig_with(&peer, "", "").await;
+    rig.publish(|snapshot| {
+        snapshot.is_registered = false;
+        let mut first = rig.as_peer("a");
+        first.caller_address = broken.address();
+        snapshot.peers = vec![first];
+    });
+    let answer = rig.complete(5, true).await;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    assert!(text.contains("\"outcome\":\"unknown\""), "{text}");
+    assert!(!text.contains("[DONE]"));
+}
--- a/crates/tealsaddle-node/tests/it/rig.rs
+++ b/crates/tealsaddle-node/tests/it/rig.rs
@@ -3,6 +3,7 @@
 //! The caller server, the engine client and the proxying are the real ones over loopback sockets;
 //! only the control thread is left out, since these tests bring about its states one by one.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -40,7 +41,7 @@
     /// Starts it in zone `a` with a configuration in force; `limits` is YAML.
     pub async fn with(yaml: &str, platform: SocketAddr, limits: &str) -> Self {
         let mut settings = NodeConfig::new("vm-1", "a", platform).to_yaml();
-        settings.push_str(&format!("limits: {{{limits}}}\n"));
+        writeln!(settings, "limits: {{{limits}}}").expect("writing to a string cannot fail");
         let settings = Settings::from_yaml(&settings).expect("valid settings");
         let counters = Counters::open(&settings.metrics).expect("counters without a collector");
         let key_value = HttpPlatform::open(platform, settings.platform_timeout);
@@ -149,11 +150,13 @@
                     models: [{name: m, first_token_ms: 100, between_tokens_ms: 37}]\nengines:\n"
         .to_owned();
     for (i, (address, role)) in engines.iter().enumerate() {
-        yaml.push_str(&format!(
+        writeln!(
+            yaml,
             "  - {{name: e{i}, zone: a, address: \"{address}\", models: [m], role: {role}, \
              prefill_tokens_per_s: 100000, decode_tokens_per_s: 10000, batch_requests: 64, \
-             kv_capacity_tokens: 10000000}}\n"
-        ));
+             kv_capacity_tokens: 10000000}}"
+        )
+        .expect("writing to a string cannot fail");
     }
     yaml
 }
