--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/faults/calls.rs
@@ -0,0 +1,97 @@
+//! G5 and G6: what is reported as not run was not run, and what may not be repeated runs at most
+//! once.
+
+use std::time::Instant;
+
+use hyper::Method;
+use rand::{RngExt, SeedableRng};
+use tealsaddle_testkit::client::Client;
+use tealsaddle_testkit::deployment::Deployment;
+
+use super::{plan, submit};
+
+const ZONES: [&str; 2] = ["buda-hall", "pest-hall"];
+
+/// Two nodes in two zones, and the service in the first.
+pub async fn start(test: &str) -> Deployment {
+    let plan = plan(test).node("vm-1", ZONES[0]).node("vm-2", ZONES[1]);
+    let stand_ins = plan.service("ladder", ZONES[0]).start_stand_ins().await;
+    let mut deployment = stand_ins.expect("the stand-ins start");
+    deployment.inventory.services[0].timeout_ms = 2_000;
+    deployment.write_config();
+    for vm in ["vm-1", "vm-2"] {
+        deployment.start_node(vm).expect("the node starts");
+    }
+    for vm in ["vm-1", "vm-2"] {
+        deployment.wait_ready(vm).await;
+    }
+    deployment
+}
+
+/// Guards against wrong outcomes under a mix of refusals, crashes, failures and broken links.
+#[tokio::test]
+async fn outcomes_are_true_under_mixed_faults() {
+    let deployment = start("calls-mixed").await;
+    let service = deployment.service("ladder");
+    let link = deployment.service_link("ladder");
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(41);
+    for i in 0..60 {
+        link.heal();
+        match rng.random_range(0..6) {
+            0 => service.update(|faults| faults.refuse = 1),
+            1 => service.update(|faults| faults.crash_after_execution = 1),
+            2 => service.update(|faults| faults.fail_after_execution = 1),
+            3 => link.reset(),
+            4 => service.update(|faults| faults.refuse = 5),
+            _ => {}
+        }
+        let body = format!("score {i}");
+        let key = rng.random::<bool>().then_some(body.as_str());
+        let vm = ["vm-1", "vm-2"][rng.random_range(0..2)];
+        let answer = submit(&deployment, vm, key, &body)
+            .await
+            .expect("an answer");
+        let ran = service.executions(&body);
+        assert!(ran <= 1, "{body}: {ran} runs, {answer:?}");
+        match answer.header("x-outcome") {
+            "not-run" => assert_eq!(ran, 0, "{body}: {answer:?}"),
+            "unknown" => {}
+            _ if answer.status == 200 => assert_eq!(ran, 1, "{body}: {answer:?}"),
+            _ => {}
+        }
+        service.update(|faults| faults.refuse = 0);
+    }
+}
+
+/// Guards against retries that multiply the load of a target that is down.
+#[tokio::test]
+async fn outage_of_a_target_is_not_multiplied_by_retries() {
+    let deployment = start("calls-retries").await;
+    let service = deployment.service("ladder");
+    service.update(|faults| faults.is_down = true);
+    let begin = Instant::now();
+    let address = deployment.config("vm-1").caller;
+    let requests = 200;
+    let client = Client::open();
+    for i in 0..requests {
+        let path = format!("/services/ladder/table?request={i}");
+        let answer = client.call(Method::GET, address, &path, &[], "").await;
+        assert_ne!(answer.expect("an answer").status, 200);
+    }
+    let elapsed_s = begin.elapsed().as_secs_f64();
+    let calls = service.calls();
+    let most = (0..requests)
+        .map(|i| {
+            let query = format!("request={i}");
+            calls
+                .iter()
+                .filter(|call| call.path.ends_with(&query))
+                .count()
+        })
+        .max();
+    assert!(most <= Some(3), "{most:?} attempts for one request");
+    // The budget: 10% of requests and at least 3 per second, with one second of burst.
+    let retries = calls.len() as f64 - f64::from(requests);
+    let allowed = (0.1 * f64::from(requests)).max(0.0) + 3.0 * (elapsed_s + 1.0);
+    assert!(retries <= allowed, "{retries} retries in {elapsed_s} s");
+}
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/faults/mod.rs
@@ -0,0 +1,40 @@
+//! Failures brought about with real processes; each test names the guarantee of section 1 of the
+//! design that it guards.
+
+mod calls;
+mod streams;
+
+use std::path::Path;
+
+use hyper::Method;
+use tealsaddle_testkit::client::{Answer, Client, ClientError};
+use tealsaddle_testkit::deployment::{Deployment, Plan};
+
+/// A plan whose files are kept apart from those of other tests.
+fn plan(test: &str) -> Plan {
+    Plan::new(
+        Path::new(env!("CARGO_BIN_EXE_tealsaddle")),
+        &Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join("faults")
+            .join(test),
+    )
+}
+
+/// Submits a score, which may not be repeated, to the service `ladder` through a node.
+async fn submit(
+    deployment: &Deployment,
+    vm: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Result<Answer, ClientError> {
+    let address = deployment.config(vm).caller;
+    let headers: Vec<_> = key
+        .into_iter()
+        .map(|key| ("idempotency-key", key))
+        .collect();
+    let path = "/services/ladder/scores";
+    let body = body.to_owned();
+    Client::open()
+        .call(Method::POST, address, path, &headers, body)
+        .await
+}
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -2,5 +2,6 @@
 
 mod admin;
 mod config;
+mod faults;
 mod path;
 mod support;
