Name the models of an engine as plain texts in its state

The design names the field and not its form, and the order client reads names. Versions stand beside them, and a load report shows the role that an engine changes to.

--- a/crates/tealsaddle-testkit/src/engine/http.rs
+++ b/crates/tealsaddle-testkit/src/engine/http.rs
@@ -1,5 +1,6 @@
 //! Paths of the engine protocol.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -9,7 +10,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use serde::Serialize;
 use serde_json::{Value, json};
 
 use super::answers::Distorter;
@@ -169,29 +169,30 @@
         "kv_capacity_tokens": inner.sim.config().kv_capacity_tokens,
         "models": names,
     });
+    if let Some(role) = engine.changing_to.filter(|_| report.is_changing) {
+        body["changing_to"] = role.as_str().into();
+    }
     http::json(StatusCode::OK, &body)
 }
 
 fn engine_state(state: &State) -> Response<Body> {
-    #[derive(Serialize)]
-    struct Model<'a> {
-        name: &'a str,
-        version: &'a str,
-    }
     let now_us = state.now_us();
     let mut inner = state.lock();
     inner.advance(now_us);
     let Some(engine) = inner.sim.state() else {
         return refused(StatusCode::SERVICE_UNAVAILABLE, "crashed");
     };
-    let models = engine.models.iter().map(|model| Model {
-        name: &model.name,
-        version: &model.version,
-    });
+    let names: Vec<&str> = engine.models.iter().map(|model| &*model.name).collect();
+    let versions: BTreeMap<&str, &str> = engine
+        .models
+        .iter()
+        .map(|model| (&*model.name, &*model.version))
+        .collect();
     let mut body = json!({
         "role": engine.role.as_str(),
         "is_changing": engine.is_changing,
-        "models": models.collect::<Vec<_>>(),
+        "models": names,
+        "versions": versions,
         "fence": engine.fence,
     });
     // Left out, and not null, when there is none.
