--- a/crates/tealsaddle-testkit/src/engine/http.rs
+++ b/crates/tealsaddle-testkit/src/engine/http.rs
@@ -153,12 +153,11 @@
     let Some(report) = inner.sim.load_report(now_us) else {
         return refused(StatusCode::SERVICE_UNAVAILABLE, "crashed");
     };
-    let models = inner
-        .sim
-        .state()
-        .map_or_else(Vec::new, |state| state.models);
-    let names: Vec<&str> = models.iter().map(|model| &*model.name).collect();
-    let body = json!({
+    let Some(engine) = inner.sim.state() else {
+        return refused(StatusCode::SERVICE_UNAVAILABLE, "crashed");
+    };
+    let names: Vec<&str> = engine.models.iter().map(|model| &*model.name).collect();
+    let mut body = json!({
         "now_ms": now_us / 1_000,
         "sampled_at_ms": report.sampled_at_us / 1_000,
         "role": report.role.as_str(),
