--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod member;
 pub mod name;
+pub mod planner;
 pub mod retry;
 pub mod rollout;
 pub mod route;
--- a/crates/tealsaddle-node/tests/it/hostile.rs
+++ b/crates/tealsaddle-node/tests/it/hostile.rs
@@ -130,20 +130,20 @@
 
 /// Guards against an engine that is no engine at all.
 #[parameterized(
-    not_http = { b"220 mail ready\r\n" },
-    closes = { b"" },
-    endless_head = { &[b'a'; 100_000] },
-    no_body = { b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n" },
+    not_http = { b"220 mail ready\r\n".to_vec() },
+    closes = { Vec::new() },
+    endless_head = { vec![b'a'; 100_000] },
+    no_body = { b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n".to_vec() },
 )]
 #[test_macro(tokio::test)]
-async fn engine_that_speaks_another_protocol(sent: &'static [u8]) {
+async fn engine_that_speaks_another_protocol(sent: Vec<u8>) {
     let listener = tokio::net::TcpListener::bind(ANY).await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let server = tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut request = [0; 1_024];
             drop(stream.read(&mut request).await);
-            drop(stream.write_all(sent).await);
+            drop(stream.write_all(&sent).await);
         }
     });
     let rig = Rig::start(&config(&[(address, "mixed")])).await;
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -1,6 +1,9 @@
 //! Integration tests with real node processes.
 
+mod admin;
 mod caller;
+mod config;
+mod faults;
 mod hostile;
 mod path;
 mod rig;
