--- a/crates/tealsaddle-testkit/src/process.rs
+++ b/crates/tealsaddle-testkit/src/process.rs
@@ -107,6 +107,11 @@
         })
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let pid = Pid::from_raw(self.child.id() as i32);
