Hold a bounded number of requests in the proxy; test keyed calls

A successor's order has to pass while the former holder's is held, so the proxy takes a bound on what it holds. The tests of keyed calls send one key through two nodes and zones at once, kill the node after the send, lose answers, and take the key-value service away.

--- a/crates/tealsaddle-node/tests/it/faults/mod.rs
+++ b/crates/tealsaddle-node/tests/it/faults/mod.rs
@@ -2,6 +2,7 @@
 //! design that it guards.
 
 mod calls;
+mod claims;
 mod streams;
 
 use std::path::Path;
--- a/crates/tealsaddle-testkit/src/proxy.rs
+++ b/crates/tealsaddle-testkit/src/proxy.rs
@@ -46,6 +46,8 @@
     pub bytes_per_s: Option<u64>,
     /// Requests that start with this text are held, with what follows on their connection.
     pub hold_requests: Option<String>,
+    /// Most requests that are held in the life of the proxy; later ones pass. No bound if absent.
+    pub hold_at_most: Option<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -55,6 +57,19 @@
     held: Mutex<Vec<Vec<u8>>>,
 }
 
+impl Shared {
+    /// Keeps a request that is to be held and gives its number.
+    fn hold(&self, rules: &Rules, chunk: &[u8]) -> Option<usize> {
+        let mut held = self.held.lock().expect("no holder of the lock panics");
+        let is_full = rules.hold_at_most.is_some_and(|most| held.len() >= most);
+        if is_full || !is_held(rules, chunk) {
+            return None;
+        }
+        held.push(chunk.to_vec());
+        Some(held.len() - 1)
+    }
+}
+
 /// A running proxy; it stops when dropped.
 #[derive(Debug)]
 pub struct Proxy {
@@ -248,13 +263,8 @@
     let write = async {
         while let Some((received, mut chunk)) = receiver.recv().await {
             if let Some(shared) = requests
-                && is_held(&rules.borrow(), &chunk)
+                && let Some(index) = shared.hold(&rules.borrow(), &chunk)
             {
-                let index = {
-                    let mut held = shared.held.lock().expect("no holder of the lock panics");
-                    held.push(chunk.clone());
-                    held.len() - 1
-                };
                 // An error means that the proxy is gone, and with it what it held.
                 rules
                     .wait_for(|rules| !is_held(rules, &chunk))
