--- a/crates/tealsaddle-node/tests/it/faults/claims.rs
+++ b/crates/tealsaddle-node/tests/it/faults/claims.rs
@@ -21,7 +21,7 @@
     let service = deployment.service("ladder");
     service.update(|faults| faults.delay_before = Duration::from_millis(200));
     for round in 0..5 {
-        let body = format!("score {round}");
+        let body = format!("score-{round}");
         let calls = (0..8).map(|i| {
             let vm = ["vm-1", "vm-2"][i % 2];
             submit(&deployment, vm, Some(&body), &body)
@@ -130,7 +130,7 @@
             faults.delay_before_ms = delay_ms;
             faults.lose_answers("claims/", 1);
         });
-        let body = format!("score {i}");
+        let body = format!("score-{i}");
         let both = futures::future::join_all(
             ["vm-1", "vm-2"].map(|vm| submit(&deployment, vm, Some(&body), &body)),
         );
@@ -147,4 +147,3 @@
         assert!(!all_not_run || ran == 0, "{answers:?}");
     }
 }
-
--- a/crates/tealsaddle-testkit/src/proxy.rs
+++ b/crates/tealsaddle-testkit/src/proxy.rs
@@ -262,8 +262,9 @@
     };
     let write = async {
         while let Some((received, mut chunk)) = receiver.recv().await {
+            let held = requests.and_then(|shared| shared.hold(&rules.borrow(), &chunk));
             if let Some(shared) = requests
-                && let Some(index) = shared.hold(&rules.borrow(), &chunk)
+                && let Some(index) = held
             {
                 // An error means that the proxy is gone, and with it what it held.
                 rules
