--- a/crates/tealsaddle-node/src/admin/routes.rs
+++ b/crates/tealsaddle-node/src/admin/routes.rs
@@ -268,11 +268,11 @@
             &format!("the zone has no engine {engine:?}"),
             "see the engines in /admin/status",
         )),
-        DrainReply::NotHolder(holder) => Err(refused(
-            StatusCode::CONFLICT,
-            "not_holder",
-            "only the zone's order holder drains engines",
-            &format!("ask the holder, {holder}"),
+        DrainReply::NoHolder => Err(refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_holder",
+            "only the zone's order holder drains engines, and none answers",
+            "ask again in a few seconds",
         )),
     }
 }
--- a/crates/tealsaddle-node/src/control/api.rs
+++ b/crates/tealsaddle-node/src/control/api.rs
@@ -10,6 +10,7 @@
 use tarpc::server::{BaseChannel, Channel};
 use tealsaddle_schema::record::ConfigRecord;
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use super::config_write::{ConfigHistory, ConfigWrite};
 use super::event::Event;
@@ -36,12 +37,12 @@
 /// What became of an operator's drain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub enum DrainReply {
-    /// The node draws the engine's new work off.
+    /// The holder takes it on.
     Accepted,
     /// The configuration has no such engine in this zone.
     UnknownEngine,
-    /// Only the zone's holder can drain; its administration is on the named node.
-    NotHolder(String),
+    /// The zone has no holder now, or it does not answer.
+    NoHolder,
 }
 
 /// State of a node as operators see it.
@@ -118,8 +119,6 @@
     pub vm: String,
     /// Start of the process, unique.
     pub incarnation: String,
-    /// Table that it has acknowledged, where it has.
-    pub table: Option<TableStatus>,
 }
 
 /// An engine of the zone.
@@ -263,6 +262,7 @@
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
     client: ControlApiClient,
+    left: CancellationToken,
 }
 
 /// A call that the control thread did not answer in time.
@@ -271,7 +271,11 @@
 
 impl ControlHandle {
     /// Opens the in-process transport; the server end answers on `runtime`.
-    pub(super) fn open(events: mpsc::Sender<Event>, runtime: &tokio::runtime::Handle) -> Self {
+    pub(super) fn open(
+        events: mpsc::Sender<Event>,
+        left: CancellationToken,
+        runtime: &tokio::runtime::Handle,
+    ) -> Self {
         let (near, far) = tarpc::transport::channel::unbounded();
         let requests = BaseChannel::with_defaults(far).execute(Server { events }.serve());
         runtime.spawn(requests.for_each(|answer| async {
@@ -279,7 +283,10 @@
         }));
         let new = ControlApiClient::new(tarpc::client::Config::default(), near);
         runtime.spawn(new.dispatch);
-        Self { client: new.client }
+        Self {
+            client: new.client,
+            left,
+        }
     }
 
     fn deadline(after: Duration) -> tarpc::context::Context {
@@ -288,6 +295,11 @@
         context
     }
 
+    /// Completes when the node takes no new work any more, whoever decided that.
+    pub async fn left(&self) {
+        self.left.cancelled().await;
+    }
+
     /// State of the node.
     pub async fn status(&self, within: Duration) -> Result<NodeStatus, NoAnswer> {
         let answer = self.client.status(Self::deadline(within)).await;
--- /dev/null
+++ b/crates/tealsaddle-node/src/control/loads.rs
@@ -0,0 +1,198 @@
+//! Load reports: polling of engines and exchange between the nodes of a zone.
+//!
+//! Two nodes of the zone poll each engine, so that one lost node leaves no gap; the others get the
+//! reports with heartbeats.
+
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::inventory::{Engine, Inventory, Role};
+use tealsaddle_core::load::LoadReport;
+use tealsaddle_core::name::Name;
+use tealsaddle_core::rollout::rendezvous;
+use tealsaddle_schema::peer::{EngineReport, ModelLoad};
+use tokio::sync::mpsc;
+
+use super::api::LoadStatus;
+use super::event::Event;
+use crate::clock;
+use crate::engine::orders::{self, EngineLoadAnswer};
+use crate::traffic::Snapshot;
+
+/// Nodes of a zone that poll one engine.
+const POLLERS: usize = 2;
+/// Age from which a report is not passed on any more.
+const STALE_REPORT_US: u64 = 5_000_000;
+
+/// A load report with its time on this node's clock.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// This node's clock at the sample.
+    pub sampled_at_us: u64,
+    /// The message, as it is passed on.
+    pub message: EngineReport,
+}
+
+/// Load reports of the zone's engines.
+#[derive(Debug, Default)]
+pub struct Loads {
+    reports: HashMap<Name, Report>,
+    polled: Vec<Name>,
+}
+
+/// Reads one engine's load, and sends it in as an event.
+pub fn ask(engine: &Engine, events: mpsc::Sender<Event>) {
+    let name = Name::clone(&engine.name);
+    let address = engine.address;
+    let asked_at_us = clock::now_us();
+    tokio::spawn(async move {
+        let answer = orders::load(address).await;
+        let event = Event::LoadRead {
+            engine: name,
+            asked_at_us,
+            answer,
+        };
+        // The control thread ends only with the process.
+        drop(events.send(event).await);
+    });
+}
+
+/// Reads a report; `None` when its role is unknown.
+pub fn to_load_report(report: &Report) -> Option<LoadReport> {
+    let message = &report.message;
+    Some(LoadReport {
+        sampled_at_us: report.sampled_at_us,
+        role: message.role.parse().ok()?,
+        is_changing: !message.changing_to.is_empty(),
+        running: message.running,
+        waiting: message.waiting,
+        queued_prefill_tokens: message.queued_prefill_tokens,
+        kv_used_tokens: message.kv_used_tokens,
+    })
+}
+
+impl Loads {
+    /// Computes which engines of a zone this node polls.
+    pub fn assign(&mut self, inventory: &Inventory, zone: &str, own_vm: &str, members: &[&str]) {
+        self.polled = inventory
+            .engines
+            .values()
+            .filter(|engine| *engine.zone == *zone)
+            .filter(|engine| rendezvous(&engine.name, members, POLLERS).contains(&own_vm))
+            .map(|engine| Name::clone(&engine.name))
+            .collect();
+        self.reports
+            .retain(|engine, _| inventory.engines.contains_key(engine));
+    }
+
+    /// Engines that this node polls.
+    pub fn polled(&self) -> &[Name] {
+        &self.polled
+    }
+
+    /// Takes the answer of an engine to this node.
+    pub fn on_answer(
+        &mut self,
+        engine: &Name,
+        asked_at_us: u64,
+        answer: EngineLoadAnswer,
+    ) -> Report {
+        let age_ms = answer.now_ms.saturating_sub(answer.sampled_at_ms);
+        let report = Report {
+            sampled_at_us: asked_at_us.saturating_sub(age_ms * 1_000),
+            message: EngineReport {
+                engine: engine.to_string(),
+                sampled_at_ms: answer.sampled_at_ms,
+                now_ms: answer.now_ms,
+                role: answer.role,
+                changing_to: answer.changing_to,
+                running: answer.running,
+                waiting: answer.waiting,
+                queued_prefill_tokens: answer.queued_prefill_tokens,
+                kv_used_tokens: answer.kv_used_tokens,
+                age_ms: 0,
+            },
+        };
+        self.reports.insert(Name::clone(engine), report.clone());
+        report
+    }
+
+    /// Takes a report that a peer passed on; gives it back if it is news.
+    pub fn on_message(&mut self, message: EngineReport, now_us: u64) -> Option<Report> {
+        let sampled_at_us = now_us.saturating_sub(message.age_ms.saturating_mul(1_000));
+        // The engine's own clock orders its samples; ages carry the delays of messages.
+        let is_news = self
+            .reports
+            .get(message.engine.as_str())
+            .is_none_or(|known| message.sampled_at_ms > known.message.sampled_at_ms);
+        // An engine that restarts begins its clock anew, so an old report gives way after a while.
+        let is_replacing = self
+            .reports
+            .get(message.engine.as_str())
+            .is_some_and(|known| now_us.saturating_sub(known.sampled_at_us) > STALE_REPORT_US);
+        if !(is_news || is_replacing) {
+            return None;
+        }
+        let engine = Name::from(message.engine.as_str());
+        let report = Report {
+            sampled_at_us,
+            message,
+        };
+        self.reports.insert(engine, report.clone());
+        Some(report)
+    }
+
+    /// Fresh reports for a message; with `only_own` those that this node polled itself.
+    pub fn to_messages(&self, only_own: bool, now_us: u64) -> Vec<EngineReport> {
+        self.reports
+            .iter()
+            .filter(|(engine, _)| !only_own || self.polled.contains(engine))
+            .filter(|(_, report)| now_us.saturating_sub(report.sampled_at_us) < STALE_REPORT_US)
+            .map(|(_, report)| EngineReport {
+                age_ms: now_us.saturating_sub(report.sampled_at_us) / 1_000,
+                ..report.message.clone()
+            })
+            .collect()
+    }
+
+    /// The last report of an engine, for operators.
+    pub fn status(&self, engine: &str, now_us: u64) -> Option<LoadStatus> {
+        let report = self.reports.get(engine)?;
+        Some(LoadStatus {
+            age_ms: now_us.saturating_sub(report.sampled_at_us) / 1_000,
+            running: report.message.running,
+            waiting: report.message.waiting,
+            queued_prefill_tokens: report.message.queued_prefill_tokens,
+            kv_used_tokens: report.message.kv_used_tokens,
+        })
+    }
+
+    /// Spare capacity of the zone per model, from engines that take new work.
+    pub fn spare(&self, inventory: &Inventory, snapshot: &Snapshot) -> Vec<ModelLoad> {
+        let mut spare = HashMap::<&str, ModelLoad>::default();
+        for (name, role) in &snapshot.open_engines {
+            let (Some(engine), Some(report)) =
+                (inventory.engines.get(name), self.reports.get(name))
+            else {
+                continue;
+            };
+            for model in &engine.models {
+                let Some(facts) = inventory.models.get(model) else {
+                    continue;
+                };
+                let load = spare.entry(model).or_insert_with(|| ModelLoad {
+                    model: model.to_string(),
+                    ..ModelLoad::default()
+                });
+                if *role != Role::Decode {
+                    let on_time = u64::from(engine.prefill_tokens_per_s) * facts.first_token_ms;
+                    load.spare_prefill_tokens +=
+                        (on_time / 1_000).saturating_sub(report.message.queued_prefill_tokens);
+                }
+                if *role != Role::Prefill {
+                    let busy = report.message.running + report.message.waiting;
+                    load.spare_decode_requests += engine.batch_requests.saturating_sub(busy);
+                }
+            }
+        }
+        spare.into_values().collect()
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -0,0 +1,247 @@
+//! Periodic work, membership and the router list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tealsaddle_core::authority::Event as AuthorityEvent;
+use tealsaddle_core::decision::DecisionKind;
+use tealsaddle_core::member::{Change, Liveness};
+use tealsaddle_core::name::Name;
+use tealsaddle_schema::peer::{RegisterReply, RegisterRequest};
+use tealsaddle_schema::record::ProcessId;
+use tokio::sync::mpsc;
+use tonic::Status;
+
+use super::event::Event;
+use super::loads;
+use super::state::Control;
+use crate::clock;
+use crate::platform::{Vm, VmList, VmState};
+
+/// Time between two reads of the VM list; with the lag of the list it bounds how long a leaving VM
+/// gets work.
+const VMS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the VM list again and again.
+pub async fn poll_vms(list: Arc<dyn VmList>, events: mpsc::Sender<Event>) {
+    let mut interval = tokio::time::interval(VMS_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let vms = list.vms().await.ok();
+        if events.send(Event::VmsRead(vms)).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Control {
+    pub(super) fn on_tick(&mut self) {
+        let now_us = clock::now_us();
+        let due = self.rounds.tick(now_us);
+        if self.rollout.on_tick(now_us) {
+            self.refresh(now_us);
+        }
+        self.forget_peers(&[], now_us);
+        if due.heartbeat {
+            self.send_heartbeats(due.wants_peers);
+        }
+        if due.register && !self.is_registered && !self.is_leaving && self.config.is_some() {
+            self.send_register();
+        }
+        if due.load {
+            self.poll_loads(false);
+        }
+        if due.drain_load && self.is_holder() {
+            let in_flight = self.traffic.in_flight.nonzero().into_iter().collect();
+            self.authority_events.push_back(AuthorityEvent::Router {
+                process: self.process.clone(),
+                table: self.own_table(),
+                in_flight,
+            });
+            self.poll_loads(true);
+        }
+        self.drive_resignation(now_us);
+        self.authority_events.push_back(AuthorityEvent::Tick);
+    }
+
+    /// Asks engines for their load: the assigned ones, or those that the holder drains.
+    fn poll_loads(&self, only_drained: bool) {
+        let Some(inventory) = &self.inventory else {
+            return;
+        };
+        let names: Vec<Name> = if only_drained {
+            let record = self.authority.record().map(|stored| &stored.record);
+            let entries = record.into_iter().flat_map(|record| &record.engines);
+            entries
+                .filter(|entry| entry.order.is_some())
+                .map(|entry| Name::from(entry.engine.as_str()))
+                .collect()
+        } else {
+            self.loads.polled().to_vec()
+        };
+        for engine in names.iter().filter_map(|name| inventory.engines.get(name)) {
+            loads::ask(engine, self.events.clone());
+        }
+    }
+
+    fn forget_peers(&mut self, gone_vms: &[Name], now_us: u64) {
+        let dropped = self.peers.forget(gone_vms, now_us);
+        if dropped.is_empty() {
+            return;
+        }
+        for peer in dropped {
+            self.clients.forget(peer.peer_address);
+            self.count("member.forgotten");
+        }
+        self.is_dirty = true;
+        self.assign_tasks();
+    }
+
+    pub(super) fn on_vms(&mut self, list: Option<Vec<Vm>>) {
+        self.is_platform_reachable = list.is_some();
+        let Some(list) = list else {
+            self.count("platform.vms_failed");
+            return;
+        };
+        let list: Vec<(Name, bool)> = list
+            .into_iter()
+            .map(|vm| (vm.vm, vm.state == VmState::Leaving))
+            .collect();
+        let changes = self.members.on_list(&list);
+        self.on_member_changes(&changes, "the VM list says so");
+        if list
+            .iter()
+            .any(|(vm, is_leaving)| **vm == *self.process.vm && *is_leaving)
+        {
+            self.leave("the VM list shows this VM as leaving");
+        }
+        self.authority_events.push_back(AuthorityEvent::Vms(list));
+    }
+
+    /// Shows changes of members and draws off the work of VMs that leave.
+    pub(super) fn on_member_changes(&mut self, changes: &[Change], reason: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let choice = match change.liveness {
+                Liveness::Live => "live",
+                Liveness::Leaving => "leaving",
+                Liveness::Gone => "gone",
+            };
+            log::info!(vm = *change.vm, reason = reason; "VM is {choice}");
+            self.count(&format!("member.{choice}"));
+            self.decide(DecisionKind::Member, &change.vm, choice, reason.to_owned());
+        }
+        let gone: Vec<Name> = changes
+            .iter()
+            .filter(|change| change.liveness == Liveness::Gone)
+            .map(|change| Name::clone(&change.vm))
+            .collect();
+        self.forget_peers(&gone, clock::now_us());
+        self.is_dirty = true;
+        self.tell_engines();
+    }
+
+    pub(super) fn register_request(&self) -> RegisterRequest {
+        RegisterRequest {
+            process: Some(self.process.clone()),
+            zone: self.zone().to_string(),
+            peer_address: self.traffic.settings.peer_listen.to_string(),
+        }
+    }
+
+    fn send_register(&mut self) {
+        let own_address = self.traffic.settings.peer_listen;
+        let Some(holder) = self.holder.filter(|holder| *holder != own_address) else {
+            return;
+        };
+        let Ok(mut client) = self.clients.client(holder) else {
+            return;
+        };
+        self.count("register.request");
+        let request = self.register_request();
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let result = client.register(request).await.ok();
+            let result = result.map(|reply| Box::new(reply.into_inner()));
+            drop(events.send(Event::RegisterDone { result }).await);
+        });
+    }
+
+    pub(super) fn on_register_done(&mut self, result: Option<Box<RegisterReply>>) {
+        let Some(reply) = result else {
+            self.count("register.no_answer");
+            return;
+        };
+        if let Some(message) = &reply.table
+            && reply.accepted
+        {
+            self.on_table_message(message);
+        }
+        if reply.accepted {
+            self.set_registered(!self.is_leaving);
+        } else {
+            self.count(&format!("register.refused.{}", reply.reason));
+        }
+    }
+
+    /// Reads a request for the router list; the error is the reason to refuse it.
+    fn read_register(&self, request: RegisterRequest) -> Result<(ProcessId, String), Status> {
+        if request.zone != **self.zone() {
+            return Err(Status::failed_precondition("wrong_zone"));
+        }
+        let process = request
+            .process
+            .filter(|process| !process.vm.is_empty() && !process.incarnation.is_empty())
+            .ok_or_else(|| Status::invalid_argument("process is malformed"))?;
+        let address: std::net::SocketAddr = request
+            .peer_address
+            .parse()
+            .map_err(|_parse| Status::invalid_argument("peer_address is not IP:port"))?;
+        Ok((process, address.to_string()))
+    }
+
+    fn register_reply(&self, accepted: bool, reason: &str) -> RegisterReply {
+        RegisterReply {
+            accepted,
+            reason: reason.to_owned(),
+            holder_address: self.holder.map(|h| h.to_string()).unwrap_or_default(),
+            table: accepted.then(|| self.table_message()),
+        }
+    }
+
+    pub(super) fn on_peer_register(
+        &mut self,
+        request: RegisterRequest,
+    ) -> Result<RegisterReply, Status> {
+        let (process, address) = self.read_register(request)?;
+        if !self.is_holder() {
+            return Ok(self.register_reply(false, "not_holder"));
+        }
+        if self.authority.is_registered(&process) {
+            return Ok(self.register_reply(true, ""));
+        }
+        self.authority_events
+            .push_back(AuthorityEvent::Register { process, address });
+        // The process asks again until the write is settled.
+        Ok(self.register_reply(false, "pending"))
+    }
+
+    pub(super) fn on_peer_resign(
+        &mut self,
+        request: RegisterRequest,
+    ) -> Result<RegisterReply, Status> {
+        let (process, _address) = self.read_register(request)?;
+        if !self.is_holder() {
+            return Ok(self.register_reply(false, "not_holder"));
+        }
+        if !self.authority.is_registered(&process) {
+            return Ok(self.register_reply(true, ""));
+        }
+        self.authority_events
+            .push_back(AuthorityEvent::Resign(process));
+        Ok(self.register_reply(false, "pending"))
+    }
+}
--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -5,37 +5,64 @@
 //! lock, and a slow call never holds it up. Decisions come from `tealsaddle-core`.
 
 pub mod api;
+mod config;
 mod config_follow;
 pub mod config_write;
-mod event;
+pub mod event;
+mod heartbeat;
+mod loads;
+mod members;
+mod peers;
+mod rounds;
 mod state;
+mod status;
+mod stop;
+mod zone;
 
 use std::sync::Arc;
 
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::Error;
-use crate::platform::KeyValue;
+use crate::peer;
 use crate::traffic::Traffic;
 use api::ControlHandle;
 use state::Control;
+pub use state::Platform;
 
 /// Events that wait at most; a sender waits when the queue is full.
 const EVENTS_BUFFERED: usize = 1_024;
 
-/// Starts the control thread.
-pub fn spawn(traffic: Arc<Traffic>, platform: Arc<dyn KeyValue>) -> Result<ControlHandle, Error> {
+/// Starts the control thread and binds the address for peers.
+pub fn spawn(traffic: Arc<Traffic>, platform: Platform) -> Result<ControlHandle, Error> {
+    let address = traffic.settings.peer_listen;
+    // Bound before anything is registered under this address.
+    let listener = std::net::TcpListener::bind(address)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .map_err(|source| Error::Listen { address, source })?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Error::Thread)?;
     let (events, queue) = mpsc::channel(EVENTS_BUFFERED);
-    let handle = ControlHandle::open(events.clone(), runtime.handle());
+    let left = CancellationToken::new();
+    let handle = ControlHandle::open(events.clone(), left.clone(), runtime.handle());
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
             runtime.block_on(async move {
-                Control::new(traffic, platform, events).run(queue).await;
+                let listener = TcpListener::from_std(listener)
+                    .expect("a bound listener can be given to the runtime");
+                tokio::spawn(peer::server::serve(
+                    listener,
+                    events.clone(),
+                    Arc::clone(&traffic),
+                ));
+                Control::new(traffic, platform, events, left)
+                    .run(queue)
+                    .await;
             });
         })
         .map_err(Error::Thread)?;
--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -1,67 +1,177 @@
 //! State of the control thread and its event loop.
 
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use tealsaddle_core::collections::HashSet;
+use tealsaddle_core::authority::{self, Authority, Identity};
+use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::decision::{Decision, DecisionKind};
+use tealsaddle_core::drain::RoutingTable;
 use tealsaddle_core::inventory::Inventory;
+use tealsaddle_core::member::Members;
 use tealsaddle_core::name::Name;
-use tealsaddle_schema::record::ConfigRecord;
+use tealsaddle_core::rollout::Rollout;
+use tealsaddle_schema::record::{ConfigRecord, ProcessId};
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
-use super::api::{DrainReply, EngineStatus, NodeStatus};
 use super::event::Event;
-use super::{config_follow, config_write};
+use super::loads::Loads;
+use super::peers::Peers;
+use super::rounds::Rounds;
+use super::stop::Resigning;
+use super::{config_follow, config_write, members};
 use crate::clock;
-use crate::platform::KeyValue;
-use crate::traffic::{Snapshot, Traffic};
+use crate::peer::client::PeerClients;
+use crate::platform::{KeyValue, VmList};
+use crate::traffic::{Snapshot, TableVersion, Traffic, ZoneLoad};
+
+/// Time between two ticks. Authority expects 100 to 250 ms.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The platform's services.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// The key-value service.
+    pub key_value: Arc<dyn KeyValue>,
+    /// The VM list.
+    pub vms: Arc<dyn VmList>,
+}
 
 /// State of the control thread.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts about the node"
+)]
 #[derive(Debug)]
 pub struct Control {
-    traffic: Arc<Traffic>,
-    platform: Arc<dyn KeyValue>,
-    events: mpsc::Sender<Event>,
-    incarnation: String,
-    config: Option<ConfigRecord>,
-    inventory: Option<Arc<Inventory>>,
-    is_platform_reachable: bool,
-    is_leaving: bool,
-    is_watcher: watch::Sender<bool>,
-    drained: HashSet<Name>,
+    pub(super) traffic: Arc<Traffic>,
+    pub(super) platform: Platform,
+    pub(super) events: mpsc::Sender<Event>,
+    pub(super) process: ProcessId,
+
+    pub(super) config: Option<ConfigRecord>,
+    pub(super) inventory: Option<Arc<Inventory>>,
+    pub(super) pulling_until_us: u64,
+    /// Seed peers that have not answered since the start.
+    pub(super) unheard_seeds: HashSet<SocketAddr>,
+    /// Highest version offered before all seed peers were heard.
+    pub(super) best_offer: Option<(u64, SocketAddr)>,
+    pub(super) is_watcher: watch::Sender<bool>,
+
+    pub(super) authority: Authority,
+    pub(super) authority_events: VecDeque<authority::Event>,
+    pub(super) holder: Option<SocketAddr>,
+    pub(super) table: RoutingTable,
+    /// Table that the traffic threads use; in-flight counts are read after it was stored.
+    pub(super) published_table: TableVersion,
+    pub(super) is_registered: bool,
+    /// Engines that operators have drained.
+    pub(super) drained: HashSet<Name>,
+
+    pub(super) peers: Peers,
+    pub(super) clients: PeerClients,
+    pub(super) members: Members,
+    pub(super) rollout: Rollout,
+    pub(super) loads: Loads,
+    pub(super) zone_loads: HashMap<(Name, Name), ZoneLoad>,
+    pub(super) rounds: Rounds,
+
+    pub(super) is_platform_reachable: bool,
+    pub(super) is_leaving: bool,
+    pub(super) left: CancellationToken,
+    pub(super) resigning: Option<Resigning>,
+    /// Whether the snapshot has to be published.
+    pub(super) is_dirty: bool,
 }
 
 impl Control {
     /// Makes the state of a node that has just started.
     pub fn new(
         traffic: Arc<Traffic>,
-        platform: Arc<dyn KeyValue>,
+        platform: Platform,
         events: mpsc::Sender<Event>,
+        left: CancellationToken,
     ) -> Self {
+        let settings = &traffic.settings;
+        let process = ProcessId {
+            vm: settings.vm.to_string(),
+            incarnation: Uuid::new_v4().to_string(),
+        };
+        let authority = Authority::new(Identity {
+            process: process.clone(),
+            address: settings.peer_listen.to_string(),
+            zone: Name::clone(&settings.zone),
+        });
+        let unheard_seeds = settings
+            .seed_peers
+            .iter()
+            .copied()
+            .filter(|address| *address != settings.peer_listen)
+            .collect();
         Self {
+            process,
+            authority,
+            unheard_seeds,
             traffic,
             platform,
             events,
-            incarnation: Uuid::new_v4().to_string(),
             config: None,
             inventory: None,
-            is_platform_reachable: false,
-            is_leaving: false,
+            pulling_until_us: 0,
+            best_offer: None,
             is_watcher: watch::Sender::new(true),
+            authority_events: VecDeque::new(),
+            holder: None,
+            table: RoutingTable::default(),
+            published_table: TableVersion::default(),
+            is_registered: false,
             drained: HashSet::default(),
+            peers: Peers::default(),
+            clients: PeerClients::default(),
+            members: Members::default(),
+            rollout: Rollout::default(),
+            loads: Loads::default(),
+            zone_loads: HashMap::default(),
+            rounds: Rounds::default(),
+            is_platform_reachable: false,
+            is_leaving: false,
+            left,
+            resigning: None,
+            is_dirty: false,
         }
     }
 
     /// Handles events until the process ends.
     pub async fn run(mut self, mut queue: mpsc::Receiver<Event>) {
         tokio::spawn(config_follow::follow(
-            Arc::clone(&self.platform),
+            Arc::clone(&self.platform.key_value),
             self.events.clone(),
             self.is_watcher.subscribe(),
         ));
-        while let Some(event) = queue.recv().await {
-            self.on_event(event);
+        tokio::spawn(members::poll_vms(
+            Arc::clone(&self.platform.vms),
+            self.events.clone(),
+        ));
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                // A tick notices a pause; what waited in the queue is older.
+                biased;
+                _ = ticks.tick() => self.on_tick(),
+                event = queue.recv() => match event {
+                    Some(event) => self.on_event(event),
+                    None => return,
+                },
+            }
+            self.drive_authority();
+            if self.is_dirty {
+                self.publish();
+            }
         }
     }
 
@@ -75,22 +185,9 @@
                 author,
                 yaml,
                 reply,
-            } => {
-                let platform = Arc::clone(&self.platform);
-                let traffic = Arc::clone(&self.traffic);
-                let events = self.events.clone();
-                tokio::spawn(async move {
-                    let counters = &traffic.counters;
-                    let written =
-                        config_write::write(&*platform, counters, if_version, author, yaml).await;
-                    if let config_write::ConfigWrite::Accepted(record) = &written {
-                        drop(events.send(Event::ConfigOffered(record.clone())).await);
-                    }
-                    drop(reply.send(written));
-                });
-            }
+            } => self.put_config(if_version, author, yaml, reply),
             Event::ConfigHistory { limit, reply } => {
-                let platform = Arc::clone(&self.platform);
+                let platform = Arc::clone(&self.platform.key_value);
                 tokio::spawn(async move {
                     drop(reply.send(config_write::history(&*platform, limit).await));
                 });
@@ -102,116 +199,109 @@
                 }
             }
             Event::ConfigOffered(record) => self.offer_config(record),
+            Event::ConfigPulled(record) => self.on_config_pulled(record),
+            Event::Refreshed { asked_at_us } => self.on_refreshed(asked_at_us),
             Event::DrainEngine {
                 engine,
                 is_drained,
                 reply,
-            } => drop(reply.send(self.drain_engine(&engine, is_drained))),
-            Event::Leave => {
-                self.is_leaving = true;
-                self.publish();
+            } => self.on_drain(engine, is_drained, reply),
+            Event::PeerDrain { request, reply } => {
+                drop(reply.send(Ok(self.on_peer_drain(&request))));
             }
-            Event::Resign(reply) => drop(reply.send(())),
-        }
-    }
-
-    fn offer_config(&mut self, record: ConfigRecord) {
-        let in_force = self.config.as_ref().map_or(0, |config| config.version);
-        if record.version <= in_force {
-            return;
-        }
-        match Inventory::from_yaml(&record.yaml, record.version) {
-            Ok(inventory) => {
-                log::info!(version = record.version, author = record.author; "configuration in force");
-                self.traffic.record(Decision {
-                    at_us: clock::now_us(),
-                    kind: DecisionKind::Config,
-                    subject: format!("config {}", record.version),
-                    choice: "in force".to_owned(),
-                    reason: format!("higher than version {in_force}"),
-                    inputs: vec![("author".to_owned(), record.author.clone())],
-                    alternatives: Vec::new(),
-                });
-                self.config = Some(record);
-                self.inventory = Some(Arc::new(inventory));
-                self.publish();
+            Event::Leave => self.leave("asked by an operator or a signal"),
+            Event::Resign(reply) => self.on_resign(reply),
+            Event::PeerHeartbeat { request, reply } => {
+                drop(reply.send(self.on_peer_heartbeat(&request)));
             }
-            Err(error) => {
-                self.traffic.counters.increment("config.invalid_record");
-                log::error!(version = record.version, error:% = error; "configuration refused");
+            Event::PeerRegister { request, reply } => {
+                drop(reply.send(self.on_peer_register(request)));
             }
+            Event::PeerResign { request, reply } => {
+                drop(reply.send(self.on_peer_resign(request)));
+            }
+            Event::HeartbeatDone {
+                asked_at_us,
+                address,
+                result,
+            } => self.on_heartbeat_done(asked_at_us, address, result),
+            Event::RegisterDone { result } => self.on_register_done(result),
+            Event::ResignDone { is_accepted } => self.on_resign_done(is_accepted),
+            Event::VmsRead(list) => self.on_vms(list),
+            Event::LoadRead {
+                engine,
+                asked_at_us,
+                answer,
+            } => self.on_load(&engine, asked_at_us, answer),
+            Event::OrderConnected {
+                send,
+                order,
+                connection,
+            } => self.on_order_connected(send, order, connection),
+            Event::Authority(event) => self.authority_events.push_back(event),
         }
     }
 
-    fn drain_engine(&mut self, engine: &str, is_drained: bool) -> DrainReply {
-        let known = self.inventory.as_ref().and_then(|inventory| {
-            let engine = inventory.engines.get(engine)?;
-            (engine.zone == self.traffic.settings.zone).then(|| Arc::clone(&engine.name))
+    /// Records a decision that is not one of authority.
+    pub(super) fn decide(&self, kind: DecisionKind, subject: &str, choice: &str, reason: String) {
+        self.traffic.record(Decision {
+            at_us: clock::now_us(),
+            kind,
+            subject: subject.to_owned(),
+            choice: choice.to_owned(),
+            reason,
+            inputs: Vec::new(),
+            alternatives: Vec::new(),
         });
-        let Some(name) = known else {
-            return DrainReply::UnknownEngine;
-        };
-        if is_drained {
-            self.drained.insert(name);
-        } else {
-            self.drained.remove(&name);
-        }
-        self.publish();
-        DrainReply::Accepted
     }
 
-    fn publish(&self) {
-        let mut snapshot = Snapshot {
-            inventory: self.inventory.clone(),
-            is_leaving: self.is_leaving,
-            is_registered: true,
-            ..Snapshot::default()
-        };
-        if let Some(inventory) = &self.inventory {
-            snapshot.open_engines = inventory
-                .engines
-                .values()
-                .filter(|engine| engine.zone == self.traffic.settings.zone && !engine.withdrawn)
-                .filter(|engine| !self.drained.contains(&engine.name))
-                .map(|engine| (Arc::clone(&engine.name), engine.initial_role))
-                .collect();
-        }
-        self.traffic.snapshot.store(Arc::new(snapshot));
+    pub(super) fn count(&self, name: &str) {
+        self.traffic.counters.increment(name);
     }
 
-    fn status(&self) -> NodeStatus {
-        let settings = &self.traffic.settings;
-        let snapshot = self.traffic.snapshot.load();
-        let engines = self.inventory.iter().flat_map(|inventory| {
-            inventory
-                .engines
-                .values()
-                .filter(|engine| engine.zone == settings.zone)
-                .map(|engine| EngineStatus {
-                    engine: engine.name.to_string(),
-                    role: engine.initial_role.as_str().to_owned(),
-                    is_open: snapshot.open_engines.contains_key(&engine.name),
-                    is_withdrawn: engine.withdrawn,
-                    order: None,
-                    unreleased: 0,
-                    in_flight: self.traffic.in_flight.count(&engine.name),
-                    load: None,
-                })
-        });
-        let mut engines: Vec<_> = engines.collect();
-        engines.sort_by(|a, b| a.engine.cmp(&b.engine));
-        NodeStatus {
-            vm: settings.vm.to_string(),
-            incarnation: self.incarnation.clone(),
-            zone: settings.zone.to_string(),
-            peer_address: settings.peer_listen.to_string(),
-            caller_address: settings.caller_listen.to_string(),
-            is_ready: self.config.is_some() && !self.is_leaving,
-            is_leaving: self.is_leaving,
-            is_platform_reachable: self.is_platform_reachable,
-            config_version: self.config.as_ref().map_or(0, |config| config.version),
-            engines,
-            ..NodeStatus::default()
+    pub(super) fn zone(&self) -> &Name {
+        &self.traffic.settings.zone
+    }
+
+    /// VMs that take no new work, because the list or their node says so.
+    pub(super) fn leaving_vms(&self) -> HashSet<Name> {
+        self.members.leaving().cloned().collect()
+    }
+
+    /// Gives the traffic threads a new snapshot.
+    pub(super) fn publish(&mut self) {
+        self.is_dirty = false;
+        let leaving_vms = self.leaving_vms();
+        let mut open_engines = HashMap::default();
+        if let Some(inventory) = &self.inventory {
+            for (name, role) in &self.table.open {
+                let is_usable = inventory.engines.get(name).is_some_and(|engine| {
+                    let is_leaving = engine
+                        .vm
+                        .as_ref()
+                        .is_some_and(|vm| leaving_vms.contains(vm));
+                    engine.zone == *self.zone() && !engine.withdrawn && !is_leaving
+                });
+                if is_usable {
+                    open_engines.insert(Name::clone(name), *role);
+                }
+            }
         }
+        let table_version = TableVersion {
+            epoch: self.table.version.epoch,
+            sequence: self.table.version.sequence,
+        };
+        self.traffic.snapshot.store(Arc::new(Snapshot {
+            inventory: self.inventory.clone(),
+            table_version,
+            open_engines,
+            is_registered: self.is_registered,
+            is_leaving: self.is_leaving,
+            is_stale: self.rollout.is_stale(clock::now_us()),
+            peers: self.peers.endpoints(&self.members),
+            leaving_vms,
+            zone_loads: self.zone_loads.clone(),
+        }));
+        self.published_table = table_version;
     }
 }
--- /dev/null
+++ b/crates/tealsaddle-node/src/control/stop.rs
@@ -0,0 +1,206 @@
+//! The planned stop of a node, and drains by operators.
+//!
+//! Leaving begins at once: no new work, all peers are told, authority is handed over. Resigning comes
+//! last, when no request is in flight any more; the process exits after it.
+
+use std::sync::Arc;
+
+use tealsaddle_core::authority::Event as AuthorityEvent;
+use tealsaddle_core::decision::DecisionKind;
+use tealsaddle_core::name::Name;
+use tealsaddle_schema::peer::{DrainReply as PeerDrainReply, DrainRequest};
+use tokio::sync::oneshot;
+
+use super::api::DrainReply;
+use super::event::Event;
+use super::state::Control;
+use crate::clock;
+
+/// Time for resigning while the platform does not answer or the zone has no holder. The entry then
+/// stays in the router list until the VM list drops the VM or a new process takes the address.
+const RESIGN_TIMEOUT_US: u64 = 10_000_000;
+/// Time for the last orders to arrive or be lost, and for the release of this process.
+const RELEASE_TIMEOUT_US: u64 = 30_000_000;
+/// Time between two requests to the holder.
+const RESIGN_INTERVAL_US: u64 = 300_000;
+
+/// A resignation that is going on.
+#[derive(Debug)]
+pub struct Resigning {
+    reply: oneshot::Sender<()>,
+    began_us: u64,
+    asked_us: u64,
+    is_off_the_list: bool,
+}
+
+impl Control {
+    /// Takes no new work from now on and tells everyone.
+    pub(super) fn leave(&mut self, reason: &str) {
+        if self.is_leaving {
+            return;
+        }
+        self.is_leaving = true;
+        log::info!(reason = reason; "node is leaving");
+        self.decide(
+            DecisionKind::Member,
+            &self.process.vm,
+            "leaving",
+            reason.to_owned(),
+        );
+        self.publish();
+        self.send_heartbeats(false);
+        self.left.cancel();
+        self.authority_events.push_back(AuthorityEvent::Leaving);
+    }
+
+    pub(super) fn on_resign(&mut self, reply: oneshot::Sender<()>) {
+        self.leave("the node resigns");
+        self.resigning = Some(Resigning {
+            reply,
+            began_us: clock::now_us(),
+            asked_us: 0,
+            is_off_the_list: !self.is_registered,
+        });
+    }
+
+    pub(super) fn on_resign_done(&mut self, is_accepted: bool) {
+        if let Some(resigning) = &mut self.resigning
+            && is_accepted
+        {
+            resigning.is_off_the_list = true;
+            self.set_registered(false);
+        }
+    }
+
+    /// Asks the holder until this process is off the list, then lets the process exit.
+    pub(super) fn drive_resignation(&mut self, now_us: u64) {
+        let Some(resigning) = &mut self.resigning else {
+            return;
+        };
+        let elapsed_us = now_us.saturating_sub(resigning.began_us);
+        let zone = &self.traffic.settings.zone;
+        let is_alone = !self
+            .peers
+            .iter()
+            .any(|peer| peer.zone == *zone && !peer.is_leaving && !peer.is_failing);
+        let is_off = resigning.is_off_the_list || is_alone || elapsed_us > RESIGN_TIMEOUT_US;
+        let is_released = self.authority.may_exit()
+            || elapsed_us > RELEASE_TIMEOUT_US
+            || (elapsed_us > RESIGN_TIMEOUT_US && !self.is_platform_reachable);
+        if is_off && is_released {
+            if let Some(resigning) = self.resigning.take() {
+                log::info!(resigned = resigning.is_off_the_list; "node has resigned");
+                if resigning.reply.send(()).is_err() {
+                    self.count("stop.gave_up_waiting");
+                }
+            }
+            return;
+        }
+        if is_off || now_us.saturating_sub(resigning.asked_us) < RESIGN_INTERVAL_US {
+            return;
+        }
+        resigning.asked_us = now_us;
+        let own_address = self.traffic.settings.peer_listen;
+        let Some(holder) = self.holder.filter(|holder| *holder != own_address) else {
+            return;
+        };
+        let Ok(mut client) = self.clients.client(holder) else {
+            return;
+        };
+        let request = self.register_request();
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let reply = client.resign(request).await;
+            let is_accepted = reply.is_ok_and(|reply| reply.into_inner().accepted);
+            drop(events.send(Event::ResignDone { is_accepted }).await);
+        });
+    }
+
+    /// Drains an engine or opens it; says why not.
+    fn set_drained(&mut self, engine: &str, is_drained: bool) -> DrainReply {
+        let known = self.inventory.as_ref().and_then(|inventory| {
+            let engine = inventory.engines.get(engine)?;
+            (engine.zone == *self.zone()).then(|| Arc::clone(&engine.name))
+        });
+        let Some(name) = known else {
+            return DrainReply::UnknownEngine;
+        };
+        if !self.is_holder() {
+            return DrainReply::NoHolder;
+        }
+        let choice = if is_drained { "drain" } else { "open" };
+        self.decide(
+            DecisionKind::Drain,
+            engine,
+            choice,
+            "asked by an operator".to_owned(),
+        );
+        if is_drained {
+            self.drained.insert(name);
+        } else {
+            self.drained.remove(&name);
+        }
+        self.tell_engines();
+        DrainReply::Accepted
+    }
+
+    /// An operator's drain; a node that is not the holder passes it on.
+    pub(super) fn on_drain(
+        &mut self,
+        engine: String,
+        is_drained: bool,
+        reply: oneshot::Sender<DrainReply>,
+    ) {
+        let outcome = self.set_drained(&engine, is_drained);
+        let own_address = self.traffic.settings.peer_listen;
+        let holder = self.holder.filter(|holder| *holder != own_address);
+        let client = holder.and_then(|holder| self.clients.client(holder).ok());
+        let (DrainReply::NoHolder, Some(mut client)) = (&outcome, client) else {
+            drop(reply.send(outcome));
+            return;
+        };
+        let request = DrainRequest {
+            zone: self.zone().to_string(),
+            engine,
+            drained: is_drained,
+        };
+        tokio::spawn(async move {
+            let answer = client.drain(request).await;
+            let outcome = match answer.map(tonic::Response::into_inner) {
+                Ok(answer) if answer.accepted => DrainReply::Accepted,
+                Ok(answer) if answer.reason == "unknown_engine" => DrainReply::UnknownEngine,
+                _ => DrainReply::NoHolder,
+            };
+            drop(reply.send(outcome));
+        });
+    }
+
+    pub(super) fn on_peer_drain(&mut self, request: &DrainRequest) -> PeerDrainReply {
+        let outcome = if request.zone == **self.zone() {
+            self.set_drained(&request.engine, request.drained)
+        } else {
+            DrainReply::UnknownEngine
+        };
+        let reason = match outcome {
+            DrainReply::Accepted => "",
+            DrainReply::UnknownEngine => "unknown_engine",
+            DrainReply::NoHolder => "not_holder",
+        };
+        PeerDrainReply {
+            accepted: outcome == DrainReply::Accepted,
+            reason: reason.to_owned(),
+        }
+    }
+
+    /// The entry of an engine in the zone record, as last known here.
+    pub(super) fn recorded(
+        &self,
+        engine: &Name,
+    ) -> Option<&tealsaddle_schema::record::EngineEntry> {
+        let record = &self.authority.record()?.record;
+        record
+            .engines
+            .iter()
+            .find(|entry| *entry.engine == **engine)
+    }
+}
--- a/crates/tealsaddle-node/src/engine/mod.rs
+++ b/crates/tealsaddle-node/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! Model engines, behind a trait.
 
 pub mod http;
+pub mod orders;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/tealsaddle-node/src/engine/orders.rs
@@ -0,0 +1,208 @@
+//! State, load and orders of engines.
+//!
+//! Orders travel on connections of their own with a TCP user timeout, so that bytes of a process
+//! that died are not delivered later than that; the transit bound of an order (section 5 of the
+//! design) rests on it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Time after which the kernel drops data that the engine has not acknowledged.
+pub const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a call. An engine answers an order before it carries it out.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: usize = 256 << 10;
+
+/// Answer of `GET /state`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct EngineState {
+    /// Role in force.
+    pub role: String,
+    /// Role that it is changing to; empty when it is not changing.
+    #[serde(deserialize_with = "null_as_empty")]
+    pub changing_to: String,
+    /// Models loaded.
+    pub models: Vec<String>,
+    /// Last order that it accepted; empty without any.
+    #[serde(deserialize_with = "null_as_empty")]
+    pub last_order_id: String,
+    /// Highest fencing token that it has seen.
+    pub fence: u64,
+}
+
+/// Answer of `GET /load`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct EngineLoadAnswer {
+    /// The engine's clock when it answered.
+    pub now_ms: u64,
+    /// The engine's clock when the load was sampled.
+    pub sampled_at_ms: u64,
+    /// Role in force.
+    pub role: String,
+    /// Role that it is changing to; empty when it is not changing.
+    #[serde(deserialize_with = "null_as_empty")]
+    pub changing_to: String,
+    /// Requests being decoded.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Prompt tokens that wait to be read.
+    pub queued_prefill_tokens: u64,
+    /// KV cache in use.
+    pub kv_used_tokens: u64,
+}
+
+/// Body of `POST /order`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct OrderMessage {
+    /// Id of the order.
+    pub order_id: String,
+    /// Fencing token of the sender.
+    pub fence: u64,
+    /// Kind of the order.
+    pub kind: String,
+    /// Role to take, for kind role.
+    pub role: String,
+    /// Model or adapter to load.
+    pub model: String,
+    /// Version to load.
+    pub version: String,
+}
+
+/// What became of a send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The engine took the order, or had taken it before.
+    Accepted,
+    /// The engine has seen a higher fencing token.
+    StaleFence,
+    /// The engine is in the middle of another change.
+    Busy,
+    /// No byte of the order left.
+    NotSent,
+    /// The order may have reached the engine.
+    Unknown,
+}
+
+fn null_as_empty<'de, D>(deserializer: D) -> Result<String, D::Error>
+where
+    D: serde::Deserializer<'de>,
+{
+    Ok(Option::deserialize(deserializer)?.unwrap_or_default())
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    Ok(stream)
+}
+
+/// An open connection to an engine that carries one call.
+///
+/// Opening it apart lets the holder check its lease immediately before the first byte of an order.
+#[derive(Debug)]
+pub struct OrderConnection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    connection: JoinHandle<Result<(), hyper::Error>>,
+}
+
+impl Drop for OrderConnection {
+    fn drop(&mut self) {
+        // Nothing is sent on the connection after its call.
+        self.connection.abort();
+    }
+}
+
+impl OrderConnection {
+    /// Connects; `None` when that fails.
+    pub async fn open(address: SocketAddr) -> Option<Self> {
+        let opened = async {
+            let stream = connect(address).await.ok()?;
+            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+            Some(Self {
+                address,
+                sender,
+                connection: tokio::spawn(connection),
+            })
+        };
+        tokio::time::timeout(CONNECT_TIMEOUT, opened).await.ok()?
+    }
+
+    async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Option<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .expect("an address and a fixed path make a valid request");
+        let answer = async {
+            let response = self.sender.send_request(request).await.ok()?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            Some((status, body.collect().await.ok()?.to_bytes()))
+        };
+        tokio::time::timeout(CALL_TIMEOUT, answer).await.ok()?
+    }
+
+    /// Sends an order.
+    pub async fn send(mut self, order: &OrderMessage) -> OrderAnswer {
+        let body = serde_json::to_vec(order).expect("orders are plain JSON values");
+        match self.exchange(Method::POST, "/order", body.into()).await {
+            Some((StatusCode::OK, _)) => OrderAnswer::Accepted,
+            Some((StatusCode::CONFLICT, body)) => {
+                if String::from_utf8_lossy(&body).contains("stale_fence") {
+                    OrderAnswer::StaleFence
+                } else {
+                    OrderAnswer::Busy
+                }
+            }
+            _ => OrderAnswer::Unknown,
+        }
+    }
+}
+
+async fn read<T>(address: SocketAddr, path: &str) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let mut connection = OrderConnection::open(address).await?;
+    let (status, body) = connection.exchange(Method::GET, path, Bytes::new()).await?;
+    if status != StatusCode::OK {
+        return None;
+    }
+    serde_json::from_slice(&body).ok()
+}
+
+/// Reads the state of an engine; `None` when it gives no usable answer.
+pub async fn state(address: SocketAddr) -> Option<EngineState> {
+    read(address, "/state").await
+}
+
+/// Reads the load of an engine; `None` when it gives no usable answer.
+pub async fn load(address: SocketAddr) -> Option<EngineLoadAnswer> {
+    read(address, "/load").await
+}
--- a/crates/tealsaddle-node/src/lib.rs
+++ b/crates/tealsaddle-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod peer;
 pub mod platform;
 pub mod settings;
 pub mod traffic;
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -1,7 +1,10 @@
 //! Start and stop of a node.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::caller::server::CallerServer;
+use crate::control::api::ControlHandle;
 use crate::engine::http::HttpEngines;
 use crate::metrics::Counters;
 use crate::platform::http::HttpPlatform;
@@ -9,6 +12,14 @@
 use crate::traffic::Traffic;
 use crate::{Error, admin, caller, control};
 
+/// Time for the control thread to answer from memory.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a node that leaves still answers new connections with refusals. A leaving VM may get
+/// work for up to 3 s (section 6 of the design).
+const PROBE_GRACE: Duration = Duration::from_secs(3);
+/// Time to hand over and resign; the control thread gives up earlier by itself.
+const RESIGN_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Runs a node until it is told to stop.
 pub fn run(settings: Settings) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -33,13 +44,43 @@
         Arc::<HttpPlatform>::clone(&platform),
         counters,
     ));
-    let control = control::spawn(Arc::clone(&traffic), platform)?;
-    caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
-    admin::bind(admin_listen, traffic, control).await?;
+    let services = control::Platform {
+        key_value: Arc::<HttpPlatform>::clone(&platform),
+        vms: platform,
+    };
+    let control = control::spawn(Arc::clone(&traffic), services)?;
+    let callers = caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
+    admin::bind(admin_listen, Arc::clone(&traffic), control.clone()).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(Error::Thread)?;
-    terminate.recv().await;
-    log::info!("node stopped");
+    tokio::select! {
+        _ = terminate.recv() => {
+            if control.leave(CONTROL_TIMEOUT).await.is_err() {
+                log::warn!("the control thread did not answer");
+            }
+        }
+        () = control.left() => {}
+    }
+    stop(&control, callers, traffic.settings.limits.drain_timeout).await;
     Ok(())
 }
+
+/// Completes what is in flight, then leaves the router list.
+async fn stop(control: &ControlHandle, callers: CallerServer, drain_timeout: Option<Duration>) {
+    // Probes of the load balancer must see the 503 before connections are refused.
+    tokio::time::sleep(PROBE_GRACE).await;
+    let shutdown = callers.shutdown();
+    match drain_timeout {
+        None => shutdown.await,
+        Some(limit) => {
+            if tokio::time::timeout(limit, shutdown).await.is_err() {
+                log::warn!(limit_ms = limit.as_millis(); "requests in flight were given up");
+            }
+        }
+    }
+    if control.resign(RESIGN_TIMEOUT).await.is_err() {
+        log::warn!("the node is still in the router list");
+    }
+    log::info!("node stopped");
+}
--- a/crates/tealsaddle-node/tests/it/config.rs
+++ b/crates/tealsaddle-node/tests/it/config.rs
@@ -1,10 +1,12 @@
 //! Configuration: writes by operators and the way to every node.
 
 use hyper::Method;
+use nix::sys::signal::Signal;
 use tealsaddle_testkit::client::wait_until;
-use tealsaddle_testkit::platform;
+use tealsaddle_testkit::platform::{self, Outage};
 use tealsaddle_testkit::process::{NodeConfig, free_address};
 
+use crate::cluster::Cluster;
 use crate::support::{admin, config_version, put_config, spawn_node};
 
 const ONE: &str = "zones: [{name: buda-hall, region: hu-central}]\n";
@@ -72,3 +74,121 @@
     assert_eq!(answer.status, 503, "{answer:?}");
     assert_eq!(answer.json()["error"]["may_be_written"], false);
 }
+
+/// Guards against a change that is lost, or written twice, when the platform's answer is lost.
+#[tokio::test]
+async fn lost_answer_is_settled() {
+    let cluster = Cluster::start("config-lost", 1, 0).await;
+    let address = cluster.nodes[0].config.admin;
+    put_config(cluster.platform.address(), 1, ONE).await;
+    wait_until(|| async { config_version(address).await == Some(1) }).await;
+    cluster
+        .platform
+        .update(|faults| faults.lose_answers("config/current", 1));
+    let answer = admin(Method::PUT, address, "/admin/config?if_version=1", TWO).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(
+        (answer.status, answer.json()["version"].as_u64()),
+        (200, Some(2))
+    );
+    let stored = cluster
+        .platform
+        .get("config/current")
+        .expect("a configuration");
+    assert_eq!(stored.value["version"], 2);
+    assert_eq!(stored.version, 2, "the record was written once");
+    assert_eq!(
+        cluster.counter(0, "config.settled_after_lost_answer").await,
+        1
+    );
+}
+
+/// Guards against a change that reaches only the nodes that watch the platform.
+#[tokio::test]
+async fn change_reaches_every_node() {
+    let cluster = Cluster::in_service("config-spread", 5, 0).await;
+    let address = cluster.nodes[4].config.admin;
+    let answer = admin(Method::PUT, address, "/admin/config?if_version=1", TWO).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    wait_until(|| async {
+        let statuses = cluster.statuses().await;
+        statuses.iter().all(|status| status["config_version"] == 2)
+    })
+    .await;
+    // Two nodes of the zone watch; the others pulled.
+    let mut pulls = 0;
+    for node in 0..5 {
+        pulls += u64::from(cluster.counter(node, "config.pull").await > 0);
+    }
+    assert!(pulls >= 2, "{pulls} nodes pulled");
+}
+
+/// Guards against a node that starts without a configuration, or with an old one, while the platform
+/// is down.
+#[tokio::test]
+async fn start_without_the_platform_takes_the_highest_version() {
+    let mut cluster = Cluster::in_service("config-start", 2, 0).await;
+    let address = cluster.nodes[0].config.admin;
+    let answer = admin(Method::PUT, address, "/admin/config?if_version=1", TWO).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    // The second node is paused before it can hear of the change.
+    cluster.nodes[1]
+        .signal(Signal::SIGSTOP)
+        .expect("the node is paused");
+    cluster
+        .platform
+        .update(|faults| faults.outage = Outage::Unavailable);
+    let third = cluster.node_config(2);
+    cluster.add_node(third);
+    wait_until(|| async { cluster.status(2).await["is_ready"] == true }).await;
+    assert_eq!(cluster.status(2).await["config_version"], 2);
+    // Without any peer there is no configuration, and the node must not say that it is ready.
+    let mut alone = cluster.node_config(3);
+    alone.platform = free_address();
+    let alone = spawn_node("config-start", alone);
+    let address = alone.config.admin;
+    wait_until(|| async { config_version(address).await == Some(0) }).await;
+    let status = admin(Method::GET, address, "/admin/status", "").await;
+    assert_eq!(status.expect("a status").json()["is_ready"], false);
+    cluster.nodes[1]
+        .signal(Signal::SIGCONT)
+        .expect("the node goes on");
+    wait_until(|| async { cluster.status(1).await["config_version"] == 2 }).await;
+}
+
+/// Guards against a node that goes back to an older version, whoever offers it.
+#[tokio::test]
+async fn version_never_goes_back() {
+    let cluster = Cluster::in_service("config-back", 2, 0).await;
+    let record = |version: u64, yaml: &str| serde_json::json!({ "version": version, "author": "test", "yaml": yaml });
+    cluster.platform.set("config/current", record(5, TWO));
+    let at = async |version: u64| {
+        wait_until(|| async {
+            let statuses = cluster.statuses().await;
+            statuses
+                .iter()
+                .all(|status| status["config_version"] == version)
+        })
+        .await;
+    };
+    at(5).await;
+    cluster.platform.set("config/current", record(4, ONE));
+    cluster
+        .platform
+        .set("config/current", record(6, "zones: [{}]"));
+    cluster.platform.set("config/current", record(7, TWO));
+    at(7).await;
+    for node in 0..2 {
+        let log = cluster.nodes[node].log().expect("a log");
+        let versions: Vec<&str> = log
+            .lines()
+            .filter(|line| line.contains("configuration in force"))
+            .filter_map(|line| line.split("version=").nth(1)?.split(' ').next())
+            .collect();
+        assert!(versions.is_sorted(), "{versions:?}");
+        assert!(
+            !versions.contains(&"4") && !versions.contains(&"6"),
+            "{versions:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/membership.rs
@@ -0,0 +1,123 @@
+//! Members: VMs that leave, nodes that stop, and the router list.
+
+use hyper::Method;
+use nix::sys::signal::Signal;
+use tealsaddle_testkit::client::{Client, wait_until};
+use tealsaddle_testkit::platform::faults::VmState;
+
+use crate::cluster::{Cluster, ZONE, open};
+
+/// Guards against a stop that aborts a stream, exits with an error, or leaves an entry in the router
+/// list; and against a zone without a holder after the holder stopped.
+#[tokio::test]
+async fn stopping_holder_completes_its_stream_and_resigns() {
+    let mut cluster = Cluster::in_service("membership-stop", 3, 1).await;
+    let holder = cluster.wait_holder().await;
+    let caller = cluster.nodes[holder].config.caller;
+    let body = serde_json::json!({
+        "model": "rules",
+        "messages": [{ "role": "user", "content": "who won" }],
+        "max_tokens": 1_500,
+        "seed": 7,
+        "stream": true,
+    });
+    let stream = tokio::spawn(async move { Client::open().complete(caller, &body).await });
+    wait_until(|| async { cluster.engines[0].attempts_running() == 1 }).await;
+    cluster.nodes[holder]
+        .signal(Signal::SIGTERM)
+        .expect("the node is told to stop");
+    // The successor takes over while the stream still runs.
+    wait_until(|| async { cluster.holder().await.is_some_and(|new| new != holder) }).await;
+    assert_eq!(cluster.engines[0].attempts_running(), 1);
+    let answer = stream.await.expect("no panic").expect("an answer");
+    let (text, is_done) = answer.streamed_text();
+    assert!(is_done, "{text}");
+    assert_eq!(text.split_whitespace().count(), 1_500);
+    let status = cluster.nodes[holder].wait().expect("the node ends");
+    assert!(status.success(), "{status}");
+    let new = cluster.wait_holder().await;
+    wait_until(|| async {
+        let routers = cluster.status(new).await["routers"].clone();
+        routers.as_array().is_some_and(|routers| routers.len() == 2)
+    })
+    .await;
+}
+
+/// Guards against new work for a node that leaves, and against a readiness probe that still passes.
+#[tokio::test]
+async fn leaving_node_is_not_ready_and_peers_know_it() {
+    let cluster = Cluster::in_service("membership-leaving", 3, 1).await;
+    let holder = cluster.wait_holder().await;
+    let leaving = (holder + 1) % 3;
+    let vm = format!("vm-{leaving}");
+    cluster.nodes[leaving]
+        .signal(Signal::SIGTERM)
+        .expect("the node is told to stop");
+    wait_until(|| async { cluster.status(leaving).await["is_leaving"] == true }).await;
+    let caller = cluster.nodes[leaving].config.caller;
+    let body = serde_json::json!({ "model": "rules", "prompt": "x", "max_tokens": 1 });
+    let answer = Client::open()
+        .call(
+            Method::POST,
+            caller,
+            "/v1/completions",
+            &[],
+            body.to_string(),
+        )
+        .await
+        .expect("a refusal");
+    assert_eq!(
+        (answer.status, answer.header("x-outcome")),
+        (503, "not-run")
+    );
+    for node in [holder, (holder + 2) % 3] {
+        wait_until(|| async {
+            let status = cluster.status(node).await;
+            status["leaving_vms"]
+                .as_array()
+                .is_some_and(|vms| vms.iter().any(|v| *v == vm))
+        })
+        .await;
+    }
+}
+
+/// Guards against new work for engines and nodes of a VM that only the list shows as leaving.
+#[tokio::test]
+async fn leaving_vm_of_the_list_gets_no_new_work() {
+    let cluster = Cluster::in_service("membership-list", 2, 2).await;
+    cluster.show_vm("runner-0", VmState::Leaving);
+    cluster.wait_in_service(1).await;
+    assert_eq!(open(&cluster.status(0).await), ["e1"]);
+    let holder = cluster.wait_holder().await;
+    let other = 1 - holder;
+    cluster.show_vm(&format!("vm-{other}"), VmState::Leaving);
+    wait_until(|| async { cluster.status(other).await["is_leaving"] == true }).await;
+}
+
+/// Guards against a router list that keeps a dead process when a new one runs at its address.
+#[tokio::test]
+async fn restarted_node_replaces_its_entry() {
+    let mut cluster = Cluster::in_service("membership-restart", 3, 1).await;
+    let holder = cluster.wait_holder().await;
+    let restarted = (holder + 1) % 3;
+    let old = cluster.status(restarted).await["incarnation"].clone();
+    let config = cluster.nodes[restarted].config.clone();
+    cluster.nodes[restarted]
+        .signal(Signal::SIGKILL)
+        .expect("the node is killed");
+    cluster.nodes[restarted].wait().expect("the node ends");
+    let seeds = config.seed_peers.clone();
+    cluster.nodes[restarted] = crate::support::spawn_node(
+        "membership-restart",
+        tealsaddle_testkit::process::NodeConfig {
+            seed_peers: seeds,
+            ..config
+        },
+    );
+    wait_until(|| async { cluster.status(restarted).await["is_registered"] == true }).await;
+    let routers = cluster.status(holder).await["routers"].clone();
+    let routers = routers.as_array().expect("routers");
+    assert_eq!(routers.len(), 3, "{routers:?}");
+    assert!(routers.iter().all(|router| router["incarnation"] != old));
+    assert_eq!(cluster.status(holder).await["zone"], ZONE);
+}
--- a/crates/tealsaddle-node/tests/it/path.rs
+++ b/crates/tealsaddle-node/tests/it/path.rs
@@ -4,10 +4,10 @@
 use tealsaddle_testkit::client::{Client, wait_until};
 use tealsaddle_testkit::engine::server::EngineConfig;
 use tealsaddle_testkit::engine::{server, text};
-use tealsaddle_testkit::platform;
+use tealsaddle_testkit::platform::{self, faults::VmState};
 use tealsaddle_testkit::process::{ADMIN_TOKEN, NodeConfig};
 
-use crate::support::{put_config, spawn_node};
+use crate::support::{admin, put_config, spawn_node};
 
 const CONFIG: &str = "
 zones: [{name: buda-hall, region: hu-central}]
@@ -25,6 +25,7 @@
         prefill_tokens_per_s: 100_000,
         between_tokens_ms: 1,
     };
+    platform.set_vm("vm-1", "buda-hall", any, VmState::Live);
     let engine = server::bind(any, speed).await.expect("the engine starts");
     let node = spawn_node(
         "path",
@@ -36,10 +37,8 @@
     let client = Client::open();
     let caller = node.config.caller;
     wait_until(|| async {
-        let models = client
-            .call(Method::GET, caller, "/v1/models", &[], "")
-            .await;
-        models.is_ok_and(|answer| answer.json()["data"][0]["id"] == "rules")
+        let status = admin(Method::GET, node.config.admin, "/admin/status", "").await;
+        status.is_ok_and(|answer| answer.json()["engines"][0]["is_open"] == true)
     })
     .await;
 
--- a/crates/tealsaddle-testkit/src/process.rs
+++ b/crates/tealsaddle-testkit/src/process.rs
@@ -5,16 +5,24 @@
 
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
 /// A loopback address that was free a moment ago.
+///
+/// Each call takes an address of its own in 127.0.0.0/8. On 127.0.0.1 an outgoing connection of any
+/// process could take the port before the node binds it.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [low, high] = NEXT.fetch_add(1, Ordering::Relaxed).to_le_bytes();
+    let [pid, more, ..] = std::process::id().to_le_bytes();
+    let address = Ipv4Addr::new(127, 1 + pid % 200, more.wrapping_add(high), low.max(1));
+    let listener = TcpListener::bind((address, 0)).expect("loopback has a free port");
     listener
         .local_addr()
         .expect("a bound listener has an address")
