--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod cluster;
 mod config;
+mod faults;
 mod membership;
 mod path;
 mod support;
