--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -2,9 +2,14 @@
 
 mod admin;
 mod authority;
+mod caller;
 mod cluster;
 mod config;
 mod faults;
+mod hostile;
 mod membership;
 mod path;
+mod rig;
+mod service;
+mod stream;
 mod support;
