--- a/crates/tealsaddle-core/src/route.rs
+++ b/crates/tealsaddle-core/src/route.rs
@@ -78,8 +78,13 @@
         self.load.kv_used_tokens + own <= self.engine.kv_capacity_tokens
     }
 
-    fn is_batch_full(&self) -> bool {
-        self.batch() >= self.engine.batch_requests
+    /// Estimated time until the batch has a place for one more request, when the requests in it are
+    /// like this one.
+    fn place_us(&self, request: &RequestFacts) -> f64 {
+        let most = self.engine.batch_requests;
+        let too_many = (self.batch() + 1).saturating_sub(most);
+        let answer_us = self.step_us(most) * f64::from(request.max_output_tokens);
+        f64::from(too_many) * answer_us / f64::from(most)
     }
 }
 
@@ -126,6 +131,17 @@
     pub neighbours: &'a [ZoneOffer],
     /// Latency targets of the request.
     pub targets: Targets,
+    /// Requests for the model of late.
+    pub typical: Typical,
+}
+
+/// Mean of the requests for a model.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Typical {
+    /// Prompt tokens that no prefix cache holds.
+    pub read_tokens: f64,
+    /// Output tokens.
+    pub output_tokens: f64,
 }
 
 /// Settings of the router.
@@ -268,7 +284,7 @@
             first_token_us: table.targets.first_token_us.min(left_us),
             ..table.targets
         };
-        let mut ways = self.ways(table.candidates, request, targets);
+        let mut ways = self.ways(table, request, targets);
         ways.sort_by_key(Way::rank);
         let mut routed = Routed {
             choice: RouteChoice::None,
@@ -338,14 +354,15 @@
 
     fn ways<'a>(
         &self,
-        candidates: &'a [Candidate],
+        table: &RouteTable<'a>,
         request: &RequestFacts,
         targets: Targets,
     ) -> Vec<Way<'a>> {
+        let candidates = table.candidates;
         let mut ways = Vec::new();
         let usable = candidates.iter().filter(|c| c.has_kv_room(request));
         for candidate in usable.filter(|c| c.role != Role::Prefill) {
-            ways.push(self.single(candidate, request, targets));
+            ways.push(self.single(candidate, request, targets, table.typical));
         }
         // The decode engine matters for the split only through its batch, so the two emptiest do.
         let mut decode: Vec<&Candidate> = candidates
@@ -367,6 +384,7 @@
         candidate: &'a Candidate,
         request: &RequestFacts,
         targets: Targets,
+        typical: Typical,
     ) -> Way<'a> {
         let chunk_us = match candidate.role {
             Role::Decode => self.config.borrow_us,
@@ -374,7 +392,7 @@
         } as f64;
         let own_us = candidate.first_token_us(request) as f64;
         let batch = candidate.batch();
-        let step_us = candidate.step_us(batch + 1);
+        let step_us = candidate.step_us((batch + 1).min(candidate.engine.batch_requests));
         // A step reads one chunk; without a batch beside it the prompt is read at full rate.
         let steps = (own_us / chunk_us).ceil();
         let first_us = if batch == 0 {
@@ -382,9 +400,14 @@
         } else {
             own_us + steps * step_us
         };
-        // Until the prompts are read each step is longer by a chunk.
+        let first_us = first_us.max(candidate.place_us(request));
+        // While prompts are read each step is longer by a chunk. Besides those that wait now, requests
+        // that replace those of the batch bring theirs.
         let outputs = f64::from(request.max_output_tokens.max(1));
-        let chunked = (steps / outputs).min(1.0);
+        let typical_us =
+            typical.read_tokens * 1e6 / f64::from(candidate.engine.prefill_tokens_per_s);
+        let replaced = f64::from(batch) / typical.output_tokens.max(1.0);
+        let chunked = (steps / outputs + replaced * typical_us / chunk_us).min(1.0);
         let busy = match candidate.role {
             Role::Decode => 1.0,
             Role::Prefill | Role::Mixed => chunked,
@@ -406,10 +429,11 @@
         targets: Targets,
     ) -> Way<'a> {
         let moved_us = request.prompt_tokens * 1_000_000 / self.config.transfer_tokens_per_s;
-        let step_us = decode.step_us(decode.batch() + 1);
+        let step_us = decode.step_us((decode.batch() + 1).min(decode.engine.batch_requests));
         let read_us = prefill.first_token_us(request) as f64;
         // The request joins the batch at the end of the step in progress.
-        let first_us = read_us + (self.config.transfer_us + moved_us) as f64 + 1.5 * step_us;
+        let moved_us = (self.config.transfer_us + moved_us) as f64;
+        let first_us = (read_us + moved_us).max(decode.place_us(request)) + 1.5 * step_us;
         way(prefill, decode, first_us, step_us, targets)
     }
 
@@ -444,8 +468,7 @@
         first_token_us,
         between_tokens_us,
         is_on_time: first_token_us <= targets.first_token_us
-            && between_tokens_us <= targets.between_tokens_us
-            && !decode.is_batch_full(),
+            && between_tokens_us <= targets.between_tokens_us,
     }
 }
 
@@ -474,6 +497,7 @@
         candidates,
         neighbours: &[],
         targets,
+        typical: Typical::default(),
     };
     Router::default().choose(&table, request, 0, rng).choice
 }
