--- a/crates/tealsaddle-node/tests/it/faults/calls.rs
+++ b/crates/tealsaddle-node/tests/it/faults/calls.rs
@@ -45,7 +45,7 @@
             4 => service.update(|faults| faults.refuse = 5),
             _ => {}
         }
-        let body = format!("score {i}");
+        let body = format!("score-{i}");
         let key = rng.random::<bool>().then_some(body.as_str());
         let vm = ["vm-1", "vm-2"][rng.random_range(0..2)];
         let answer = submit(&deployment, vm, key, &body)
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -1,10 +1,13 @@
 //! Integration tests with real node processes.
 
 mod admin;
+mod authority;
 mod caller;
+mod cluster;
 mod config;
 mod faults;
 mod hostile;
+mod membership;
 mod path;
 mod rig;
 mod service;
--- a/crates/tealsaddle-testkit/src/lib.rs
+++ b/crates/tealsaddle-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
 pub mod http;
 pub mod load;
 pub mod platform;
