Bound the bodies held, count rates over all requests and learn the typical request

Cause: 2,048 requests in flight could hold 16 GB of bodies; a customer had its agreed rate once per model and none for services; engines on a VM that is leaving still got work; a host that vanished held its connections for minutes. Conclusion: a default node holds at most 256 MiB of bodies.

--- a/crates/tealsaddle-node/src/caller/admit.rs
+++ b/crates/tealsaddle-node/src/caller/admit.rs
@@ -25,19 +25,11 @@
 ) -> Result<(), Refusal> {
     let snapshot = traffic.snapshot.load();
     let customer = context.customer.as_ref();
-    let nodes = snapshot
-        .peers
-        .iter()
-        .filter(|peer| peer.is_registered)
-        .count()
-        + 1;
     let request = AdmissionRequest {
         customer: customer.map_or_else(|| Name::from(""), |customer| Name::clone(&customer.name)),
         priority: completion.priority,
         share: customer.map_or(1.0, |customer| customer.share),
-        requests_per_s: customer
-            .and_then(|customer| customer.requests_per_s)
-            .map(|rate| rate / nodes as f64),
+        requests_per_s: None,
         targets,
     };
     let now_us = clock::now_us();
@@ -72,6 +64,61 @@
     admitted.map_err(refusal)
 }
 
+/// Checks the rate that a customer agreed to, over all models and services.
+///
+/// The node that runs a request counts it; a caller cannot evade the count by a header.
+pub fn check_rate(traffic: &Traffic, context: &Context) -> Result<(), Refusal> {
+    let Some(customer) = &context.customer else {
+        return Ok(());
+    };
+    let Some(rate) = customer.requests_per_s else {
+        return Ok(());
+    };
+    let snapshot = traffic.snapshot.load();
+    let nodes = snapshot
+        .peers
+        .iter()
+        .filter(|peer| peer.is_registered)
+        .count()
+        + 1;
+    let request = AdmissionRequest {
+        customer: Name::clone(&customer.name),
+        priority: customer.priority,
+        share: customer.share,
+        requests_per_s: Some(rate / nodes as f64),
+        targets: Targets {
+            first_token_us: u64::MAX,
+            between_tokens_us: u64::MAX,
+        },
+    };
+    // Only the rate can refuse: the work counts as none here.
+    let estimate = Estimate {
+        first_token_us: Some(0),
+        ..Estimate::default()
+    };
+    let now_us = clock::now_us();
+    let admitted = traffic.with_admission(&Name::from(""), |admission| {
+        admission.admit(&request, &estimate, now_us)
+    });
+    let Err(refused) = admitted else {
+        return Ok(());
+    };
+    traffic.record(Decision {
+        at_us: now_us,
+        kind: DecisionKind::Admit,
+        subject: context.request_id.clone(),
+        choice: refused.reason.as_str().to_owned(),
+        reason: "rate of the customer over all models and services".to_owned(),
+        inputs: vec![
+            ("customer".to_owned(), customer.name.to_string()),
+            ("requests_per_s".to_owned(), rate.to_string()),
+            ("nodes".to_owned(), nodes.to_string()),
+        ],
+        alternatives: Vec::new(),
+    });
+    Err(refusal(refused))
+}
+
 /// Engine time per second that this node may give out for a model.
 fn capacity_us_per_s(traffic: &Traffic, snapshot: &Snapshot, model: &str) -> f64 {
     let zone = &traffic.settings.zone;
--- a/crates/tealsaddle-node/src/caller/attempt.rs
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -178,10 +178,7 @@
                 {
                     EndAction::Finish => {
                         release(held);
-                        return Ok(Some(Done {
-                            finish_reason: event.finish_reason.unwrap_or_else(|| "stop".to_owned()),
-                            prompt_tokens: event.prompt_tokens.unwrap_or(0),
-                        }));
+                        return Ok(Some(self.done(event)));
                     }
                     EndAction::DropForeign => self.traffic.counters.increment("stream.foreign"),
                     EndAction::Gap => return Err(self.gap()),
@@ -213,6 +210,19 @@
         }
     }
 
+    fn done(&self, event: GenerateEvent) -> Done {
+        let prompt_tokens = event.prompt_tokens.unwrap_or(0);
+        let read_tokens = prompt_tokens.saturating_sub(event.cached_tokens.unwrap_or(0));
+        let output_tokens = self.joiner.next_index();
+        let model = &self.completion.model.name;
+        self.traffic
+            .on_request_done(model, read_tokens, output_tokens);
+        Done {
+            finish_reason: event.finish_reason.unwrap_or_else(|| "stop".to_owned()),
+            prompt_tokens,
+        }
+    }
+
     fn gap(&self) -> AttemptOutcome {
         self.traffic.counters.increment("stream.gap");
         AttemptOutcome::Unknown(UnknownReason::InvalidAnswer)
--- a/crates/tealsaddle-node/src/caller/chat.rs
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -27,9 +27,8 @@
     context: Context,
     interface: Interface,
 ) -> Result<Response<Body>, Refusal> {
-    let limit = traffic.settings.limits.request_body_bytes as usize;
     let (head, body) = request.into_parts();
-    let body = read_body(body, limit).await?;
+    let (body, _bytes_held) = read_body(traffic, body).await?;
     let wanted = CompletionRequest::from_json(interface, &body)
         .map_err(|invalid| Refusal::invalid(invalid.field, invalid.rule))?;
     let forward = Forward {
@@ -77,6 +76,7 @@
     drop(snapshot);
     let plan = match select::first(traffic, &completion, context.hops < MAX_HOPS) {
         Selection::Here(plan, estimate) => {
+            admit::check_rate(traffic, &context)?;
             admit::admit(traffic, &context, &completion, targets, &estimate)?;
             plan
         }
--- a/crates/tealsaddle-node/src/caller/proxy.rs
+++ b/crates/tealsaddle-node/src/caller/proxy.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName};
@@ -14,14 +14,19 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use super::response::{Body, BodyError, Refusal};
+use crate::traffic::Traffic;
 
 /// Time to connect. Within a region a connection takes about a millisecond, and a lost SYN is sent
 /// again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which a connection to a host that does not acknowledge anything is given up.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time in which a caller must send the next part of a body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -50,6 +55,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
+        connector.set_keepalive(Some(SILENCE_TIMEOUT / 2));
+        connector.set_keepalive_interval(Some(SILENCE_TIMEOUT / 4));
         Self {
             pooled: Client::builder(TokioExecutor::new()).build(connector.clone()),
             fresh: Client::builder(TokioExecutor::new())
@@ -100,45 +108,52 @@
     }
 }
 
-/// Reads a whole body.
-pub async fn read_body<B>(body: B, limit_bytes: usize) -> Result<Bytes, Refusal>
-where
-    B: HttpBody<Data = Bytes>,
-    B::Error: Into<BodyError>,
-{
+/// Bytes held in a body that was read as a whole, as counted against the node's bound.
+pub type BytesHeld = Option<OwnedSemaphorePermit>;
+
+/// Reads a whole body, within the bound on one body and the bound on all bodies that are held.
+pub async fn read_body(traffic: &Traffic, body: Incoming) -> Result<(Bytes, BytesHeld), Refusal> {
+    let limit_bytes = traffic.settings.limits.request_body_bytes as usize;
     if body.size_hint().lower() > limit_bytes as u64 {
         return Err(too_large(limit_bytes));
     }
-    let mut body = std::pin::pin!(Limited::new(body, limit_bytes));
-    let mut bytes = bytes::BytesMut::new();
+    let mut body = Limited::new(body, limit_bytes);
+    let mut bytes = BytesMut::new();
+    let mut held = BytesHeld::default();
     loop {
-        match tokio::time::timeout(BODY_IDLE_TIMEOUT, body.frame()).await {
-            Ok(None) => return Ok(bytes.freeze()),
-            Ok(Some(Ok(frame))) => {
-                if let Ok(data) = frame.into_data() {
-                    bytes.extend_from_slice(&data);
-                }
-            }
+        let data = match tokio::time::timeout(BODY_IDLE_TIMEOUT, body.frame()).await {
+            Ok(None) => return Ok((bytes.freeze(), held)),
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => data,
+                Err(_trailers) => continue,
+            },
             Ok(Some(Err(error))) if error.is::<http_body_util::LengthLimitError>() => {
                 return Err(too_large(limit_bytes));
             }
             Ok(Some(Err(_broken))) => {
-                let message = "the body was cut off";
-                return Err(Refusal::not_run(
-                    StatusCode::BAD_REQUEST,
-                    "body_cut_off",
-                    message,
-                ));
+                let (reason, message) = ("body_cut_off", "the body was cut off");
+                return Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason, message));
             }
             Err(_elapsed) => {
-                let message = "the body did not arrive in time";
+                let (reason, message) = ("body_timeout", "the body did not arrive in time");
                 return Err(Refusal::not_run(
                     StatusCode::REQUEST_TIMEOUT,
-                    "body_timeout",
+                    reason,
                     message,
                 ));
             }
+        };
+        let count = u32::try_from(data.len()).unwrap_or(u32::MAX);
+        let places = Arc::clone(&traffic.body_bytes);
+        let Ok(more) = places.try_acquire_many_owned(count) else {
+            let message = "the node holds too many bytes of requests";
+            return Err(Refusal::busy("body_space", message));
+        };
+        match &mut held {
+            Some(held) => held.merge(more),
+            None => held = Some(more),
         }
+        bytes.extend_from_slice(&data);
     }
 }
 
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -17,11 +17,12 @@
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
+use super::admit;
 use super::claim::{self, Claim, KeyedCall, NoAttempt};
 use super::completion;
 use super::dispatch::{Context, HOPS};
 use super::forward::{self, Forward};
-use super::proxy::{Payload, read_body, strip_hop_headers};
+use super::proxy::{BytesHeld, Payload, read_body, strip_hop_headers};
 use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState, full};
 use crate::clock;
 use crate::traffic::{Snapshot, Traffic};
@@ -40,7 +41,6 @@
 ) -> Result<Response<Body>, Refusal> {
     let snapshot = traffic.snapshot.load_full();
     let (head, body) = request.into_parts();
-    let limit = traffic.settings.limits.request_body_bytes as usize;
     let Some(inventory) = &snapshot.inventory else {
         return forward_call(traffic, &snapshot, &context, head, body).await;
     };
@@ -56,6 +56,7 @@
             message,
         ));
     };
+    admit::check_rate(traffic, &context)?;
     // What may run any number of times needs no claim.
     let key = if head.method.is_safe() {
         None
@@ -66,11 +67,12 @@
         && head.method.is_idempotent()
         && !context.is_non_repeatable
         && !is_marked(service, &head.method, rest);
-    let payload = if key.is_some() {
+    let (payload, bytes_held) = if key.is_some() {
         // The claim covers the whole body, so it must be there before the call is sent.
-        Payload::Whole(read_body(body, limit).await?)
+        let (bytes, counted) = read_body(traffic, body).await?;
+        (Payload::Whole(bytes), counted)
     } else {
-        payload(body, limit).await?
+        payload(traffic, body).await?
     };
     let mut headers = head.headers;
     prepare(&mut headers, &context);
@@ -86,6 +88,7 @@
         },
         headers,
         payload,
+        _bytes_held: bytes_held,
         is_repeatable,
         deadline: Instant::now() + Duration::from_millis(service.timeout_ms),
     };
@@ -107,7 +110,7 @@
     head: hyper::http::request::Parts,
     body: Incoming,
 ) -> Result<Response<Body>, Refusal> {
-    let limit = traffic.settings.limits.request_body_bytes as usize;
+    let (body, _bytes_held) = read_body(traffic, body).await?;
     let forward = Forward {
         // The rules of the service are not known here, so a call that may be marked by them is
         // treated as marked.
@@ -118,24 +121,23 @@
             .map_or_else(|| "/".to_owned(), ToString::to_string),
         method: head.method,
         headers: head.headers,
-        body: read_body(body, limit).await?,
+        body,
         is_streamed: false,
     };
     let peers = forward::any_peers(traffic, snapshot);
     forward::send(traffic, context, forward, &peers, "no_configuration").await
 }
 
-async fn payload(body: Incoming, limit: usize) -> Result<Payload, Refusal> {
+async fn payload(traffic: &Traffic, body: Incoming) -> Result<(Payload, BytesHeld), Refusal> {
+    let limit = traffic.settings.limits.request_body_bytes;
     let size = body.size_hint();
-    if size.upper().is_some_and(|bytes| bytes <= WHOLE_BODY_BYTES) {
-        return Ok(Payload::Whole(read_body(body, limit).await?));
+    let is_short = size.upper().is_some_and(|bytes| bytes <= WHOLE_BODY_BYTES);
+    // One that is known to be too long is refused without reading it.
+    if is_short || size.lower() > limit {
+        let (bytes, held) = read_body(traffic, body).await?;
+        return Ok((Payload::Whole(bytes), held));
     }
-    if size.lower() > limit as u64 {
-        // It refuses without reading.
-        read_body(body, limit).await?;
-        unreachable!("a body above the limit is refused");
-    }
-    Ok(Payload::stream(body, limit))
+    Ok((Payload::stream(body, limit as usize), BytesHeld::default()))
 }
 
 /// Whether a rule marks the call, also when its path is written in another way.
@@ -275,6 +277,7 @@
     path: String,
     headers: HeaderMap,
     payload: Payload,
+    _bytes_held: BytesHeld,
     is_repeatable: bool,
     deadline: Instant,
 }
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -16,7 +16,7 @@
 use tealsaddle_core::load::{Completion, EngineLoad, LoadReport, Send};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, RetryBudget};
-use tealsaddle_core::route::{Candidate, Router};
+use tealsaddle_core::route::{Candidate, Router, Typical};
 use tealsaddle_schema::record::ProcessId;
 use tokio::sync::{Semaphore, broadcast};
 use tokio_util::task::TaskTracker;
@@ -36,6 +36,13 @@
 /// Decisions that a slow watcher may lag behind before it loses some.
 const DECISIONS_BUFFERED: usize = 1_024;
 
+/// Weight of one request in the mean of its model: the mean follows a shift of the mix within a few
+/// dozen requests.
+const TYPICAL_WEIGHT: f64 = 0.05;
+
+/// Most bytes of request bodies held at once, in bodies of the largest size.
+const BODIES_HELD: usize = 32;
+
 /// Control state as the traffic threads see it.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
@@ -53,7 +60,7 @@
     pub is_stale: bool,
     /// Nodes that take forwarded requests, leaving ones left out.
     pub peers: Vec<PeerEndpoint>,
-    /// VMs that are leaving; their targets take no new work.
+    /// VMs that are leaving; their engines and targets take no new work.
     pub leaving_vms: HashSet<Name>,
     /// Spare capacity of other zones by zone and model.
     pub zone_loads: HashMap<(Name, Name), ZoneLoad>,
@@ -109,6 +116,8 @@
     pub targets: TargetClient,
     /// Places for requests in flight at once.
     pub places: Arc<Semaphore>,
+    /// Bytes that may still be held in bodies read as a whole.
+    pub body_bytes: Arc<Semaphore>,
     /// Chooses engines.
     pub router: Router,
     /// This process, as claims name it.
@@ -119,6 +128,7 @@
     pub tasks: TaskTracker,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
     admissions: Mutex<HashMap<Name, Admission>>,
+    typical: Mutex<HashMap<Name, Typical>>,
     loads: Mutex<HashMap<Name, EngineLoad>>,
     decisions: Mutex<DecisionRing>,
     watchers: broadcast::Sender<Decision>,
@@ -137,6 +147,9 @@
             incarnation: Uuid::new_v4().to_string(),
         };
         let places = Arc::new(Semaphore::new(settings.limits.requests_in_flight));
+        let body_bytes = settings.limits.request_body_bytes as usize;
+        let body_bytes = body_bytes.saturating_mul(BODIES_HELD);
+        let body_bytes = body_bytes.min(Semaphore::MAX_PERMITS);
         Self {
             settings,
             snapshot: ArcSwap::default(),
@@ -146,12 +159,14 @@
             in_flight: Arc::default(),
             targets: TargetClient::open(),
             places,
+            body_bytes: Arc::new(Semaphore::new(body_bytes)),
             router: Router::default(),
             process,
             claim_lease: ClaimLease::default(),
             tasks: TaskTracker::new(),
             retry_budgets: Mutex::default(),
             admissions: Mutex::default(),
+            typical: Mutex::default(),
             loads: Mutex::default(),
             decisions: Mutex::new(DecisionRing::with_capacity(DECISIONS_KEPT)),
             watchers: broadcast::Sender::new(DECISIONS_BUFFERED),
@@ -167,6 +182,10 @@
         let loads = self.loads.lock().expect("no holder of the lock panics");
         inventory
             .engines_for(&self.settings.zone, model)
+            .filter(|engine| {
+                let vm = engine.vm.as_ref();
+                !vm.is_some_and(|vm| snapshot.leaving_vms.contains(vm))
+            })
             .filter_map(|engine| {
                 let role = *snapshot.open_engines.get(&engine.name)?;
                 let load = loads.get(&engine.name).map(|load| load.corrected(now_us));
@@ -281,7 +300,26 @@
         }
     }
 
-    /// Asks the admission of a model.
+    /// Takes a completed request into the mean of its model.
+    pub fn on_request_done(&self, model: &Name, read_tokens: u64, output_tokens: u64) {
+        let mut typical = self.typical.lock().expect("no holder of the lock panics");
+        let (read, output) = (read_tokens as f64, output_tokens as f64);
+        let mean = typical.entry(Name::clone(model)).or_insert(Typical {
+            read_tokens: read,
+            output_tokens: output,
+        });
+        mean.read_tokens += (read - mean.read_tokens) * TYPICAL_WEIGHT;
+        mean.output_tokens += (output - mean.output_tokens) * TYPICAL_WEIGHT;
+    }
+
+    /// Mean of the latest requests for a model.
+    pub fn typical(&self, model: &str) -> Typical {
+        let typical = self.typical.lock().expect("no holder of the lock panics");
+        typical.get(model).copied().unwrap_or_default()
+    }
+
+    /// Asks the admission of a pool: that of a model, or the one named "" for the rates of customers
+    /// over all models and services.
     pub fn with_admission<F, T>(&self, model: &Name, ask: F) -> T
     where
         F: FnOnce(&mut Admission) -> T,
--- a/crates/tealsaddle-node/tests/it/caller.rs
+++ b/crates/tealsaddle-node/tests/it/caller.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http2;
 use hyper::{Method, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde_json::json;
+use tealsaddle_core::inventory::Role;
 use tealsaddle_node::caller::auth::sha256_hex;
 use tealsaddle_testkit::client::wait_until;
 use tealsaddle_testkit::http;
@@ -139,6 +142,86 @@
     );
 }
 
+/// Guards against a customer that gets its rate once per model and service, or evades it by a
+/// header.
+#[tokio::test]
+async fn rate_covers_all_requests_of_a_customer() {
+    let engine = Engine::good(0).await;
+    let key = sha256_hex(&[b"secret"]);
+    let more = format!(
+        "customers: [{{name: c, api_key_sha256: [{key}], requests_per_s: 0.01}}]\n\
+         services: [{{name: s, targets: [{{name: t, zone: a, address: \"{}\"}}]}}]\n",
+        engine.address()
+    );
+    let rig = rig_with(&engine, "", &more).await;
+    let headers = [
+        ("authorization", "Bearer secret"),
+        ("x-tealsaddle-hops", "1"),
+    ];
+    let answer = rig.post("/v1/completions", &headers, &body(1, false)).await;
+    assert_eq!(answer.status, 200);
+    let answer = rig.post("/services/s/cancel", &headers, "{}").await;
+    assert_eq!(
+        (answer.status, answer.header("x-reason")),
+        (429, "customer_rate")
+    );
+    assert!(engine.asked("/cancel").is_empty());
+}
+
+/// Guards against bodies that together fill the memory: 32 of the largest size may be held.
+#[tokio::test]
+async fn bodies_in_arrival_are_bounded() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "request_body_bytes: 1000", "").await;
+    let mut kept = Vec::new();
+    for _ in 0..32 {
+        let mut stream = TcpStream::connect(rig.address).await.expect("a connection");
+        let head = "POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\n";
+        let part = format!("{head}{}", " ".repeat(990));
+        stream.write_all(part.as_bytes()).await.expect("sent");
+        kept.push(stream);
+    }
+    wait_until(|| async { rig.traffic.body_bytes.available_permits() == 320 }).await;
+    let long = body(1, false).replace("p q", &"p ".repeat(300));
+    let answer = rig.post("/v1/completions", &[], &long).await;
+    assert_eq!(
+        (answer.status, answer.header("x-reason")),
+        (503, "body_space")
+    );
+    drop(kept);
+    wait_until(|| async { rig.traffic.body_bytes.available_permits() == 32_000 }).await;
+    assert_eq!(rig.complete(1, false).await.status, 200);
+}
+
+/// Guards against HTTP/2 callers that get another answer than HTTP/1.1 callers.
+#[tokio::test]
+async fn http2_callers_are_served() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "", "").await;
+    let stream = TcpStream::connect(rig.address).await.expect("a connection");
+    let (executor, io) = (TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, connection) = http2::handshake(executor, io).await.expect("HTTP/2");
+    let connection = tokio::spawn(connection);
+    let mut ask = |path: &str| {
+        let request = hyper::Request::post(format!("http://{}{path}", rig.address));
+        let body = Full::<bytes::Bytes>::from(body(5, true));
+        sender.send_request(request.body(body).expect("a request"))
+    };
+    let answer = ask("/v1/completions").await.expect("an answer");
+    let body = answer
+        .into_body()
+        .collect()
+        .await
+        .expect("a whole answer")
+        .to_bytes();
+    assert!(body.ends_with(b"data: [DONE]\n\n"));
+    rig.publish(|snapshot| snapshot.is_leaving = true);
+    let refused = ask("/v1/completions").await.expect("an answer");
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers()["x-reason"], "draining");
+    connection.abort();
+}
+
 /// Guards against work without bound, and against one slow reader that stops the others.
 #[tokio::test]
 async fn requests_in_flight_are_bounded() {
@@ -182,6 +265,13 @@
         (503, "no_engine")
     );
     assert_eq!(engine.generated(), 1);
+    // Nor does an engine on a VM that is leaving get work.
+    rig.publish(|snapshot| {
+        snapshot.open_engines.extend([("e0".into(), Role::Mixed)]);
+        snapshot.leaving_vms.extend(["vm-e0".into()]);
+    });
+    assert_eq!(rig.complete(1, false).await.status, 503);
+    rig.publish(|snapshot| snapshot.open_engines.clear());
     assert!(rig.traffic.enter(&"e0".into()).is_none());
     assert_eq!(rig.traffic.in_flight.count("e0"), 0);
 }
@@ -320,8 +410,7 @@
 #[tokio::test]
 async fn request_spills_to_another_zone() {
     let engine = Engine::good(0).await;
-    let yaml =
-        config(&[(engine.address(), "mixed")]).replace("zone: a, address", "zone: b, address");
+    let yaml = config(&[(engine.address(), "mixed")]).replace("zone: a, vm", "zone: b, vm");
     let rig = Rig::start(&yaml).await;
     let near = rig_with(&engine, "", "").await;
     rig.publish(|snapshot| snapshot.peers = vec![near.as_peer("b")]);
--- a/crates/tealsaddle-node/tests/it/rig.rs
+++ b/crates/tealsaddle-node/tests/it/rig.rs
@@ -152,7 +152,7 @@
     for (i, (address, role)) in engines.iter().enumerate() {
         writeln!(
             yaml,
-            "  - {{name: e{i}, zone: a, address: \"{address}\", models: [m], role: {role}, \
+            "  - {{name: e{i}, zone: a, vm: vm-e{i}, address: \"{address}\", models: [m], role: {role}, \
              prefill_tokens_per_s: 100000, decode_tokens_per_s: 10000, batch_requests: 64, \
              kv_capacity_tokens: 10000000}}"
         )
