--- a/crates/tealsaddle-node/src/caller/select.rs
+++ b/crates/tealsaddle-node/src/caller/select.rs
@@ -109,6 +109,7 @@
             candidates: &candidates,
             neighbours: &neighbours,
             targets,
+            typical: traffic.typical(&completion.model.name),
         };
         let now_us = clock::now_us();
         let routed = traffic
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -1,9 +1,16 @@
 //! Integration tests with real node processes.
 
 mod admin;
+mod authority;
+mod caller;
+mod cluster;
 mod config;
+mod faults;
+mod hostile;
+mod membership;
 mod operator;
 mod path;
 mod rig;
+mod service;
 mod stream;
 mod support;
