--- a/crates/tealsaddle-testkit/examples/capacity/quantities.rs
+++ b/crates/tealsaddle-testkit/examples/capacity/quantities.rs
@@ -14,7 +14,7 @@
 use tealsaddle_core::planner::{
     CostConfig, CostPlanner, Demand, EngineView, Limits, Planner, PoolView,
 };
-use tealsaddle_core::route::{Candidate, RequestFacts, RouteTable, Router};
+use tealsaddle_core::route::{Candidate, RequestFacts, RouteTable, Router, Typical};
 use tealsaddle_schema::peer::{
     EngineReport, HeartbeatRequest, PeerInfo, RoutingTable, TableEntry, TableVersion,
 };
@@ -113,6 +113,10 @@
             candidates: &candidates,
             neighbours: &[],
             targets: TARGETS,
+            typical: Typical {
+                read_tokens: 2_000.0,
+                output_tokens: 300.0,
+            },
         };
         let request = RequestFacts {
             model: Name::from("rules"),
