Let lower classes spill earlier and open the planner of the settings

Cause: the router ignored the priority class, so admission refused a lower class on the same estimate that kept it in a full zone. Change: the router keeps the same share of the first-token target free as admission does; planner::open makes the planner of a policy; tests for a full batch, a filled mixed engine, the class margin and a swing that the slow average held back. The ways of a request have their own file.

--- a/crates/tealsaddle-core/src/admission.rs
+++ b/crates/tealsaddle-core/src/admission.rs
@@ -115,13 +115,24 @@
     pub class_margin: f64,
 }
 
+/// Default share of the first-token target that a class keeps free.
+pub const CLASS_MARGIN: f64 = 0.15;
+
+/// Classes after this one keep free no more than it does.
+const LAST_CLASS: u32 = 4;
+
+/// Share of the first-token target that a priority class keeps free for the classes before it.
+pub fn kept_free(priority: u32, class_margin: f64) -> f64 {
+    class_margin * f64::from(priority.min(LAST_CLASS))
+}
+
 impl Default for AdmissionConfig {
     fn default() -> Self {
         Self {
             capacity_us_per_s: 1e6,
             max_waiting: 256,
             window_us: 10_000_000,
-            class_margin: 0.15,
+            class_margin: CLASS_MARGIN,
         }
     }
 }
@@ -258,7 +269,7 @@
             return Err(refused(RefusalReason::QueueFull, 1_000));
         }
         let targets = request.targets;
-        let kept_free = self.config.class_margin * f64::from(request.priority.min(4));
+        let kept_free = kept_free(request.priority, self.config.class_margin);
         let allowed_us = (targets.first_token_us as f64 * (1.0 - kept_free)) as u64;
         let late_us = first_token_us.saturating_sub(allowed_us);
         if late_us > 0 || estimate.between_tokens_us > targets.between_tokens_us {
--- a/crates/tealsaddle-core/src/planner/mod.rs
+++ b/crates/tealsaddle-core/src/planner/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::admission::Targets;
 use crate::decision::Alternative;
-use crate::inventory::{Engine, Policy, Role};
+use crate::inventory::{Engine, PlannerKind, Policy, Role};
 use crate::load::CorrectedLoad;
 use crate::name::Name;
 
@@ -107,6 +107,17 @@
     fn plan(&mut self, view: &PoolView, now_us: u64) -> Vec<RoleMove>;
 }
 
+/// Opens the planner that the operators chose.
+pub fn open(policy: &Policy) -> Box<dyn Planner> {
+    let limits = Limits::from(policy);
+    match policy.planner {
+        PlannerKind::Cost => Box::new(CostPlanner::new(limits, CostConfig::from(policy))),
+        PlannerKind::Fixed => Box::new(FixedSplit),
+        PlannerKind::Threshold => Box::new(Threshold::new(limits)),
+        PlannerKind::Mixed => Box::new(AllMixed::new(limits)),
+    }
+}
+
 /// Bounds that hold for every planner.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limits {
--- a/crates/tealsaddle-core/src/route.rs
+++ b/crates/tealsaddle-core/src/route/mod.rs
@@ -10,16 +10,19 @@
 //! Of the best candidates two are drawn at random and the better one taken, so that many nodes do
 //! not all send to the engine that looks idle in the same late report.
 
+mod way;
+
 use std::sync::Arc;
 
 use rand::Rng;
 use rand::RngExt;
 
-use crate::admission::Targets;
+use crate::admission::{CLASS_MARGIN, Targets, kept_free};
 use crate::decision::Alternative;
 use crate::inventory::{Engine, Role};
 use crate::load::CorrectedLoad;
 use crate::name::Name;
+use way::{Way, way};
 
 /// What the router knows of a request.
 #[derive(Debug, Clone)]
@@ -159,6 +162,8 @@
     pub near_best_us: u64,
     /// Hop to a node of another zone.
     pub hop_us: u64,
+    /// Share of the first-token target that each priority class keeps free, as in admission.
+    pub class_margin: f64,
 }
 
 impl Default for RouterConfig {
@@ -170,6 +175,7 @@
             transfer_tokens_per_s: 200_000,
             near_best_us: 20_000,
             hop_us: 2_000,
+            class_margin: CLASS_MARGIN,
         }
     }
 }
@@ -195,66 +201,6 @@
     pub alternatives: Vec<Alternative>,
 }
 
-/// One way to run a request.
-#[derive(Debug, Clone, Copy)]
-struct Way<'a> {
-    prefill: &'a Candidate,
-    decode: &'a Candidate,
-    first_token_us: u64,
-    between_tokens_us: u64,
-    is_on_time: bool,
-}
-
-impl Way<'_> {
-    fn name(&self) -> String {
-        if self.is_single() {
-            self.decode.engine.name.to_string()
-        } else {
-            format!(
-                "{} -> {}",
-                self.prefill.engine.name, self.decode.engine.name
-            )
-        }
-    }
-
-    fn is_single(&self) -> bool {
-        Arc::ptr_eq(&self.prefill.engine, &self.decode.engine)
-    }
-
-    const fn rank(&self) -> (bool, u64) {
-        (!self.is_on_time, self.first_token_us)
-    }
-
-    fn choice(&self) -> RouteChoice {
-        if self.is_single() {
-            RouteChoice::Single(Arc::clone(&self.decode.engine))
-        } else {
-            RouteChoice::Split {
-                prefill: Arc::clone(&self.prefill.engine),
-                decode: Arc::clone(&self.decode.engine),
-            }
-        }
-    }
-
-    fn describe(&self, targets: Targets) -> String {
-        let way = match (self.is_single(), self.decode.role) {
-            (true, Role::Decode) => "borrows decode steps",
-            (true, _) => "one engine",
-            (false, _) => "moves KV cache",
-        };
-        let lateness = if self.is_on_time {
-            "on time"
-        } else if self.first_token_us > targets.first_token_us {
-            "first token late"
-        } else {
-            "tokens too slow"
-        };
-        let between_ms = self.between_tokens_us / 1_000;
-        let cached = self.prefill.cached_tokens;
-        format!("{way}, {lateness}, {between_ms} ms between tokens, {cached} tokens cached")
-    }
-}
-
 /// Chooses engines.
 #[derive(Debug, Clone, Default)]
 pub struct Router {
@@ -280,8 +226,11 @@
     {
         // Time that the request has already spent counts against its first token.
         let left_us = request.first_token_due_us.saturating_sub(now_us);
+        // A lower class leaves the last of the time to the classes before it, and spills earlier.
+        let kept_free = kept_free(request.priority, self.config.class_margin);
+        let allowed_us = (table.targets.first_token_us as f64 * (1.0 - kept_free)) as u64;
         let targets = Targets {
-            first_token_us: table.targets.first_token_us.min(left_us),
+            first_token_us: allowed_us.min(left_us),
             ..table.targets
         };
         let mut ways = self.ways(table, request, targets);
@@ -454,24 +403,6 @@
     }
 }
 
-fn way<'a>(
-    prefill: &'a Candidate,
-    decode: &'a Candidate,
-    first_token_us: f64,
-    between_tokens_us: f64,
-    targets: Targets,
-) -> Way<'a> {
-    let (first_token_us, between_tokens_us) = (first_token_us as u64, between_tokens_us as u64);
-    Way {
-        prefill,
-        decode,
-        first_token_us,
-        between_tokens_us,
-        is_on_time: first_token_us <= targets.first_token_us
-            && between_tokens_us <= targets.between_tokens_us,
-    }
-}
-
 /// Engine time that a request takes, with its output at its longest, in microseconds.
 pub fn engine_us(request: &RequestFacts, prefill: &Candidate, decode: &Candidate) -> u64 {
     let read = request.prompt_tokens.saturating_sub(prefill.cached_tokens);
--- a/crates/tealsaddle-core/tests/planner.rs
+++ b/crates/tealsaddle-core/tests/planner.rs
@@ -5,12 +5,12 @@
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
 use tealsaddle_core::admission::Targets;
-use tealsaddle_core::inventory::{Engine, Role};
+use tealsaddle_core::inventory::{Engine, PlannerKind, Policy, Role};
 use tealsaddle_core::load::CorrectedLoad;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::planner::{
     AllMixed, CostConfig, CostPlanner, Demand, EngineView, Limits, Oracle, Planner, PoolView,
-    Threshold,
+    Threshold, open,
 };
 
 const LIMITS: Limits = Limits {
@@ -171,6 +171,52 @@
     assert!(heavy > light + 30, "{light} {heavy}");
 }
 
+/// Guards against a slow average that holds on to the old mix while a swing makes answers late.
+#[test]
+fn follows_a_full_swing_within_ten_seconds() {
+    for role_change_weight in [1.0, 10.0] {
+        let config = CostConfig {
+            role_change_weight,
+            ..CostConfig::default()
+        };
+        let mut planner = CostPlanner::new(LIMITS, config);
+        let rulings = [
+            Role::Prefill,
+            Role::Prefill,
+            Role::Prefill,
+            Role::Prefill,
+            Role::Decode,
+            Role::Decode,
+        ];
+        for round in 0..300 {
+            planner.plan(&view(&rulings, RULINGS), round * 1_000_000);
+        }
+        let moved = (300..310_u64).any(|round| {
+            let moves = planner.plan(&view(&rulings, SUMMARIES), round * 1_000_000);
+            !moves.is_empty()
+        });
+        assert!(moved, "weight {role_change_weight}");
+    }
+}
+
+/// Guards against a setting that opens another planner.
+#[test]
+fn opens_the_planner_of_the_settings() {
+    let kinds = [
+        (PlannerKind::Cost, "cost"),
+        (PlannerKind::Fixed, "fixed"),
+        (PlannerKind::Threshold, "threshold"),
+        (PlannerKind::Mixed, "mixed"),
+    ];
+    for (planner, name) in kinds {
+        let policy = Policy {
+            planner,
+            ..Policy::default()
+        };
+        assert_eq!(open(&policy).name(), name);
+    }
+}
+
 /// Guards against orders that cannot be recorded.
 #[test]
 fn plans_nothing_while_no_order_can_be_issued() {
--- a/crates/tealsaddle-core/tests/route.rs
+++ b/crates/tealsaddle-core/tests/route.rs
@@ -41,6 +41,15 @@
 }
 
 fn route(candidates: &[Candidate], neighbours: &[ZoneOffer], prompt_tokens: u64) -> Routed {
+    route_class(candidates, neighbours, prompt_tokens, 0)
+}
+
+fn route_class(
+    candidates: &[Candidate],
+    neighbours: &[ZoneOffer],
+    prompt_tokens: u64,
+    priority: u32,
+) -> Routed {
     let targets = Targets {
         first_token_us: 490_000 + prompt_tokens * 250,
         between_tokens_us: 37_000,
@@ -49,13 +58,16 @@
         candidates,
         neighbours,
         targets,
-        typical: Typical::default(),
+        typical: Typical {
+            read_tokens: 1_000.0,
+            output_tokens: 200.0,
+        },
     };
     let request = RequestFacts {
         model: Name::from("rules"),
         prompt_tokens,
         max_output_tokens: 200,
-        priority: 0,
+        priority,
         prefix_hash: 0,
         first_token_due_us: targets.first_token_us,
     };
@@ -155,3 +167,42 @@
     assert!(matches!(routed.choice, RouteChoice::None));
     assert!(routed.first_token_us.is_none() && !routed.is_on_time);
 }
+
+/// Guards against requests that are admitted to an engine with a full batch and then wait for
+/// seconds.
+#[test]
+fn a_full_batch_delays_the_first_token() {
+    let candidates = [
+        candidate("p1", Role::Prefill, 0, 0),
+        candidate("d1", Role::Decode, 0, 60),
+    ];
+    let routed = route(&candidates, &[], 300);
+    assert!(!routed.is_on_time);
+    assert!(routed.first_token_us.unwrap() > 1_000_000, "{routed:?}");
+}
+
+/// Guards against mixed engines that are filled until their tokens come too slowly.
+#[test]
+fn a_mixed_engine_counts_the_prompts_that_its_batch_brings() {
+    let routed = |batch| route(&[candidate("m1", Role::Mixed, 0, batch)], &[], 300);
+    assert!(routed(5).is_on_time);
+    assert!(routed(40).between_tokens_us > 37_000);
+    assert!(!routed(40).is_on_time);
+}
+
+/// Guards against low classes that use the last of the time which a high class may need.
+#[test]
+fn a_lower_class_spills_earlier() {
+    let candidates = [
+        candidate("p1", Role::Prefill, 3_500, 0),
+        candidate("d1", Role::Decode, 0, 46),
+    ];
+    let neighbours = [ZoneOffer {
+        zone: Name::from("pest-hall"),
+        spare_prefill_tokens: 9_000,
+        spare_decode_requests: 3,
+    }];
+    assert_eq!(route_class(&candidates, &neighbours, 300, 0).spill_to, None);
+    let spilled = route_class(&candidates, &neighbours, 300, 2).spill_to;
+    assert_eq!(spilled.as_deref(), Some("pest-hall"));
+}
