Pass over what has just failed and drop readers that stop reading

Cause: a dead engine looks idle, so it was chosen again and again and each choice cost a retry; a reader that left its window closed kept its place for ever; a node that had left the router list could still send. Change: engines, targets and peers that failed to connect, broke or timed out are passed over for 1 s as long as others remain; the kernel breaks a connection whose caller acknowledges nothing for three times the header time; the check before a send includes the registration. Conclusion: the retry budget is left for real failures.

--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -71,7 +71,15 @@
                 traffic.counters.increment("caller.gone");
                 return;
             }
-            Err(refusal) => Output::Failed(refusal),
+            Err(refusal) => {
+                let name = format!("completion.failed.{}", refusal.reason);
+                traffic.counters.increment(&name);
+                Output::Failed(Refusal {
+                    // Another run does no harm, and the fault may have passed.
+                    retry_after_s: completion.is_repeatable.then_some(1),
+                    ..refusal
+                })
+            }
         };
         // A caller that went away needs no ending.
         drop(sender.send(last).await);
@@ -105,6 +113,7 @@
             AttemptEnd::CallerGone => return Ok(None),
             AttemptEnd::Failed(engine, outcome) => (engine, outcome),
         };
+        traffic.suspects.on_failure(&engine, outcome);
         failed.push(engine);
         may_split &= !is_split;
         let service = &completion.model.name;
--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -103,6 +103,7 @@
         .collect();
     // The stable sort that follows keeps this order among equals and so spreads the load.
     peers.shuffle(&mut rand::rng());
+    peers.sort_by_key(|peer| traffic.suspects.contains(&peer.vm));
     peers
 }
 
@@ -148,6 +149,7 @@
         if refused.is_some() {
             last = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
         }
+        traffic.suspects.on_failure(&peer.vm, last);
         let id = &context.request_id;
         let next = traffic.on_failure(&budget, id, &mut attempts, last);
         if next.is_err() || i + 1 == peers.len() {
--- a/crates/tealsaddle-node/src/caller/select.rs
+++ b/crates/tealsaddle-node/src/caller/select.rs
@@ -97,7 +97,7 @@
     for _ in 0..MAX_CHOICES {
         let snapshot = traffic.snapshot.load_full();
         let all = traffic.candidates(&snapshot, &completion.model.name);
-        let candidates = usable(all, failed, may_split);
+        let candidates = usable(traffic, all, failed, may_split);
         let targets = targets(completion, &candidates);
         let facts = facts(completion, targets);
         let neighbours = if may_spill {
@@ -189,21 +189,25 @@
     }
 }
 
-fn usable(all: Vec<Candidate>, failed: &[Name], may_split: bool) -> Vec<Candidate> {
-    let has_failed = |candidate: &Candidate| failed.contains(&candidate.engine.name);
+fn usable(
+    traffic: &Traffic,
+    all: Vec<Candidate>,
+    failed: &[Name],
+    may_split: bool,
+) -> Vec<Candidate> {
     let generates = |candidate: &Candidate| candidate.role != Role::Prefill;
     // After a failed split one engine does everything, and an engine for prefill alone cannot.
-    let all: Vec<Candidate> = all
+    let all = all
         .into_iter()
-        .filter(|candidate| may_split || generates(candidate))
-        .collect();
-    let fresh: Vec<Candidate> = all.iter().filter(|c| !has_failed(c)).cloned().collect();
+        .filter(|candidate| may_split || generates(candidate));
+    let all: Vec<Candidate> = all.collect();
+    let untried = |c: &&Candidate| !failed.contains(&c.engine.name);
+    let sound = |c: &&Candidate| !traffic.suspects.contains(&c.engine.name);
     // With no other engine left the same one is tried again, since its connection may be at fault.
-    if fresh.iter().any(generates) {
-        fresh
-    } else {
-        all
-    }
+    let untried: Vec<Candidate> = all.iter().filter(untried).cloned().collect();
+    let sound: Vec<Candidate> = untried.iter().filter(sound).cloned().collect();
+    let mut tiers = [sound, untried].into_iter();
+    tiers.find(|tier| tier.iter().any(generates)).unwrap_or(all)
 }
 
 fn describe(plan: &Plan) -> String {
--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
@@ -28,6 +29,9 @@
 /// Largest head of an HTTP/1 request, and largest header list of HTTP/2.
 const HEAD_BYTES: usize = 64 << 10;
 
+/// A caller may leave an answer untouched this many times as long as it may take for a head.
+const STALL_FACTOR: u32 = 3;
+
 /// Wait before the next try when the system refuses to accept a connection, as it does without free
 /// file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -107,6 +111,15 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
+        // The kernel then breaks a connection whose caller leaves its window closed, which frees
+        // the places of a reader that has stopped reading.
+        let stall = traffic.settings.limits.header_timeout * STALL_FACTOR;
+        if SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(stall))
+            .is_err()
+        {
+            continue;
+        }
         let traffic = Arc::clone(&traffic);
         let stop = stop.clone();
         connections.spawn(async move {
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -195,7 +195,7 @@
     headers.insert(REQUEST_ID, id);
 }
 
-/// Targets that take work, those of the own zone first.
+/// Targets that take work: those that work, then those of the own zone first.
 fn targets(traffic: &Traffic, service: &Service) -> Vec<Arc<Target>> {
     let snapshot = traffic.snapshot.load();
     let is_leaving = |target: &Target| {
@@ -209,7 +209,10 @@
         .cloned()
         .collect();
     targets.shuffle(&mut rand::rng());
-    targets.sort_by_key(|target| target.zone != traffic.settings.zone);
+    targets.sort_by_key(|target| {
+        let is_suspect = traffic.suspects.contains(&target.name);
+        (is_suspect, target.zone != traffic.settings.zone)
+    });
     targets
 }
 
@@ -338,6 +341,7 @@
                 },
                 Err(outcome) => (outcome, None),
             };
+            self.traffic.suspects.on_failure(&target.name, outcome);
             let id = &self.context.request_id;
             let next = self.traffic.on_failure(service, id, &mut attempts, outcome);
             let is_over = Instant::now() >= self.deadline || !self.payload.is_intact();
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 //! routed. What the traffic threads count themselves stands beside it in atomics and short locks.
 
 mod in_flight;
+mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -23,6 +24,7 @@
 use uuid::Uuid;
 
 pub use self::in_flight::{InFlight, InFlightGuard};
+pub use self::suspects::Suspects;
 use crate::caller::claim::ClaimLease;
 use crate::caller::proxy::TargetClient;
 use crate::clock;
@@ -116,6 +118,8 @@
     pub targets: TargetClient,
     /// Places for requests in flight at once.
     pub places: Arc<Semaphore>,
+    /// Engines, targets and peers that have just failed.
+    pub suspects: Suspects,
     /// Bytes that may still be held in bodies read as a whole.
     pub body_bytes: Arc<Semaphore>,
     /// Chooses engines.
@@ -160,6 +164,7 @@
             targets: TargetClient::open(),
             places,
             body_bytes: Arc::new(Semaphore::new(body_bytes)),
+            suspects: Suspects::default(),
             router: Router::default(),
             process,
             claim_lease: ClaimLease::default(),
@@ -205,7 +210,8 @@
     /// without the engine came into force.
     pub fn enter(&self, engine: &Name) -> Option<InFlightGuard> {
         let guard = self.in_flight.begin(engine);
-        let is_open = self.snapshot.load().open_engines.contains_key(engine);
+        let snapshot = self.snapshot.load();
+        let is_open = snapshot.is_registered && snapshot.open_engines.contains_key(engine);
         is_open.then_some(guard)
     }
 
--- a/crates/tealsaddle-node/tests/it/service.rs
+++ b/crates/tealsaddle-node/tests/it/service.rs
@@ -204,6 +204,27 @@
     assert!(result.map_or(true, |answer| answer.status == 502));
 }
 
+/// Guards against a reader that stops reading and keeps its place for ever.
+#[tokio::test]
+async fn reader_that_stops_loses_its_place() {
+    let endless = http::bind(ANY, |_| async {
+        let part = || Ok(Frame::data(vec![0; 1 << 16].into()));
+        Response::new(StreamBody::new(futures::stream::repeat_with(part)).boxed_unsync())
+    });
+    let endless = endless.await.expect("a server");
+    let yaml = services(&[("t", "a", endless.address())]).replace("2000", "100000");
+    let limits = "requests_in_flight: 1, header_timeout_ms: 300";
+    let rig = Rig::with(&yaml, free_address(), limits).await;
+    let path = "/services/ladder/x";
+    let unread = rig
+        .client
+        .start(Method::GET, rig.address, path, &[], "")
+        .await;
+    assert_eq!(rig.get("/v1/models").await.status, 503);
+    wait_until(|| async { rig.get("/v1/models").await.status == 200 }).await;
+    drop(unread);
+}
+
 async fn keyed_rig() -> (Service, Platform, Rig) {
     let target = service().await;
     let platform = platform::bind(ANY).await.expect("the platform starts");
--- a/crates/tealsaddle-node/tests/it/stream.rs
+++ b/crates/tealsaddle-node/tests/it/stream.rs
@@ -277,3 +277,17 @@
     let asked = engines[1].asked("/generate");
     assert_eq!(asked.last().expect("a request")["stage"], "full");
 }
+
+/// Guards against a dead engine that costs every second request a retry.
+#[tokio::test]
+async fn dead_engine_is_passed_over() {
+    let engine = Engine::good(0).await;
+    let roles = [(engine.address(), "mixed"), (free_address(), "mixed")];
+    let rig = Rig::start(&config(&roles)).await;
+    let started = std::time::Instant::now();
+    for _ in 0..50 {
+        assert_eq!(rig.complete(1, false).await.status, 200);
+    }
+    let seconds = started.elapsed().as_secs() + 1;
+    assert!(rig.count("retry.connect_failed") <= seconds);
+}
