--- a/crates/tealsaddle-node/src/caller/select.rs
+++ b/crates/tealsaddle-node/src/caller/select.rs
@@ -6,7 +6,9 @@
 use tealsaddle_core::decision::{Decision, DecisionKind};
 use tealsaddle_core::inventory::{Engine, Role};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::route::{Candidate, RequestFacts, RouteChoice, RouteTable, Routed, ZoneOffer};
+use tealsaddle_core::route::{
+    Candidate, RequestFacts, RouteChoice, RouteTable, Routed, Typical, ZoneOffer,
+};
 
 use super::completion::Completion;
 use super::forward;
@@ -109,6 +111,7 @@
             candidates: &candidates,
             neighbours: &neighbours,
             targets,
+            typical: Typical::default(),
         };
         let now_us = clock::now_us();
         let routed = traffic
