Plan roles on the holder and prove orders against faults

The holder runs one planner per model once a round. Demand is counted per model as totals that only grow, travels with heartbeats and is taken as differences, so a lost heartbeat loses nothing. Dwell times survive a takeover, because every node notes the roles in the tables.

Tests bring about: streams in flight when a role change is planned, a holder killed after its intent, an engine that crashes during a change, and a late copy of an order to an engine that ignores fencing tokens.

--- a/crates/tealsaddle-node/src/caller/attempt.rs
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -178,6 +178,11 @@
                 {
                     EndAction::Finish => {
                         release(held);
+                        let prompt = event.prompt_tokens.unwrap_or(0);
+                        let read = prompt.saturating_sub(event.cached_tokens.unwrap_or(0));
+                        let output = event.output_tokens.unwrap_or(0);
+                        let model = &self.completion.model.name;
+                        self.traffic.demands.on_answer(model, read, output);
                         return Ok(Some(Done {
                             finish_reason: event.finish_reason.unwrap_or_else(|| "stop".to_owned()),
                             prompt_tokens: event.prompt_tokens.unwrap_or(0),
--- a/crates/tealsaddle-node/src/caller/chat.rs
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -77,13 +77,17 @@
     drop(snapshot);
     let plan = match select::first(traffic, &completion, context.hops < MAX_HOPS) {
         Selection::Here(plan, estimate) => {
+            traffic.demands.on_request(&completion.model.name);
             admit::admit(traffic, &context, &completion, targets, &estimate)?;
             plan
         }
         Selection::Elsewhere(peers) => {
             return forward::send(traffic, &context, forward, &peers, "spill").await;
         }
-        Selection::None => return Err(select::no_engine()),
+        Selection::None => {
+            traffic.demands.on_request(&completion.model.name);
+            return Err(select::no_engine());
+        }
     };
     let request_id = completion.request_id.clone();
     let output = completion::spawn(Arc::clone(traffic), completion, plan);
--- a/crates/tealsaddle-node/src/control/heartbeat.rs
+++ b/crates/tealsaddle-node/src/control/heartbeat.rs
@@ -15,6 +15,7 @@
 use super::event::Event;
 use super::loads::{self, Report};
 use super::peers::{Peer, parse};
+use super::plan;
 use super::state::Control;
 use crate::clock;
 use crate::traffic::ZoneLoad;
@@ -99,6 +100,7 @@
             loads: self.spare(),
             reports: self.loads.to_messages(true, now_us),
             wants_peers,
+            demands: plan::to_messages(&self.traffic.demands.totals()),
         }
     }
 
@@ -176,7 +178,10 @@
         };
         let sender = parse(&info, now_us)
             .ok_or_else(|| Status::invalid_argument("process, zone or address is malformed"))?;
-        if request.in_flight.len() > MAX_ENTRIES || request.reports.len() > MAX_ENTRIES {
+        if request.in_flight.len() > MAX_ENTRIES
+            || request.reports.len() > MAX_ENTRIES
+            || request.demands.len() > MAX_ENTRIES
+        {
             return Err(Status::invalid_argument("too many engines in one message"));
         }
         let is_same_zone = sender.zone == *self.zone();
@@ -188,13 +193,15 @@
         self.consider_offer(request.config_version, address);
         if is_same_zone {
             if self.is_holder() {
+                let process = request.process.clone().unwrap_or_default();
+                self.planning.on_demands(&process, &request.demands);
                 let in_flight: HashMap<Name, u32> = request
                     .in_flight
                     .iter()
                     .map(|entry| (Name::from(entry.engine.as_str()), entry.requests))
                     .collect();
                 self.authority_events.push_back(AuthorityEvent::Router {
-                    process: request.process.clone().unwrap_or_default(),
+                    process,
                     table: request.table.unwrap_or_default().into(),
                     in_flight,
                 });
--- a/crates/tealsaddle-node/src/control/loads.rs
+++ b/crates/tealsaddle-node/src/control/loads.rs
@@ -83,6 +83,11 @@
             .retain(|engine, _| inventory.engines.contains_key(engine));
     }
 
+    /// All reports by engine.
+    pub const fn reports(&self) -> &HashMap<Name, Report> {
+        &self.reports
+    }
+
     /// Engines that this node polls.
     pub fn polled(&self) -> &[Name] {
         &self.polled
--- a/crates/tealsaddle-node/src/control/members.rs
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -61,6 +61,7 @@
             });
             self.poll_loads(true);
         }
+        self.plan_roles(now_us);
         self.drive_resignation(now_us);
         self.authority_events.push_back(AuthorityEvent::Tick);
     }
@@ -91,6 +92,7 @@
             return;
         }
         for peer in dropped {
+            self.planning.retain(|process| *process != peer.process);
             self.clients.forget(peer.peer_address);
             self.count("member.forgotten");
         }
--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod loads;
 mod members;
 mod peers;
+mod plan;
 mod rounds;
 mod state;
 mod status;
--- /dev/null
+++ b/crates/tealsaddle-node/src/control/plan.rs
@@ -0,0 +1,260 @@
+//! Runs the planner on the holder and hands its wishes to authority.
+//!
+//! One planner per model looks at the engines of the zone once a round. Demand is the sum over the
+//! nodes of the zone, taken as differences of totals that come with heartbeats.
+
+use std::sync::Arc;
+
+use tealsaddle_core::admission::Targets;
+use tealsaddle_core::authority::{Change, Event as AuthorityEvent};
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::decision::{Decision, DecisionKind};
+use tealsaddle_core::inventory::{Engine, Inventory, Model, PlannerKind, Policy, Role};
+use tealsaddle_core::load::CorrectedLoad;
+use tealsaddle_core::name::Name;
+use tealsaddle_core::planner::{
+    AllMixed, CostConfig, CostPlanner, Demand, EngineView, FixedSplit, Limits, Planner, PoolView,
+    RoleMove, Threshold,
+};
+use tealsaddle_schema::peer::ModelDemand;
+use tealsaddle_schema::record::ProcessId;
+
+use super::state::Control;
+use crate::traffic::demand::DemandTotals;
+
+/// Age of a load report from which an engine does not count as up.
+const FRESH_LOAD_US: u64 = 5_000_000;
+
+/// State of planning, used while this process is the holder.
+#[derive(Debug, Default)]
+pub struct Planning {
+    planners: HashMap<Name, Box<dyn Planner>>,
+    /// The policy that the planners were made for.
+    policy: String,
+    planned_us: u64,
+    totals: HashMap<(ProcessId, Name), DemandTotals>,
+    /// Demand since the last round.
+    window: HashMap<Name, DemandTotals>,
+    /// Mean tokens of an answer, from all answers seen.
+    seen: HashMap<Name, DemandTotals>,
+    /// Role of each engine in the last tables, and since when.
+    roles: HashMap<Name, (Role, Option<u64>)>,
+}
+
+fn add(sum: &mut DemandTotals, now: &DemandTotals, before: &DemandTotals) {
+    sum.requests += now.requests.saturating_sub(before.requests);
+    sum.answers += now.answers.saturating_sub(before.answers);
+    sum.read_tokens += now.read_tokens.saturating_sub(before.read_tokens);
+    sum.output_tokens += now.output_tokens.saturating_sub(before.output_tokens);
+}
+
+/// Totals as a message.
+pub fn to_messages(totals: &[(Name, DemandTotals)]) -> Vec<ModelDemand> {
+    let to_message = |(model, totals): &(Name, DemandTotals)| ModelDemand {
+        model: model.to_string(),
+        requests: totals.requests,
+        answers: totals.answers,
+        read_tokens: totals.read_tokens,
+        output_tokens: totals.output_tokens,
+    };
+    totals.iter().map(to_message).collect()
+}
+
+fn planner(policy: &Policy) -> Box<dyn Planner> {
+    let limits = Limits::from(policy);
+    match policy.planner {
+        PlannerKind::Cost => Box::new(CostPlanner::new(limits, CostConfig::from(policy))),
+        PlannerKind::Fixed => Box::new(FixedSplit),
+        PlannerKind::Threshold => Box::new(Threshold::new(limits)),
+        PlannerKind::Mixed => Box::new(AllMixed::new(limits)),
+    }
+}
+
+impl Planning {
+    /// Takes the totals of one process of the zone.
+    pub fn on_demands(&mut self, process: &ProcessId, demands: &[ModelDemand]) {
+        for demand in demands {
+            let model = Name::from(demand.model.as_str());
+            let now = DemandTotals {
+                requests: demand.requests,
+                answers: demand.answers,
+                read_tokens: demand.read_tokens,
+                output_tokens: demand.output_tokens,
+            };
+            let key = (process.clone(), Name::clone(&model));
+            // What a process counted before it was first heard of belongs to no round.
+            if let Some(before) = self.totals.insert(key, now) {
+                add(
+                    self.window.entry(Name::clone(&model)).or_default(),
+                    &now,
+                    &before,
+                );
+                add(self.seen.entry(model).or_default(), &now, &before);
+            }
+        }
+    }
+
+    /// Forgets processes that are gone.
+    pub fn retain<F>(&mut self, is_known: F)
+    where
+        F: Fn(&ProcessId) -> bool,
+    {
+        self.totals.retain(|(process, _), _| is_known(process));
+    }
+
+    /// Notes the roles in a table that came into force.
+    pub fn on_table(&mut self, open: &[(Name, Role)], now_us: u64) {
+        for (engine, role) in open {
+            match self.roles.get_mut(engine) {
+                Some((known, _)) if known == role => {}
+                Some(known) => *known = (*role, Some(now_us)),
+                None => {
+                    self.roles.insert(Name::clone(engine), (*role, None));
+                }
+            }
+        }
+    }
+
+    fn demand(&self, model: &str, interval_s: f64) -> Demand {
+        let window = self.window.get(model).copied().unwrap_or_default();
+        let seen = self.seen.get(model).copied().unwrap_or_default();
+        let per_request = |tokens: u64| tokens as f64 / seen.answers.max(1) as f64;
+        let requests_per_s = window.requests as f64 / interval_s;
+        Demand {
+            requests_per_s,
+            prefill_tokens_per_s: requests_per_s * per_request(seen.read_tokens),
+            output_tokens_per_s: requests_per_s * per_request(seen.output_tokens),
+        }
+    }
+}
+
+impl Control {
+    /// Runs a round of the planners if one is due.
+    pub(super) fn plan_roles(&mut self, now_us: u64) {
+        let Some(inventory) = self.inventory.clone() else {
+            return;
+        };
+        if !self.is_holder() {
+            // A new holder starts with fresh averages.
+            self.planning.planners.clear();
+            return;
+        }
+        let elapsed_us = now_us.saturating_sub(self.planning.planned_us);
+        if elapsed_us < inventory.policy.plan_interval_ms * 1_000 {
+            return;
+        }
+        let own = to_messages(&self.traffic.demands.totals());
+        let process = self.process.clone();
+        self.planning.on_demands(&process, &own);
+        let policy = format!("{:?}", inventory.policy);
+        if self.planning.policy != policy {
+            self.planning.policy = policy;
+            self.planning.planners.clear();
+        }
+        let is_first = self.planning.planners.is_empty();
+        let interval_s = elapsed_us as f64 / 1e6;
+        let mut models: Vec<_> = inventory.models.values().collect();
+        models.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let mut moves = Vec::new();
+        for model in models {
+            let view = self.pool_view(&inventory, model, interval_s, now_us);
+            if view.engines.is_empty() {
+                continue;
+            }
+            let planners = &mut self.planning.planners;
+            let planner = planners
+                .entry(Name::clone(&model.name))
+                .or_insert_with(|| planner(&inventory.policy));
+            // The first window may span the time since the process started.
+            if !is_first {
+                moves.extend(planner.plan(&view, now_us));
+            }
+        }
+        self.planning.window.clear();
+        self.planning.planned_us = now_us;
+        for role_move in moves {
+            self.want(role_move, now_us);
+        }
+    }
+
+    fn want(&mut self, role_move: RoleMove, now_us: u64) {
+        self.count("planner.moves");
+        self.traffic.record(Decision {
+            at_us: now_us,
+            kind: DecisionKind::Role,
+            subject: role_move.engine.to_string(),
+            choice: format!("plan {}", role_move.to),
+            reason: role_move.reason,
+            inputs: vec![("from".to_owned(), role_move.from.to_string())],
+            alternatives: role_move.alternatives,
+        });
+        self.authority_events.push_back(AuthorityEvent::Want {
+            engine: role_move.engine,
+            change: Change::Role(role_move.to),
+        });
+    }
+
+    fn pool_view(
+        &self,
+        inventory: &Inventory,
+        model: &Model,
+        interval_s: f64,
+        now_us: u64,
+    ) -> PoolView {
+        let mut engines: Vec<EngineView> = inventory
+            .engines_for(self.zone(), &model.name)
+            .filter(|engine| !self.drained.contains(&engine.name))
+            .filter_map(|engine| self.engine_view(engine, now_us))
+            .collect();
+        engines.sort_unstable_by(|a, b| a.engine.name.cmp(&b.engine.name));
+        PoolView {
+            engines,
+            demand: self.planning.demand(&model.name, interval_s),
+            targets: Targets {
+                first_token_us: model.first_token_ms * 1_000,
+                between_tokens_us: model.between_tokens_ms * 1_000,
+            },
+            can_order: self.is_platform_reachable,
+        }
+    }
+
+    fn engine_view(&self, engine: &Arc<Engine>, now_us: u64) -> Option<EngineView> {
+        let entry = self.recorded(&engine.name)?;
+        let order = entry.order.as_ref();
+        let load = self.loads.corrected(&engine.name, now_us);
+        let is_fresh = load
+            .report_age_us
+            .is_some_and(|age_us| age_us < FRESH_LOAD_US);
+        let is_withdrawn = order.is_some_and(|order| order.kind == Change::Withdraw.kind());
+        Some(EngineView {
+            engine: Arc::clone(engine),
+            role: entry.role.parse().ok()?,
+            moving_to: order.and_then(|order| order.role.parse().ok()),
+            role_since_us: self
+                .planning
+                .roles
+                .get(&engine.name)
+                .and_then(|(_, since)| *since),
+            is_available: is_fresh && !is_withdrawn,
+            load,
+        })
+    }
+}
+
+impl super::loads::Loads {
+    /// Load of an engine as last reported, for the planner.
+    fn corrected(&self, engine: &str, now_us: u64) -> CorrectedLoad {
+        self.report(engine)
+            .map_or_else(CorrectedLoad::default, |report| CorrectedLoad {
+                running: report.message.running,
+                waiting: report.message.waiting,
+                queued_prefill_tokens: report.message.queued_prefill_tokens,
+                kv_used_tokens: report.message.kv_used_tokens,
+                report_age_us: Some(now_us.saturating_sub(report.sampled_at_us)),
+            })
+    }
+
+    fn report(&self, engine: &str) -> Option<&super::loads::Report> {
+        self.reports().get(engine)
+    }
+}
--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -16,11 +16,11 @@
 use tealsaddle_schema::record::{ConfigRecord, ProcessId};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
-use uuid::Uuid;
 
 use super::event::Event;
 use super::loads::Loads;
 use super::peers::Peers;
+use super::plan::Planning;
 use super::rounds::Rounds;
 use super::stop::Resigning;
 use super::{config_follow, config_write, members};
@@ -79,6 +79,7 @@
     pub(super) loads: Loads,
     pub(super) zone_loads: HashMap<(Name, Name), ZoneLoad>,
     pub(super) rounds: Rounds,
+    pub(super) planning: Planning,
 
     pub(super) is_platform_reachable: bool,
     pub(super) is_leaving: bool,
@@ -97,10 +98,7 @@
         left: CancellationToken,
     ) -> Self {
         let settings = &traffic.settings;
-        let process = ProcessId {
-            vm: settings.vm.to_string(),
-            incarnation: Uuid::new_v4().to_string(),
-        };
+        let process = traffic.process.clone();
         let authority = Authority::new(Identity {
             process: process.clone(),
             address: settings.peer_listen.to_string(),
@@ -137,6 +135,7 @@
             loads: Loads::default(),
             zone_loads: HashMap::default(),
             rounds: Rounds::default(),
+            planning: Planning::default(),
             is_platform_reachable: false,
             is_leaving: false,
             left,
--- a/crates/tealsaddle-node/src/control/zone.rs
+++ b/crates/tealsaddle-node/src/control/zone.rs
@@ -236,6 +236,7 @@
             "routing table in force"
         );
         self.count("table.in_force");
+        self.planning.on_table(&table.open, clock::now_us());
         self.table = table;
         // Counts of requests in flight are read only after the traffic threads have the table.
         self.publish();
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -62,16 +62,20 @@
         }
         () = control.left() => {}
     }
-    stop(&control, callers, traffic.settings.limits.drain_timeout).await;
+    stop(&control, callers, &traffic).await;
     Ok(())
 }
 
 /// Completes what is in flight, then leaves the router list.
-async fn stop(control: &ControlHandle, callers: CallerServer, drain_timeout: Option<Duration>) {
+async fn stop(control: &ControlHandle, callers: CallerServer, traffic: &Traffic) {
     // Probes of the load balancer must see the 503 before connections are refused.
     tokio::time::sleep(PROBE_GRACE).await;
-    let shutdown = callers.shutdown();
-    match drain_timeout {
+    let shutdown = async {
+        callers.shutdown().await;
+        traffic.tasks.close();
+        traffic.tasks.wait().await;
+    };
+    match traffic.settings.limits.drain_timeout {
         None => shutdown.await,
         Some(limit) => {
             if tokio::time::timeout(limit, shutdown).await.is_err() {
--- /dev/null
+++ b/crates/tealsaddle-node/src/traffic/demand.rs
@@ -0,0 +1,57 @@
+//! Work that callers ask this node for, per model, refused work included.
+//!
+//! Totals only grow, so a reader that misses some of them loses nothing: it takes differences.
+
+use std::sync::Mutex;
+
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::name::Name;
+
+/// Totals of one model since the start of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DemandTotals {
+    /// Requests, refused ones included; forwarded ones count at the node that gets them.
+    pub requests: u64,
+    /// Whole answers.
+    pub answers: u64,
+    /// Prompt tokens of these answers that no prefix cache held.
+    pub read_tokens: u64,
+    /// Output tokens of these answers.
+    pub output_tokens: u64,
+}
+
+/// Totals of all models.
+#[derive(Debug, Default)]
+pub struct Demands {
+    totals: Mutex<HashMap<Name, DemandTotals>>,
+}
+
+impl Demands {
+    fn change(&self, model: &Name, change: impl FnOnce(&mut DemandTotals)) {
+        let mut totals = self.totals.lock().expect("no holder of the lock panics");
+        change(totals.entry(Name::clone(model)).or_default());
+    }
+
+    /// Counts a request.
+    pub fn on_request(&self, model: &Name) {
+        self.change(model, |totals| totals.requests += 1);
+    }
+
+    /// Counts a whole answer.
+    pub fn on_answer(&self, model: &Name, read_tokens: u64, output_tokens: u64) {
+        self.change(model, |totals| {
+            totals.answers += 1;
+            totals.read_tokens = totals.read_tokens.saturating_add(read_tokens);
+            totals.output_tokens = totals.output_tokens.saturating_add(output_tokens);
+        });
+    }
+
+    /// All totals by model.
+    pub fn totals(&self) -> Vec<(Name, DemandTotals)> {
+        let totals = self.totals.lock().expect("no holder of the lock panics");
+        totals
+            .iter()
+            .map(|(model, totals)| (Name::clone(model), *totals))
+            .collect()
+    }
+}
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 //! The control thread publishes an immutable snapshot; a request takes the one in force when it is
 //! routed. What the traffic threads count themselves stands beside it in atomics and short locks.
 
+pub mod demand;
 mod in_flight;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use tokio_util::task::TaskTracker;
 use uuid::Uuid;
 
+use self::demand::Demands;
 pub use self::in_flight::{InFlight, InFlightGuard};
 use crate::caller::claim::ClaimLease;
 use crate::caller::proxy::TargetClient;
@@ -105,6 +107,8 @@
     pub counters: Counters,
     /// Requests of this node in flight per engine.
     pub in_flight: Arc<InFlight>,
+    /// Work that callers ask this node for.
+    pub demands: Demands,
     /// Client of the targets of plain services and of peers.
     pub targets: TargetClient,
     /// Places for requests in flight at once.
@@ -144,6 +148,7 @@
             key_value,
             counters,
             in_flight: Arc::default(),
+            demands: Demands::default(),
             targets: TargetClient::open(),
             places,
             router: Router::default(),
--- a/crates/tealsaddle-node/tests/it/cluster.rs
+++ b/crates/tealsaddle-node/tests/it/cluster.rs
@@ -6,8 +6,10 @@
 use futures::future::join_all;
 use hyper::Method;
 use serde_json::Value;
+use tealsaddle_core::inventory::Role;
 use tealsaddle_testkit::client::wait_until;
 use tealsaddle_testkit::engine::server::{self, Engine, EngineConfig};
+use tealsaddle_testkit::engine::sim::SimConfig;
 use tealsaddle_testkit::platform::{self, Platform, faults::VmState};
 use tealsaddle_testkit::process::{NodeConfig, NodeProcess};
 
@@ -29,17 +31,31 @@
     "127.0.0.1:0".parse().expect("an address")
 }
 
-/// A configuration with one engine per role named, for model `rules`; `fenced` engines check tokens.
-pub fn config(engines: &[Engine], roles: &[&str], fenced: bool, policy: &str) -> String {
+/// An engine for model `rules`.
+pub fn engine(role: Role, checks_fence: bool) -> SimConfig {
+    let speed = EngineConfig {
+        prefill_tokens_per_s: 100_000,
+        between_tokens_ms: 5,
+    };
+    SimConfig {
+        role,
+        checks_fence,
+        role_change_us: 500_000,
+        ..speed.into()
+    }
+}
+
+/// A configuration with one engine per address and role, for model `rules`.
+pub fn config(engines: &[(SocketAddr, &str)], fenced: bool, policy: &str) -> String {
     let mut yaml = format!(
         "zones: [{{name: {ZONE}, region: hu-central}}, {{name: pest-hall, region: hu-central}}]\n\
-         models: [{{name: rules}}]\npolicy: {{{policy}}}\n"
+         models: [{{name: rules, first_token_ms: 60000, between_tokens_ms: 60000}}]\n\
+         policy: {{{policy}}}\n"
     );
     if !engines.is_empty() {
         yaml.push_str("engines:\n");
     }
-    for (i, (engine, role)) in engines.iter().zip(roles).enumerate() {
-        let address = engine.address();
+    for (i, (address, role)) in engines.iter().enumerate() {
         writeln!(
             yaml,
             "  - {{name: e{i}, zone: {ZONE}, vm: runner-{i}, address: \"{address}\", \
@@ -52,21 +68,17 @@
 }
 
 impl Cluster {
-    /// Starts the platform, mixed engines and nodes; nothing is configured yet.
-    pub async fn start(test: &str, nodes: usize, engines: usize) -> Self {
+    /// Starts the platform, engines and nodes; nothing is configured yet.
+    pub async fn start(test: &str, nodes: usize, engines: &[SimConfig]) -> Self {
         let platform = platform::bind(any()).await.expect("the platform starts");
-        let speed = EngineConfig {
-            prefill_tokens_per_s: 100_000,
-            between_tokens_ms: 5,
-        };
         let mut cluster = Self {
             platform,
             engines: Vec::new(),
             nodes: Vec::new(),
             test: test.to_owned(),
         };
-        for i in 0..engines {
-            let engine = server::bind(any(), speed.clone()).await;
+        for (i, config) in engines.iter().enumerate() {
+            let engine = server::bind(any(), config.clone()).await;
             let engine = engine.expect("the engine starts");
             cluster.show_vm(&format!("runner-{i}"), VmState::Live);
             cluster.engines.push(engine);
@@ -85,14 +97,43 @@
 
     /// Starts a zone in service: configured, with a holder, and every node in the router list.
     pub async fn in_service(test: &str, nodes: usize, engines: usize) -> Self {
+        let engines = vec![engine(Role::Mixed, true); engines];
+        Self::with_engines(test, nodes, &engines).await
+    }
+
+    /// As [`Self::in_service`], with engines of all roles; their roles stay fixed.
+    pub async fn with_engines(test: &str, nodes: usize, engines: &[SimConfig]) -> Self {
         let cluster = Self::start(test, nodes, engines).await;
-        let roles = vec!["mixed"; engines];
-        let yaml = config(&cluster.engines, &roles, true, "planner: fixed");
+        let fenced = engines.iter().all(|engine| engine.checks_fence);
+        let yaml = config(&cluster.addresses(engines), fenced, "planner: fixed");
         put_config(cluster.platform.address(), 1, &yaml).await;
-        cluster.wait_in_service(engines).await;
+        cluster.wait_in_service(engines.len()).await;
         cluster
     }
 
+    /// Addresses and roles for [`config`].
+    pub fn addresses(&self, engines: &[SimConfig]) -> Vec<(SocketAddr, &'static str)> {
+        let roles = engines.iter().map(|engine| engine.role.as_str());
+        let addresses = self.engines.iter().map(Engine::address);
+        addresses.zip(roles).collect()
+    }
+
+    /// Puts a configuration in force through a node and waits until all nodes have it.
+    pub async fn apply(&self, version: u64, yaml: &str) {
+        let path = format!("/admin/config?if_version={}", version - 1);
+        let address = self.nodes[0].config.admin;
+        let answer = admin(Method::PUT, address, &path, yaml).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        wait_until(|| async {
+            let statuses = self.statuses().await;
+            statuses
+                .iter()
+                .all(|status| status["config_version"] == version)
+        })
+        .await;
+    }
+
     /// A configuration for a further node.
     pub fn node_config(&self, i: usize) -> NodeConfig {
         NodeConfig::new(&format!("vm-{i}"), ZONE, self.platform.address())
--- a/crates/tealsaddle-node/tests/it/config.rs
+++ b/crates/tealsaddle-node/tests/it/config.rs
@@ -78,7 +78,7 @@
 /// Guards against a change that is lost, or written twice, when the platform's answer is lost.
 #[tokio::test]
 async fn lost_answer_is_settled() {
-    let cluster = Cluster::start("config-lost", 1, 0).await;
+    let cluster = Cluster::start("config-lost", 1, &[]).await;
     let address = cluster.nodes[0].config.admin;
     put_config(cluster.platform.address(), 1, ONE).await;
     wait_until(|| async { config_version(address).await == Some(1) }).await;
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod hostile;
 mod membership;
+mod orders;
 mod path;
 mod rig;
 mod service;
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/orders.rs
@@ -0,0 +1,213 @@
+//! Orders to engines: drained first, never in conflict, whatever happens to their sender.
+
+use nix::sys::signal::Signal;
+use tealsaddle_core::inventory::Role;
+use tealsaddle_testkit::client::{Client, wait_until};
+use tealsaddle_testkit::engine::record;
+use tealsaddle_testkit::engine::server::Engine;
+use tealsaddle_testkit::engine::sim::SimConfig;
+use tealsaddle_testkit::platform::faults::VmState;
+use tealsaddle_testkit::proxy::Proxy;
+use tokio::task::JoinHandle;
+
+use crate::cluster::{Cluster, config, engine};
+
+/// With this policy the planner turns one of two decode engines into a mixed one.
+const TO_MIXED: &str = "planner: mixed, min_dwell_ms: 1, max_moving_share: 1.0";
+
+fn engines(checks_fence: bool) -> Vec<SimConfig> {
+    let roles = [Role::Decode, Role::Decode, Role::Mixed];
+    roles.map(|role| engine(role, checks_fence)).to_vec()
+}
+
+/// Starts streams through a node until both decode engines run one.
+async fn fill(cluster: &Cluster, node: usize) -> Vec<JoinHandle<bool>> {
+    let caller = cluster.nodes[node].config.caller;
+    let mut streams = Vec::new();
+    for seed in 0..60 {
+        if cluster
+            .engines
+            .iter()
+            .all(|engine| engine.attempts_running() > 0)
+        {
+            break;
+        }
+        let body = serde_json::json!({
+            "model": "rules", "prompt": format!("question {seed}"), "max_tokens": 400,
+            "seed": seed, "stream": true,
+        });
+        let running = || {
+            cluster
+                .engines
+                .iter()
+                .map(Engine::attempts_running)
+                .sum::<usize>()
+        };
+        let before = running();
+        streams.push(tokio::spawn(async move {
+            let answer = Client::open()
+                .call(
+                    hyper::Method::POST,
+                    caller,
+                    "/v1/completions",
+                    &[],
+                    body.to_string(),
+                )
+                .await;
+            answer.is_ok_and(|answer| answer.streamed_text().1)
+        }));
+        wait_until(|| async { running() > before }).await;
+    }
+    streams
+}
+
+fn changed(cluster: &Cluster) -> bool {
+    cluster.engines[..2]
+        .iter()
+        .any(|engine| engine.role() == Some((Role::Mixed, false)))
+}
+
+fn assert_no_conflict(cluster: &Cluster) {
+    for engine in &cluster.engines {
+        let record = engine.record();
+        assert_eq!(record::conflicts(&record), Vec::<String>::new());
+        assert_eq!(
+            record::cut_off_by_role_change(&record),
+            Vec::<String>::new()
+        );
+    }
+}
+
+/// Guards against an order to an engine that still answers requests (G2).
+#[tokio::test]
+async fn role_change_waits_for_the_streams() {
+    let engines = engines(true);
+    let cluster = Cluster::with_engines("orders-drain", 3, &engines).await;
+    let streams = fill(&cluster, 1).await;
+    cluster
+        .apply(2, &config(&cluster.addresses(&engines), true, TO_MIXED))
+        .await;
+    wait_until(|| async { changed(&cluster) }).await;
+    for stream in streams {
+        assert!(stream.await.expect("no panic"), "a stream was cut short");
+    }
+    assert_no_conflict(&cluster);
+    // The engine is open again in its new role, at every node.
+    cluster.wait_in_service(3).await;
+    let mixed = |status: &serde_json::Value| {
+        let engines = status["engines"].as_array().cloned().unwrap_or_default();
+        engines
+            .iter()
+            .filter(|engine| engine["role"] == "mixed")
+            .count()
+    };
+    assert_eq!(mixed(&cluster.status(0).await), 2);
+}
+
+/// Guards against two different orders to one engine when the holder dies after its intent.
+#[tokio::test]
+async fn killed_holder_leaves_no_conflict() {
+    let engines = engines(true);
+    let cluster = Cluster::with_engines("orders-killed", 3, &engines).await;
+    let holder = cluster.wait_holder().await;
+    let streams = fill(&cluster, (holder + 1) % 3).await;
+    cluster
+        .apply(2, &config(&cluster.addresses(&engines), true, TO_MIXED))
+        .await;
+    wait_until(|| async {
+        let engines = cluster.status(holder).await["engines"].clone();
+        engines
+            .as_array()
+            .is_some_and(|all| all.iter().any(|e| e["order"]["phase"] == "draining"))
+    })
+    .await;
+    cluster.nodes[holder]
+        .signal(Signal::SIGKILL)
+        .expect("the holder is killed");
+    // Its router entry blocks the drain until the VM list proves that it is gone.
+    cluster.show_vm(&format!("vm-{holder}"), VmState::Gone);
+    wait_until(|| async { changed(&cluster) }).await;
+    for stream in streams {
+        assert!(stream.await.expect("no panic"), "a stream was cut short");
+    }
+    assert_no_conflict(&cluster);
+}
+
+/// Guards against a change that stays half done after the engine crashed in the middle of it.
+#[tokio::test]
+async fn crashed_engine_gets_the_same_order_again() {
+    let mut engines = engines(true);
+    for engine in &mut engines {
+        engine.role_change_us = 2_000_000;
+    }
+    let cluster = Cluster::with_engines("orders-crash", 2, &engines).await;
+    cluster
+        .apply(2, &config(&cluster.addresses(&engines), true, TO_MIXED))
+        .await;
+    let changing = || {
+        cluster
+            .engines
+            .iter()
+            .position(|e| e.role().is_some_and(|(_, is)| is))
+    };
+    wait_until(|| async { changing().is_some() }).await;
+    let engine = &cluster.engines[changing().expect("an engine that changes")];
+    engine.crash();
+    // The stand-in's listener closes a moment after the crash.
+    wait_until(|| async { engine.restart().await.is_ok() }).await;
+    wait_until(|| async { engine.role() == Some((Role::Mixed, false)) }).await;
+    let orders = engine.orders();
+    assert!(orders.len() >= 2, "{orders:?}");
+    assert!(
+        orders
+            .iter()
+            .all(|(order, _)| order.order_id == orders[0].0.order_id)
+    );
+    assert_no_conflict(&cluster);
+    cluster.wait_in_service(3).await;
+}
+
+/// Guards against a different order to an engine that ignores fencing tokens while a copy of an older
+/// one may still arrive from a process that was killed (G1, G3).
+#[tokio::test]
+async fn late_copy_of_an_order_changes_nothing() {
+    let engines = engines(false);
+    let cluster = Cluster::with_engines("orders-late", 3, &engines).await;
+    let holder = cluster.wait_holder().await;
+    let mut addresses = cluster.addresses(&engines);
+    let mut proxies = Vec::new();
+    for (address, _) in &mut addresses[..2] {
+        let proxy = Proxy::bind(*address).await.expect("the proxy starts");
+        proxy.update(|rules| rules.hold_requests = Some("POST /order".to_owned()));
+        *address = proxy.address();
+        proxies.push(proxy);
+    }
+    cluster.apply(2, &config(&addresses, false, TO_MIXED)).await;
+    wait_until(|| async { proxies.iter().any(|proxy| proxy.held() > 0) }).await;
+    cluster.nodes[holder]
+        .signal(Signal::SIGKILL)
+        .expect("the holder is killed");
+    for proxy in &proxies {
+        proxy.update(|rules| rules.hold_requests = None);
+    }
+    cluster.show_vm(&format!("vm-{holder}"), VmState::Gone);
+    wait_until(|| async { changed(&cluster) }).await;
+    for proxy in &proxies {
+        proxy.repeat_held().await.expect("the late copies arrive");
+    }
+    assert_no_conflict(&cluster);
+    // The engine serves although the copy may still arrive; the block ends by itself.
+    wait_until(|| async {
+        let mut released = false;
+        for status in cluster.statuses().await {
+            let engines = status["engines"].as_array().cloned().unwrap_or_default();
+            released |= status["is_holder"] == true
+                && engines
+                    .iter()
+                    .all(|e| e["unreleased"] == 0 && e["order"].is_null());
+        }
+        released
+    })
+    .await;
+    assert_no_conflict(&cluster);
+}
