--- a/crates/tealsaddle-node/src/caller/attempt.rs
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -215,6 +215,9 @@
         let read_tokens = prompt_tokens.saturating_sub(event.cached_tokens.unwrap_or(0));
         let output_tokens = self.joiner.next_index();
         let model = &self.completion.model.name;
+        self.traffic
+            .demands
+            .on_answer(model, read_tokens, output_tokens);
         self.traffic
             .on_request_done(model, read_tokens, output_tokens);
         Done {
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -8,7 +8,8 @@
 mod faults;
 mod hostile;
 mod membership;
-mod operator;
+
+mod orders;
 mod path;
 mod rig;
 mod service;
