Send prompts to the engine that holds their start

Cause: requests on one rulebook went to whichever engine looked idle and were read anew each time. Change: the node keeps what its requests have made engines read, takes it into the estimate of the first token, and corrects it by the cached tokens in answers. Conclusion: affinity holds as long as the queue at that engine is shorter than reading the prompt.

--- a/crates/tealsaddle-node/src/caller/attempt.rs
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -69,10 +69,12 @@
         let engine = Arc::clone(&prefill.engine);
         let kv_tokens = self.completion.prompt_tokens + self.completion.max_tokens;
         let promise = Promise::open(self.traffic, &decode.name, kv_tokens);
-        let mut held = AtEngine::start(self.traffic, prefill, self.work(true, false));
+        let cached_tokens = self.read(&engine);
+        let work = self.work(Some(cached_tokens), false);
+        let mut held = AtEngine::start(self.traffic, prefill, work);
         let request = self.request(held.attempt_id(), Stage::Prefill, None, 0);
         let exported = tokio::select! {
-            exported = self.export(&engine, &request) => exported,
+            exported = self.export(&engine, &request, cached_tokens) => exported,
             () = self.sender.closed() => return AttemptEnd::CallerGone,
         };
         let handle = match exported {
@@ -101,6 +103,7 @@
         &self,
         engine: &Engine,
         request: &GenerateRequest,
+        cached_tokens: u64,
     ) -> Result<String, AttemptOutcome> {
         let deadline = Instant::now() + self.first_token_timeout();
         let mut events = self.start(engine, request, deadline).await?;
@@ -111,6 +114,7 @@
             } else if let Some(handle) = event.kv_handle {
                 let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
                 if (1..=MAX_HANDLE_BYTES).contains(&handle.len()) && handle.bytes().all(is_plain) {
+                    self.on_cached(engine, cached_tokens, event.cached_tokens);
                     return Ok(handle);
                 }
                 return Err(AttemptOutcome::Unknown(UnknownReason::InvalidAnswer));
@@ -129,7 +133,8 @@
         mut held: Option<AtEngine>,
     ) -> AttemptEnd {
         let engine = Arc::clone(&counted.engine);
-        let work = self.work(kv_from.is_none(), true);
+        let cached_tokens = kv_from.is_none().then(|| self.read(&engine));
+        let work = self.work(cached_tokens, true);
         let mut running = AtEngine::start(self.traffic, counted, work);
         let stage = if kv_from.is_some() {
             Stage::Decode
@@ -144,9 +149,12 @@
             () = sender.closed() => Ok(None),
         };
         match end {
-            Ok(Some(done)) => {
+            Ok(Some(last)) => {
                 running.finish();
-                AttemptEnd::Done(done)
+                if let Some(expected) = cached_tokens {
+                    self.on_cached(&engine, expected, last.cached_tokens);
+                }
+                AttemptEnd::Done(self.done(last))
             }
             Ok(None) => AttemptEnd::CallerGone,
             Err(outcome) => {
@@ -156,13 +164,13 @@
         }
     }
 
-    /// Passes tokens on until the end; `None` means that the reader stopped reading.
+    /// Passes tokens on until the event at the end, which is the result; `None` means that the reader stopped reading.
     async fn deliver(
         &mut self,
         request: &GenerateRequest,
         running: &mut AtEngine,
         held: &mut Option<AtEngine>,
-    ) -> Result<Option<Done>, AttemptOutcome> {
+    ) -> Result<Option<GenerateEvent>, AttemptOutcome> {
         let engine = Arc::clone(running.engine());
         // Only a token that is delivered moves the deadline; an engine that sends anything else
         // without end still runs into it.
@@ -178,7 +186,7 @@
                 {
                     EndAction::Finish => {
                         release(held);
-                        return Ok(Some(self.done(event)));
+                        return Ok(Some(event));
                     }
                     EndAction::DropForeign => self.traffic.counters.increment("stream.foreign"),
                     EndAction::Gap => return Err(self.gap()),
@@ -210,6 +218,19 @@
         }
     }
 
+    /// Notes that an engine reads the prompt; gives the tokens that its cache is thought to hold.
+    fn read(&self, engine: &Engine) -> u64 {
+        self.traffic.on_read(engine, &self.completion.prefix_blocks)
+    }
+
+    fn on_cached(&self, engine: &Engine, expected: u64, found: Option<u64>) {
+        if let Some(found) = found {
+            let blocks = &self.completion.prefix_blocks;
+            self.traffic
+                .on_cached(&engine.name, blocks, expected, found);
+        }
+    }
+
     fn done(&self, event: GenerateEvent) -> Done {
         let prompt_tokens = event.prompt_tokens.unwrap_or(0);
         let read_tokens = prompt_tokens.saturating_sub(event.cached_tokens.unwrap_or(0));
@@ -280,10 +301,11 @@
         }
     }
 
-    const fn work(&self, reads: bool, decodes: bool) -> Work {
+    /// Work of an engine; `cached_tokens` is what it need not read, and `None` if it reads nothing.
+    fn work(&self, cached_tokens: Option<u64>, decodes: bool) -> Work {
         let prompt_tokens = self.completion.prompt_tokens;
         Work {
-            prefill_tokens: if reads { prompt_tokens } else { 0 },
+            prefill_tokens: cached_tokens.map_or(0, |cached| prompt_tokens.saturating_sub(cached)),
             decodes,
             kv_tokens: prompt_tokens
                 + if decodes {
--- a/crates/tealsaddle-node/src/caller/chat.rs
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -61,6 +61,7 @@
         request_id: context.request_id.clone(),
         model: Arc::clone(model),
         prompt_tokens: wanted.prompt.split_whitespace().count() as u64,
+        prefix_blocks: tealsaddle_core::prefix::blocks(&wanted.prompt).into(),
         prompt: wanted.prompt.into(),
         max_tokens: wanted.max_tokens.unwrap_or(most_tokens).min(most_tokens),
         seed: wanted.seed.unwrap_or_else(rand::random),
@@ -71,7 +72,8 @@
         arrived_us: context.arrived_us,
         is_repeatable: !context.is_non_repeatable,
     };
-    let candidates = traffic.candidates(&snapshot, &completion.model.name);
+    let candidates =
+        traffic.candidates(&snapshot, &completion.model.name, &completion.prefix_blocks);
     let targets = select::targets(&completion, &candidates);
     drop(snapshot);
     let plan = match select::first(traffic, &completion, context.hops < MAX_HOPS) {
--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -34,6 +34,8 @@
     pub priority: u32,
     /// Length of the prompt, estimated.
     pub prompt_tokens: u64,
+    /// Blocks of the prompt, for what the engines' prefix caches hold of it.
+    pub prefix_blocks: Arc<[u64]>,
     /// Time of its arrival.
     pub arrived_us: u64,
     /// Whether it may run twice.
--- a/crates/tealsaddle-node/src/caller/select.rs
+++ b/crates/tealsaddle-node/src/caller/select.rs
@@ -96,7 +96,7 @@
 ) -> Selection {
     for _ in 0..MAX_CHOICES {
         let snapshot = traffic.snapshot.load_full();
-        let all = traffic.candidates(&snapshot, &completion.model.name);
+        let all = traffic.candidates(&snapshot, &completion.model.name, &completion.prefix_blocks);
         let candidates = usable(traffic, all, failed, may_split);
         let targets = targets(completion, &candidates);
         let facts = facts(completion, targets);
@@ -184,7 +184,7 @@
         prompt_tokens: completion.prompt_tokens,
         max_output_tokens: completion.max_tokens as u32,
         priority: completion.priority,
-        prefix_hash: 0,
+        prefix_hash: completion.prefix_blocks.first().copied().unwrap_or(0),
         first_token_due_us: completion.arrived_us + targets.first_token_us,
     }
 }
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -15,9 +15,10 @@
 use tealsaddle_core::admission::{Admission, AdmissionConfig};
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::decision::{Decision, DecisionKind, DecisionRing};
-use tealsaddle_core::inventory::{Inventory, Role};
+use tealsaddle_core::inventory::{Engine, Inventory, Role};
 use tealsaddle_core::load::{Completion, EngineLoad, LoadReport, Send};
 use tealsaddle_core::name::Name;
+use tealsaddle_core::prefix::PrefixKnowledge;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, RetryBudget};
 use tealsaddle_core::route::{Candidate, Router, Typical};
 use tealsaddle_schema::record::ProcessId;
@@ -142,6 +143,7 @@
     admissions: Mutex<HashMap<Name, Admission>>,
     typical: Mutex<HashMap<Name, Typical>>,
     loads: Mutex<HashMap<Name, EngineLoad>>,
+    prefixes: Mutex<PrefixKnowledge>,
     decisions: Mutex<DecisionRing>,
     watchers: broadcast::Sender<Decision>,
 }
@@ -183,6 +185,7 @@
             admissions: Mutex::default(),
             typical: Mutex::default(),
             loads: Mutex::default(),
+            prefixes: Mutex::default(),
             decisions: Mutex::new(DecisionRing::with_capacity(DECISIONS_KEPT)),
             watchers: broadcast::Sender::new(DECISIONS_BUFFERED),
         }
@@ -193,13 +196,19 @@
         self.pulse.is_overdue(clock::now_us()) || self.snapshot.load().is_stale
     }
 
-    /// Engines of this zone that take new work for a model.
-    pub fn candidates(&self, snapshot: &Snapshot, model: &str) -> Vec<Candidate> {
+    /// Engines of this zone that take new work for a model, with what they hold of a prompt.
+    pub fn candidates(
+        &self,
+        snapshot: &Snapshot,
+        model: &str,
+        prefix_blocks: &[u64],
+    ) -> Vec<Candidate> {
         let Some(inventory) = &snapshot.inventory else {
             return Vec::new();
         };
         let now_us = clock::now_us();
         let loads = self.loads.lock().expect("no holder of the lock panics");
+        let prefixes = self.prefixes.lock().expect("no holder of the lock panics");
         inventory
             .engines_for(&self.settings.zone, model)
             .filter(|engine| {
@@ -213,7 +222,7 @@
                     engine: Arc::clone(engine),
                     role,
                     load: load.unwrap_or_default(),
-                    cached_tokens: 0,
+                    cached_tokens: prefixes.cached_tokens(&engine.name, prefix_blocks),
                 })
             })
             .collect()
@@ -295,6 +304,20 @@
             .on_report(report);
     }
 
+    /// Notes that an engine reads a prompt; gives the tokens that its cache is thought to hold.
+    pub fn on_read(&self, engine: &Engine, prefix_blocks: &[u64]) -> u64 {
+        let mut prefixes = self.prefixes.lock().expect("no holder of the lock panics");
+        let cached_tokens = prefixes.cached_tokens(&engine.name, prefix_blocks);
+        prefixes.on_read(&engine.name, engine.kv_capacity_tokens, prefix_blocks);
+        cached_tokens
+    }
+
+    /// Takes an engine's word on how much of a prompt its cache held.
+    pub fn on_cached(&self, engine: &str, prefix_blocks: &[u64], expected: u64, found: u64) {
+        let mut prefixes = self.prefixes.lock().expect("no holder of the lock panics");
+        prefixes.on_answer(engine, prefix_blocks, expected, found);
+    }
+
     /// Counts a request that this node sends to an engine.
     pub fn on_send(&self, engine: &Name, send: Send) {
         let mut loads = self.loads.lock().expect("no holder of the lock panics");
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -8,9 +8,10 @@
 mod faults;
 mod hostile;
 mod membership;
-
+mod operator;
 mod orders;
 mod path;
+mod prefix;
 mod rig;
 mod service;
 mod stream;
