Separate membership from orders in authority and measure blocks

Cause: reading the code afresh: one file mixed registration with orders, a follower kept what only a holder needs after handing over, an engine found in a change was routed to, and the duration of blocks was not shown. Change: a module of its own for processes that come and go; one way to become a follower; engines found changing stay closed; a release decision carries blocked_ms; tests for withdrawal, cancelled wishes and found roles; an example. Conclusion: no change of the interface.

--- a/crates/tealsaddle-core/src/authority/engines.rs
+++ b/crates/tealsaddle-core/src/authority/engines.rs
@@ -27,6 +27,8 @@
     /// Lowest query whose answer counts.
     first_valid_query: u64,
     pub(super) asked_at_us: Option<u64>,
+    /// Since when older orders have kept different ones from the engine.
+    pub(super) unreleased_since_us: Option<u64>,
     /// The engine took the recorded order from this process under the current epoch.
     pub(super) has_accepted: bool,
 }
--- a/crates/tealsaddle-core/src/authority/lease_flow.rs
+++ b/crates/tealsaddle-core/src/authority/lease_flow.rs
@@ -3,7 +3,7 @@
 use tealsaddle_schema::record::LeaseRecord;
 
 use super::event::{Action, Stored, WriteOutcome};
-use super::lease::{RENEW_US, WATCH_US};
+use super::lease::{HeldLease, RENEW_US, WATCH_US};
 use super::order;
 use super::{Authority, PendingWrite, RETRY_US, Standing, is_due};
 use crate::decision::DecisionKind;
@@ -86,8 +86,7 @@
     fn on_lease_confirmed(&mut self, write: &PendingWrite<LeaseRecord>, actions: &mut Vec<Action>) {
         actions.extend(write.decisions.iter().cloned().map(Action::Decided));
         if write.record.released {
-            self.standing = Standing::Follower;
-            self.table = None;
+            self.become_follower();
         } else {
             self.held_lease.on_renewed(write.begun_at_us);
         }
@@ -112,10 +111,10 @@
         }
     }
 
-    /// Becomes a follower. Sends that are pending stay noted.
-    pub(super) fn step_down(&mut self, reason: &str, now_us: u64, actions: &mut Vec<Action>) {
+    /// Drops what only a holder needs. Sends that are pending stay noted.
+    fn become_follower(&mut self) {
         self.standing = Standing::Follower;
-        self.held_lease = super::HeldLease::default();
+        self.held_lease = HeldLease::default();
         self.table = None;
         self.wants.clear();
         self.unwanted.clear();
@@ -123,6 +122,11 @@
         self.probes.clear();
         self.resigned.clear();
         self.views.clear();
+    }
+
+    /// Becomes a follower against its will.
+    pub(super) fn step_down(&mut self, reason: &str, now_us: u64, actions: &mut Vec<Action>) {
+        self.become_follower();
         actions.push(Action::Decided(Self::decide(
             DecisionKind::Lease,
             &self.me.zone,
--- a/crates/tealsaddle-core/src/authority/mod.rs
+++ b/crates/tealsaddle-core/src/authority/mod.rs
@@ -16,12 +16,17 @@
 //! - every write and every [`Action::SendOrder`] gets exactly one outcome event, reads and queries get
 //!   one when they succeed;
 //! - [`Authority::may_send`] is asked at the moment before the first byte of an order leaves;
-//! - a router report is counted after the table that it names came into force.
+//! - a router report is counted after the table that it names came into force;
+//! - a node routes only when it is in the router list and has a table that a holder published, never on
+//!   the configuration alone; it never goes back to a lower version;
+//! - a stopping node goes on with ticks until [`Authority::may_exit`], or until it has waited long
+//!   enough: its successor then waits for the transit bound instead.
 
 mod engines;
 mod event;
 pub mod lease;
 mod lease_flow;
+mod member_flow;
 pub mod order;
 mod reconcile;
 mod record_flow;
@@ -100,6 +105,26 @@
 }
 
 /// Authority over one zone as one process sees and exercises it.
+///
+/// # Examples
+///
+/// ```
+/// use tealsaddle_core::authority::{Action, Authority, Event, Identity, Standing};
+/// use tealsaddle_schema::record::ProcessId;
+///
+/// let mut authority = Authority::new(Identity {
+///     process: ProcessId { vm: "vm1".to_owned(), incarnation: "i1".to_owned() },
+///     address: "10.0.0.1:7000".to_owned(),
+///     zone: "z1".into(),
+/// });
+/// assert_eq!(authority.on_event(Event::Tick, 0), [Action::ReadLease]);
+///
+/// // The zone has no holder yet, and the platform's list shows this VM.
+/// authority.on_event(Event::Vms(vec![("vm1".into(), false)]), 1_000);
+/// let actions = authority.on_event(Event::LeaseRead(None), 2_000);
+/// assert!(matches!(actions[0], Action::WriteLease { if_version: 0, .. }));
+/// assert_eq!(authority.standing(), Standing::Taking(1));
+/// ```
 #[derive(Debug, Clone)]
 pub struct Authority {
     me: Identity,
@@ -236,7 +261,11 @@
                 engine,
                 query,
                 state,
-            } => self.views.entry(engine).or_default().on_state(query, state),
+            } => {
+                if let Some(view) = self.views.get_mut(&engine) {
+                    view.on_state(query, state);
+                }
+            }
             Event::OrderReply { send, reply } => {
                 self.on_order_reply(send, reply, now_us, &mut actions);
             }
--- a/crates/tealsaddle-core/src/authority/reconcile.rs
+++ b/crates/tealsaddle-core/src/authority/reconcile.rs
@@ -2,80 +2,19 @@
 
 use std::collections::BTreeMap;
 
-use tealsaddle_schema::record::{EngineEntry, ProcessId, RouterEntry, ZoneRecord};
+use tealsaddle_schema::record::{EngineEntry, ZoneRecord};
 
 use super::engines::Stage;
 use super::event::{Action, EngineFacts, OrderReply};
 use super::order::{self, Change, Phase};
 use super::release::{TRANSIT_BOUND_US, remove_unreleased};
-use super::{Authority, Join, Probe, RETRY_US, Standing, is_due, routers};
+use super::{Authority, RETRY_US, Standing, is_due};
 use crate::decision::{Decision, DecisionKind};
 use crate::drain::{Drain, RoutingTable, TableVersion};
 use crate::inventory::Role;
 use crate::name::Name;
 
 impl Authority {
-    pub(super) fn on_vms(&mut self, vms: &[(Name, bool)], now_us: u64) {
-        self.vms.set(vms);
-        self.note_gone(now_us);
-    }
-
-    pub(super) fn on_register(
-        &mut self,
-        process: ProcessId,
-        address: String,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(record) = self.record.as_ref().map(|stored| &stored.record) else {
-            return;
-        };
-        // Only a VM that the list has shown can later be known to be gone.
-        if !matches!(self.standing, Standing::Holder(_))
-            || !self.vms.shows(&process.vm)
-            || routers::is_registered(record, &process)
-        {
-            return;
-        }
-        let occupant = routers::at_address(record, &address).cloned();
-        let router = RouterEntry {
-            process: Some(process),
-            address,
-        };
-        self.joins.retain(|join| join.router != router);
-        match occupant {
-            None => self.joins.push(Join {
-                router,
-                replaces: None,
-            }),
-            // A delayed request of an older process must not push out the newer one.
-            Some(occupant) => {
-                let id = self.next_id();
-                let address = router.address.clone();
-                self.probes.retain(|probe| probe.router != router);
-                self.probes.push(Probe {
-                    id,
-                    router,
-                    occupant,
-                });
-                actions.push(Action::ProbeAddress { probe: id, address });
-            }
-        }
-    }
-
-    pub(super) fn on_probed(&mut self, probe: u64, answered: Option<&ProcessId>) {
-        let Some(index) = self.probes.iter().position(|p| p.id == probe) else {
-            return;
-        };
-        let probe = self.probes.remove(index);
-        // Both processes had been started when the probe was begun, and only the later one can answer.
-        if answered.is_some() && answered == probe.router.process.as_ref() {
-            self.joins.push(Join {
-                router: probe.router,
-                replaces: Some(probe.occupant),
-            });
-        }
-    }
-
     pub(super) fn on_order_reply(
         &mut self,
         send: u64,
@@ -107,23 +46,6 @@
         }
     }
 
-    /// Notes since when former senders are known to be gone.
-    fn note_gone(&mut self, now_us: u64) {
-        let Some(record) = self.record.as_ref().map(|stored| &stored.record) else {
-            return;
-        };
-        for unreleased in record.engines.iter().flat_map(|entry| &entry.unreleased) {
-            let Some(process) = &unreleased.process else {
-                continue;
-            };
-            let is_replaced = routers::at_address(record, &unreleased.address)
-                .is_some_and(|newer| newer != process);
-            if is_replaced || self.vms.has_dropped(&process.vm) {
-                self.gone_since_us.entry(process.clone()).or_insert(now_us);
-            }
-        }
-    }
-
     /// Applies to the record everything that is due.
     pub(super) fn reconcile(&mut self, next: &mut ZoneRecord, now_us: u64) -> Vec<Decision> {
         let mut decisions = Vec::new();
@@ -164,29 +86,6 @@
         decisions
     }
 
-    fn reconcile_routers(&mut self, next: &mut ZoneRecord) {
-        let me = &self.me.process;
-        self.resigned
-            .retain(|process| process != me && routers::is_registered(next, process));
-        for process in &self.resigned {
-            routers::remove(next, process);
-        }
-        let vms = &self.vms;
-        routers::remove_gone(next, |process| {
-            process != me && vms.has_dropped(&process.vm)
-        });
-        self.joins.retain(|join| {
-            let process = join.router.process.as_ref();
-            process.is_some_and(|process| !routers::is_registered(next, process))
-        });
-        for join in &self.joins {
-            let occupant = routers::at_address(next, &join.router.address);
-            if occupant.is_none() || occupant == join.replaces.as_ref() {
-                routers::register(next, join.router.clone());
-            }
-        }
-    }
-
     /// Applies what is due for one engine and says what was decided.
     fn reconcile_engine(
         &mut self,
@@ -247,53 +146,32 @@
         now_us: u64,
     ) -> Option<Decision> {
         let name = &facts.name;
+        let decided = |kind, choice: &str, reason: String| {
+            Some(Self::decide(kind, name, choice, reason, now_us))
+        };
         if facts.is_withdrawn {
             self.wants.remove(name);
             order::intend(next, name, &Change::Withdraw).ok()?;
-            let reason = "withdrawn by the configuration or leaving with its VM";
-            return Some(Self::decide(
-                DecisionKind::Drain,
-                name,
-                "drain",
-                reason,
-                now_us,
-            ));
+            let reason = "withdrawn by the configuration or leaving with its VM".to_owned();
+            return decided(DecisionKind::Drain, "drain", reason);
         }
         let found = self.views.get(name).and_then(|view| view.state());
         if let Some(found) = found.filter(|state| !state.is_changing).map(|s| s.role)
             && order::record_role(next, name, found).is_ok()
         {
             let reason = format!("found in role {found} without an order");
-            return Some(Self::decide(
-                DecisionKind::Role,
-                name,
-                "record",
-                reason,
-                now_us,
-            ));
+            return decided(DecisionKind::Role, "record", reason);
         }
         let change = self.wants.get(name)?;
         match order::intend(next, name, change) {
             Ok(()) => {
                 let reason = format!("wanted: {}", change.kind());
-                Some(Self::decide(
-                    DecisionKind::Drain,
-                    name,
-                    "drain",
-                    reason,
-                    now_us,
-                ))
+                decided(DecisionKind::Drain, "drain", reason)
             }
             Err(refusal) => {
                 self.wants.remove(name);
                 let reason = refusal.to_string();
-                Some(Self::decide(
-                    DecisionKind::Role,
-                    name,
-                    "refuse",
-                    reason,
-                    now_us,
-                ))
+                decided(DecisionKind::Role, "refuse", reason)
             }
         }
     }
@@ -315,7 +193,7 @@
             return;
         };
         if let Some(engines) = self.engines.take() {
-            self.enter_stages(&stored.record);
+            self.enter_stages(&stored.record, now_us, actions);
             self.publish(&stored.record, &engines, epoch, actions);
             for facts in engines.values() {
                 if let Some(entry) = order::entry(&stored.record, &facts.name) {
@@ -327,7 +205,7 @@
         self.record = Some(stored);
     }
 
-    fn enter_stages(&mut self, record: &ZoneRecord) {
+    fn enter_stages(&mut self, record: &ZoneRecord, now_us: u64, actions: &mut Vec<Action>) {
         let next_query = self.next_id + 1;
         for entry in &record.engines {
             let stage = entry.order.as_ref().map(|order| Stage {
@@ -339,6 +217,17 @@
             if view.stage != stage {
                 view.enter(stage, next_query);
             }
+            if !entry.unreleased.is_empty() {
+                view.unreleased_since_us.get_or_insert(now_us);
+            } else if let Some(since_us) = view.unreleased_since_us.take() {
+                let reason = "no older order can reach the engine any more";
+                let name = &entry.engine;
+                let mut decision =
+                    Self::decide(DecisionKind::Role, name, "release", reason, now_us);
+                let blocked_ms = now_us.saturating_sub(since_us) / 1_000;
+                decision.inputs = vec![("blocked_ms".to_owned(), blocked_ms.to_string())];
+                actions.push(Action::Decided(decision));
+            }
         }
     }
 
@@ -355,9 +244,10 @@
             .filter_map(|facts| {
                 let entry = order::entry(record, &facts.name)?;
                 let role: Role = entry.role.parse().ok()?;
-                // A late copy could change an engine that was found in another role.
+                // An engine that was found in another role, or changing, waits until that is settled.
                 let found = self.views.get(&facts.name).and_then(|view| view.state());
-                let is_as_recorded = found.is_none_or(|state| state.role == role);
+                let is_as_recorded =
+                    found.is_none_or(|state| state.role == role && !state.is_changing);
                 (entry.order.is_none() && is_as_recorded).then(|| (Name::clone(&facts.name), role))
             })
             .collect();
@@ -415,7 +305,10 @@
             (None, Some(_)) => false,
             (None, None) => match view.state() {
                 None => true,
-                Some(state) => view.reported_role.is_some_and(|role| role != state.role),
+                Some(state) => {
+                    let is_old = |role| role != state.role;
+                    state.is_changing || view.reported_role.is_some_and(is_old)
+                }
             },
         };
         if has_to_ask && is_due(view.asked_at_us, RETRY_US, now_us) {
--- a/crates/tealsaddle-core/tests/it/authority.rs
+++ b/crates/tealsaddle-core/tests/it/authority.rs
@@ -97,11 +97,15 @@
     }
 
     fn engines(&mut self, names: &[&str]) {
+        self.engines_of(names, false);
+    }
+
+    fn engines_of(&mut self, names: &[&str], is_withdrawn: bool) {
         let facts = names.iter().map(|name| EngineFacts {
             name: Name::from(*name),
             initial_role: Role::Prefill,
             checks_fence: self.checks_fence,
-            is_withdrawn: false,
+            is_withdrawn,
         });
         let facts = facts.collect();
         self.give(Event::Engines(facts));
@@ -482,3 +486,60 @@
     next.tick(0);
     assert_eq!(next.authority.standing(), Standing::Holder(2));
 }
+
+/// Guards against a withdrawn engine that gets an order or work, or stays closed when it is back.
+#[test]
+fn withdrawn_engine_is_drained_only() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    desk.want(ENGINE, Role::Decode);
+    desk.engines_of(&[ENGINE], true);
+    desk.tick(0);
+    assert_eq!(desk.phase(ENGINE), Some("draining"));
+    assert!(!desk.authority.is_drained(ENGINE));
+    desk.drain();
+    assert_eq!(desk.phase(ENGINE), Some("draining"), "nothing is ever sent");
+    assert!(desk.authority.is_drained(ENGINE));
+    let (successor, _) = desk.successor("q");
+    assert_eq!(
+        successor.phase(ENGINE),
+        None,
+        "its configuration has the engine in service"
+    );
+    desk.engines(&[ENGINE]);
+    desk.tick(0);
+    assert_eq!(desk.table().open, [(ENGINE.into(), Role::Prefill)]);
+}
+
+/// Guards against an engine that stays closed for a change that the planner has given up.
+#[test]
+fn unwanted_intent_is_cancelled() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    desk.want(ENGINE, Role::Decode);
+    desk.give(Event::Unwant(ENGINE.into()));
+    assert_eq!(desk.phase(ENGINE), None);
+    assert_eq!(desk.table().open, [(ENGINE.into(), Role::Prefill)]);
+}
+
+/// Guards against routing by a role that the engine has lost, for instance in a restart.
+#[test]
+fn found_role_is_recorded() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    let report = Event::Load {
+        engine: ENGINE.into(),
+        sampled_at_us: desk.now,
+        is_idle: true,
+        role: Role::Mixed,
+    };
+    desk.now += SECOND;
+    let actions = desk.give(report);
+    let [Action::AskState { query, .. }] = actions[..] else {
+        panic!("a report may be old, so the engine is asked: {actions:?}");
+    };
+    let (engine, state) = (ENGINE.into(), state(Role::Mixed, false));
+    desk.give(Event::State {
+        engine,
+        query,
+        state,
+    });
+    assert_eq!(desk.table().open, [(ENGINE.into(), Role::Mixed)]);
+}
