--- a/crates/tealsaddle-core/src/authority/mod.rs
+++ b/crates/tealsaddle-core/src/authority/mod.rs
@@ -16,12 +16,17 @@
 //! - every write and every [`Action::SendOrder`] gets exactly one outcome event, reads and queries get
 //!   one when they succeed;
 //! - [`Authority::may_send`] is asked at the moment before the first byte of an order leaves;
-//! - a router report is counted after the table that it names came into force.
+//! - a router report is counted after the table that it names came into force;
+//! - a node routes only when it is in the router list and has a table that a holder published, never on
+//!   the configuration alone; it never goes back to a lower version;
+//! - a stopping node goes on with ticks until [`Authority::may_exit`], or until it has waited long
+//!   enough: its successor then waits for the transit bound instead.
 
 mod engines;
 mod event;
 pub mod lease;
 mod lease_flow;
+mod member_flow;
 pub mod order;
 mod reconcile;
 mod record_flow;
@@ -100,6 +105,26 @@
 }
 
 /// Authority over one zone as one process sees and exercises it.
+///
+/// # Examples
+///
+/// ```
+/// use tealsaddle_core::authority::{Action, Authority, Event, Identity, Standing};
+/// use tealsaddle_schema::record::ProcessId;
+///
+/// let mut authority = Authority::new(Identity {
+///     process: ProcessId { vm: "vm1".to_owned(), incarnation: "i1".to_owned() },
+///     address: "10.0.0.1:7000".to_owned(),
+///     zone: "z1".into(),
+/// });
+/// assert_eq!(authority.on_event(Event::Tick, 0), [Action::ReadLease]);
+///
+/// // The zone has no holder yet, and the platform's list shows this VM.
+/// authority.on_event(Event::Vms(vec![("vm1".into(), false)]), 1_000);
+/// let actions = authority.on_event(Event::LeaseRead(None), 2_000);
+/// assert!(matches!(actions[0], Action::WriteLease { if_version: 0, .. }));
+/// assert_eq!(authority.standing(), Standing::Taking(1));
+/// ```
 #[derive(Debug, Clone)]
 pub struct Authority {
     me: Identity,
@@ -199,17 +224,22 @@
                 self.resigned.insert(process);
             }
             Event::Probed { probe, process } => self.on_probed(probe, process.as_ref()),
+            // Reports are by far the most frequent events, and most of them change nothing.
             Event::Router {
                 process,
                 table,
                 in_flight,
             } => {
+                let mut has_news = false;
                 for (engine, view) in &mut self.views {
                     if let Some(drain) = &mut view.drain {
                         let count = in_flight.get(engine).copied().unwrap_or(0);
-                        drain.on_router(&process, table, count, now_us);
+                        has_news |= drain.on_router(&process, table, count, now_us);
                     }
                 }
+                if !has_news {
+                    return actions;
+                }
             }
             Event::Load {
                 engine,
@@ -217,17 +247,25 @@
                 is_idle,
                 role,
             } => {
-                let view = self.views.entry(engine).or_default();
-                if let Some(drain) = &mut view.drain {
-                    drain.on_load(sampled_at_us, is_idle);
+                let Some(view) = self.views.get_mut(&engine) else {
+                    return actions;
+                };
+                let drain = view.drain.as_mut();
+                let has_news = drain.is_some_and(|drain| drain.on_load(sampled_at_us, is_idle));
+                let has_same_role = view.reported_role.replace(role) == Some(role);
+                if has_same_role && !has_news {
+                    return actions;
                 }
-                view.reported_role = Some(role);
             }
             Event::State {
                 engine,
                 query,
                 state,
-            } => self.views.entry(engine).or_default().on_state(query, state),
+            } => {
+                if let Some(view) = self.views.get_mut(&engine) {
+                    view.on_state(query, state);
+                }
+            }
             Event::OrderReply { send, reply } => {
                 self.on_order_reply(send, reply, now_us, &mut actions);
             }
