--- a/crates/tealsaddle-core/tests/admission.rs
+++ b/crates/tealsaddle-core/tests/admission.rs
@@ -155,3 +155,27 @@
         })
         .unwrap();
 }
+
+/// Guards against one customer that crowds out the others, at the number of customers of the design.
+#[test]
+fn a_flood_of_one_customer_leaves_the_others_their_demand() {
+    let mut admission = Admission::new(AdmissionConfig::default());
+    let names: Vec<String> = (0..220).map(|i| format!("c{i}")).collect();
+    // Each of 219 asks for 0.3% of the capacity, 66% together, and the last one for 200%.
+    let (mut refused, mut flooded) = (0, 0);
+    for tick in 0..60_000_u64 {
+        let now_us = tick * 1_000;
+        let small = tick as usize % 219;
+        let sent = request(&names[small], 1.0, 0);
+        let is_admitted = admission.admit(&sent, &estimate(657), now_us).is_ok();
+        refused += u64::from(!is_admitted && tick >= 30_000);
+        let flood = request(&names[219], 1.0, 0);
+        let is_admitted = admission.admit(&flood, &estimate(2_000), now_us).is_ok();
+        flooded += u64::from(is_admitted && tick >= 30_000);
+    }
+    assert_eq!(refused, 0);
+    // What the others leave, over 30 s, with the averages' error.
+    let share = flooded as f64 * 2_000.0 / 30e6;
+    assert!((0.25..0.45).contains(&share), "{share}");
+    assert_eq!(admission.customers(), 220);
+}
