List the node's VM in the run of path_cost

Cause: the node now waits for its zone's holder, which needs the VM list; the example listed none and waited in vain. Change: the example lists the VM.

--- a/crates/tealsaddle-node/tests/it/stream.rs
+++ b/crates/tealsaddle-node/tests/it/stream.rs
@@ -289,5 +289,9 @@
         assert_eq!(rig.complete(1, false).await.status, 200);
     }
     let seconds = started.elapsed().as_secs() + 1;
-    assert!(rig.count("retry.connect_failed") <= seconds);
+    assert!(
+        rig.count("retry.connect_failed") <= seconds,
+        "{}",
+        rig.count("retry.connect_failed")
+    );
 }
--- a/crates/tealsaddle-testkit/examples/path_cost.rs
+++ b/crates/tealsaddle-testkit/examples/path_cost.rs
@@ -19,6 +19,7 @@
 use tealsaddle_testkit::engine::server::{self, model_version};
 use tealsaddle_testkit::engine::sim::SimConfig;
 use tealsaddle_testkit::platform;
+use tealsaddle_testkit::platform::faults::VmState;
 use tealsaddle_testkit::process::{NodeConfig, NodeProcess};
 
 /// Callers at once while latency is measured.
@@ -278,6 +279,7 @@
     };
     platform.set("config/current", serde_json::to_value(config)?);
     let settings = NodeConfig::new("vm-1", "a", platform.address());
+    platform.set_vm("vm-1", "a", settings.peer, VmState::Live);
     let directory = std::env::temp_dir().join("tealsaddle-path-cost");
     let process = NodeProcess::spawn(Path::new(&program), &directory, settings)?;
     let node = process.config.caller;
