--- a/crates/tealsaddle-node/src/caller/chat.rs
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -71,11 +71,10 @@
         arrived_us: context.arrived_us,
         is_repeatable: !context.is_non_repeatable,
     };
-    let candidates = traffic.candidates(&snapshot, &completion.model.name);
-    let targets = select::targets(&completion, &candidates);
     drop(snapshot);
     let plan = match select::first(traffic, &completion, context.hops < MAX_HOPS) {
-        Selection::Here(plan, estimate) => {
+        Selection::Here(plan, estimate, targets) => {
+            traffic.demands.on_request(&completion.model.name);
             admit::check_rate(traffic, &context)?;
             admit::admit(traffic, &context, &completion, targets, &estimate)?;
             plan
@@ -83,7 +82,10 @@
         Selection::Elsewhere(peers) => {
             return forward::send(traffic, &context, forward, &peers, "spill").await;
         }
-        Selection::None => return Err(select::no_engine()),
+        Selection::None => {
+            traffic.demands.on_request(&completion.model.name);
+            return Err(select::no_engine());
+        }
     };
     let request_id = completion.request_id.clone();
     let output = completion::spawn(Arc::clone(traffic), completion, plan);
--- a/crates/tealsaddle-node/src/caller/dispatch.rs
+++ b/crates/tealsaddle-node/src/caller/dispatch.rs
@@ -171,12 +171,12 @@
 }
 
 async fn wait_until_fresh(traffic: &Traffic) {
-    if !traffic.snapshot.load().is_stale {
+    if !traffic.is_stale() {
         return;
     }
     traffic.counters.increment("caller.held_while_stale");
     let deadline = Instant::now() + STALE_WAIT;
-    while traffic.snapshot.load().is_stale && Instant::now() < deadline {
+    while traffic.is_stale() && Instant::now() < deadline {
         tokio::time::sleep(STALE_CHECK).await;
     }
 }
--- a/crates/tealsaddle-node/src/caller/openai.rs
+++ b/crates/tealsaddle-node/src/caller/openai.rs
@@ -302,7 +302,7 @@
 impl Chunks {
     /// The event of one token.
     pub fn token(&mut self, text: &str) -> Bytes {
-        let text = Value::from(text);
+        let text = serde_json::to_string(text).expect("a text is JSON");
         let choice = match self.interface {
             Interface::Chat if self.is_first => {
                 format!("\"delta\":{{\"role\":\"assistant\",\"content\":{text}}}")
--- a/crates/tealsaddle-node/src/control/members.rs
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -42,6 +42,7 @@
         if self.rollout.on_tick(now_us) {
             self.refresh(now_us);
         }
+        self.traffic.pulse.tick(now_us);
         self.forget_peers(&[], now_us);
         if due.heartbeat {
             self.send_heartbeats(due.wants_peers);
@@ -61,6 +62,7 @@
             });
             self.poll_loads(true);
         }
+        self.plan_roles(now_us);
         self.drive_resignation(now_us);
         self.authority_events.push_back(AuthorityEvent::Tick);
     }
@@ -91,6 +93,7 @@
             return;
         }
         for peer in dropped {
+            self.planning.retain(|process| *process != peer.process);
             self.clients.forget(peer.peer_address);
             self.count("member.forgotten");
         }
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -3,7 +3,9 @@
 //! The control thread publishes an immutable snapshot; a request takes the one in force when it is
 //! routed. What the traffic threads count themselves stands beside it in atomics and short locks.
 
+pub mod demand;
 mod in_flight;
+mod pulse;
 mod suspects;
 
 use std::net::SocketAddr;
@@ -23,7 +25,9 @@
 use tokio_util::task::TaskTracker;
 use uuid::Uuid;
 
+use self::demand::Demands;
 pub use self::in_flight::{InFlight, InFlightGuard};
+pub use self::pulse::Pulse;
 pub use self::suspects::Suspects;
 use crate::caller::claim::ClaimLease;
 use crate::caller::proxy::TargetClient;
@@ -114,6 +118,10 @@
     pub counters: Counters,
     /// Requests of this node in flight per engine.
     pub in_flight: Arc<InFlight>,
+    /// Work that callers ask this node for.
+    pub demands: Demands,
+    /// Sign of life of the control thread.
+    pub pulse: Pulse,
     /// Client of the targets of plain services and of peers.
     pub targets: TargetClient,
     /// Places for requests in flight at once.
@@ -161,6 +169,8 @@
             key_value,
             counters,
             in_flight: Arc::default(),
+            demands: Demands::default(),
+            pulse: Pulse::default(),
             targets: TargetClient::open(),
             places,
             body_bytes: Arc::new(Semaphore::new(body_bytes)),
@@ -178,6 +188,11 @@
         }
     }
 
+    /// Whether new requests wait until the state is fresh again after a pause.
+    pub fn is_stale(&self) -> bool {
+        self.pulse.is_overdue(clock::now_us()) || self.snapshot.load().is_stale
+    }
+
     /// Engines of this zone that take new work for a model.
     pub fn candidates(&self, snapshot: &Snapshot, model: &str) -> Vec<Candidate> {
         let Some(inventory) = &snapshot.inventory else {
@@ -342,10 +357,12 @@
 
     /// Records a decision and shows it to the watchers.
     pub fn record(&self, decision: Decision) {
+        if self.watchers.receiver_count() > 0 {
+            // The last watcher may have gone in between; then there is nobody to send to.
+            drop(self.watchers.send(decision.clone()));
+        }
         let mut ring = self.decisions.lock().expect("no holder of the lock panics");
-        ring.push(decision.clone());
-        // Without watchers there is nobody to send to.
-        drop(self.watchers.send(decision));
+        ring.push(decision);
     }
 
     /// Decisions about one subject, oldest first.
