Test the early refusal of an answer that must be late

Cause: admission by deadline had no test through the node. Change: a test reports a queue of 100 s to the node and expects the refusal, its Retry-After and its decision event. Measured: it passes, as do the other tests of streams. Conclusion: the refusal comes before the engine is asked.

--- a/crates/tealsaddle-node/tests/it/rig.rs
+++ b/crates/tealsaddle-node/tests/it/rig.rs
@@ -106,18 +106,18 @@
             .await
     }
 
-    /// Reports a batch so large on the decode engine `e1` that it cannot read prompts beside it.
-    pub fn fill_decode_batch(&self) {
+    /// Reports the load of an engine.
+    pub fn report_load(&self, engine: &str, role: Role, running: u32, queued_prefill_tokens: u64) {
         let report = LoadReport {
             sampled_at_us: tealsaddle_node::clock::now_us(),
-            role: Role::Decode,
+            role,
             is_changing: false,
-            running: 60,
+            running,
             waiting: 0,
-            queued_prefill_tokens: 0,
+            queued_prefill_tokens,
             kv_used_tokens: 0,
         };
-        self.traffic.on_load_report(&"e1".into(), report);
+        self.traffic.on_load_report(&engine.into(), report);
     }
 
     /// As a peer of another node.
--- a/crates/tealsaddle-node/tests/it/stream.rs
+++ b/crates/tealsaddle-node/tests/it/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use tealsaddle_core::inventory::Role;
 use tealsaddle_testkit::client::wait_until;
 use tealsaddle_testkit::engine::wire::GenerateRequest;
 use tealsaddle_testkit::process::free_address;
@@ -236,7 +237,8 @@
     let roles = [(prefill.address(), "prefill"), (decode.address(), "decode")];
     let yaml = config(&roles).replace("decode_tokens_per_s: 10000", "decode_tokens_per_s: 2000");
     let rig = Rig::start(&yaml).await;
-    rig.fill_decode_batch();
+    // So large a batch that the decode engine cannot read prompts beside it.
+    rig.report_load("e1", Role::Decode, 60, 0);
     let watch = async {
         wait_until(|| async { rig.traffic.in_flight.count("e1") == 1 }).await;
         assert_eq!(rig.traffic.in_flight.count("e0"), 1);
@@ -271,7 +273,8 @@
     ];
     let yaml = config(&roles).replace("decode_tokens_per_s: 10000", "decode_tokens_per_s: 2000");
     let rig = Rig::start(&yaml).await;
-    rig.fill_decode_batch();
+    // So large a batch that the decode engine cannot read prompts beside it.
+    rig.report_load("e1", Role::Decode, 60, 0);
     let answer = rig.complete(5, true).await;
     assert_eq!(answer.streamed_text(), (answer_text(5), true));
     let asked = engines[1].asked("/generate");
@@ -295,3 +298,25 @@
         rig.count("retry.connect_failed")
     );
 }
+
+/// Guards against work for an answer that must be late, and against a refusal that nobody can
+/// explain.
+#[tokio::test]
+async fn late_answer_is_refused_early() {
+    let engine = Engine::good(0).await;
+    let rig = Rig::start(&config(&[(engine.address(), "mixed")])).await;
+    rig.report_load("e0", Role::Mixed, 0, 10_000_000);
+    let answer = rig.complete(5, true).await;
+    let headers = (answer.header("x-outcome"), answer.header("x-reason"));
+    let expected = ("not-run", "deadline_infeasible");
+    assert_eq!((answer.status, headers), (503, expected));
+    // 100 s of prompts wait, and a wait of more than half a minute helps nobody.
+    assert_eq!(answer.header("retry-after"), "30");
+    assert_eq!(engine.generated(), 0);
+    let explained = rig.traffic.explain(answer.header("x-request-id"));
+    assert!(
+        explained
+            .iter()
+            .any(|decision| decision.choice == expected.1)
+    );
+}
