--- a/crates/tealsaddle-node/tests/it/faults/mod.rs
+++ b/crates/tealsaddle-node/tests/it/faults/mod.rs
@@ -3,6 +3,9 @@
 
 mod calls;
 mod claims;
+mod configuration;
+mod leaving;
+mod partition;
 mod streams;
 
 use std::path::Path;
@@ -10,6 +13,7 @@
 use hyper::Method;
 use tealsaddle_testkit::client::{Answer, Client, ClientError};
 use tealsaddle_testkit::deployment::{Deployment, Plan};
+use tealsaddle_testkit::engine::text;
 
 /// A plan whose files are kept apart from those of other tests.
 fn plan(test: &str) -> Plan {
@@ -39,3 +43,10 @@
         .call(Method::POST, address, path, &headers, body)
         .await
 }
+
+/// The stream of a completion with seed 7 is whole and the caller's own.
+fn assert_complete(answer: &Answer, prompt: &str, tokens: u64) {
+    let expected = (text::answer(prompt, 7, tokens), true);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.streamed_text(), expected, "{answer:?}");
+}
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/faults/partition.rs
@@ -0,0 +1,141 @@
+//! A zone cut off from the platform and from the other zone, its return, and a start without the
+//! platform.
+//!
+//! The other zone is cut off by pausing its nodes: connections to them open and stay silent, as over
+//! a link that drops everything.
+
+use hyper::Method;
+use nix::sys::signal::Signal;
+use tealsaddle_core::inventory::Role;
+use tealsaddle_testkit::client::{Client, wait_until};
+use tealsaddle_testkit::deployment::{Deployment, Plan, quick_engine};
+use tealsaddle_testkit::engine::record::conflicts;
+use tealsaddle_testkit::platform::Outage;
+
+use super::{assert_complete, plan, submit};
+
+const ZONES: [&str; 2] = ["buda-hall", "pest-hall"];
+
+fn two_zones(test: &str) -> Plan {
+    let mut plan = plan(test);
+    for (zone, vms) in ZONES.into_iter().zip([["vm-1", "vm-2"], ["vm-3", "vm-4"]]) {
+        for vm in vms {
+            plan = plan.node(vm, zone);
+        }
+        plan = plan.engine(&format!("e-{zone}"), zone, quick_engine(Role::Mixed, false));
+    }
+    plan.service("ladder", ZONES[0])
+}
+
+async fn assert_serves(deployment: &Deployment, vms: &[&str], word: &str) {
+    for vm in vms {
+        for i in 0..5 {
+            let prompt = format!("{word} {i}");
+            let answer = deployment
+                .complete(vm, &prompt, 20)
+                .await
+                .expect("an answer");
+            assert_complete(&answer, &prompt, 20);
+        }
+    }
+}
+
+/// Guards against a zone that stops serving, gives orders, or runs a keyed call while it is cut off;
+/// and against one that does not come back to the newest configuration.
+#[tokio::test]
+async fn zone_that_is_cut_off_serves_and_rejoins() {
+    let mut deployment = two_zones("partition-zone").start().await.expect("a start");
+    // The view of the zone that is cut off.
+    for vm in ["vm-1", "vm-2"] {
+        deployment.platform_link(vm).cut();
+    }
+    for vm in ["vm-3", "vm-4"] {
+        deployment.signal(vm, Signal::SIGSTOP);
+    }
+    wait_until(|| async { deployment.status("vm-1").await["is_platform_reachable"] == false })
+        .await;
+    assert_serves(&deployment, &["vm-1", "vm-2"], "cut off").await;
+    let keyed = submit(&deployment, "vm-1", Some("k"), "keyed")
+        .await
+        .expect("an answer");
+    assert_eq!(keyed.header("x-outcome"), "not-run", "{keyed:?}");
+    assert_eq!(deployment.service("ladder").executions("keyed"), 0);
+    let plain = submit(&deployment, "vm-1", None, "plain")
+        .await
+        .expect("an answer");
+    assert_eq!(
+        (
+            plain.status,
+            deployment.service("ladder").executions("plain")
+        ),
+        (200, 1)
+    );
+    // The view of the other zone.
+    for vm in ["vm-3", "vm-4"] {
+        deployment.signal(vm, Signal::SIGCONT);
+    }
+    for vm in ["vm-1", "vm-2"] {
+        deployment.signal(vm, Signal::SIGSTOP);
+    }
+    assert_serves(&deployment, &["vm-3", "vm-4"], "other zone").await;
+    deployment.inventory.models[0].version = "2".to_owned();
+    let newest = deployment.write_config();
+    wait_until(|| async { deployment.status("vm-3").await["config_version"] == newest }).await;
+    for vm in ["vm-1", "vm-2"] {
+        deployment.signal(vm, Signal::SIGCONT);
+        deployment.platform_link(vm).heal();
+    }
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-4"] {
+        wait_until(|| async { deployment.status(vm).await["config_version"] == newest }).await;
+    }
+    assert_serves(&deployment, &["vm-1", "vm-2", "vm-3", "vm-4"], "rejoined").await;
+    let keyed = submit(&deployment, "vm-2", Some("k2"), "keyed")
+        .await
+        .expect("an answer");
+    assert_eq!(
+        (
+            keyed.status,
+            deployment.service("ladder").executions("keyed")
+        ),
+        (200, 1)
+    );
+    for zone in ZONES {
+        wait_until(|| async { deployment.holder(zone).await.is_some() }).await;
+    }
+    for (_, engine) in deployment.engines() {
+        assert_eq!(conflicts(&engine.record()), Vec::<String>::new());
+    }
+}
+
+/// Guards against a node that is ready without a configuration, or never gets one from its peers,
+/// when it starts with the platform down.
+#[tokio::test]
+async fn start_with_the_platform_down_takes_the_configuration_from_peers() {
+    let mut deployment = two_zones("partition-start").start().await.expect("a start");
+    let ready = async |deployment: &Deployment, vm: &str| {
+        let address = deployment.config(vm).caller;
+        let answer = Client::open()
+            .call(Method::GET, address, "/readyz", &[], "")
+            .await;
+        answer.map_or(0, |answer| answer.status)
+    };
+    deployment
+        .platform
+        .update(|faults| faults.outage = Outage::Unavailable);
+    deployment.add_node("vm-5", ZONES[0]).await.expect("a node");
+    deployment.start_node("vm-5").expect("the node starts");
+    wait_until(|| async { ready(&deployment, "vm-5").await == 200 }).await;
+    assert_eq!(deployment.status("vm-5").await["config_version"], 1);
+    // It is in no router list yet, so it forwards.
+    assert_serves(&deployment, &["vm-5"], "forwarded").await;
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"] {
+        deployment.kill(vm).await;
+    }
+    deployment.start_node("vm-1").expect("the node starts");
+    wait_until(|| async { deployment.status("vm-1").await["config_version"] == 0 }).await;
+    assert_eq!(ready(&deployment, "vm-1").await, 503);
+    deployment
+        .platform
+        .update(|faults| faults.outage = Outage::None);
+    wait_until(|| async { ready(&deployment, "vm-1").await == 200 }).await;
+}
--- a/crates/tealsaddle-node/tests/it/faults/streams.rs
+++ b/crates/tealsaddle-node/tests/it/faults/streams.rs
@@ -8,7 +8,7 @@
 use tealsaddle_testkit::proxy::Flow;
 use yare::parameterized;
 
-use super::plan;
+use super::{assert_complete, plan};
 
 const ZONE: &str = "buda-hall";
 
@@ -20,12 +20,6 @@
     plan.start().await.expect("the deployment starts")
 }
 
-fn assert_complete(answer: &Answer, prompt: &str, tokens: u64) {
-    let expected = (text::answer(prompt, 7, tokens), true);
-    assert_eq!(answer.status, 200, "{answer:?}");
-    assert_eq!(answer.streamed_text(), expected, "{answer:?}");
-}
-
 /// Name of an engine that is generating.
 async fn busy_engine(deployment: &Deployment) -> String {
     let find = || {
--- a/crates/tealsaddle-testkit/src/deployment.rs
+++ b/crates/tealsaddle-testkit/src/deployment.rs
@@ -15,6 +15,7 @@
 use tealsaddle_core::inventory::Role;
 use tealsaddle_schema::inventory as schema;
 use tealsaddle_schema::record::ConfigRecord;
+use tokio::task::JoinHandle;
 
 use crate::client::{Answer, Client, ClientError, wait_until};
 use crate::engine::server::{self, Engine, model_version};
@@ -414,17 +415,30 @@
         prompt: &str,
         max_tokens: u64,
     ) -> Result<Answer, ClientError> {
-        let body = completion(prompt, max_tokens);
+        let task = self.spawn_completion(vm, prompt, max_tokens);
+        task.await.expect("a completion does not panic")
+    }
+
+    /// As [`Self::complete`], in the background.
+    pub fn spawn_completion(
+        &self,
+        vm: &str,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> JoinHandle<Result<Answer, ClientError>> {
+        let body = completion(prompt, max_tokens).to_string();
         let address = self.configs[vm].caller;
-        let path = "/v1/completions";
-        Client::open()
-            .call(Method::POST, address, path, &[], body.to_string())
-            .await
+        tokio::spawn(async move {
+            let path = "/v1/completions";
+            Client::open()
+                .call(Method::POST, address, path, &[], body)
+                .await
+        })
     }
 }
 
 /// Body of a streamed completion with seed 7.
-pub fn completion(prompt: &str, max_tokens: u64) -> Value {
+fn completion(prompt: &str, max_tokens: u64) -> Value {
     json!({
         "model": MODEL,
         "prompt": prompt,
