--- a/crates/tealsaddle-node/src/caller/chat.rs
+++ b/crates/tealsaddle-node/src/caller/chat.rs
@@ -27,9 +27,8 @@
     context: Context,
     interface: Interface,
 ) -> Result<Response<Body>, Refusal> {
-    let limit = traffic.settings.limits.request_body_bytes as usize;
     let (head, body) = request.into_parts();
-    let body = read_body(body, limit).await?;
+    let (body, _bytes_held) = read_body(traffic, body).await?;
     let wanted = CompletionRequest::from_json(interface, &body)
         .map_err(|invalid| Refusal::invalid(invalid.field, invalid.rule))?;
     let forward = Forward {
@@ -77,13 +76,18 @@
     drop(snapshot);
     let plan = match select::first(traffic, &completion, context.hops < MAX_HOPS) {
         Selection::Here(plan, estimate) => {
+            traffic.demands.on_request(&completion.model.name);
+            admit::check_rate(traffic, &context)?;
             admit::admit(traffic, &context, &completion, targets, &estimate)?;
             plan
         }
         Selection::Elsewhere(peers) => {
             return forward::send(traffic, &context, forward, &peers, "spill").await;
         }
-        Selection::None => return Err(select::no_engine()),
+        Selection::None => {
+            traffic.demands.on_request(&completion.model.name);
+            return Err(select::no_engine());
+        }
     };
     let request_id = completion.request_id.clone();
     let output = completion::spawn(Arc::clone(traffic), completion, plan);
