--- a/crates/tealsaddle-node/tests/it/faults/mod.rs
+++ b/crates/tealsaddle-node/tests/it/faults/mod.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod configuration;
 mod leaving;
+mod orders;
 mod partition;
 mod streams;
 
