Load the demo beyond what its roles at first can answer on time

With 24 requests/s the demo refused nothing and was on time throughout, so it showed none of the measures. The second phase now asks for more output than the decode and mixed engines generate.

--- a/crates/tealsaddle-testkit/examples/demo.rs
+++ b/crates/tealsaddle-testkit/examples/demo.rs
@@ -28,10 +28,10 @@
 max_requests: 2000
 verify: true
 phases:
-  - {name: long prompts, seconds: 10, requests_per_s: 24, mix: [
+  - {name: long prompts, seconds: 10, requests_per_s: 30, mix: [
       {share: 3, prompt_tokens: 3000, output_tokens: 12},
       {share: 1, prompt_tokens: 200, output_tokens: 100}]}
-  - {name: long outputs, seconds: 12, requests_per_s: 24, mix: [
+  - {name: long outputs, seconds: 16, requests_per_s: 45, mix: [
       {share: 1, prompt_tokens: 3000, output_tokens: 12},
       {share: 3, prompt_tokens: 200, output_tokens: 200}]}
 ";
@@ -40,6 +40,7 @@
     let engine = |role, checks_fence| SimConfig {
         prefill_tokens_per_s: 20_000,
         step_us: 10_000,
+        batch_requests: 16,
         role_change_us: 1_000_000,
         ..quick_engine(role, checks_fence)
     };
@@ -96,7 +97,7 @@
     }
     deployment.write_config();
     println!(
-        "running: {} nodes, 8 engines, 1 service; load for 22 s",
+        "running: {} nodes, 8 engines, 1 service; load for 26 s",
         NODES.len()
     );
     let load: load::Plan = serde_saphyr::from_str(LOAD)?;
