--- a/crates/tealsaddle-node/src/control/config.rs
+++ b/crates/tealsaddle-node/src/control/config.rs
@@ -22,6 +22,9 @@
 /// Time after which an unanswered pull no longer holds back the next one.
 const PULL_TIMEOUT_US: u64 = 1_500_000;
 
+/// Time for which a version that was refused is not pulled again; a record can be 1 MB.
+const REFUSED_FOR_US: u64 = 60_000_000;
+
 impl Control {
     /// Takes a record whose version is higher than the one in force.
     pub(super) fn offer_config(&mut self, record: ConfigRecord) {
@@ -50,7 +53,17 @@
             }
             Err(error) => {
                 self.count("config.invalid_record");
-                log::error!(version = record.version, error:% = error; "configuration refused");
+                let until_us = clock::now_us() + REFUSED_FOR_US;
+                let is_new = self
+                    .refused_version
+                    .replace((record.version, until_us))
+                    .is_none_or(|(version, _)| version != record.version);
+                if is_new {
+                    log::error!(
+                        version = record.version, error:% = error;
+                        "configuration refused"
+                    );
+                }
             }
         }
     }
@@ -97,7 +110,8 @@
             return;
         }
         let now_us = clock::now_us();
-        if now_us < self.pulling_until_us {
+        let is_refused = |(refused, until_us): (u64, u64)| refused == version && now_us < until_us;
+        if now_us < self.pulling_until_us || self.refused_version.is_some_and(is_refused) {
             return;
         }
         let Ok(mut client) = self.clients.client(address) else {
--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -56,6 +56,8 @@
     pub(super) config: Option<ConfigRecord>,
     pub(super) inventory: Option<Arc<Inventory>>,
     pub(super) pulling_until_us: u64,
+    /// Version that was refused as invalid, and until when no peer is asked for it.
+    pub(super) refused_version: Option<(u64, u64)>,
     /// Seed peers that have not answered since the start.
     pub(super) unheard_seeds: HashSet<SocketAddr>,
     /// Highest version offered before all seed peers were heard.
@@ -120,6 +122,7 @@
             config: None,
             inventory: None,
             pulling_until_us: 0,
+            refused_version: None,
             best_offer: None,
             is_watcher: watch::Sender::new(true),
             authority_events: VecDeque::new(),
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod orders;
 mod path;
+mod peers;
 mod rig;
 mod service;
 mod stream;
--- a/crates/tealsaddle-node/tests/it/membership.rs
+++ b/crates/tealsaddle-node/tests/it/membership.rs
@@ -6,6 +6,7 @@
 use tealsaddle_testkit::platform::faults::VmState;
 
 use crate::cluster::{Cluster, ZONE, open};
+use crate::support::admin;
 
 /// Guards against a stop that aborts a stream, exits with an error, or leaves an entry in the router
 /// list; and against a zone without a holder after the holder stopped.
@@ -121,3 +122,39 @@
     assert!(routers.iter().all(|router| router["incarnation"] != old));
     assert_eq!(cluster.status(holder).await["zone"], ZONE);
 }
+
+/// Guards against requests that a node routes on old state after it was paused (section 10).
+#[tokio::test]
+async fn paused_node_holds_requests_until_its_state_is_fresh() {
+    let cluster = Cluster::in_service("membership-paused", 2, 0).await;
+    cluster.nodes[0]
+        .signal(Signal::SIGSTOP)
+        .expect("the node is paused");
+    let paused = std::time::Instant::now();
+    let yaml = "zones: [{name: buda-hall, region: hu-central}]\nmodels: [{name: new}]\n";
+    let other = cluster.nodes[1].config.admin;
+    let answer = admin(Method::PUT, other, "/admin/config?if_version=1", yaml).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    let caller = cluster.nodes[0].config.caller;
+    let request = tokio::spawn(async move {
+        let body = serde_json::json!({ "model": "new", "prompt": "x", "max_tokens": 1 });
+        Client::open()
+            .call(
+                Method::POST,
+                caller,
+                "/v1/completions",
+                &[],
+                body.to_string(),
+            )
+            .await
+    });
+    // The rule applies to pauses of over 3 s.
+    wait_until(|| async { paused.elapsed().as_millis() > 3_500 }).await;
+    cluster.nodes[0]
+        .signal(Signal::SIGCONT)
+        .expect("the node goes on");
+    let answer = request.await.expect("no panic").expect("an answer");
+    // With its old configuration the node would not know the model.
+    assert_eq!(answer.header("x-reason"), "no_engine", "{answer:?}");
+    assert!(cluster.counter(0, "caller.held_while_stale").await >= 1);
+}
