--- a/crates/tealsaddle-node/src/control/loads.rs
+++ b/crates/tealsaddle-node/src/control/loads.rs
@@ -14,7 +14,7 @@
 use super::api::LoadStatus;
 use super::event::Event;
 use crate::clock;
-use crate::engine::orders::{self, EngineLoadAnswer};
+use crate::engine::orders::{EngineLoadAnswer, EngineReader};
 use crate::traffic::Snapshot;
 
 /// Nodes of a zone that poll one engine.
@@ -39,12 +39,12 @@
 }
 
 /// Reads one engine's load, and sends it in as an event.
-pub fn ask(engine: &Engine, events: mpsc::Sender<Event>) {
+pub fn ask(reader: EngineReader, engine: &Engine, events: mpsc::Sender<Event>) {
     let name = Name::clone(&engine.name);
     let address = engine.address;
     let asked_at_us = clock::now_us();
     tokio::spawn(async move {
-        let answer = orders::load(address).await;
+        let answer = reader.load(address).await;
         let event = Event::LoadRead {
             engine: name,
             asked_at_us,
--- a/crates/tealsaddle-node/src/control/members.rs
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -83,7 +83,7 @@
             self.loads.polled().to_vec()
         };
         for engine in names.iter().filter_map(|name| inventory.engines.get(name)) {
-            loads::ask(engine, self.events.clone());
+            loads::ask(self.reader.clone(), engine, self.events.clone());
         }
     }
 
--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -25,6 +25,7 @@
 use super::stop::Resigning;
 use super::{config_follow, config_write, members};
 use crate::clock;
+use crate::engine::orders::EngineReader;
 use crate::peer::client::PeerClients;
 use crate::platform::{KeyValue, VmList};
 use crate::traffic::{Snapshot, TableVersion, Traffic, ZoneLoad};
@@ -76,6 +77,7 @@
 
     pub(super) peers: Peers,
     pub(super) clients: PeerClients,
+    pub(super) reader: EngineReader,
     pub(super) members: Members,
     pub(super) rollout: Rollout,
     pub(super) loads: Loads,
@@ -133,6 +135,7 @@
             drained: HashSet::default(),
             peers: Peers::default(),
             clients: PeerClients::default(),
+            reader: EngineReader::open(),
             members: Members::default(),
             rollout: Rollout::default(),
             loads: Loads::default(),
--- a/crates/tealsaddle-node/src/control/zone.rs
+++ b/crates/tealsaddle-node/src/control/zone.rs
@@ -17,7 +17,8 @@
 use super::event::Event;
 use super::state::Control;
 use crate::clock;
-use crate::engine::orders::{self, EngineLoadAnswer, OrderAnswer, OrderConnection, OrderMessage};
+use crate::engine::orders::{EngineLoadAnswer, OrderAnswer, OrderConnection, OrderMessage};
+use crate::metrics::Counters;
 use crate::peer::client::probe;
 use crate::platform::{KeyValue, PlatformError, PutOutcome};
 
@@ -36,15 +37,32 @@
     }))
 }
 
-async fn write<T>(platform: &dyn KeyValue, key: &str, record: &T, if_version: u64) -> WriteOutcome
+async fn write<T>(
+    platform: &dyn KeyValue,
+    counters: &Counters,
+    key: &str,
+    record: &T,
+    if_version: u64,
+) -> WriteOutcome
 where
     T: Serialize + Sync,
 {
     let value = serde_json::to_value(record).expect("records are plain JSON values");
     match platform.put(key, &value, if_version, None).await {
         Ok(PutOutcome::Written(version)) => WriteOutcome::Written(version),
-        Ok(PutOutcome::Conflict(_)) => WriteOutcome::Conflict,
-        Err(_error) => WriteOutcome::Unknown,
+        Ok(PutOutcome::Conflict(_)) => {
+            counters.increment("platform.write_conflict");
+            WriteOutcome::Conflict
+        }
+        Err(error) => {
+            counters.increment(match error {
+                PlatformError::Unreachable(_) => "platform.write_unreachable",
+                PlatformError::Unknown(_) => "platform.write_answer_lost",
+                PlatformError::RateLimited => "platform.write_rate_limited",
+                PlatformError::Protocol(_) => "platform.write_protocol",
+            });
+            WriteOutcome::Unknown
+        }
     }
 }
 
@@ -150,6 +168,7 @@
     fn carry_out(&mut self, action: Action) {
         let platform = Arc::clone(&self.platform.key_value);
         let events = self.events.clone();
+        let traffic = Arc::clone(&self.traffic);
         let lease_key = format!("zones/{}/lease", self.zone());
         let record_key = format!("zones/{}/record", self.zone());
         match action {
@@ -163,7 +182,14 @@
             }
             Action::WriteLease { if_version, record } => {
                 tokio::spawn(async move {
-                    let outcome = write(&*platform, &lease_key, &record, if_version).await;
+                    let outcome = write(
+                        &*platform,
+                        &traffic.counters,
+                        &lease_key,
+                        &record,
+                        if_version,
+                    )
+                    .await;
                     let write_id = record.write_id;
                     let event = AuthorityEvent::LeaseWrite { write_id, outcome };
                     drop(events.send(Event::Authority(event)).await);
@@ -184,7 +210,14 @@
             } => {
                 self.count("authority.record_write");
                 tokio::spawn(async move {
-                    let outcome = write(&*platform, &record_key, &*record, if_version).await;
+                    let outcome = write(
+                        &*platform,
+                        &traffic.counters,
+                        &record_key,
+                        &*record,
+                        if_version,
+                    )
+                    .await;
                     let event = AuthorityEvent::RecordWrite { write_id, outcome };
                     drop(events.send(Event::Authority(event)).await);
                 });
@@ -253,8 +286,9 @@
             return;
         };
         let events = self.events.clone();
+        let reader = self.reader.clone();
         tokio::spawn(async move {
-            let Some(answer) = orders::state(address).await else {
+            let Some(answer) = reader.state(address).await else {
                 return;
             };
             let Ok(role) = answer.role.parse() else {
--- a/crates/tealsaddle-node/src/engine/orders.rs
+++ b/crates/tealsaddle-node/src/engine/orders.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
@@ -146,18 +148,15 @@
         tokio::time::timeout(CONNECT_TIMEOUT, opened).await.ok()?
     }
 
-    async fn exchange(
-        &mut self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Option<(StatusCode, Bytes)> {
+    /// Sends an order.
+    pub async fn send(mut self, order: &OrderMessage) -> OrderAnswer {
+        let body = serde_json::to_vec(order).expect("orders are plain JSON values");
         let request = Request::builder()
-            .method(method)
-            .uri(path)
+            .method(Method::POST)
+            .uri("/order")
             .header(HOST, self.address.to_string())
             .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
+            .body(Full::new(Bytes::from(body)))
             .expect("an address and a fixed path make a valid request");
         let answer = async {
             let response = self.sender.send_request(request).await.ok()?;
@@ -165,13 +164,8 @@
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
             Some((status, body.collect().await.ok()?.to_bytes()))
         };
-        tokio::time::timeout(CALL_TIMEOUT, answer).await.ok()?
-    }
-
-    /// Sends an order.
-    pub async fn send(mut self, order: &OrderMessage) -> OrderAnswer {
-        let body = serde_json::to_vec(order).expect("orders are plain JSON values");
-        match self.exchange(Method::POST, "/order", body.into()).await {
+        let answer = tokio::time::timeout(CALL_TIMEOUT, answer).await;
+        match answer.ok().flatten() {
             Some((StatusCode::OK, _)) => OrderAnswer::Accepted,
             Some((StatusCode::CONFLICT, body)) => {
                 if String::from_utf8_lossy(&body).contains("stale_fence") {
@@ -185,24 +179,49 @@
     }
 }
 
-async fn read<T>(address: SocketAddr, path: &str) -> Option<T>
-where
-    T: DeserializeOwned,
-{
-    let mut connection = OrderConnection::open(address).await?;
-    let (status, body) = connection.exchange(Method::GET, path, Bytes::new()).await?;
-    if status != StatusCode::OK {
-        return None;
-    }
-    serde_json::from_slice(&body).ok()
+/// Reads state and load of engines, on pooled connections with the same TCP user timeout.
+#[derive(Debug, Clone)]
+pub struct EngineReader {
+    client: Client<HttpConnector, Empty<Bytes>>,
 }
 
-/// Reads the state of an engine; `None` when it gives no usable answer.
-pub async fn state(address: SocketAddr) -> Option<EngineState> {
-    read(address, "/state").await
-}
+impl EngineReader {
+    /// Opens a client; no call is made yet.
+    pub fn open() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { client }
+    }
 
-/// Reads the load of an engine; `None` when it gives no usable answer.
-pub async fn load(address: SocketAddr) -> Option<EngineLoadAnswer> {
-    read(address, "/load").await
+    async fn read<T>(&self, address: SocketAddr, path: &str) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        let request = Request::get(format!("http://{address}{path}"))
+            .body(Empty::new())
+            .expect("an address and a fixed path make a valid request");
+        let answer = async {
+            let response = self.client.request(request).await.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            Some(body.collect().await.ok()?.to_bytes())
+        };
+        let body = tokio::time::timeout(CALL_TIMEOUT, answer).await.ok()??;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Reads the state of an engine; `None` when it gives no usable answer.
+    pub async fn state(&self, address: SocketAddr) -> Option<EngineState> {
+        self.read(address, "/state").await
+    }
+
+    /// Reads the load of an engine; `None` when it gives no usable answer.
+    pub async fn load(&self, address: SocketAddr) -> Option<EngineLoadAnswer> {
+        self.read(address, "/load").await
+    }
 }
--- a/crates/tealsaddle-node/tests/it/admin.rs
+++ b/crates/tealsaddle-node/tests/it/admin.rs
@@ -1,13 +1,21 @@
 //! The administration API: access, bad input, and decisions as they happen.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use http_body_util::BodyExt;
 use hyper::Method;
+use tealsaddle_core::decision::{Decision, DecisionKind};
+use tealsaddle_node::control;
+use tealsaddle_node::engine::http::HttpEngines;
+use tealsaddle_node::metrics::Counters;
+use tealsaddle_node::platform::http::HttpPlatform;
+use tealsaddle_node::settings::Settings;
+use tealsaddle_node::traffic::Traffic;
 use tealsaddle_testkit::client::{Client, wait_until};
 use tealsaddle_testkit::platform;
 use tealsaddle_testkit::platform::Platform;
-use tealsaddle_testkit::process::{NodeConfig, NodeProcess};
+use tealsaddle_testkit::process::{NodeConfig, NodeProcess, free_address};
 use yare::parameterized;
 
 use crate::support::{AUTHORIZATION, admin, put_config, spawn_node};
@@ -143,3 +151,54 @@
     assert!(event.contains("\"kind\":\"config\""), "{event}");
     assert!(event.contains("\"subject\":\"config 1\""), "{event}");
 }
+
+/// Guards against a slow watcher that holds the node back or fills its memory, and against losses that
+/// it is not told of.
+#[tokio::test]
+async fn slow_watcher_is_told_what_it_lost() {
+    let config = NodeConfig::new("vm-1", "buda-hall", free_address());
+    let settings = Settings::from_yaml(&config.to_yaml()).expect("valid settings");
+    let platform = HttpPlatform::open(settings.platform_address, settings.platform_timeout);
+    let platform = Arc::new(platform);
+    let counters = Counters::open(&settings.metrics).expect("counters without a collector");
+    let engines = Arc::new(HttpEngines::open());
+    let key_value = Arc::<HttpPlatform>::clone(&platform);
+    let traffic = Arc::new(Traffic::new(settings, engines, key_value, counters));
+    let services = control::Platform {
+        key_value: Arc::<HttpPlatform>::clone(&platform),
+        vms: platform,
+    };
+    let handle = control::spawn(Arc::clone(&traffic), services).expect("the control thread");
+    tealsaddle_node::admin::bind(config.admin, Arc::clone(&traffic), handle)
+        .await
+        .expect("the address is free");
+    let client = Client::open();
+    let start = client.start(
+        Method::GET,
+        config.admin,
+        "/admin/watch",
+        &[AUTHORIZATION],
+        "",
+    );
+    let mut response = start.await.expect("a stream");
+    // More than the queue of 1,024 decisions and the buffers of the connection hold.
+    for number in 0..50_000 {
+        traffic.record(Decision {
+            at_us: number,
+            kind: DecisionKind::Route,
+            subject: format!("request {number}"),
+            choice: "x".repeat(1_000),
+            reason: String::new(),
+            inputs: Vec::new(),
+            alternatives: Vec::new(),
+        });
+    }
+    loop {
+        let frame = response.frame().await.expect("a frame").expect("no error");
+        let bytes = frame.into_data().expect("data");
+        if String::from_utf8_lossy(&bytes).contains("event: lost\ndata: {\"lost\":") {
+            break;
+        }
+    }
+    assert!(traffic.counters.snapshot()["admin.watch_lost"] >= 1);
+}
