--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 pub mod demand;
 mod in_flight;
 mod pulse;
+mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -27,6 +28,7 @@
 use self::demand::Demands;
 pub use self::in_flight::{InFlight, InFlightGuard};
 pub use self::pulse::Pulse;
+pub use self::suspects::Suspects;
 use crate::caller::claim::ClaimLease;
 use crate::caller::proxy::TargetClient;
 use crate::clock;
@@ -124,6 +126,8 @@
     pub targets: TargetClient,
     /// Places for requests in flight at once.
     pub places: Arc<Semaphore>,
+    /// Engines, targets and peers that have just failed.
+    pub suspects: Suspects,
     /// Bytes that may still be held in bodies read as a whole.
     pub body_bytes: Arc<Semaphore>,
     /// Chooses engines.
@@ -170,6 +174,7 @@
             targets: TargetClient::open(),
             places,
             body_bytes: Arc::new(Semaphore::new(body_bytes)),
+            suspects: Suspects::default(),
             router: Router::default(),
             process,
             claim_lease: ClaimLease::default(),
@@ -220,7 +225,8 @@
     /// without the engine came into force.
     pub fn enter(&self, engine: &Name) -> Option<InFlightGuard> {
         let guard = self.in_flight.begin(engine);
-        let is_open = self.snapshot.load().open_engines.contains_key(engine);
+        let snapshot = self.snapshot.load();
+        let is_open = snapshot.is_registered && snapshot.open_engines.contains_key(engine);
         is_open.then_some(guard)
     }
 
