--- a/crates/tealsaddle-node/src/caller/select.rs
+++ b/crates/tealsaddle-node/src/caller/select.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub enum Selection {
     /// On engines of this zone, with what admission needs to know.
-    Here(Plan, Estimate),
+    Here(Plan, Estimate, Targets),
     /// In another zone, through one of these nodes.
     Elsewhere(Vec<PeerEndpoint>),
     /// Nowhere now.
@@ -65,7 +65,7 @@
 ) -> Option<Plan> {
     // What is left of an answer is not passed on; another node would start it anew.
     match choose(traffic, completion, failed, may_split, false) {
-        Selection::Here(plan, _) => Some(plan),
+        Selection::Here(plan, ..) => Some(plan),
         Selection::Elsewhere(_) | Selection::None => None,
     }
 }
@@ -77,7 +77,7 @@
 
 /// Targets of a request: the prompt's own reading time on an idle engine is added, so that a long
 /// prompt is not late by its length alone.
-pub fn targets(completion: &Completion, candidates: &[Candidate]) -> Targets {
+fn targets(completion: &Completion, candidates: &[Candidate]) -> Targets {
     let rates = candidates.iter().map(|c| c.engine.prefill_tokens_per_s);
     let fastest = u64::from(rates.max().unwrap_or(1).max(1));
     let own_us = completion.prompt_tokens.saturating_mul(1_000_000) / fastest;
@@ -155,7 +155,7 @@
                 is_draining: false,
             };
             record(traffic, completion, routed, &describe(&plan));
-            return Selection::Here(plan, estimate);
+            return Selection::Here(plan, estimate, targets);
         }
         traffic.counters.increment("route.closed_meanwhile");
     }
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -357,10 +357,12 @@
 
     /// Records a decision and shows it to the watchers.
     pub fn record(&self, decision: Decision) {
+        if self.watchers.receiver_count() > 0 {
+            // The last watcher may have gone in between; then there is nobody to send to.
+            drop(self.watchers.send(decision.clone()));
+        }
         let mut ring = self.decisions.lock().expect("no holder of the lock panics");
-        ring.push(decision.clone());
-        // Without watchers there is nobody to send to.
-        drop(self.watchers.send(decision));
+        ring.push(decision);
     }
 
     /// Decisions about one subject, oldest first.
