--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -25,6 +25,7 @@
 use super::stop::Resigning;
 use super::{config_follow, config_write, members};
 use crate::clock;
+use crate::engine::orders::EngineReader;
 use crate::peer::client::PeerClients;
 use crate::platform::{KeyValue, VmList};
 use crate::traffic::{Snapshot, TableVersion, Traffic, ZoneLoad};
@@ -56,6 +57,8 @@
     pub(super) config: Option<ConfigRecord>,
     pub(super) inventory: Option<Arc<Inventory>>,
     pub(super) pulling_until_us: u64,
+    /// Version that was refused as invalid, and until when no peer is asked for it.
+    pub(super) refused_version: Option<(u64, u64)>,
     /// Seed peers that have not answered since the start.
     pub(super) unheard_seeds: HashSet<SocketAddr>,
     /// Highest version offered before all seed peers were heard.
@@ -74,6 +77,7 @@
 
     pub(super) peers: Peers,
     pub(super) clients: PeerClients,
+    pub(super) reader: EngineReader,
     pub(super) members: Members,
     pub(super) rollout: Rollout,
     pub(super) loads: Loads,
@@ -120,6 +124,7 @@
             config: None,
             inventory: None,
             pulling_until_us: 0,
+            refused_version: None,
             best_offer: None,
             is_watcher: watch::Sender::new(true),
             authority_events: VecDeque::new(),
@@ -130,6 +135,7 @@
             drained: HashSet::default(),
             peers: Peers::default(),
             clients: PeerClients::default(),
+            reader: EngineReader::open(),
             members: Members::default(),
             rollout: Rollout::default(),
             loads: Loads::default(),
