--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod operator;
 mod orders;
 mod path;
+mod peers;
 mod prefix;
 mod rig;
 mod service;
