Resign also an entry that is still being written

A node that was told to stop while its registration was under way dropped the answer and could leave an entry in the router list, which then blocks drains until the VM list drops the VM. The holder is now asked to remove the entry in any case. The peers are no longer copied at each tick.

--- a/crates/tealsaddle-node/src/control/members.rs
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -184,7 +184,8 @@
             self.on_table_message(message);
         }
         if reply.accepted {
-            self.set_registered(!self.is_leaving);
+            // Also while leaving: the entry is there and has to be resigned.
+            self.set_registered(true);
         } else {
             self.count(&format!("register.refused.{}", reply.reason));
         }
--- a/crates/tealsaddle-node/src/control/peers.rs
+++ b/crates/tealsaddle-node/src/control/peers.rs
@@ -123,14 +123,19 @@
 
     /// Drops processes that nobody hears of, and those of VMs that are gone; gives the dropped ones.
     pub fn forget(&mut self, gone_vms: &[Name], now_us: u64) -> Vec<Peer> {
-        let (dropped, kept) = std::mem::take(&mut self.peers)
-            .into_iter()
-            .partition::<HashMap<_, _>, _>(|(_, peer)| {
-                now_us.saturating_sub(peer.heard_us) > FORGET_AFTER_US
-                    || gone_vms.iter().any(|vm| **vm == *peer.process.vm)
-            });
-        self.peers = kept;
-        dropped.into_values().collect()
+        let is_over = |peer: &Peer| {
+            now_us.saturating_sub(peer.heard_us) > FORGET_AFTER_US
+                || gone_vms.iter().any(|vm| **vm == *peer.process.vm)
+        };
+        let mut dropped = Vec::new();
+        self.peers.retain(|_, peer| {
+            let is_kept = !is_over(peer);
+            if !is_kept {
+                dropped.push(peer.clone());
+            }
+            is_kept
+        });
+        dropped
     }
 
     /// Whether a process is known.
--- a/crates/tealsaddle-node/src/control/stop.rs
+++ b/crates/tealsaddle-node/src/control/stop.rs
@@ -59,7 +59,8 @@
             reply,
             began_us: clock::now_us(),
             asked_us: 0,
-            is_off_the_list: !self.is_registered,
+            // A request to be registered may still be under way, so the holder is asked in any case.
+            is_off_the_list: false,
         });
     }
 
--- a/crates/tealsaddle-node/tests/it/orders.rs
+++ b/crates/tealsaddle-node/tests/it/orders.rs
@@ -104,6 +104,26 @@
     assert_eq!(mixed(&cluster.status(0).await), 2);
 }
 
+/// Guards against new work on an engine that the configuration withdraws, and against an order to it.
+#[tokio::test]
+async fn withdrawn_engine_is_drained_without_an_order() {
+    let engines = engines(true);
+    let cluster = Cluster::with_engines("orders-withdraw", 2, &engines).await;
+    let yaml = config(&cluster.addresses(&engines), true, "planner: fixed");
+    let withdrawn = yaml.replacen("role: decode", "withdrawn: true, role: decode", 1);
+    cluster.apply(2, &withdrawn).await;
+    cluster.wait_in_service(2).await;
+    let holder = cluster.wait_holder().await;
+    wait_until(|| async {
+        let engine = cluster.status(holder).await["engines"][0].clone();
+        engine["order"]["kind"] == "withdraw"
+    })
+    .await;
+    assert!(cluster.engines[0].orders().is_empty());
+    cluster.apply(3, &yaml).await;
+    cluster.wait_in_service(3).await;
+}
+
 /// Guards against two different orders to one engine when the holder dies after its intent.
 #[tokio::test]
 async fn killed_holder_leaves_no_conflict() {
