Forget the join of a gone router and release before handing over

A leaving holder listed as unreleased could not exit without a successor. Change: a join ends when its VM is no longer shown; a leaving holder takes itself out of the unreleased lists before it hands the lease over.

--- a/crates/tealsaddle-core/src/authority/lease_flow.rs
+++ b/crates/tealsaddle-core/src/authority/lease_flow.rs
@@ -5,6 +5,7 @@
 use super::event::{Action, Stored, WriteOutcome};
 use super::lease::{HeldLease, RENEW_US, WATCH_US};
 use super::order;
+use super::release::is_unreleased;
 use super::{Authority, PendingWrite, RETRY_US, Standing, is_due};
 use crate::decision::DecisionKind;
 
@@ -178,11 +179,11 @@
     }
 
     fn may_hand_over(&self) -> bool {
-        let is_sender = self
-            .record
-            .as_ref()
-            .is_some_and(|stored| order::is_sender(&stored.record, &self.me.process));
-        self.record_write.is_none() && self.sends.is_empty() && !is_sender
+        let me = &self.me.process;
+        let is_listed = self.record.as_ref().is_some_and(|stored| {
+            order::is_sender(&stored.record, me) || is_unreleased(&stored.record, me)
+        });
+        self.record_write.is_none() && self.sends.is_empty() && !is_listed
     }
 
     fn begin_taking(&mut self, now_us: u64, actions: &mut Vec<Action>) {
--- a/crates/tealsaddle-core/src/authority/member_flow.rs
+++ b/crates/tealsaddle-core/src/authority/member_flow.rs
@@ -103,7 +103,9 @@
         });
         self.joins.retain(|join| {
             let process = join.router.process.as_ref();
-            process.is_some_and(|process| !routers::is_registered(next, process))
+            process.is_some_and(|process| {
+                vms.shows(&process.vm) && !routers::is_registered(next, process)
+            })
         });
         for join in &self.joins {
             let occupant = routers::at_address(next, &join.router.address);
--- a/crates/tealsaddle-core/src/authority/record_flow.rs
+++ b/crates/tealsaddle-core/src/authority/record_flow.rs
@@ -4,7 +4,7 @@
 
 use super::event::{Action, Stored, WriteOutcome};
 use super::order;
-use super::release::release;
+use super::release::{is_unreleased, release};
 use super::takeover::take_over;
 use super::{Authority, PendingWrite, RETRY_US, Standing, is_due};
 use crate::decision::{Decision, DecisionKind};
@@ -109,12 +109,7 @@
             return true;
         };
         // Under its own epoch the process is a sender of orders that a successor will list.
-        let is_sender = order::is_sender(record, &self.me.process);
-        is_sender
-            || record.engines.iter().any(|entry| {
-                let mut unreleased = entry.unreleased.iter();
-                unreleased.any(|u| u.process.as_ref() == Some(&self.me.process))
-            })
+        order::is_sender(record, &self.me.process) || is_unreleased(record, &self.me.process)
     }
 
     /// Reads the record while something is unsettled, and writes the next one.
@@ -173,6 +168,7 @@
                     decisions = self.reconcile(&mut next, now_us);
                 } else if self.sends.is_empty() {
                     order::drop_sender(&mut next, &self.me.process);
+                    release(&mut next, &self.me.process, |_| false);
                 }
                 let is_same = self.record.as_ref().is_some_and(|r| r.record == next);
                 if is_same {
--- a/crates/tealsaddle-core/src/authority/release.rs
+++ b/crates/tealsaddle-core/src/authority/release.rs
@@ -51,6 +51,12 @@
     })
 }
 
+/// Whether a process stands in the unreleased list of any engine.
+pub fn is_unreleased(record: &ZoneRecord, process: &ProcessId) -> bool {
+    let mut all = record.engines.iter().flat_map(|entry| &entry.unreleased);
+    all.any(|unreleased| unreleased.process.as_ref() == Some(process))
+}
+
 /// Removes the entries for which `is_over` holds, given the engine and the entry; says whether there
 /// were any.
 pub fn remove_unreleased<F>(record: &mut ZoneRecord, is_over: F) -> bool
--- a/crates/tealsaddle-core/tests/it/authority.rs
+++ b/crates/tealsaddle-core/tests/it/authority.rs
@@ -456,6 +456,33 @@
     assert_eq!(new.unreleased(), 0);
 }
 
+/// Guards against a router that is added again after its VM has gone, and then blocks every drain.
+#[test]
+fn gone_router_is_not_added_again() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    let (process, address) = (process("r"), "a-r".to_owned());
+    let register = Event::Register {
+        process: process.clone(),
+        address,
+    };
+    let actions = desk.authority.on_event(register, desk.now);
+    let Some(Action::WriteRecord {
+        if_version,
+        write_id,
+        record,
+    }) = actions.into_iter().next()
+    else {
+        panic!("the registration is written");
+    };
+    // The VM goes while the write is on its way.
+    desk.vms.retain(|vm| *vm != "vm-r");
+    desk.tick(0);
+    let outcome = swap(&mut desk.record, if_version, *record);
+    desk.give(Event::RecordWrite { write_id, outcome });
+    desk.tick(SECOND);
+    assert!(!desk.authority.is_registered(&process));
+}
+
 /// Guards against a process of a VM that the list has not shown: it could never be known to be gone.
 #[test]
 fn unknown_vm_is_not_registered() {
@@ -487,6 +514,20 @@
     assert_eq!(next.authority.standing(), Standing::Holder(2));
 }
 
+/// Guards against a last node that waits for a successor before it may exit.
+#[test]
+fn leaving_holder_releases_itself() {
+    let (mut desk, send) = Desk::issuing("p", false);
+    desk.reply(&send, OrderReply::Unknown);
+    desk.answer_states(Role::Decode);
+    desk.give(Event::Leaving);
+    assert_eq!(desk.unreleased(), 1);
+    desk.tick(TRANSIT_BOUND_US);
+    desk.tick(SECOND);
+    assert_eq!(desk.unreleased(), 0);
+    assert!(desk.authority.may_exit());
+}
+
 /// Guards against a withdrawn engine that gets an order or work, or stays closed when it is back.
 #[test]
 fn withdrawn_engine_is_drained_only() {
--- a/crates/tealsaddle-core/tests/it/zone_sim.rs
+++ b/crates/tealsaddle-core/tests/it/zone_sim.rs
@@ -36,6 +36,9 @@
     authority: Authority,
     starts: u32,
     is_up: bool,
+    is_leaving: bool,
+    /// When the VM list changes over to the VM of this start.
+    listed_at: u64,
     paused_until: u64,
     table: Option<RoutingTable>,
 }
@@ -69,9 +72,20 @@
     done_orders: u32,
 }
 
+/// A start on a new VM has the next multiple of this as its number.
+const STARTS_PER_VM: u32 = 1_000;
+
+fn vm(node: usize, starts: u32) -> String {
+    format!("vm{node}-{}", starts / STARTS_PER_VM)
+}
+
+fn address(node: usize, starts: u32) -> String {
+    format!("a{node}-{}", starts / STARTS_PER_VM)
+}
+
 fn process(node: usize, starts: u32) -> ProcessId {
     ProcessId {
-        vm: format!("vm{node}"),
+        vm: vm(node, starts),
         incarnation: format!("n{node}s{starts}"),
     }
 }
@@ -79,7 +93,7 @@
 fn start(node: usize, starts: u32) -> Authority {
     Authority::new(Identity {
         process: process(node, starts),
-        address: format!("a{node}"),
+        address: address(node, starts),
         zone: "z".into(),
     })
 }
@@ -94,6 +108,8 @@
             authority: start(i, 0),
             starts: 0,
             is_up: true,
+            is_leaving: false,
+            listed_at: 0,
             paused_until: 0,
             table: None,
         };
@@ -233,10 +249,12 @@
                 self.reply(node, starts, Event::RecordWrite { write_id, outcome });
             }
             Action::ProbeAddress { probe, address } => {
-                let at = address[1..].parse::<usize>().expect("a node's address");
-                let process = self.nodes[at]
-                    .is_up
-                    .then(|| process(at, self.nodes[at].starts));
+                let answers = |i: &usize| {
+                    let node = &self.nodes[*i];
+                    node.is_up && self::address(*i, node.starts) == address
+                };
+                let at = (0..3).find(answers);
+                let process = at.map(|at| process(at, self.nodes[at].starts));
                 self.reply(node, starts, Event::Probed { probe, process });
             }
             Action::AskState { engine, query } => {
@@ -382,9 +400,16 @@
                 }
             }
             Op::Restart(node) => {
+                let is_new_vm = self.rng.random_bool(0.3);
+                let listed_at = self.now + self.rng.random_range(SECOND..4 * SECOND);
                 let node_state = &mut self.nodes[node];
                 node_state.starts += 1;
+                if is_new_vm {
+                    node_state.starts = node_state.starts.next_multiple_of(STARTS_PER_VM);
+                    node_state.listed_at = listed_at;
+                }
                 node_state.is_up = true;
+                node_state.is_leaving = false;
                 node_state.paused_until = 0;
                 node_state.authority = start(node, node_state.starts);
             }
@@ -393,7 +418,16 @@
     }
 
     fn tick(&mut self) {
-        let vms: Vec<(Name, bool)> = (0..3).map(|i| (format!("vm{i}").into(), false)).collect();
+        let listed = |(i, node): (usize, &Node)| {
+            let before = node.starts.saturating_sub(STARTS_PER_VM);
+            let starts = if self.now < node.listed_at {
+                before
+            } else {
+                node.starts
+            };
+            (vm(i, starts).into(), false)
+        };
+        let vms: Vec<(Name, bool)> = self.nodes.iter().enumerate().map(listed).collect();
         let facts: Vec<EngineFacts> = (0..2)
             .map(|i| EngineFacts {
                 name: ENGINES[i].into(),
@@ -414,72 +448,28 @@
             self.give(i, Event::Engines(facts.clone()));
             self.give(i, Event::Tick);
             self.route(i);
-            let (me, starts) = (process(i, self.nodes[i].starts), self.nodes[i].starts);
-            let table = self.nodes[i].table.clone();
-            let in_flight = ENGINES.iter().enumerate().map(|(e, name)| {
-                let mine = self.engines[e]
-                    .requests
-                    .iter()
-                    .filter(|(node, _)| *node == i);
-                (Name::from(*name), mine.count() as u32)
-            });
-            let in_flight: HashMap<Name, u32> = in_flight.collect();
-            for to in 0..3 {
-                let Standing::Holder(_) = self.nodes[to].authority.standing() else {
-                    continue;
-                };
-                let to_starts = self.nodes[to].starts;
-                if let Some(table) = &table {
-                    let (process, table) = (me.clone(), table.version);
-                    let in_flight = in_flight.clone();
-                    self.reply(
-                        to,
-                        to_starts,
-                        Event::Router {
-                            process,
-                            table,
-                            in_flight,
-                        },
-                    );
-                }
-                let holder = &self.nodes[to].authority;
-                if !holder.is_registered(&me) {
-                    let (process, address) = (me.clone(), format!("a{i}"));
-                    self.reply(to, to_starts, Event::Register { process, address });
-                } else if let Some(table) = holder.table().cloned() {
-                    // A heartbeat's answer brings the table in force.
-                    self.after(SECOND, Op::Table(i, starts, table));
-                }
-            }
-            if let Standing::Holder(_) = self.nodes[i].authority.standing() {
-                for (e, name) in ENGINES.iter().enumerate() {
-                    let event = Event::Load {
-                        engine: (*name).into(),
-                        sampled_at_us: self.now,
-                        is_idle: self.engines[e].requests.is_empty(),
-                        role: self.engines[e].role,
-                    };
-                    self.reply(i, starts, event);
-                    if self.rng.random_bool(0.02) {
-                        let role = match self.engines[e].role {
-                            Role::Prefill => Role::Decode,
-                            _ => Role::Prefill,
-                        };
-                        let (engine, change) = ((*name).into(), Change::Role(role));
-                        self.give(i, Event::Want { engine, change });
-                    }
-                }
-            }
+            self.heartbeat(i);
+            self.observe_engines(i);
             if self.fault(0.004) {
                 self.nodes[i].paused_until = self.now + self.rng.random_range(SECOND..15 * SECOND);
             }
-            if self.fault(0.002) {
+            if self.fault(0.001) {
+                self.nodes[i].is_leaving = true;
+                self.give(i, Event::Leaving);
+            }
+            let has_requests = self
+                .engines
+                .iter()
+                .any(|e| e.requests.iter().any(|r| r.0 == i));
+            let node = &self.nodes[i];
+            let exits = node.is_leaving && node.authority.may_exit() && !has_requests;
+            if exits || self.fault(0.002) {
                 let node = &mut self.nodes[i];
                 node.is_up = false;
                 node.table = None;
-                self.engines
-                    .iter_mut()
-                    .for_each(|e| e.requests.retain(|(node, _)| *node != i));
+                for engine in &mut self.engines {
+                    engine.requests.retain(|(node, _)| *node != i);
+                }
                 self.after(4 * SECOND, Op::Restart(i));
             }
         }
@@ -488,11 +478,78 @@
         }
     }
 
+    /// A node tells the holders of its state, and registers.
+    fn heartbeat(&mut self, i: usize) {
+        let (me, starts) = (process(i, self.nodes[i].starts), self.nodes[i].starts);
+        let table = self.nodes[i].table.clone();
+        let in_flight = ENGINES.iter().enumerate().map(|(e, name)| {
+            let mine = self.engines[e]
+                .requests
+                .iter()
+                .filter(|(node, _)| *node == i);
+            (Name::from(*name), mine.count() as u32)
+        });
+        let in_flight: HashMap<Name, u32> = in_flight.collect();
+        for to in 0..3 {
+            let Standing::Holder(_) = self.nodes[to].authority.standing() else {
+                continue;
+            };
+            let to_starts = self.nodes[to].starts;
+            if let Some(table) = &table {
+                let (process, table) = (me.clone(), table.version);
+                let in_flight = in_flight.clone();
+                self.reply(
+                    to,
+                    to_starts,
+                    Event::Router {
+                        process,
+                        table,
+                        in_flight,
+                    },
+                );
+            }
+            let holder = &self.nodes[to].authority;
+            if !holder.is_registered(&me) {
+                let (process, address) = (me.clone(), address(i, starts));
+                self.reply(to, to_starts, Event::Register { process, address });
+            } else if let Some(table) = holder.table().cloned() {
+                // A heartbeat's answer brings the table in force.
+                self.after(SECOND, Op::Table(i, starts, table));
+            }
+        }
+    }
+
+    /// A holder polls the engines, and its planner wants a change now and then.
+    fn observe_engines(&mut self, i: usize) {
+        if let Standing::Holder(_) = self.nodes[i].authority.standing() {
+            for (e, name) in ENGINES.iter().enumerate() {
+                let event = Event::Load {
+                    engine: (*name).into(),
+                    sampled_at_us: self.now,
+                    is_idle: self.engines[e].requests.is_empty(),
+                    role: self.engines[e].role,
+                };
+                self.reply(i, self.nodes[i].starts, event);
+                if self.rng.random_bool(0.02) {
+                    let role = match self.engines[e].role {
+                        Role::Prefill => Role::Decode,
+                        _ => Role::Prefill,
+                    };
+                    let (engine, change) = ((*name).into(), Change::Role(role));
+                    self.give(i, Event::Want { engine, change });
+                }
+            }
+        }
+    }
+
     /// A node routes a request on its table; counting and looking happen at once here.
     fn route(&mut self, node: usize) {
         let Some(table) = &self.nodes[node].table else {
             return;
         };
+        if self.nodes[node].is_leaving {
+            return;
+        }
         let open: Vec<usize> = table.open.iter().map(|(engine, _)| index(engine)).collect();
         for engine in open {
             if self.engines[engine].changing_to.is_none() && self.rng.random_bool(0.1) {
