Test the spill of late requests and give forwarding its own test module

Change: a test reports a long queue and a near zone with room; tests of forwarding stand in forward.rs; a link in the documentation of the retry budget points to no private item any more. Conclusion: a request leaves the zone only when it would be late there.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -152,7 +152,7 @@
 
 /// Retry budget of one service: a token bucket.
 ///
-/// Each second grants [`FLOOR_PER_S`] retries, or a share of the requests in that second where that
+/// Each second grants three retries, or a share of the requests in that second where that
 /// is more. What one second leaves over may be used in the next one and then lapses, so that a quiet
 /// hour saves up no burst.
 #[derive(Debug, Clone, Default)]
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod config;
 mod faults;
+mod forward;
 mod hostile;
 mod membership;
 mod orders;
