--- a/crates/tealsaddle-node/tests/it/authority.rs
+++ b/crates/tealsaddle-node/tests/it/authority.rs
@@ -120,3 +120,28 @@
     cluster.wait_in_service(0).await;
     assert_ne!(cluster.status(0).await["table"], before);
 }
+
+/// Guards against a zone that stalls, or writes a change twice, when answers of the platform are lost.
+#[tokio::test]
+async fn lost_answers_of_the_zone_record_are_settled() {
+    let cluster = Cluster::in_service("authority-lost", 2, 2).await;
+    let holder = cluster.wait_holder().await;
+    let epoch = cluster.status(holder).await["epoch"].clone();
+    cluster
+        .platform
+        .update(|faults| faults.lose_answers("zones/", 3));
+    let address = cluster.nodes[holder].config.admin;
+    let body = "{\"engine\":\"e0\"}";
+    let answer = admin(Method::POST, address, "/admin/drain", body).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    cluster.wait_in_service(1).await;
+    wait_until(|| async { cluster.counter(holder, "platform.write_answer_lost").await >= 3 }).await;
+    let status = cluster.status(holder).await;
+    assert_eq!(status["is_holder"], true, "{status}");
+    assert_eq!(status["epoch"], epoch);
+    let record = cluster.platform.get("zones/buda-hall/record");
+    let engines = record.expect("a record").value["engines"].clone();
+    let orders = engines.as_array().expect("engines").iter();
+    let withdrawn: Vec<_> = orders.filter(|engine| !engine["order"].is_null()).collect();
+    assert_eq!(withdrawn.len(), 1, "{engines}");
+}
