--- a/crates/tealsaddle-testkit/examples/capacity/quantities.rs
+++ b/crates/tealsaddle-testkit/examples/capacity/quantities.rs
@@ -8,12 +8,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tealsaddle_core::admission::{Admission, AdmissionConfig, AdmissionRequest, Estimate, Targets};
+use tealsaddle_core::decision::{Alternative, Decision, DecisionKind, DecisionRing};
 use tealsaddle_core::inventory::{Inventory, Role};
 use tealsaddle_core::load::{CorrectedLoad, EngineLoad, LoadReport};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::planner::{
     CostConfig, CostPlanner, Demand, EngineView, Limits, Planner, PoolView,
 };
+use tealsaddle_core::prefix::PrefixKnowledge;
 use tealsaddle_core::route::{Candidate, RequestFacts, RouteTable, Router, Typical};
 use tealsaddle_schema::peer::{
     EngineReport, HeartbeatRequest, PeerInfo, RoutingTable, TableEntry, TableVersion,
@@ -31,6 +33,8 @@
 const ENGINES: usize = 1_900;
 const NODES: usize = 360;
 const CUSTOMERS: usize = 220;
+/// Decisions that a node keeps for `explain`.
+const DECISIONS_KEPT: usize = 8_192;
 
 const ENGINE_SIZES: [usize; 4] = [16, 64, 173, 512];
 const POOL_SIZES: [usize; 4] = [5, 10, 20, 40];
@@ -53,6 +57,8 @@
         report_time(),
         peer_bytes(),
         load_state(),
+        prefix_state(),
+        decision_state(),
         config_bytes(),
         config_time(),
         config_state(),
@@ -317,6 +323,46 @@
     })
 }
 
+fn prefix_state() -> Quantity {
+    let name = ("prefix knowledge: state", "engine of the zone", "bytes");
+    Quantity::measure(name, ZONE_ENGINES, &[16, 64, 173], |size| {
+        heap_bytes(|| {
+            let mut knowledge = PrefixKnowledge::default();
+            for i in 0..size as u64 {
+                // Each engine's cache is full.
+                let blocks: Vec<u64> = (0..1_000).map(|block| i * 1_000 + block).collect();
+                knowledge.on_read(&engine_name(i as usize), 60_000, &blocks);
+            }
+            knowledge
+        })
+    })
+}
+
+fn decision_state() -> Quantity {
+    let name = ("decision ring: state", "decision kept", "bytes");
+    Quantity::measure(name, DECISIONS_KEPT, &[512, 2_048, 8_192], |size| {
+        let alternatives = (0..5).map(|i| Alternative {
+            name: format!("rules-runner-{i:04} -> rules-runner-{i:04}"),
+            score: 120.0,
+            reason: "split, on time, 24 ms between tokens, 0 tokens cached".to_owned(),
+        });
+        let decision = Decision {
+            at_us: 0,
+            kind: DecisionKind::Route,
+            subject: process(0).incarnation,
+            choice: "rules-runner-0001 -> rules-runner-0002".to_owned(),
+            reason: "KV cache moves: earliest first token of two drawn".to_owned(),
+            inputs: vec![("model".to_owned(), "rules".to_owned())],
+            alternatives: alternatives.collect(),
+        };
+        heap_bytes(|| {
+            let mut ring = DecisionRing::with_capacity(size);
+            (0..size).for_each(|_| ring.push(decision.clone()));
+            ring
+        })
+    })
+}
+
 fn config_bytes() -> Quantity {
     let name = ("configuration: stored", "engine", "bytes");
     Quantity::measure(name, ENGINES, &[190, 570, 1_900], |size| {
