--- a/crates/tealsaddle-core/tests/it/model/authority.rs
+++ b/crates/tealsaddle-core/tests/it/model/authority.rs
@@ -206,6 +206,14 @@
                 next.push((Step::Check { p, engine }, Ok(world)));
             }
         }
+        self.member_steps(next, world, p);
+        if self.has_requests() {
+            self.drain_steps(next, world, p, rec);
+        }
+    }
+
+    /// The holder changes the router list and forgets former holders that are gone.
+    fn member_steps(&self, next: &mut Next, world: &World, p: Pid) {
         for other in self.pids().filter(|other| *other != p) {
             let them = &world.processes[usize::from(other)];
             if them.life == Life::Up && world.left.joins > 0 {
@@ -225,9 +233,6 @@
                 self.propose(next, world, p, Step::Forget { p, gone: other }, &op);
             }
         }
-        if self.has_requests() {
-            self.drain_steps(next, world, p, rec);
-        }
     }
 
     /// The holder hands out tables and collects reports.
