Look up engines of the zone record by binary search

Cause: the holder looked up each engine by a search through the whole record, so one tick grew with the square of the engines of a zone. Change: the engines of a record are kept sorted by name; a record that is read is sorted once.

--- a/crates/tealsaddle-core/src/authority/order.rs
+++ b/crates/tealsaddle-core/src/authority/order.rs
@@ -101,9 +101,24 @@
 
 impl std::error::Error for Refusal {}
 
-/// The entry of an engine.
+/// Brings the engines of a record into the order that [`entry`] relies on.
+pub(super) fn sort_entries(record: &mut ZoneRecord) {
+    if !record.engines.is_sorted_by(|a, b| a.engine <= b.engine) {
+        record.engines.sort_by(|a, b| a.engine.cmp(&b.engine));
+    }
+}
+
+/// Place of an engine's entry; the entries are sorted by name, since the holder looks up every engine
+/// several times a second.
+fn position(record: &ZoneRecord, engine: &str) -> Result<usize, usize> {
+    record
+        .engines
+        .binary_search_by(|entry| entry.engine.as_str().cmp(engine))
+}
+
+/// The entry of an engine, in a record whose engines are sorted by name.
 pub fn entry<'a>(record: &'a ZoneRecord, engine: &str) -> Option<&'a EngineEntry> {
-    record.engines.iter().find(|entry| entry.engine == engine)
+    position(record, engine).ok().map(|at| &record.engines[at])
 }
 
 /// The entry of an engine, to be changed.
@@ -111,8 +126,22 @@
     record: &'a mut ZoneRecord,
     engine: &str,
 ) -> Result<&'a mut EngineEntry, Refusal> {
-    let found = record.engines.iter_mut().find(|e| e.engine == engine);
-    found.ok_or(Refusal::UnknownEngine)
+    match position(record, engine) {
+        Ok(at) => Ok(&mut record.engines[at]),
+        Err(_absent) => Err(Refusal::UnknownEngine),
+    }
+}
+
+/// Adds an engine that the record does not hold yet, in its first role.
+pub(super) fn add_entry(record: &mut ZoneRecord, engine: &str, role: Role) {
+    if let Err(at) = position(record, engine) {
+        let entry = EngineEntry {
+            engine: engine.to_owned(),
+            role: role.as_str().to_owned(),
+            ..EngineEntry::default()
+        };
+        record.engines.insert(at, entry);
+    }
 }
 
 /// Records an intent.
--- a/crates/tealsaddle-core/src/authority/reconcile.rs
+++ b/crates/tealsaddle-core/src/authority/reconcile.rs
@@ -71,13 +71,7 @@
                 || !entry.unreleased.is_empty()
         });
         for facts in engines.values() {
-            if order::entry(next, &facts.name).is_none() {
-                next.engines.push(EngineEntry {
-                    engine: facts.name.to_string(),
-                    role: facts.initial_role.as_str().to_owned(),
-                    ..EngineEntry::default()
-                });
-            }
+            order::add_entry(next, &facts.name, facts.initial_role);
             if let Some(decision) = self.reconcile_engine(next, facts, now_us) {
                 decisions.push(decision);
             }
--- a/crates/tealsaddle-core/src/authority/record_flow.rs
+++ b/crates/tealsaddle-core/src/authority/record_flow.rs
@@ -68,7 +68,8 @@
     }
 
     /// Takes a record as the current one and draws the conclusions for the own standing.
-    fn adopt(&mut self, stored: Stored<ZoneRecord>, now_us: u64, actions: &mut Vec<Action>) {
+    fn adopt(&mut self, mut stored: Stored<ZoneRecord>, now_us: u64, actions: &mut Vec<Action>) {
+        order::sort_entries(&mut stored.record);
         let epoch = stored.record.epoch;
         let is_mine = stored.record.holder.as_ref() == Some(&self.me.process);
         self.record = Some(stored);
