Run the longest model check with the others

Cause: one run of the model check was left out of the ordinary tests because it took 92 s. Conclusion: no test is left out any more.

--- a/crates/tealsaddle-core/tests/it/model/check.rs
+++ b/crates/tealsaddle-core/tests/it/model/check.rs
@@ -262,7 +262,6 @@
 
 /// Guards against two orders of one holder that a takeover finds in different phases.
 #[test]
-#[ignore = "takes about 90 s; run it with --ignored after a change of the transitions"]
 fn two_orders_survive_a_takeover() {
     let scenario = Scenario {
         engines: 2,
