--- a/crates/tealsaddle-core/src/authority/lease_flow.rs
+++ b/crates/tealsaddle-core/src/authority/lease_flow.rs
@@ -3,8 +3,9 @@
 use tealsaddle_schema::record::LeaseRecord;
 
 use super::event::{Action, Stored, WriteOutcome};
-use super::lease::{RENEW_US, WATCH_US};
+use super::lease::{HeldLease, RENEW_US, WATCH_US};
 use super::order;
+use super::release::is_unreleased;
 use super::{Authority, PendingWrite, RETRY_US, Standing, is_due};
 use crate::decision::DecisionKind;
 
@@ -86,8 +87,7 @@
     fn on_lease_confirmed(&mut self, write: &PendingWrite<LeaseRecord>, actions: &mut Vec<Action>) {
         actions.extend(write.decisions.iter().cloned().map(Action::Decided));
         if write.record.released {
-            self.standing = Standing::Follower;
-            self.table = None;
+            self.become_follower();
         } else {
             self.held_lease.on_renewed(write.begun_at_us);
         }
@@ -112,10 +112,10 @@
         }
     }
 
-    /// Becomes a follower. Sends that are pending stay noted.
-    pub(super) fn step_down(&mut self, reason: &str, now_us: u64, actions: &mut Vec<Action>) {
+    /// Drops what only a holder needs. Sends that are pending stay noted.
+    fn become_follower(&mut self) {
         self.standing = Standing::Follower;
-        self.held_lease = super::HeldLease::default();
+        self.held_lease = HeldLease::default();
         self.table = None;
         self.wants.clear();
         self.unwanted.clear();
@@ -123,6 +123,11 @@
         self.probes.clear();
         self.resigned.clear();
         self.views.clear();
+    }
+
+    /// Becomes a follower against its will.
+    pub(super) fn step_down(&mut self, reason: &str, now_us: u64, actions: &mut Vec<Action>) {
+        self.become_follower();
         actions.push(Action::Decided(Self::decide(
             DecisionKind::Lease,
             &self.me.zone,
@@ -174,11 +179,11 @@
     }
 
     fn may_hand_over(&self) -> bool {
-        let is_sender = self
-            .record
-            .as_ref()
-            .is_some_and(|stored| order::is_sender(&stored.record, &self.me.process));
-        self.record_write.is_none() && self.sends.is_empty() && !is_sender
+        let me = &self.me.process;
+        let is_listed = self.record.as_ref().is_some_and(|stored| {
+            order::is_sender(&stored.record, me) || is_unreleased(&stored.record, me)
+        });
+        self.record_write.is_none() && self.sends.is_empty() && !is_listed
     }
 
     fn begin_taking(&mut self, now_us: u64, actions: &mut Vec<Action>) {
