Record that forwarded requests are lost with a silent peer

A whole run of the suite failed once in the partition test with a 504 after 60 s. The new test brings it about each time: one of two peers is paused, and requests forwarded to it wait for the head of the answer until the timeout and are then given up as unknown, without a try at the other peer.

--- a/crates/tealsaddle-node/tests/it/faults/partition.rs
+++ b/crates/tealsaddle-node/tests/it/faults/partition.rs
@@ -35,6 +35,14 @@
                 .complete(vm, &prompt, 20)
                 .await
                 .expect("an answer");
+            if answer.status != 200 {
+                let path = format!("/admin/explain/{}", answer.header("x-request-id"));
+                let explained = deployment.admin(vm, Method::GET, &path, "").await;
+                panic!(
+                    "{vm}, {prompt}: {answer:?} {:?}",
+                    explained.map(|e| e.json())
+                );
+            }
             assert_complete(&answer, &prompt, 20);
         }
     }
@@ -139,3 +147,27 @@
         .update(|faults| faults.outage = Outage::None);
     wait_until(|| async { ready(&deployment, "vm-1").await == 200 }).await;
 }
+
+/// Guards against forwarded requests that are lost with a peer that has just gone silent, although
+/// another peer of its zone serves.
+#[tokio::test]
+async fn requests_forwarded_to_a_silent_peer_are_answered_by_another() {
+    let plan = plan("partition-silent-peer").node("vm-1", ZONES[0]);
+    let plan = plan.node("vm-3", ZONES[1]).node("vm-4", ZONES[1]);
+    let plan = plan.engine("e1", ZONES[1], quick_engine(Role::Mixed, true));
+    let deployment = plan.start().await.expect("the deployment starts");
+    wait_until(|| async {
+        let answer = deployment.complete("vm-1", "ready", 1).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    deployment.signal("vm-3", Signal::SIGSTOP);
+    let requests = (0..8).map(|i| {
+        let prompt = format!("rule {i}");
+        (deployment.spawn_completion("vm-1", &prompt, 20), prompt)
+    });
+    for (answer, prompt) in requests.collect::<Vec<_>>() {
+        let answer = answer.await.expect("no panic").expect("an answer");
+        assert_complete(&answer, &prompt, 20);
+    }
+}
