--- a/crates/tealsaddle-core/tests/it/authority.rs
+++ b/crates/tealsaddle-core/tests/it/authority.rs
@@ -97,11 +97,15 @@
     }
 
     fn engines(&mut self, names: &[&str]) {
+        self.engines_of(names, false);
+    }
+
+    fn engines_of(&mut self, names: &[&str], is_withdrawn: bool) {
         let facts = names.iter().map(|name| EngineFacts {
             name: Name::from(*name),
             initial_role: Role::Prefill,
             checks_fence: self.checks_fence,
-            is_withdrawn: false,
+            is_withdrawn,
         });
         let facts = facts.collect();
         self.give(Event::Engines(facts));
@@ -452,6 +456,33 @@
     assert_eq!(new.unreleased(), 0);
 }
 
+/// Guards against a router that is added again after its VM has gone, and then blocks every drain.
+#[test]
+fn gone_router_is_not_added_again() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    let (process, address) = (process("r"), "a-r".to_owned());
+    let register = Event::Register {
+        process: process.clone(),
+        address,
+    };
+    let actions = desk.authority.on_event(register, desk.now);
+    let Some(Action::WriteRecord {
+        if_version,
+        write_id,
+        record,
+    }) = actions.into_iter().next()
+    else {
+        panic!("the registration is written");
+    };
+    // The VM goes while the write is on its way.
+    desk.vms.retain(|vm| *vm != "vm-r");
+    desk.tick(0);
+    let outcome = swap(&mut desk.record, if_version, *record);
+    desk.give(Event::RecordWrite { write_id, outcome });
+    desk.tick(SECOND);
+    assert!(!desk.authority.is_registered(&process));
+}
+
 /// Guards against a process of a VM that the list has not shown: it could never be known to be gone.
 #[test]
 fn unknown_vm_is_not_registered() {
@@ -482,3 +513,74 @@
     next.tick(0);
     assert_eq!(next.authority.standing(), Standing::Holder(2));
 }
+
+/// Guards against a last node that waits for a successor before it may exit.
+#[test]
+fn leaving_holder_releases_itself() {
+    let (mut desk, send) = Desk::issuing("p", false);
+    desk.reply(&send, OrderReply::Unknown);
+    desk.answer_states(Role::Decode);
+    desk.give(Event::Leaving);
+    assert_eq!(desk.unreleased(), 1);
+    desk.tick(TRANSIT_BOUND_US);
+    desk.tick(SECOND);
+    assert_eq!(desk.unreleased(), 0);
+    assert!(desk.authority.may_exit());
+}
+
+/// Guards against a withdrawn engine that gets an order or work, or stays closed when it is back.
+#[test]
+fn withdrawn_engine_is_drained_only() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    desk.want(ENGINE, Role::Decode);
+    desk.engines_of(&[ENGINE], true);
+    desk.tick(0);
+    assert_eq!(desk.phase(ENGINE), Some("draining"));
+    assert!(!desk.authority.is_drained(ENGINE));
+    desk.drain();
+    assert_eq!(desk.phase(ENGINE), Some("draining"), "nothing is ever sent");
+    assert!(desk.authority.is_drained(ENGINE));
+    let (successor, _) = desk.successor("q");
+    assert_eq!(
+        successor.phase(ENGINE),
+        None,
+        "its configuration has the engine in service"
+    );
+    desk.engines(&[ENGINE]);
+    desk.tick(0);
+    assert_eq!(desk.table().open, [(ENGINE.into(), Role::Prefill)]);
+}
+
+/// Guards against an engine that stays closed for a change that the planner has given up.
+#[test]
+fn unwanted_intent_is_cancelled() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    desk.want(ENGINE, Role::Decode);
+    desk.give(Event::Unwant(ENGINE.into()));
+    assert_eq!(desk.phase(ENGINE), None);
+    assert_eq!(desk.table().open, [(ENGINE.into(), Role::Prefill)]);
+}
+
+/// Guards against routing by a role that the engine has lost, for instance in a restart.
+#[test]
+fn found_role_is_recorded() {
+    let mut desk = Desk::holder("p", &[ENGINE]);
+    let report = Event::Load {
+        engine: ENGINE.into(),
+        sampled_at_us: desk.now,
+        is_idle: true,
+        role: Role::Mixed,
+    };
+    desk.now += SECOND;
+    let actions = desk.give(report);
+    let [Action::AskState { query, .. }] = actions[..] else {
+        panic!("a report may be old, so the engine is asked: {actions:?}");
+    };
+    let (engine, state) = (ENGINE.into(), state(Role::Mixed, false));
+    desk.give(Event::State {
+        engine,
+        query,
+        state,
+    });
+    assert_eq!(desk.table().open, [(ENGINE.into(), Role::Mixed)]);
+}
