Try another peer when one has gone silent

Cause: a request that was forwarded to a peer which was paused waited 60 s for the head of its answer and was then given up, although another peer served. A trace of the counters showed two more reasons: the list of peers was made once and could hold the silent peer alone, and the retry budget was used up by the requests that failed together. Change: while a repeatable request waits for its head the peer is asked for a sign of life every second; two questions without an answer end the attempt. The list of peers is made anew when it is used up, and a request waits up to five periods for the retry budget. Conclusion: the budget still bounds the retries; only their time is spread.

--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -3,6 +3,7 @@
 //! A peer is a target like any other, with one difference: its refusals say whether the request was
 //! run, so that a refusal "not run" allows another peer to be tried.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,12 +16,13 @@
 use rand::seq::SliceRandom;
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
 use super::chat::error_event;
 use super::completion;
 use super::dispatch::{Context, HOPS, MAX_HOPS};
+use super::liveness;
 use super::proxy::{Payload, strip_hop_headers};
 use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState};
 use crate::clock;
@@ -34,6 +36,11 @@
 /// Time between two parts of a streamed answer; the peer may change engines in between.
 const PART_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time between two requests for a retry, the period of the budget.
+const BUDGET_WAIT: Duration = Duration::from_secs(1);
+/// Requests for a retry before a forwarded request is given up.
+const BUDGET_WAITS: u32 = 5;
+
 /// A request to be passed on.
 #[derive(Debug)]
 pub struct Forward {
@@ -127,33 +134,30 @@
     let budget = Name::from("peers");
     let mut attempts = Attempts::new(forward.is_repeatable);
     traffic.on_first_attempt(&budget);
-    let head_timeout = if forward.is_streamed {
-        STREAM_HEAD_TIMEOUT
-    } else {
-        PLAIN_HEAD_TIMEOUT
-    };
-    let mut last = AttemptOutcome::NotRun(NotRunReason::NoTarget);
-    for (i, peer) in peers.iter().enumerate() {
-        let request = request(context, &forward, peer);
-        let deadline = Instant::now() + head_timeout;
-        let is_repeatable = forward.is_repeatable;
-        let sent = traffic.targets.send(request, is_repeatable, deadline).await;
-        let refused = match sent {
+    let mut route = Route::new(peers);
+    loop {
+        let Some(peer) = route.next(traffic) else {
+            let outcome = attempts.outcome(AttemptOutcome::NotRun(NotRunReason::NoTarget));
+            return Err(completion::refusal(outcome));
+        };
+        let (outcome, refused) = match pass_on(traffic, context, &forward, &peer).await {
             Ok(response) if !is_busy(&response) => return Ok(pass_back(context, response)),
-            Ok(response) => Some(response),
-            Err(outcome) => {
-                last = outcome;
-                None
+            Ok(response) => {
+                let outcome = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
+                (outcome, Some(response))
             }
+            Err(outcome) => (outcome, None),
         };
-        if refused.is_some() {
-            last = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
-        }
-        traffic.suspects.on_failure(&peer.vm, last);
+        traffic.suspects.on_failure(&peer.vm, outcome);
         let id = &context.request_id;
-        let next = traffic.on_failure(&budget, id, &mut attempts, last);
-        if next.is_err() || i + 1 == peers.len() {
-            let outcome = attempts.outcome(last);
+        let next = traffic.on_failure(&budget, id, &mut attempts, outcome);
+        let may_go_on = match next {
+            Ok(()) => true,
+            Err(GiveUp::Budget) => refused.is_none() && wait_for_budget(traffic, &budget).await,
+            Err(GiveUp::Attempts | GiveUp::NotRepeatable) => false,
+        };
+        if !may_go_on || !route.has_next(traffic) {
+            let outcome = attempts.outcome(outcome);
             return match refused {
                 Some(response) if matches!(outcome, AttemptOutcome::NotRun(_)) => {
                     Ok(pass_back(context, response))
@@ -162,7 +166,79 @@
             };
         }
     }
-    Err(completion::refusal(attempts.outcome(last)))
+}
+
+/// Waits for the retry budget, which grants some retries each second; says whether it granted one.
+///
+/// All requests in flight at a peer that goes silent fail at once, and the budget is for the mean
+/// over time. Those that find it used up still have time to wait for their turn.
+async fn wait_for_budget(traffic: &Traffic, budget: &Name) -> bool {
+    for _ in 0..BUDGET_WAITS {
+        tokio::time::sleep(BUDGET_WAIT).await;
+        if traffic.take_retry(budget) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Peers for one request, in the order in which they are tried.
+#[derive(Debug)]
+struct Route {
+    left: VecDeque<PeerEndpoint>,
+    tried: Vec<Name>,
+}
+
+impl Route {
+    fn new(peers: &[PeerEndpoint]) -> Self {
+        Self {
+            left: peers.iter().cloned().collect(),
+            tried: Vec::new(),
+        }
+    }
+
+    fn next(&mut self, traffic: &Traffic) -> Option<PeerEndpoint> {
+        self.has_next(traffic);
+        let peer = self.left.pop_front()?;
+        self.tried.push(Name::clone(&peer.vm));
+        Some(peer)
+    }
+
+    /// Whether a peer is left. Minutes may have passed since the list was made, so that others are
+    /// known now.
+    fn has_next(&mut self, traffic: &Traffic) -> bool {
+        if self.left.is_empty() {
+            let peers = any_peers(traffic, &traffic.snapshot.load_full());
+            let untried = peers.into_iter().filter(|p| !self.tried.contains(&p.vm));
+            self.left.extend(untried);
+        }
+        !self.left.is_empty()
+    }
+}
+
+/// Passes a request on to one peer and waits for the head of its answer.
+async fn pass_on(
+    traffic: &Traffic,
+    context: &Context,
+    forward: &Forward,
+    peer: &PeerEndpoint,
+) -> Result<Response<Incoming>, AttemptOutcome> {
+    let request = request(context, forward, peer);
+    let head_timeout = if forward.is_streamed {
+        STREAM_HEAD_TIMEOUT
+    } else {
+        PLAIN_HEAD_TIMEOUT
+    };
+    let deadline = Instant::now() + head_timeout;
+    let is_repeatable = forward.is_repeatable;
+    tokio::select! {
+        sent = traffic.targets.send(request, is_repeatable, deadline) => sent,
+        // What may run twice need not wait for a peer that has gone silent.
+        () = liveness::silence(traffic, peer.caller_address), if is_repeatable => {
+            traffic.counters.increment("forward.peer_silent");
+            Err(AttemptOutcome::Unknown(UnknownReason::Timeout))
+        }
+    }
 }
 
 /// Whether a peer refused the request as not run in a way that another node may not share.
--- /dev/null
+++ b/crates/tealsaddle-node/src/caller/liveness.rs
@@ -0,0 +1,47 @@
+//! Tells a peer that is busy from one that has gone silent.
+//!
+//! A forwarded answer may take as long as the whole generation, so the time until its head says
+//! nothing about the peer. A process that is paused or cut off still has its connections accepted by
+//! the kernel or left open by the network, and only a question that any live process answers at once
+//! tells it apart.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use tokio::time::Instant;
+
+use super::response::Body;
+use crate::traffic::Traffic;
+
+/// Time between two questions. Most answers begin before the first one.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for the answer to one question, which a live node gives within milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Questions without an answer after which the peer counts as silent; one can be lost by chance.
+const SILENT_PROBES: u32 = 2;
+
+/// Ends when the peer has left several questions in a row without an answer.
+pub async fn silence(traffic: &Traffic, peer: SocketAddr) {
+    let mut unanswered = 0;
+    while unanswered < SILENT_PROBES {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        // A fresh connection; an answer with any status shows that the process runs.
+        match traffic.targets.send(question(peer), false, deadline).await {
+            Ok(_any) => unanswered = 0,
+            Err(_none) => unanswered += 1,
+        }
+    }
+}
+
+fn question(peer: SocketAddr) -> Request<Body> {
+    Request::get(format!("http://{peer}/readyz"))
+        .body(
+            Full::default()
+                .map_err(|never| match never {})
+                .boxed_unsync(),
+        )
+        .expect("an address makes a valid URI")
+}
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -13,6 +13,7 @@
 pub mod completion;
 pub mod dispatch;
 pub mod forward;
+pub mod liveness;
 pub mod openai;
 pub mod proxy;
 pub mod response;
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -290,6 +290,19 @@
         next
     }
 
+    /// Takes a retry out of the budget of a service, for a request that has waited for one.
+    pub fn take_retry(&self, service: &Name) -> bool {
+        let is_granted = {
+            let mut budgets = self.budgets();
+            let budget = budgets.entry(Name::clone(service)).or_default();
+            budget.may_retry(clock::now_us())
+        };
+        if is_granted {
+            self.counters.increment("retry.waited_for_budget");
+        }
+        is_granted
+    }
+
     fn budgets(&self) -> std::sync::MutexGuard<'_, HashMap<Name, RetryBudget>> {
         let budgets = self.retry_budgets.lock();
         budgets.expect("no holder of the lock panics")
