Stay stale until a newer configuration of a peer was pulled

After a pause the first heartbeat answer ended the hold of new requests even when it named a higher configuration version, which is only then pulled. A request could so be routed on the old configuration. Such an answer now refreshes nothing; the platform, an answer after the pull or the limit of 1 s does.

Found by a test that failed in 1 of 3 runs of the control tests: the node did not know a model that a change made during its pause had added.

--- a/crates/tealsaddle-node/src/control/heartbeat.rs
+++ b/crates/tealsaddle-node/src/control/heartbeat.rs
@@ -293,7 +293,10 @@
         }
         self.consider_offer(reply.config_version, address);
         self.on_seed_heard(address);
-        self.on_refreshed(asked_at_us);
+        // A peer with a higher version refreshes nothing until that version was pulled.
+        if reply.config_version <= self.config_version() {
+            self.on_refreshed(asked_at_us);
+        }
         if reply.zone != **self.zone() {
             if reply.table.is_some() {
                 self.count("peer.dropped.wrong_zone");
