Keep the engines busy beyond the takeover in the killed-holder test

The streams ended before the successor took over, so the test could not see a drain that is taken as proven too early.

--- a/crates/tealsaddle-node/tests/it/faults/orders.rs
+++ b/crates/tealsaddle-node/tests/it/faults/orders.rs
@@ -266,7 +266,7 @@
     use tealsaddle_testkit::platform::faults::VmState;
     let mut deployment = start(test, checks_fence).await;
     let first = holder(&deployment).await;
-    let streams = occupy(&deployment, 2_000).await;
+    let streams = occupy(&deployment, 6_000).await;
     want_mixed(&mut deployment);
     wait_phase(&deployment, "draining").await;
     deployment.kill(first).await;
