Plan roles by the latest answers

Cause: in the demo no role ever changed. The holder took the mean tokens of an answer over all answers since its start, so a shift of the mix came into the demand only after as many answers as before it. Change: the sums over answers decay with 5 s; the averages of the planner itself stay as they are.

--- a/crates/tealsaddle-node/src/control/plan.rs
+++ b/crates/tealsaddle-node/src/control/plan.rs
@@ -25,6 +25,10 @@
 /// Age of a load report from which an engine does not count as up.
 const FRESH_LOAD_US: u64 = 5_000_000;
 
+/// Time after which an answer counts for a third in the mean. The planner averages the demand itself;
+/// this only has to be short against a shift of the mix.
+const SEEN_US: f64 = 5_000_000.0;
+
 /// State of planning, used while this process is the holder.
 #[derive(Debug, Default)]
 pub struct Planning {
@@ -35,12 +39,44 @@
     totals: HashMap<(ProcessId, Name), DemandTotals>,
     /// Demand since the last round.
     window: HashMap<Name, DemandTotals>,
-    /// Mean tokens of an answer, from all answers seen.
-    seen: HashMap<Name, DemandTotals>,
+    /// Sums over the latest answers, for the mean tokens of an answer.
+    seen: HashMap<Name, SeenAnswers>,
     /// Role of each engine in the last tables, and since when.
     roles: HashMap<Name, (Role, Option<u64>)>,
 }
 
+/// Sums over the latest answers of a model; older ones count less and less.
+#[derive(Debug, Clone, Copy, Default)]
+struct SeenAnswers {
+    answers: f64,
+    read_tokens: f64,
+    output_tokens: f64,
+}
+
+impl SeenAnswers {
+    fn add(&mut self, now: &DemandTotals, before: &DemandTotals) {
+        let grown = |now: u64, before: u64| now.saturating_sub(before) as f64;
+        self.answers += grown(now.answers, before.answers);
+        self.read_tokens += grown(now.read_tokens, before.read_tokens);
+        self.output_tokens += grown(now.output_tokens, before.output_tokens);
+    }
+
+    fn age(&mut self, elapsed_us: u64) {
+        let kept = (-(elapsed_us as f64) / SEEN_US).exp();
+        self.answers *= kept;
+        self.read_tokens *= kept;
+        self.output_tokens *= kept;
+    }
+
+    fn per_answer(&self, tokens: f64) -> f64 {
+        if self.answers > 0.0 {
+            tokens / self.answers
+        } else {
+            0.0
+        }
+    }
+}
+
 fn add(sum: &mut DemandTotals, now: &DemandTotals, before: &DemandTotals) {
     sum.requests += now.requests.saturating_sub(before.requests);
     sum.answers += now.answers.saturating_sub(before.answers);
@@ -89,7 +125,7 @@
                     &now,
                     &before,
                 );
-                add(self.seen.entry(model).or_default(), &now, &before);
+                self.seen.entry(model).or_default().add(&now, &before);
             }
         }
     }
@@ -118,12 +154,11 @@
     fn demand(&self, model: &str, interval_s: f64) -> Demand {
         let window = self.window.get(model).copied().unwrap_or_default();
         let seen = self.seen.get(model).copied().unwrap_or_default();
-        let per_request = |tokens: u64| tokens as f64 / seen.answers.max(1) as f64;
         let requests_per_s = window.requests as f64 / interval_s;
         Demand {
             requests_per_s,
-            prefill_tokens_per_s: requests_per_s * per_request(seen.read_tokens),
-            output_tokens_per_s: requests_per_s * per_request(seen.output_tokens),
+            prefill_tokens_per_s: requests_per_s * seen.per_answer(seen.read_tokens),
+            output_tokens_per_s: requests_per_s * seen.per_answer(seen.output_tokens),
         }
     }
 }
@@ -171,6 +206,9 @@
             }
         }
         self.planning.window.clear();
+        for seen in self.planning.seen.values_mut() {
+            seen.age(elapsed_us);
+        }
         self.planning.planned_us = now_us;
         for role_move in moves {
             self.want(role_move, now_us);
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod path;
 mod peers;
+mod planner;
 mod prefix;
 mod rig;
 mod service;
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/planner.rs
@@ -0,0 +1,87 @@
+//! The planner on a running zone.
+
+use std::path::Path;
+
+use tealsaddle_core::inventory::Role;
+use tealsaddle_schema::inventory::Policy;
+use tealsaddle_testkit::client::Client;
+use tealsaddle_testkit::deployment::{Deployment, MODEL, Plan, quick_engine};
+use tealsaddle_testkit::engine::record::{conflicts, cut_off_by_role_change};
+use tealsaddle_testkit::engine::sim::SimConfig;
+
+/// Sends `count` requests for `max_tokens` tokens, `at_once` at a time.
+async fn send(deployment: &Deployment, count: u64, at_once: u64, max_tokens: u64) {
+    let caller = deployment.config("vm-1").caller;
+    let client = Client::open();
+    let senders = (0..at_once).map(|sender| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            for question in 0..count / at_once {
+                let prompt = format!("question {question} of {sender}");
+                let body = serde_json::json!({
+                    "model": MODEL, "max_tokens": max_tokens, "seed": question,
+                    "messages": [{ "role": "user", "content": prompt }],
+                });
+                let answer = client.complete(caller, &body).await.expect("an answer");
+                assert_eq!(answer.status, 200, "{answer:?}");
+            }
+        })
+    });
+    for sender in senders.collect::<Vec<_>>() {
+        sender.await.expect("no panic");
+    }
+}
+
+/// Guards against a planner that judges a shift by the mean of all answers since the start, and so
+/// does not see it.
+#[tokio::test]
+async fn shift_to_long_outputs_moves_an_engine() {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join("planner-shift");
+    let mut plan = Plan::new(Path::new(env!("CARGO_BIN_EXE_tealsaddle")), &directory)
+        .node("vm-1", "buda-hall");
+    let roles = [Role::Prefill, Role::Prefill, Role::Mixed, Role::Decode];
+    for (number, role) in roles.into_iter().enumerate() {
+        let config = SimConfig {
+            step_us: 10_000,
+            batch_requests: 4,
+            ..quick_engine(role, number % 2 == 0)
+        };
+        plan = plan.engine(&format!("e{number}"), "buda-hall", config);
+    }
+    plan.policy = Policy {
+        planner: "cost".to_owned(),
+        role_change_weight: 1.0,
+        min_dwell_ms: 2_000,
+        max_moving_share: 0.5,
+        plan_interval_ms: 500,
+        ..Policy::default()
+    };
+    let deployment = plan.start().await.expect("the deployment starts");
+    send(&deployment, 800, 2, 1).await;
+    let before = deployment.status("vm-1").await;
+    assert!(!has_changed(&deployment), "{before}");
+    let mut rounds = 0;
+    while !has_changed(&deployment) {
+        rounds += 1;
+        assert!(
+            rounds < 40,
+            "no role changed: {}",
+            deployment.status("vm-1").await
+        );
+        send(&deployment, 16, 16, 100).await;
+    }
+    for (name, engine) in deployment.engines() {
+        let record = engine.record();
+        assert_eq!(conflicts(&record), Vec::<String>::new(), "{name}");
+        assert_eq!(
+            cut_off_by_role_change(&record),
+            Vec::<String>::new(),
+            "{name}"
+        );
+    }
+}
+
+fn has_changed(deployment: &Deployment) -> bool {
+    let mut prefill = deployment.engines().take(2);
+    prefill.any(|(_, engine)| engine.role().is_some_and(|(role, _)| role != Role::Prefill))
+}
