Give the reading of the inventory a module and the tests one tree

Change: the checks of the configuration stand in inventory::read; all tests of the package are modules of tests/it; Pulse is named Watchdog and Happening EngineEvent. Conclusion: no behaviour changes.

--- a/crates/tealsaddle-core/src/inventory.rs
+++ b/crates/tealsaddle-core/src/inventory/read.rs
@@ -1,297 +1,19 @@
-//! The operators' configuration in its validated form.
+//! Checks each part of the configuration and turns it into its runtime form.
 //!
-//! The schema types accept any text and number. [`Inventory::from_yaml`] checks them once and turns
-//! them into types that the decisions can rely on: every reference resolves, every name is unique,
-//! every default is filled in. A file with one fault is refused as a whole, and the error names the
-//! field and the rule.
+//! An error names the field by its path, such as `engines[3].zone`, and the rule that its value breaks.
 
-use std::fmt;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::Arc;
 
 use tealsaddle_schema::inventory as schema;
 
+use super::{
+    Customer, Engine, Model, NonRepeatable, PlannerKind, Policy, Role, Service, Target, Zone,
+};
 use crate::Error;
 use crate::collections::{HashMap, HashSet};
 use crate::name::Name;
 
-/// Work that an engine takes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Role {
-    /// Reads prompts and exports KV cache.
-    Prefill,
-    /// Imports KV cache and generates output.
-    Decode,
-    /// Does both.
-    Mixed,
-}
-
-impl Role {
-    /// The name used in messages and settings.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Prefill => "prefill",
-            Self::Decode => "decode",
-            Self::Mixed => "mixed",
-        }
-    }
-}
-
-impl fmt::Display for Role {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
-impl FromStr for Role {
-    type Err = Error;
-
-    fn from_str(text: &str) -> Result<Self, Error> {
-        match text {
-            "prefill" => Ok(Self::Prefill),
-            "decode" => Ok(Self::Decode),
-            "mixed" => Ok(Self::Mixed),
-            other => Err(Error::UnknownRole(other.to_owned())),
-        }
-    }
-}
-
-/// Version of the configuration; 0 before any is known.
-pub type ConfigVersion = u64;
-
-/// One version of the configuration, validated.
-#[derive(Debug, Clone)]
-pub struct Inventory {
-    /// Version under which it was accepted.
-    pub version: ConfigVersion,
-    /// Zones by name.
-    pub zones: HashMap<Name, Zone>,
-    /// Models by name.
-    pub models: HashMap<Name, Arc<Model>>,
-    /// Engines by name.
-    pub engines: HashMap<Name, Arc<Engine>>,
-    /// Plain services by name.
-    pub services: HashMap<Name, Arc<Service>>,
-    /// Customers by name.
-    pub customers: HashMap<Name, Arc<Customer>>,
-    /// Customers by the SHA-256 of an API key, in lower-case hexadecimal.
-    pub customers_by_key: HashMap<String, Arc<Customer>>,
-    /// Rules of routing and role planning.
-    pub policy: Policy,
-}
-
-/// An availability zone.
-#[derive(Debug, Clone)]
-pub struct Zone {
-    /// Name of the zone.
-    pub name: Name,
-    /// Region of the zone.
-    pub region: Name,
-    /// Zones that may take its overflow, nearest first.
-    pub spill_to: Vec<Name>,
-}
-
-/// A model and its latency targets.
-#[derive(Debug, Clone)]
-pub struct Model {
-    /// Name that callers use.
-    pub name: Name,
-    /// Version to be loaded.
-    pub version: Name,
-    /// Target for the first token.
-    pub first_token_ms: u64,
-    /// Target between tokens.
-    pub between_tokens_ms: u64,
-    /// Most tokens that one request may ask for.
-    pub max_output_tokens: u32,
-}
-
-/// A model engine.
-#[derive(Debug, Clone)]
-pub struct Engine {
-    /// Name of the engine.
-    pub name: Name,
-    /// Zone of the engine.
-    pub zone: Name,
-    /// VM it runs on, where the platform lists it.
-    pub vm: Option<Name>,
-    /// HTTP address.
-    pub address: SocketAddr,
-    /// Models it serves.
-    pub models: Vec<Name>,
-    /// Role at first.
-    pub initial_role: Role,
-    /// Whether it refuses orders with an old fencing token.
-    pub checks_fence: bool,
-    /// Prompt tokens it can read in a second.
-    pub prefill_tokens_per_s: u32,
-    /// Output tokens it can generate in a second over its whole batch.
-    pub decode_tokens_per_s: u32,
-    /// Requests it can decode at once.
-    pub batch_requests: u32,
-    /// Tokens its KV cache can hold.
-    pub kv_capacity_tokens: u64,
-    /// Time that a change of role takes.
-    pub role_change_ms: u64,
-    /// Whether it was withdrawn by an operator.
-    pub withdrawn: bool,
-}
-
-/// A plain service.
-#[derive(Debug, Clone)]
-pub struct Service {
-    /// Name of the service.
-    pub name: Name,
-    /// Processes that answer for it.
-    pub targets: Vec<Arc<Target>>,
-    /// Calls that may not be repeated.
-    pub non_repeatable: Vec<NonRepeatable>,
-    /// Time for a whole call.
-    pub timeout_ms: u64,
-}
-
-impl Service {
-    /// Whether a call is marked as not repeatable.
-    pub fn is_non_repeatable(&self, method: &str, path: &str) -> bool {
-        self.non_repeatable.iter().any(|rule| {
-            rule.method.eq_ignore_ascii_case(method) && path.starts_with(&rule.path_prefix)
-        })
-    }
-}
-
-/// A process that answers for a plain service.
-#[derive(Debug, Clone)]
-pub struct Target {
-    /// Name of the target.
-    pub name: Name,
-    /// Zone of the target.
-    pub zone: Name,
-    /// VM it runs on, where the platform lists it.
-    pub vm: Option<Name>,
-    /// HTTP address.
-    pub address: SocketAddr,
-    /// Whether it was withdrawn by an operator.
-    pub withdrawn: bool,
-}
-
-/// A rule that marks calls as not repeatable.
-#[derive(Debug, Clone)]
-pub struct NonRepeatable {
-    /// HTTP method.
-    pub method: String,
-    /// Start of the path below the service.
-    pub path_prefix: String,
-}
-
-/// A customer, to whom callers belong.
-#[derive(Debug, Clone)]
-pub struct Customer {
-    /// Name of the customer.
-    pub name: Name,
-    /// Priority class, 0 first.
-    pub priority: u32,
-    /// Requests a second over the deployment, where limited.
-    pub requests_per_s: Option<f64>,
-    /// Weight in fair sharing.
-    pub share: f64,
-}
-
-/// Which planner decides on roles.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlannerKind {
-    /// Weighs the cost of a change against late answers.
-    Cost,
-    /// Never changes a role.
-    Fixed,
-    /// Compares queue lengths with thresholds.
-    Threshold,
-    /// Runs all engines in the mixed role.
-    Mixed,
-}
-
-/// Rules of routing and role planning.
-#[derive(Debug, Clone)]
-pub struct Policy {
-    /// Which planner decides.
-    pub planner: PlannerKind,
-    /// Late answers that one role change must avoid to be worth it.
-    pub role_change_weight: f64,
-    /// Time an engine keeps a role at least.
-    pub min_dwell_ms: u64,
-    /// Largest share of a pool that may change role at once.
-    pub max_moving_share: f64,
-    /// Engines that each role of a model keeps at least.
-    pub role_floor: u32,
-    /// Time between two rounds of the planner.
-    pub plan_interval_ms: u64,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            planner: PlannerKind::Cost,
-            role_change_weight: 1.0,
-            min_dwell_ms: 60_000,
-            max_moving_share: 0.25,
-            role_floor: 1,
-            plan_interval_ms: 1_000,
-        }
-    }
-}
-
-impl Inventory {
-    /// Reads and checks a configuration file.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use tealsaddle_core::inventory::Inventory;
-    ///
-    /// let error = Inventory::from_yaml("engines: [{name: e1, zone: nowhere}]", 1).unwrap_err();
-    /// assert!(error.to_string().starts_with("engines[0].zone: "));
-    /// ```
-    pub fn from_yaml(yaml: &str, version: ConfigVersion) -> Result<Self, Error> {
-        let schema: schema::Inventory =
-            serde_saphyr::from_str(yaml).map_err(|error| Error::InvalidYaml(error.to_string()))?;
-        Self::from_schema(&schema, version)
-    }
-
-    /// Checks a configuration that was already parsed.
-    pub fn from_schema(schema: &schema::Inventory, version: ConfigVersion) -> Result<Self, Error> {
-        let zones = read_zones(&schema.zones)?;
-        let models = read_models(&schema.models)?;
-        let mut target_names = HashSet::default();
-        let engines = read_engines(&schema.engines, &zones, &models, &mut target_names)?;
-        let services = read_services(&schema.services, &zones, &mut target_names)?;
-        let (customers, customers_by_key) = read_customers(&schema.customers)?;
-        let policy = read_policy(schema.policy.as_ref())?;
-        Ok(Self {
-            version,
-            zones,
-            models,
-            engines,
-            services,
-            customers,
-            customers_by_key,
-            policy,
-        })
-    }
-
-    /// Engines of a zone that serve a model, withdrawn ones left out.
-    pub fn engines_for<'a>(
-        &'a self,
-        zone: &'a str,
-        model: &'a str,
-    ) -> impl Iterator<Item = &'a Arc<Engine>> {
-        self.engines.values().filter(move |engine| {
-            &*engine.zone == zone
-                && !engine.withdrawn
-                && engine.models.iter().any(|served| &**served == model)
-        })
-    }
-}
-
 fn unique<'a>(seen: &mut HashSet<&'a str>, field: &str, name: &'a str) -> Result<Name, Error> {
     if name.is_empty() {
         return Err(Error::field(field, "must not be empty"));
@@ -325,7 +47,7 @@
     if value == 0 { default } else { value }
 }
 
-fn read_zones(list: &[schema::Zone]) -> Result<HashMap<Name, Zone>, Error> {
+pub(super) fn zones(list: &[schema::Zone]) -> Result<HashMap<Name, Zone>, Error> {
     let mut seen = HashSet::default();
     let mut zones = HashMap::default();
     for (i, zone) in list.iter().enumerate() {
@@ -357,7 +79,7 @@
     Ok(zones)
 }
 
-fn read_models(list: &[schema::Model]) -> Result<HashMap<Name, Arc<Model>>, Error> {
+pub(super) fn models(list: &[schema::Model]) -> Result<HashMap<Name, Arc<Model>>, Error> {
     let mut seen = HashSet::default();
     let mut models = HashMap::default();
     for (i, model) in list.iter().enumerate() {
@@ -378,7 +100,7 @@
     Ok(models)
 }
 
-fn read_engines<'a>(
+pub(super) fn engines<'a>(
     list: &'a [schema::Engine],
     zones: &HashMap<Name, Zone>,
     models: &HashMap<Name, Arc<Model>>,
@@ -445,7 +167,7 @@
     Ok(engines)
 }
 
-fn read_services<'a>(
+pub(super) fn services<'a>(
     list: &'a [schema::Service],
     zones: &HashMap<Name, Zone>,
     seen_targets: &mut HashSet<&'a str>,
@@ -488,9 +210,10 @@
     Ok(services)
 }
 
+/// Customers by name and by the sum of an API key.
 type Customers = (HashMap<Name, Arc<Customer>>, HashMap<String, Arc<Customer>>);
 
-fn read_customers(list: &[schema::Customer]) -> Result<Customers, Error> {
+pub(super) fn customers(list: &[schema::Customer]) -> Result<Customers, Error> {
     let mut seen = HashSet::default();
     let mut customers = HashMap::default();
     let mut by_key: HashMap<String, Arc<Customer>> = HashMap::default();
@@ -535,7 +258,7 @@
     Ok((customers, by_key))
 }
 
-fn read_policy(policy: Option<&schema::Policy>) -> Result<Policy, Error> {
+pub(super) fn policy(policy: Option<&schema::Policy>) -> Result<Policy, Error> {
     let default = Policy::default();
     let Some(policy) = policy else {
         return Ok(default);
--- a/crates/tealsaddle-core/tests/it/main.rs
+++ b/crates/tealsaddle-core/tests/it/main.rs
@@ -1,9 +1,17 @@
 //! Integration tests of the decisions.
 
+mod admission;
 mod authority;
 mod claim;
 mod drain;
+mod inventory;
+mod load;
 mod member;
 mod model;
+mod planner;
+mod prefix;
+mod retry;
 mod rollout;
+mod route;
+mod stream;
 mod zone_sim;
--- a/crates/tealsaddle-node/src/control/members.rs
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -42,7 +42,7 @@
         if self.rollout.on_tick(now_us) {
             self.refresh(now_us);
         }
-        self.traffic.pulse.tick(now_us);
+        self.traffic.control_watchdog.tick(now_us);
         self.forget_peers(&[], now_us);
         if due.heartbeat {
             self.send_heartbeats(due.wants_peers);
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -5,8 +5,8 @@
 
 pub mod demand;
 mod in_flight;
-mod pulse;
 mod suspects;
+mod watchdog;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -28,8 +28,8 @@
 
 use self::demand::Demands;
 pub use self::in_flight::{InFlight, InFlightGuard};
-pub use self::pulse::Pulse;
 pub use self::suspects::Suspects;
+pub use self::watchdog::Watchdog;
 use crate::caller::claim::ClaimLease;
 use crate::caller::proxy::TargetClient;
 use crate::clock;
@@ -122,7 +122,7 @@
     /// Work that callers ask this node for.
     pub demands: Demands,
     /// Sign of life of the control thread.
-    pub pulse: Pulse,
+    pub control_watchdog: Watchdog,
     /// Client of the targets of plain services and of peers.
     pub targets: TargetClient,
     /// Places for requests in flight at once.
@@ -172,7 +172,7 @@
             counters,
             in_flight: Arc::default(),
             demands: Demands::default(),
-            pulse: Pulse::default(),
+            control_watchdog: Watchdog::default(),
             targets: TargetClient::open(),
             places,
             body_bytes: Arc::new(Semaphore::new(body_bytes)),
@@ -193,7 +193,7 @@
 
     /// Whether new requests wait until the state is fresh again after a pause.
     pub fn is_stale(&self) -> bool {
-        self.pulse.is_overdue(clock::now_us()) || self.snapshot.load().is_stale
+        self.control_watchdog.is_overdue(clock::now_us()) || self.snapshot.load().is_stale
     }
 
     /// Engines of this zone that take new work for a model, with what they hold of a prompt.
--- a/crates/tealsaddle-node/src/traffic/pulse.rs
+++ b/crates/tealsaddle-node/src/traffic/watchdog.rs
@@ -1,4 +1,4 @@
-//! Sign of life of the control thread.
+//! Watchdog of the control thread.
 //!
 //! After a pause of the process the traffic threads may run before the control thread has noticed the
 //! pause and published a stale snapshot. They see it from the age of the last tick.
@@ -9,11 +9,11 @@
 
 /// Time of the last tick of the control thread.
 #[derive(Debug, Default)]
-pub struct Pulse {
+pub struct Watchdog {
     ticked_us: AtomicU64,
 }
 
-impl Pulse {
+impl Watchdog {
     /// Notes a tick; the snapshot that belongs to it has been published.
     pub fn tick(&self, now_us: u64) {
         self.ticked_us.store(now_us, Ordering::Release);
--- a/crates/tealsaddle-node/tests/it/faults/leaving.rs
+++ b/crates/tealsaddle-node/tests/it/faults/leaving.rs
@@ -7,7 +7,7 @@
 use tealsaddle_core::inventory::Role;
 use tealsaddle_testkit::client::{Client, wait_until};
 use tealsaddle_testkit::deployment::{Deployment, quick_engine};
-use tealsaddle_testkit::engine::record::{Happening, cut_off_by_role_change};
+use tealsaddle_testkit::engine::record::{EngineEvent, cut_off_by_role_change};
 use tealsaddle_testkit::platform::faults::VmState;
 
 use super::{assert_complete, plan};
@@ -166,7 +166,7 @@
         engine
             .record()
             .iter()
-            .any(|e| matches!(e.what, Happening::Request { .. }))
+            .any(|e| matches!(e.what, EngineEvent::Request { .. }))
     );
 }
 
--- a/crates/tealsaddle-testkit/examples/demo.rs
+++ b/crates/tealsaddle-testkit/examples/demo.rs
@@ -10,7 +10,7 @@
 use tealsaddle_schema::inventory::Policy;
 use tealsaddle_testkit::client::Client;
 use tealsaddle_testkit::deployment::{Deployment, MODEL, Plan, quick_engine};
-use tealsaddle_testkit::engine::record::{Happening, conflicts, cut_off_by_role_change};
+use tealsaddle_testkit::engine::record::{EngineEvent, conflicts, cut_off_by_role_change};
 use tealsaddle_testkit::engine::sim::SimConfig;
 use tealsaddle_testkit::load;
 
@@ -114,7 +114,7 @@
     let mut role_changes = 0;
     for (name, engine) in deployment.engines() {
         let record = engine.record();
-        let done = |what: &Happening| matches!(what, Happening::OrderDone { .. });
+        let done = |what: &EngineEvent| matches!(what, EngineEvent::OrderDone { .. });
         role_changes += record.iter().filter(|entry| done(&entry.what)).count();
         faults.extend(
             conflicts(&record)
--- a/crates/tealsaddle-testkit/src/engine/record.rs
+++ b/crates/tealsaddle-testkit/src/engine/record.rs
@@ -12,13 +12,13 @@
     /// Milliseconds on the engine's clock.
     pub at_ms: u64,
     /// What happened.
-    pub what: Happening,
+    pub what: EngineEvent,
 }
 
 /// What happened.
 #[derive(Debug, Clone, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Happening {
+pub enum EngineEvent {
     /// A request arrived.
     Request {
         /// The attempt.
@@ -92,7 +92,7 @@
 /// Orders of a record with their effects.
 pub fn orders(record: &[Record]) -> Vec<(&OrderRequest, OrderEffect)> {
     let orders = record.iter().filter_map(|entry| match &entry.what {
-        Happening::Order { order, effect, .. } => Some((order, *effect)),
+        EngineEvent::Order { order, effect, .. } => Some((order, *effect)),
         _ => None,
     });
     orders.collect()
@@ -101,7 +101,7 @@
 /// Attempts that a role change cut off.
 pub fn cut_off_by_role_change(record: &[Record]) -> Vec<String> {
     let ended = record.iter().filter_map(|entry| match &entry.what {
-        Happening::Ended {
+        EngineEvent::Ended {
             attempt_id,
             how: Ending::CutOffByRoleChange,
         } => Some(attempt_id.clone()),
--- a/crates/tealsaddle-testkit/src/engine/server.rs
+++ b/crates/tealsaddle-testkit/src/engine/server.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::answers::AnswerFault;
-use super::record::{self, Ending, Happening, OrderEffect, Record};
+use super::record::{self, Ending, EngineEvent, OrderEffect, Record};
 use super::sim::{self, CutOffReason, Event, EventKind, FinishReason, ModelVersion, SimConfig};
 use super::wire::{GenerateEvent, GenerateRequest, OrderRequest};
 use super::{http, text};
@@ -164,7 +164,7 @@
         let now_us = self.state.now_us();
         let mut inner = self.state.lock();
         inner.advance(now_us);
-        inner.push(now_us, Happening::Crash);
+        inner.push(now_us, EngineEvent::Crash);
         let events = inner.sim.crash(now_us);
         inner.dispatch(events);
     }
@@ -175,7 +175,7 @@
         *self.server.lock().expect("no holder of the lock panics") = Some(server);
         let now_us = self.state.now_us();
         let mut inner = self.state.lock();
-        inner.push(now_us, Happening::Restart);
+        inner.push(now_us, EngineEvent::Restart);
         inner.sim.restart(now_us);
         Ok(())
     }
@@ -218,7 +218,7 @@
         let record = self.record();
         let accepted = record
             .iter()
-            .filter(|entry| matches!(entry.what, Happening::Request { refused: None, .. }));
+            .filter(|entry| matches!(entry.what, EngineEvent::Request { refused: None, .. }));
         accepted.count()
     }
 
@@ -247,7 +247,7 @@
 );
 
 impl Inner {
-    pub(super) fn push(&mut self, now_us: u64, what: Happening) {
+    pub(super) fn push(&mut self, now_us: u64, what: EngineEvent) {
         let at_ms = now_us / 1_000;
         self.record.push(Record { at_ms, what });
     }
@@ -260,7 +260,7 @@
     ) -> Result<Accepted, &'static str> {
         self.advance(now_us);
         let result = self.try_submit(&request, now_us);
-        let what = Happening::Request {
+        let what = EngineEvent::Request {
             attempt_id: request.attempt_id.clone(),
             stage: request.stage.clone(),
             resume_at: request.resume_at,
@@ -335,7 +335,7 @@
     fn end(&mut self, id: u64, how: Ending, now_us: u64) {
         if let Some(attempt) = self.attempts.remove(&id) {
             let attempt_id = attempt.request.attempt_id.clone();
-            self.push(now_us, Happening::Ended { attempt_id, how });
+            self.push(now_us, EngineEvent::Ended { attempt_id, how });
         }
     }
 
@@ -396,7 +396,7 @@
                     self.end(attempt_id, how, at_us);
                 }
                 EventKind::OrderDone { order_id } => {
-                    self.push(at_us, Happening::OrderDone { order_id });
+                    self.push(at_us, EngineEvent::OrderDone { order_id });
                 }
             }
         }
@@ -451,7 +451,7 @@
         });
         let cut_off = cut_off.map(|attempt| attempt.request.attempt_id.clone());
         let cut_off = cut_off.collect();
-        let what = Happening::Order {
+        let what = EngineEvent::Order {
             order,
             effect,
             cut_off,
