Remove the choice of engines that nothing calls

Cause: the free function route::choose stood from before the router; the node and the experiments use Router::choose. Change: the function is removed. Conclusion: no behaviour changes.

--- a/crates/tealsaddle-core/src/route/mod.rs
+++ b/crates/tealsaddle-core/src/route/mod.rs
@@ -411,24 +411,3 @@
         / u64::from(decode.engine.decode_tokens_per_s);
     read_us + output_us
 }
-
-/// Chooses engines for one request without regard to other zones.
-///
-/// The time that remains until the first token is due is not known here, so all ways count as on
-/// time.
-pub fn choose<R>(candidates: &[Candidate], request: &RequestFacts, rng: &mut R) -> RouteChoice
-where
-    R: Rng + ?Sized,
-{
-    let targets = Targets {
-        first_token_us: u64::MAX,
-        between_tokens_us: u64::MAX,
-    };
-    let table = RouteTable {
-        candidates,
-        neighbours: &[],
-        targets,
-        typical: Typical::default(),
-    };
-    Router::default().choose(&table, request, 0, rng).choice
-}
