--- /dev/null
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -0,0 +1,64 @@
+//! Cuts a stream of server-sent events at the ends of events.
+//!
+//! A runner may stop in the middle of an event. A stream that another runner goes on with must hold
+//! whole events only, so bytes are kept back until their event is complete.
+
+/// Cuts the bytes of one stream.
+#[derive(Debug, Default)]
+pub struct EventCutter {
+    kept: Vec<u8>,
+    last_id: Option<String>,
+}
+
+impl EventCutter {
+    /// Takes bytes and gives those of the events that are complete now.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tealsaddle_core::fleet::events::EventCutter;
+    ///
+    /// let mut cutter = EventCutter::default();
+    /// assert_eq!(cutter.push(b"id: 4\ndata: a\n\nid: 5\nda"), b"id: 4\ndata: a\n\n");
+    /// assert_eq!(cutter.last_id(), Some("4"));
+    /// ```
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.kept.extend_from_slice(bytes);
+        let Some(end) = end_of_events(&self.kept) else {
+            return Vec::new();
+        };
+        let rest = self.kept.split_off(end);
+        let whole = std::mem::replace(&mut self.kept, rest);
+        if let Some(id) = last_id(&whole) {
+            self.last_id = Some(id);
+        }
+        whole
+    }
+
+    /// Bytes of an event that is not complete.
+    pub fn rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.kept)
+    }
+
+    /// Id of the last complete event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+}
+
+/// End of the last empty line, which closes an event.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    (0..bytes.len()).rev().find_map(|at| {
+        let line_end = bytes[at] == b'\n';
+        let before = bytes[..at].strip_suffix(b"\r").unwrap_or(&bytes[..at]);
+        (line_end && before.last() == Some(&b'\n')).then_some(at + 1)
+    })
+}
+
+fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let last = ids.last()?;
+    let id = String::from_utf8_lossy(last);
+    Some(id.trim().to_owned())
+}
--- /dev/null
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -0,0 +1,113 @@
+//! What one node knows of the runners' load.
+//!
+//! Answers carry the runner's counts, which are old the moment they arrive: other nodes send too, and
+//! what this node sends is not in them yet. A view therefore keeps the node's own requests exactly and
+//! treats the rest of the reported count as work of others that is done at the runner's pace.
+
+use super::knowledge::HeldParts;
+
+/// Counts that a runner put on an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// Weight of the newest outcome in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Time in which an old failure rate loses half of its weight, so that a runner that is avoided is
+/// tried again.
+const FAILURE_HALF_LIFE_US: f64 = 4e6;
+/// Time without a request after a runner did not answer at all.
+const SILENT_PAUSE_US: u64 = 1_000_000;
+/// Time without a request after a runner refused one.
+const REFUSED_PAUSE_US: u64 = 150_000;
+/// Longest pause after silence; each silence in a row doubles it.
+const MAX_SILENT_PAUSE_US: u64 = 8_000_000;
+
+/// One runner as this node sees it.
+#[derive(Debug, Default)]
+pub struct RunnerView {
+    /// Own requests at the runner.
+    pub own_requests: u32,
+    /// Own prompt tokens that the runner is still to read.
+    pub own_read_tokens: u64,
+    /// Own tokens that the requests at the runner will keep in its memory.
+    pub own_kv_tokens: u64,
+    /// Parts that it is thought to hold.
+    pub held: HeldParts,
+    others: u32,
+    others_waiting: u32,
+    reported_at_us: u64,
+    failure_rate: f64,
+    failed_at_us: u64,
+    silences: u32,
+    avoid_until_us: u64,
+}
+
+impl RunnerView {
+    /// Takes the counts of an answer.
+    pub fn on_report(&mut self, report: ReportedLoad, now_us: u64) {
+        let total = report.running + report.waiting;
+        self.others = total.saturating_sub(self.own_requests);
+        self.others_waiting = report.waiting.min(self.others);
+        self.reported_at_us = now_us;
+    }
+
+    /// Takes an answer of any kind but a failure of the runner.
+    pub fn on_success(&mut self) {
+        self.failure_rate *= 1.0 - FAILURE_WEIGHT;
+        self.silences = 0;
+        self.avoid_until_us = 0;
+    }
+
+    /// Takes a failed answer.
+    pub fn on_failure(&mut self, now_us: u64) {
+        self.failure_rate = self.failure_rate_at(now_us) * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+        self.failed_at_us = now_us;
+    }
+
+    /// Takes a refusal: the runner is full or changes its stage.
+    pub fn on_refused(&mut self, now_us: u64) {
+        self.avoid_until_us = self.avoid_until_us.max(now_us + REFUSED_PAUSE_US);
+    }
+
+    /// Takes a connection that was refused, reset or silent.
+    pub fn on_silence(&mut self, now_us: u64) {
+        self.on_failure(now_us);
+        let pause_us = SILENT_PAUSE_US << self.silences.min(3);
+        self.silences += 1;
+        self.avoid_until_us = now_us + pause_us.min(MAX_SILENT_PAUSE_US);
+    }
+
+    /// Whether the runner is passed over while others can take the request.
+    pub const fn is_avoided(&self, now_us: u64) -> bool {
+        now_us < self.avoid_until_us
+    }
+
+    /// Share of failures of late, from 0 to 1.
+    pub fn failure_rate_at(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.failed_at_us) as f64;
+        self.failure_rate * 0.5_f64.powf(age_us / FAILURE_HALF_LIFE_US)
+    }
+
+    /// Estimated requests of other nodes, if each takes `service_us` and `at_once` run together.
+    pub fn others(&self, now_us: u64, service_us: f64, at_once: u32) -> f64 {
+        let age_us = now_us.saturating_sub(self.reported_at_us) as f64;
+        let done = age_us / service_us.max(1.0) * f64::from(at_once.max(1));
+        (f64::from(self.others) - done).max(0.0)
+    }
+
+    /// Estimated requests of other nodes that wait there.
+    pub fn others_waiting(&self, now_us: u64, stale_us: u64) -> u32 {
+        if now_us.saturating_sub(self.reported_at_us) > stale_us {
+            0
+        } else {
+            self.others_waiting
+        }
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -0,0 +1,305 @@
+//! Where a request is read and where it runs.
+//!
+//! Reading is placed by prefix: the home of the last shared part of a prompt is taken to hold it, any
+//! other runner has to read it again, and that time competes with the home's queue. A hot part thus
+//! spills to the next runner as soon as waiting costs more than reading, and no sooner. Output is placed
+//! by load, near the runner that has read the prompt. A place for the output is chosen before the prompt
+//! is read, so that no prompt is read for nothing.
+
+use std::sync::Arc;
+
+use super::config::EngineLimits;
+use super::homes::rank_key;
+use super::load::RunnerView;
+use super::{PromptPart, Runner, Stage, prompt_tokens};
+use crate::collections::HashMap;
+use crate::name::Name;
+
+/// Reading a shared part again loads the whole pool, which the request itself does not feel; the time
+/// counts this many times.
+const REREAD_WEIGHT: f64 = 1.5;
+/// A runner that fails every request counts as this much slower.
+const FAILURE_PENALTY_US: f64 = 400_000.0;
+/// Preference for a runner of the own zone, in time.
+const ZONE_PENALTY_US: f64 = 8_000.0;
+/// Time that a running request adds to the events of the others in its batch.
+const BATCH_PENALTY_US: f64 = 1_500.0;
+/// Share of the KV cache that running requests may take; the rest absorbs what other nodes send at the
+/// same moment.
+const KV_SHARE: f64 = 0.9;
+/// Age at which a reported queue is no longer believed.
+const QUEUE_STALE_US: u64 = 1_000_000;
+/// A decode runner reads prompts at half the speed of a prefill runner.
+const DECODE_READ_FACTOR: f64 = 2.0;
+/// Time from the end of the read to the first event, transfer included.
+const HANDOVER_US: f64 = 25_000.0;
+
+/// Pace of the runners of a model service, learned from answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Time to read a prompt token on a prefill runner.
+    pub read_us_per_token: f64,
+    /// Mean time to read a prompt.
+    pub read_us: f64,
+    /// Mean time of a request at its decode runner.
+    pub stream_us: f64,
+    /// Mean tokens that a request keeps in memory.
+    pub kv_tokens: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            read_us_per_token: 25.0,
+            read_us: 60_000.0,
+            stream_us: 800_000.0,
+            kv_tokens: 6_000.0,
+        }
+    }
+}
+
+/// Weight of the newest observation in a mean.
+const PACE_WEIGHT: f64 = 0.05;
+/// Reads shorter than this say more of the fixed costs than of the pace.
+const MIN_PACED_TOKENS: u64 = 1_000;
+
+impl Pace {
+    /// Takes a read that did not wait behind other requests of this node.
+    pub fn on_read(&mut self, read_tokens: u64, took_us: u64) {
+        if read_tokens < MIN_PACED_TOKENS {
+            return;
+        }
+        let pace = took_us as f64 / read_tokens as f64;
+        // A read behind other nodes' requests looks slow; faster samples are closer to the truth.
+        let weight = if pace < self.read_us_per_token {
+            4.0 * PACE_WEIGHT
+        } else {
+            PACE_WEIGHT / 8.0
+        };
+        self.read_us_per_token += weight * (pace - self.read_us_per_token);
+    }
+
+    /// Takes the tokens that a placed request has to read and keeps in memory.
+    pub fn on_placed(&mut self, read_tokens: u64, kv_tokens: u64) {
+        let read_us = read_tokens as f64 * self.read_us_per_token;
+        self.read_us += PACE_WEIGHT * (read_us - self.read_us);
+        self.kv_tokens += PACE_WEIGHT * (kv_tokens as f64 - self.kv_tokens);
+    }
+
+    /// Takes a stream that ended.
+    pub fn on_stream(&mut self, took_us: u64) {
+        self.stream_us += PACE_WEIGHT * (took_us as f64 - self.stream_us);
+    }
+}
+
+/// What placing needs to know of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Parts of the prompt; empty for a plain service.
+    pub parts: &'a [PromptPart],
+    /// Tokens that it will keep in memory: prompt and output.
+    pub kv_tokens: u64,
+    /// Zone of the node.
+    pub zone: &'a str,
+}
+
+/// A runner that was chosen.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The runner.
+    pub runner: Arc<Runner>,
+    /// Expected time until it begins with the request.
+    pub wait_us: f64,
+    /// Expected time to read the prompt; 0 where it reads nothing.
+    pub read_us: f64,
+    /// Prompt tokens that it has to read.
+    pub read_tokens: u64,
+}
+
+impl Place {
+    /// Expected time until the first event when the runner reads and another one generates.
+    pub fn until_handover_us(&self) -> f64 {
+        self.wait_us + self.read_us + HANDOVER_US
+    }
+}
+
+/// Views of the runners by id.
+pub type Views = HashMap<Name, RunnerView>;
+
+/// A runner that nothing is known of yet.
+fn view_of<'a>(views: &'a Views, unknown: &'a RunnerView, runner: &Runner) -> &'a RunnerView {
+    views.get(&runner.id).unwrap_or(unknown)
+}
+
+/// Runners of a stage that take work: those that answer, or all when none is known to.
+fn usable<'a>(
+    views: &'a Views,
+    runners: &'a [Arc<Runner>],
+    stage: Option<Stage>,
+    excluded: &'a [Name],
+    now_us: u64,
+) -> Vec<&'a Arc<Runner>> {
+    let takes = |runner: &&Arc<Runner>| {
+        runner.stage == stage && !runner.is_draining && !excluded.contains(&runner.id)
+    };
+    let all: Vec<_> = runners.iter().filter(takes).collect();
+    let is_avoided = |runner: &Runner| {
+        let view = views.get(&runner.id);
+        view.is_some_and(|view| view.is_avoided(now_us))
+    };
+    let answering: Vec<_> = all.iter().copied().filter(|r| !is_avoided(r)).collect();
+    if answering.is_empty() { all } else { answering }
+}
+
+fn cheapest<F>(candidates: &[&Arc<Runner>], mut weigh: F) -> Option<Place>
+where
+    F: FnMut(&Arc<Runner>) -> (f64, Place),
+{
+    let weighed = candidates.iter().map(|runner| weigh(runner));
+    let best = weighed.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_cost, place)| place)
+}
+
+/// The prefill runner for a prompt.
+pub fn reader(
+    views: &Views,
+    runners: &[Arc<Runner>],
+    ask: &Ask<'_>,
+    pace: &Pace,
+    excluded: &[Name],
+    now_us: u64,
+) -> Option<Place> {
+    let unknown = RunnerView::default();
+    let candidates = usable(views, runners, Some(Stage::Prefill), excluded, now_us);
+    let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
+    let home_part = shared.last().or(ask.parts.last()).map_or(0, |part| part.id);
+    let home = candidates
+        .iter()
+        .max_by_key(|runner| rank_key(home_part, &runner.id))
+        .map(|runner| Name::clone(&runner.id))?;
+    let all_tokens = prompt_tokens(ask.parts);
+    cheapest(&candidates, |runner| {
+        let view = view_of(views, &unknown, runner);
+        let mut cached_tokens = view.held.cached_tokens(shared);
+        if runner.id == home {
+            cached_tokens = prompt_tokens(shared);
+        }
+        let read_tokens = all_tokens.saturating_sub(cached_tokens);
+        let reread_tokens = prompt_tokens(shared).saturating_sub(cached_tokens);
+        let read_us = read_tokens as f64 * pace.read_us_per_token;
+        let reread_us = reread_tokens as f64 * pace.read_us_per_token;
+        let others_us = view.others(now_us, pace.read_us, 1) * pace.read_us;
+        let wait_us = view.own_read_tokens as f64 * pace.read_us_per_token + others_us;
+        let mut cost = wait_us + read_us + reread_us * (REREAD_WEIGHT - 1.0);
+        cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
+        if *runner.zone != *ask.zone {
+            cost += ZONE_PENALTY_US;
+        }
+        let place = Place {
+            runner: Arc::clone(runner),
+            wait_us,
+            read_us,
+            read_tokens,
+        };
+        (cost, place)
+    })
+}
+
+/// A request for a decode runner.
+#[derive(Debug, Clone, Copy)]
+pub struct DecodeQuery<'a> {
+    /// The request.
+    pub ask: &'a Ask<'a>,
+    /// Limits of the runners.
+    pub engine: &'a EngineLimits,
+    /// Their pace.
+    pub pace: &'a Pace,
+    /// Whether a prefill runner reads the prompt for it.
+    pub has_read: bool,
+}
+
+/// The decode runner for a request.
+pub fn decoder(
+    views: &Views,
+    runners: &[Arc<Runner>],
+    query: &DecodeQuery<'_>,
+    excluded: &[Name],
+    now_us: u64,
+) -> Option<Place> {
+    let DecodeQuery {
+        ask,
+        engine,
+        pace,
+        has_read,
+    } = *query;
+    let unknown = RunnerView::default();
+    let candidates = usable(views, runners, Some(Stage::Decode), excluded, now_us);
+    cheapest(&candidates, |runner| {
+        let view = view_of(views, &unknown, runner);
+        let at_once = engine.slots.max(1);
+        let others = view.others(now_us, pace.stream_us, at_once);
+        let active = others + f64::from(view.own_requests);
+        let kv_tokens = others * pace.kv_tokens + view.own_kv_tokens as f64 + ask.kv_tokens as f64;
+        let over_slots = (active + 1.0 - f64::from(at_once)).max(0.0);
+        let over_kv_tokens = kv_tokens - engine.kv_tokens as f64 * KV_SHARE;
+        let over_kv = (over_kv_tokens / pace.kv_tokens.max(1.0)).max(0.0);
+        let waiting = f64::from(view.others_waiting(now_us, QUEUE_STALE_US));
+        let queue = over_slots.max(over_kv).max(waiting);
+        // Places come free one by one, at the pace at which the running requests end.
+        let wait_us = queue * pace.stream_us / active.max(1.0);
+        let read_tokens = if has_read {
+            0
+        } else {
+            prompt_tokens(ask.parts) - view.held.cached_tokens(ask.parts)
+        };
+        let queued_us = view.own_read_tokens as f64 * pace.read_us_per_token * DECODE_READ_FACTOR;
+        let read_us = read_tokens as f64 * pace.read_us_per_token * DECODE_READ_FACTOR;
+        let mut cost = wait_us + queued_us + read_us + active * BATCH_PENALTY_US;
+        cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
+        if *runner.zone != *ask.zone {
+            cost += ZONE_PENALTY_US;
+        }
+        let place = Place {
+            runner: Arc::clone(runner),
+            wait_us: wait_us + if has_read { 0.0 } else { queued_us },
+            read_us,
+            read_tokens,
+        };
+        (cost, place)
+    })
+}
+
+/// Time of a request at a plain service that nothing is known of.
+const PLAIN_REQUEST_US: f64 = 40_000.0;
+
+/// The runner of a plain service for a request.
+pub fn plain(
+    views: &Views,
+    runners: &[Arc<Runner>],
+    zone: &str,
+    excluded: &[Name],
+    now_us: u64,
+) -> Option<Place> {
+    let unknown = RunnerView::default();
+    let candidates = usable(views, runners, None, excluded, now_us);
+    cheapest(&candidates, |runner| {
+        let view = view_of(views, &unknown, runner);
+        let slots = runner.slots.max(1);
+        let active = view.others(now_us, PLAIN_REQUEST_US, slots) + f64::from(view.own_requests);
+        let queue = (active + 1.0 - f64::from(slots)).max(0.0);
+        let wait_us = queue * PLAIN_REQUEST_US / f64::from(slots);
+        // Runners slow down when they are nearly full.
+        let mut cost = wait_us + active / f64::from(slots) * PLAIN_REQUEST_US / 2.0;
+        cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
+        if *runner.zone != *zone {
+            cost += ZONE_PENALTY_US;
+        }
+        let place = Place {
+            runner: Arc::clone(runner),
+            wait_us,
+            read_us: 0.0,
+            read_tokens: 0,
+        };
+        (cost, place)
+    })
+}
--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod decision;
 pub mod drain;
 pub mod error;
+pub mod fleet;
 pub mod inventory;
 pub mod load;
 pub mod member;
--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -91,16 +91,26 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Attempts {
     is_repeatable: bool,
+    max_runs: u32,
     made: u32,
+    may_have_run: u32,
     unknown: Option<UnknownReason>,
 }
 
 impl Attempts {
     /// A request without an attempt yet; `is_repeatable` says whether it may run twice.
     pub const fn new(is_repeatable: bool) -> Self {
+        Self::with_max_runs(is_repeatable, MAX_ATTEMPTS)
+    }
+
+    /// A request that may run on `max_runs` targets at most; a target that certainly did not run it
+    /// does not count.
+    pub const fn with_max_runs(is_repeatable: bool, max_runs: u32) -> Self {
         Self {
             is_repeatable,
+            max_runs,
             made: 0,
+            may_have_run: 0,
             unknown: None,
         }
     }
@@ -120,11 +130,12 @@
         self.made += 1;
         if let AttemptOutcome::Unknown(reason) = outcome {
             self.unknown = Some(reason);
+            self.may_have_run += 1;
         }
         if self.unknown.is_some() && !self.is_repeatable {
             return Err(GiveUp::NotRepeatable);
         }
-        if self.made >= MAX_ATTEMPTS {
+        if self.made >= MAX_ATTEMPTS || self.may_have_run >= self.max_runs {
             return Err(GiveUp::Attempts);
         }
         if budget.may_retry(now_us) {
@@ -155,15 +166,40 @@
 /// Each second grants three retries, or a share of the requests in that second where that
 /// is more. What one second leaves over may be used in the next one and then lapses, so that a quiet
 /// hour saves up no burst.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RetryBudget {
+    share: f64,
+    floor_per_s: f64,
     period_start_us: u64,
     requests: u64,
     carried: f64,
     used: f64,
 }
 
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self::new(SHARE, FLOOR_PER_S)
+    }
+}
+
 impl RetryBudget {
+    /// A bucket that grants `share` of the requests, and `floor_per_s` however few there are.
+    pub const fn new(share: f64, floor_per_s: f64) -> Self {
+        Self {
+            share,
+            floor_per_s,
+            period_start_us: 0,
+            requests: 0,
+            carried: 0.0,
+            used: 0.0,
+        }
+    }
+
+    /// Changes the floor, which depends on how many nodes share the budget.
+    pub const fn set_floor_per_s(&mut self, floor_per_s: f64) {
+        self.floor_per_s = floor_per_s;
+    }
+
     /// Counts a request, by its first attempt.
     pub fn on_attempt(&mut self, now_us: u64) {
         self.advance(now_us);
@@ -181,7 +217,7 @@
     }
 
     fn granted(&self) -> f64 {
-        (self.requests as f64 * SHARE).max(FLOOR_PER_S)
+        (self.requests as f64 * self.share).max(self.floor_per_s)
     }
 
     fn advance(&mut self, now_us: u64) {
@@ -194,7 +230,7 @@
         self.carried = if elapsed < 2 * PERIOD_US {
             rest.min(self.granted())
         } else {
-            FLOOR_PER_S
+            self.floor_per_s
         };
         self.requests = 0;
         self.used = 0.0;
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -0,0 +1,290 @@
+//! Load, pace and retry budgets as one node sees them, shared by all requests.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::load::{ReportedLoad, RunnerView};
+use tealsaddle_core::fleet::place::{self, Ask, Pace, Place, Views};
+use tealsaddle_core::fleet::{PromptPart, Runner};
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, RetryBudget};
+
+use crate::clock;
+use crate::world::World;
+
+/// How the nodes share the retry budget of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryShare {
+    /// Retries granted per request.
+    pub share: f64,
+    /// Retries granted in a second to all nodes together, however few requests there are.
+    pub floor_per_s: f64,
+}
+
+/// Nodes that are taken to share the budget while their number is not known.
+const UNKNOWN_NODES: u32 = 10;
+
+fn nodes_sharing(nodes: u32) -> f64 {
+    f64::from(if nodes == 0 { UNKNOWN_NODES } else { nodes })
+}
+
+/// Share of a runner's KV cache that is taken to hold prompt parts when it also runs requests.
+const CACHE_SHARE: f64 = 0.8;
+
+#[derive(Debug, Default)]
+struct State {
+    views: Views,
+    paces: HashMap<Name, Pace>,
+    budgets: HashMap<Name, RetryBudget>,
+    nodes: u32,
+}
+
+/// What this node knows of the runners beyond their registrations.
+#[derive(Debug)]
+pub struct Board {
+    state: Mutex<State>,
+    retry: Mutex<RetryShare>,
+}
+
+/// Work of one request at a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Work {
+    /// Prompt tokens to read.
+    pub read_tokens: u64,
+    /// Tokens kept in memory.
+    pub kv_tokens: u64,
+}
+
+/// A request at a runner; it counts there until this is dropped.
+#[derive(Debug)]
+pub struct AtRunner {
+    board: Arc<Board>,
+    runner: Name,
+    service: Name,
+    work: Work,
+    started_us: u64,
+    is_alone: bool,
+}
+
+impl Board {
+    /// Opens an empty board.
+    pub fn open(retry: RetryShare) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::default(),
+            retry: Mutex::new(retry),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn retry(&self) -> RetryShare {
+        *self.retry.lock().expect("no holder of the lock panics")
+    }
+
+    /// Changes how the nodes share the budget; it holds from the next publication on.
+    pub fn set_retry(&self, retry: RetryShare) {
+        *self.retry.lock().expect("no holder of the lock panics") = retry;
+    }
+
+    /// The prefill runner for a prompt.
+    pub fn reader(
+        &self,
+        service: &str,
+        runners: &[Arc<Runner>],
+        ask: &Ask<'_>,
+        excluded: &[Name],
+    ) -> Option<Place> {
+        let state = self.state();
+        let pace = state.paces.get(service).copied().unwrap_or_default();
+        place::reader(&state.views, runners, ask, &pace, excluded, clock::now_us())
+    }
+
+    /// The decode runner for a request.
+    pub fn decoder(
+        &self,
+        runners: &[Arc<Runner>],
+        ask: &Ask<'_>,
+        engine: &EngineLimits,
+        has_read: bool,
+        excluded: &[Name],
+    ) -> Option<Place> {
+        let state = self.state();
+        let service = runners.first().map(|runner| &runner.service);
+        let pace = service.and_then(|s| state.paces.get(s)).copied();
+        let query = place::DecodeQuery {
+            ask,
+            engine,
+            pace: &pace.unwrap_or_default(),
+            has_read,
+        };
+        place::decoder(&state.views, runners, &query, excluded, clock::now_us())
+    }
+
+    /// The runner of a plain service for a request.
+    pub fn plain(&self, runners: &[Arc<Runner>], zone: &str, excluded: &[Name]) -> Option<Place> {
+        let state = self.state();
+        place::plain(&state.views, runners, zone, excluded, clock::now_us())
+    }
+
+    /// Counts a request at a runner.
+    pub fn enter(self: &Arc<Self>, runner: &Runner, work: Work) -> AtRunner {
+        let mut state = self.state();
+        let pace = state.paces.entry(Name::clone(&runner.service)).or_default();
+        if work.read_tokens > 0 {
+            pace.on_placed(work.read_tokens, work.kv_tokens);
+        }
+        let view = state.views.entry(Name::clone(&runner.id)).or_default();
+        let is_alone = view.own_read_tokens == 0;
+        view.own_requests += 1;
+        view.own_read_tokens += work.read_tokens;
+        view.own_kv_tokens += work.kv_tokens;
+        AtRunner {
+            board: Arc::clone(self),
+            runner: Name::clone(&runner.id),
+            service: Name::clone(&runner.service),
+            work,
+            started_us: clock::now_us(),
+            is_alone,
+        }
+    }
+
+    /// Counts the first attempt of a request in the budget of its service.
+    pub fn on_request(&self, service: &Name) {
+        let now_us = clock::now_us();
+        self.with_budget(service, |budget| budget.on_attempt(now_us));
+    }
+
+    /// Counts a failed attempt and decides whether another one may follow.
+    pub fn on_failure(
+        &self,
+        service: &Name,
+        attempts: &mut Attempts,
+        outcome: AttemptOutcome,
+    ) -> Result<(), GiveUp> {
+        let now_us = clock::now_us();
+        self.with_budget(service, |budget| {
+            attempts.on_failure(outcome, budget, now_us)
+        })
+    }
+
+    /// Takes one send beyond the first of a request out of the budget.
+    pub fn may_send_again(&self, service: &Name) -> bool {
+        let now_us = clock::now_us();
+        self.with_budget(service, |budget| budget.may_retry(now_us))
+    }
+
+    fn with_budget<F, T>(&self, service: &Name, act: F) -> T
+    where
+        F: FnOnce(&mut RetryBudget) -> T,
+    {
+        let retry = self.retry();
+        let mut state = self.state();
+        let floor_per_s = retry.floor_per_s / nodes_sharing(state.nodes);
+        let budget = state
+            .budgets
+            .entry(Name::clone(service))
+            .or_insert_with(|| RetryBudget::new(retry.share, floor_per_s));
+        act(budget)
+    }
+
+    /// Follows a change of the fleet: forgets runners that are gone and shares the budget anew.
+    pub fn on_world(&self, world: &World) {
+        let floor_per_s = self.retry().floor_per_s / nodes_sharing(world.nodes);
+        let mut state = self.state();
+        state.nodes = world.nodes;
+        let known: Vec<Name> = world
+            .runners
+            .values()
+            .flatten()
+            .map(|runner| Name::clone(&runner.id))
+            .collect();
+        state
+            .views
+            .retain(|id, view| view.own_requests > 0 || known.contains(id));
+        for budget in state.budgets.values_mut() {
+            budget.set_floor_per_s(floor_per_s);
+        }
+    }
+}
+
+impl AtRunner {
+    /// The runner.
+    pub const fn runner(&self) -> &Name {
+        &self.runner
+    }
+
+    /// Time since the request was sent.
+    pub fn elapsed_us(&self) -> u64 {
+        clock::now_us().saturating_sub(self.started_us)
+    }
+
+    /// Notes that the runner has read the prompt.
+    pub fn on_read(&mut self, parts: &[PromptPart], capacity_tokens: u64) {
+        let took_us = self.elapsed_us();
+        let read_tokens = std::mem::take(&mut self.work.read_tokens);
+        let mut state = self.board.state();
+        if self.is_alone && read_tokens > 0 {
+            let pace = state.paces.entry(Name::clone(&self.service)).or_default();
+            pace.on_read(read_tokens, took_us);
+        }
+        if let Some(view) = state.views.get_mut(&self.runner) {
+            view.own_read_tokens = view.own_read_tokens.saturating_sub(read_tokens);
+            let capacity = capacity_tokens as f64 * CACHE_SHARE;
+            view.held.on_read(parts, capacity as u64);
+        }
+    }
+
+    /// Notes that a stream ended as a whole.
+    pub fn on_stream_end(&self) {
+        let took_us = self.elapsed_us();
+        let mut state = self.board.state();
+        let pace = state.paces.entry(Name::clone(&self.service)).or_default();
+        pace.on_stream(took_us);
+    }
+
+    /// Takes the load that an answer tells.
+    pub fn on_load(&self, load: ReportedLoad) {
+        self.with_view(|view| view.on_report(load, clock::now_us()));
+    }
+
+    /// Takes the outcome of the attempt at this runner.
+    pub fn on_outcome(&self, outcome: AttemptOutcome, is_failure_status: bool) {
+        let now_us = clock::now_us();
+        self.with_view(|view| match outcome {
+            AttemptOutcome::Answered if is_failure_status => view.on_failure(now_us),
+            AttemptOutcome::Answered => view.on_success(),
+            AttemptOutcome::NotRun(NotRunReason::TargetRefused) => view.on_refused(now_us),
+            AttemptOutcome::NotRun(_) => view.on_silence(now_us),
+            AttemptOutcome::Unknown(_) => view.on_failure(now_us),
+        });
+    }
+
+    /// Notes that the runner has been silent for longer than it should need.
+    pub fn on_silence(&self) {
+        let now_us = clock::now_us();
+        self.with_view(|view| view.on_silence(now_us));
+    }
+
+    fn with_view<F>(&self, act: F)
+    where
+        F: FnOnce(&mut RunnerView),
+    {
+        if let Some(view) = self.board.state().views.get_mut(&self.runner) {
+            act(view);
+        }
+    }
+}
+
+impl Drop for AtRunner {
+    fn drop(&mut self) {
+        let work = self.work;
+        self.with_view(|view| {
+            view.own_requests = view.own_requests.saturating_sub(1);
+            view.own_read_tokens = view.own_read_tokens.saturating_sub(work.read_tokens);
+            view.own_kv_tokens = view.own_kv_tokens.saturating_sub(work.kv_tokens);
+        });
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/clock.rs
@@ -0,0 +1,20 @@
+//! The node's clock.
+//!
+//! Leases and pauses are judged on a clock that counts suspended time. The monotonic clock of the
+//! standard library stops while the VM is suspended, so a holder that slept could believe that its
+//! lease still runs.
+
+use nix::time::{ClockId, clock_gettime};
+
+/// Microseconds since the VM's boot, suspended time included.
+pub fn now_us() -> u64 {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel has a boot-time clock");
+    time.tv_sec() as u64 * 1_000_000 + time.tv_nsec() as u64 / 1_000
+}
+
+/// Milliseconds since 1970, for records that people read.
+pub fn unix_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/error.rs
@@ -0,0 +1,56 @@
+//! Errors of this package.
+
+use std::io;
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+
+/// Why the gateway could not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {address}: {source}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// cannot start a thread: {0}
+    Thread(io::Error),
+    /// cannot open the log: {0}
+    Log(String),
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Listen { source, .. } | Self::Thread(source) => Some(source),
+            Self::Log(_) => None,
+        }
+    }
+}
+
+/// Why an entry of the store was not understood: {0}
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub struct BadEntry(pub String);
+
+impl std::error::Error for BadEntry {}
+
+/// Why a call to the store has no result.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// the store cannot be reached or did not answer: {0}
+    Unreachable(String),
+    /// the store refused the call with status {0}
+    Refused(u16),
+    /// the history after the revision is no longer available
+    HistoryGone,
+    /// no such key or lease
+    NotFound,
+    /// a condition of the transaction does not hold
+    Conflict,
+    /// the store answered outside its protocol: {0}
+    Protocol(String),
+}
+
+impl std::error::Error for StoreError {}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -0,0 +1,224 @@
+//! Configuration and registrations as the store gave them.
+
+use std::sync::Arc;
+
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::config::FleetConfig;
+use tealsaddle_core::fleet::lapse::StoreContact;
+use tealsaddle_core::name::Name;
+
+use crate::border::{Change, Changes, Dialect, Item, Listing};
+use crate::world::World;
+
+/// A registration.
+#[derive(Debug, Clone)]
+struct Registration {
+    /// `None` where the entry names no runner to use.
+    runner: Option<Arc<Runner>>,
+    value: Vec<u8>,
+    revision: u64,
+    lapses_us: Option<u64>,
+}
+
+/// What the control thread knows.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    /// Contact with the store.
+    pub contact: StoreContact,
+    /// Nodes that are registered.
+    pub nodes: u32,
+    config: Option<Arc<FleetConfig>>,
+    config_value: Vec<u8>,
+    registrations: HashMap<String, Registration>,
+    has_runners: bool,
+    revision: u64,
+}
+
+impl FleetState {
+    /// Takes a configuration; `true` if it is newer than the one in force.
+    pub fn on_config(&mut self, config: FleetConfig, value: &[u8]) -> bool {
+        let known = self.config.as_ref().map(|config| config.version);
+        if known.is_some_and(|known| known >= config.version) {
+            return false;
+        }
+        self.config = Some(Arc::new(config));
+        value.clone_into(&mut self.config_value);
+        true
+    }
+
+    /// Takes all registrations.
+    pub fn on_listing(
+        &mut self,
+        dialect: &dyn Dialect,
+        prefix: &str,
+        listing: Listing,
+        now_us: u64,
+    ) {
+        let listed: Vec<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
+        let is_gone = |key: &&String| !listed.contains(&key.as_str());
+        let gone: Vec<String> = self.registrations.keys().filter(is_gone).cloned().collect();
+        for key in gone {
+            self.remove(&key, listing.revision, now_us);
+        }
+        for item in listing.items {
+            self.put(dialect, prefix, item);
+        }
+        self.has_runners = true;
+        self.revision = self.revision.max(listing.revision);
+    }
+
+    /// Takes changes of registrations.
+    pub fn on_changes(
+        &mut self,
+        dialect: &dyn Dialect,
+        prefix: &str,
+        changes: Changes,
+        now_us: u64,
+    ) {
+        for change in changes.changes {
+            match change {
+                Change::Put(item) => self.put(dialect, prefix, item),
+                Change::Removed { key, revision } => self.remove(&key, revision, now_us),
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+    }
+
+    fn put(&mut self, dialect: &dyn Dialect, prefix: &str, item: Item) {
+        let known = self.registrations.get(&item.key);
+        if known.is_some_and(|known| known.revision > item.revision) {
+            return;
+        }
+        let id = item.key.strip_prefix(prefix).unwrap_or(&item.key);
+        let runner = match dialect.runner(id, &item.value) {
+            Ok(runner) => Some(Arc::new(runner)),
+            Err(error) => {
+                log::warn!(key:% = item.key, error:%; "a registration names no runner");
+                None
+            }
+        };
+        self.log_change(&item.key, runner.as_deref(), item.revision);
+        let registration = Registration {
+            runner,
+            value: item.value,
+            revision: item.revision,
+            lapses_us: None,
+        };
+        self.registrations.insert(item.key, registration);
+    }
+
+    fn log_change(&self, key: &str, runner: Option<&Runner>, revision: u64) {
+        let before = self.registrations.get(key);
+        let before = before.and_then(|known| known.runner.as_deref());
+        let Some(runner) = runner else {
+            return;
+        };
+        let is_same = before.is_some_and(|before| {
+            before.is_draining == runner.is_draining
+                && before.stage == runner.stage
+                && before.born_unix_ms == runner.born_unix_ms
+        });
+        if !is_same {
+            log::info!(runner:% = runner.id, is_draining = runner.is_draining,
+                stage:? = runner.stage, revision; "runner registered");
+        }
+    }
+
+    fn remove(&mut self, key: &str, revision: u64, now_us: u64) {
+        let keep_until_us = self.contact.keep_until_us(now_us);
+        let Some(known) = self.registrations.get_mut(key) else {
+            return;
+        };
+        if known.revision > revision {
+            return;
+        }
+        let is_draining = known.runner.as_ref().is_some_and(|r| r.is_draining);
+        if let Some(until_us) = keep_until_us
+            && !is_draining
+        {
+            known.lapses_us = Some(until_us);
+            log::info!(key, revision; "registration lapsed; kept for now");
+            return;
+        }
+        self.registrations.remove(key);
+        log::info!(key, revision; "runner gone");
+    }
+
+    /// Whether registrations are kept that have lapsed.
+    pub fn has_lapsed(&self) -> bool {
+        let mut registrations = self.registrations.values();
+        registrations.any(|registration| registration.lapses_us.is_some())
+    }
+
+    /// Drops lapsed registrations whose time is over.
+    pub fn expire(&mut self, now_us: u64) {
+        self.registrations.retain(|key, registration| {
+            let is_over = registration
+                .lapses_us
+                .is_some_and(|until_us| until_us <= now_us);
+            if is_over {
+                log::info!(key:%; "runner gone: its registration did not come back");
+            }
+            !is_over
+        });
+    }
+
+    /// A runner by its id.
+    pub fn runner(&self, id: &str) -> Option<&Arc<Runner>> {
+        let mut runners = self
+            .registrations
+            .values()
+            .filter_map(|r| r.runner.as_ref());
+        runners.find(|runner| &*runner.id == id)
+    }
+
+    /// Newest configuration as the store gave it.
+    pub fn config_value(&self) -> Option<&[u8]> {
+        self.config.is_some().then_some(&self.config_value)
+    }
+
+    /// Registrations as the store gave them, with the revision that they reflect.
+    pub fn listing(&self) -> Option<Listing> {
+        self.has_runners.then(|| Listing {
+            items: self
+                .registrations
+                .iter()
+                .map(|(key, registration)| Item {
+                    key: key.clone(),
+                    value: registration.value.clone(),
+                    revision: registration.revision,
+                })
+                .collect(),
+            revision: self.revision,
+        })
+    }
+
+    /// Whether both configuration and registrations are known.
+    pub const fn is_ready(&self) -> bool {
+        self.config.is_some() && self.has_runners
+    }
+
+    /// The view for requests.
+    pub fn world(&self) -> World {
+        let mut runners: HashMap<Name, Vec<Arc<Runner>>> = HashMap::default();
+        for runner in self
+            .registrations
+            .values()
+            .filter_map(|r| r.runner.as_ref())
+        {
+            let of_service = runners.entry(Name::clone(&runner.service)).or_default();
+            of_service.push(Arc::clone(runner));
+        }
+        for of_service in runners.values_mut() {
+            of_service.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        World {
+            config: self.config.clone(),
+            runners,
+            has_runners: self.has_runners,
+            runners_revision: self.revision,
+            nodes: self.nodes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -0,0 +1,163 @@
+//! Listeners for callers and for the load balancer's probe.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tealsaddle_core::fleet::config::CallerLimits;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer::{Body, full};
+use crate::gateway::Gateway;
+use crate::upstream::set_options;
+use crate::{Error, call};
+
+/// Connections that wait to be accepted; a full queue drops the opening packet for seconds.
+const BACKLOG: u32 = 1_024;
+/// Pause after a failed accept, which means that descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest read buffer that the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// The caller listener; connections go on until told to close.
+#[derive(Debug)]
+pub struct Front {
+    close: watch::Sender<bool>,
+    open: Arc<AtomicUsize>,
+}
+
+/// Listens on an address.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|source| Error::Listen { address, source })
+}
+
+impl Front {
+    /// Listens for callers.
+    pub fn bind(gateway: &Arc<Gateway>) -> Result<Self, Error> {
+        let listener = listen(gateway.config.caller_listen)?;
+        let (close, closing) = watch::channel(false);
+        let open = Arc::new(AtomicUsize::new(0));
+        let accepting = accept(listener, Arc::clone(gateway), closing, Arc::clone(&open));
+        tokio::spawn(accepting);
+        Ok(Self { close, open })
+    }
+
+    /// Closes idle connections, and the others after their answers.
+    pub fn close(&self) {
+        self.close.send_replace(true);
+    }
+
+    /// Connections that are still open.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    gateway: Arc<Gateway>,
+    closing: watch::Receiver<bool>,
+    open: Arc<AtomicUsize>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _address)) => {
+                let gateway = Arc::clone(&gateway);
+                let closing = closing.clone();
+                let open = Arc::clone(&open);
+                tokio::spawn(async move {
+                    open.fetch_add(1, Ordering::Relaxed);
+                    serve(stream, gateway, closing).await;
+                    open.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+            Err(error) => {
+                log::warn!(error:%; "a connection could not be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
+    set_options(&stream);
+    let limits = caller_limits(&gateway);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let gateway = Arc::clone(&gateway);
+        async move { Ok::<_, Infallible>(call::serve(gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // It also runs while a connection is idle, so the longer bound is the one to keep.
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let told_to_close = async move { closing.wait_for(|is_closing| *is_closing).await.is_ok() };
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _is_told = told_to_close => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(error:%; "a caller's connection ended");
+    }
+}
+
+fn caller_limits(gateway: &Gateway) -> CallerLimits {
+    let world = gateway.world.load();
+    world
+        .config
+        .as_ref()
+        .map_or_else(CallerLimits::default, |config| config.limits)
+}
+
+/// Serves short answers that `respond` computes at once, on an address of its own.
+pub fn bind_plain<F>(address: SocketAddr, respond: F) -> Result<(), Error>
+where
+    F: Fn(&Request<Incoming>) -> (StatusCode, String) + Send + Sync + 'static,
+{
+    let listener = listen(address)?;
+    let respond = Arc::new(respond);
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _address)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            set_options(&stream);
+            let respond = Arc::clone(&respond);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, text) = respond(&request);
+                async move { Ok::<_, Infallible>(plain(status, text)) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A prober that goes away is no event.
+            tokio::spawn(async move { drop(connection.await) });
+        }
+    });
+    Ok(())
+}
+
+fn plain(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -0,0 +1,115 @@
+//! The running gateway and what all requests share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tealsaddle_core::name::Name;
+
+use crate::board::{Board, RetryShare};
+use crate::border::Dialect;
+use crate::metrics::Metrics;
+use crate::upstream::Upstreams;
+use crate::world::World;
+
+/// Settings of a gateway.
+#[derive(Debug, Clone)]
+pub struct GatewayConfig {
+    /// Name of the node.
+    pub node: Name,
+    /// Availability zone of the node.
+    pub zone: Name,
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where the load balancer asks whether the node is ready.
+    pub ready_listen: SocketAddr,
+    /// Where peers ask for what this node knows.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where counters are served.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Peers to ask when the store does not answer at the start; some may be gone.
+    pub seeds: Vec<SocketAddr>,
+    /// How the nodes share the retry budget of a service.
+    pub retry: RetryShare,
+    /// Time that orders of a former holder may take to arrive.
+    pub order_transit: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Start of the process to its end.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub config: GatewayConfig,
+    /// What callers and runners speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The fleet as published by the control thread.
+    pub world: Arc<ArcSwap<World>>,
+    /// Connections to runners.
+    pub upstreams: Arc<Upstreams>,
+    /// Load, pace and budgets.
+    pub board: Arc<Board>,
+    /// Counters and latencies.
+    pub metrics: Arc<Metrics>,
+    in_flight: AtomicUsize,
+    is_stopping: AtomicBool,
+}
+
+/// A request in flight, counted until this is dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<Gateway>);
+
+impl Gateway {
+    /// Makes the shared state of a gateway.
+    pub fn new(
+        config: GatewayConfig,
+        dialect: Arc<dyn Dialect>,
+        world: Arc<ArcSwap<World>>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            board: Board::open(config.retry),
+            upstreams: Upstreams::open(),
+            metrics: Metrics::open(),
+            config,
+            dialect,
+            world,
+            in_flight: AtomicUsize::new(0),
+            is_stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Whether the node takes new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.world.load().is_ready()
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the process was told to stop.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request in flight.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! The request path on a platform whose runners register themselves.
+//!
+//! A gateway serves callers from an immutable view of the fleet. One control thread keeps that view
+//! current from the platform's store and, while it holds the right to, orders runners to change their
+//! stage. All requests run on another thread. The decisions come from `tealsaddle_core::fleet`; what a
+//! platform calls things is known only to the implementations of the traits in [`border`].
+
+pub mod answer;
+pub mod board;
+pub mod border;
+pub mod call;
+pub mod clock;
+pub mod control;
+pub mod error;
+pub mod fleet_state;
+pub mod front;
+pub mod gateway;
+pub mod lifecycle;
+pub mod logging;
+pub mod metrics;
+pub mod orders;
+pub mod peers;
+pub mod relay;
+pub mod stages;
+pub mod upstream;
+pub mod world;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -0,0 +1,148 @@
+//! Start, reload and stop of a gateway.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hyper::StatusCode;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
+
+use crate::Error;
+use crate::board::RetryShare;
+use crate::border::{Dialect, Store};
+use crate::control::ControlHandle;
+use crate::front::{Front, bind_plain};
+use crate::gateway::{Gateway, GatewayConfig};
+use crate::world::World;
+
+/// Time after the signal for which new connections may still come: the balancer asks each second and
+/// takes a node out after two misses.
+const PROBE_TIME: Duration = Duration::from_millis(3_200);
+/// Time before the end of the grace period at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Time between two looks at the requests in flight while the process stops.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two looks at the settings file, and at idle connections.
+const HOUSEKEEPING: Duration = Duration::from_secs(2);
+
+/// Settings that can change while the process runs.
+pub trait Reload: std::fmt::Debug + Send {
+    /// The new settings, if they have changed since the last call.
+    fn changed(&mut self) -> Option<RetryShare>;
+}
+
+/// Runs a gateway until it is told to stop.
+pub fn run(
+    config: GatewayConfig,
+    store: Arc<dyn Store>,
+    dialect: Arc<dyn Dialect>,
+    reload: Box<dyn Reload>,
+) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Thread)?;
+    runtime.block_on(serve(config, store, dialect, reload))
+}
+
+async fn serve(
+    config: GatewayConfig,
+    store: Arc<dyn Store>,
+    dialect: Arc<dyn Dialect>,
+    reload: Box<dyn Reload>,
+) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
+    let hang_up = signal(SignalKind::hangup()).map_err(Error::Thread)?;
+    let world = Arc::new(ArcSwap::from_pointee(World::default()));
+    let gateway = Gateway::new(config, dialect, world);
+    let control = Arc::new(ControlHandle::spawn(Arc::clone(&gateway), store)?);
+    let front = Front::bind(&gateway)?;
+    bind_ready(&gateway)?;
+    bind_peers(&gateway, &control)?;
+    bind_metrics(&gateway);
+    tokio::spawn(keep_house(Arc::clone(&gateway), hang_up, reload));
+    log::info!(node:% = gateway.config.node, callers:% = gateway.config.caller_listen;
+        "gateway started");
+    terminate.recv().await;
+    stop(&gateway, &control, &front).await;
+    Ok(())
+}
+
+fn bind_ready(gateway: &Arc<Gateway>) -> Result<(), Error> {
+    let of_probe = Arc::clone(gateway);
+    bind_plain(gateway.config.ready_listen, move |_request| {
+        if of_probe.is_ready() {
+            (StatusCode::OK, String::new())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, String::new())
+        }
+    })
+}
+
+fn bind_peers(gateway: &Arc<Gateway>, control: &Arc<ControlHandle>) -> Result<(), Error> {
+    let Some(address) = gateway.config.peer_listen else {
+        return Ok(());
+    };
+    let control = Arc::clone(control);
+    bind_plain(address, move |request| {
+        if request.uri().path() == crate::peers::STATE_PATH {
+            (StatusCode::OK, control.peer_state())
+        } else {
+            (StatusCode::NOT_FOUND, String::new())
+        }
+    })
+}
+
+/// Serves the metrics; a node without them still serves callers.
+fn bind_metrics(gateway: &Arc<Gateway>) {
+    let Some(address) = gateway.config.metrics_listen else {
+        return;
+    };
+    let of_scrape = Arc::clone(gateway);
+    let bound = bind_plain(address, move |_request| {
+        (StatusCode::OK, of_scrape.metrics.text())
+    });
+    if let Err(error) = bound {
+        log::warn!(error:%; "metrics are not served");
+    }
+}
+
+async fn keep_house(
+    gateway: Arc<Gateway>,
+    mut hang_up: tokio::signal::unix::Signal,
+    mut reload: Box<dyn Reload>,
+) {
+    loop {
+        tokio::select! {
+            _ = hang_up.recv() => log::info!("told to read the settings again"),
+            () = tokio::time::sleep(HOUSEKEEPING) => {}
+        }
+        if let Some(retry) = reload.changed() {
+            gateway.board.set_retry(retry);
+            log::info!(retry:?; "settings changed");
+        }
+        let world = gateway.world.load();
+        let runners = || world.runners.values().flatten();
+        gateway
+            .upstreams
+            .retain(|address| runners().any(|runner| runner.address == *address));
+    }
+}
+
+/// Completes what is in flight. The node stays reachable until the balancer has noticed.
+async fn stop(gateway: &Gateway, control: &ControlHandle, front: &Front) {
+    let started = Instant::now();
+    gateway.stop();
+    control.leave();
+    log::info!(in_flight = gateway.in_flight(); "told to stop");
+    tokio::time::sleep(PROBE_TIME).await;
+    front.close();
+    let limit = started + gateway.config.grace.saturating_sub(GRACE_MARGIN);
+    while front.open_connections() > 0 && Instant::now() < limit {
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+    }
+    log::info!(in_flight = gateway.in_flight(), took_ms = started.elapsed().as_millis() as u64;
+        "gateway stopped");
+    crate::logging::flush();
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/metrics.rs
@@ -0,0 +1,105 @@
+//! Counters and latency histograms, served as text.
+//!
+//! Names are counted through `cadence`; its sink keeps the sums in memory, where the metrics address
+//! reads them. Nothing is sent anywhere, since the platform scrapes.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cadence::{CountedExt, MetricSink, StatsdClient, Timed};
+
+/// Upper bounds of the latency buckets, in milliseconds.
+const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 200, 300, 500, 800, 1_500, 3_000, 8_000];
+
+#[derive(Debug, Default, Clone)]
+struct Histogram {
+    buckets: [u64; BUCKETS_MS.len()],
+    count: u64,
+    sum_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Sums {
+    counters: BTreeMap<String, u64>,
+    latencies: BTreeMap<String, Histogram>,
+}
+
+/// Adds up what the client emits.
+#[derive(Debug, Clone, Default)]
+struct MemorySink(Arc<Mutex<Sums>>);
+
+impl MetricSink for MemorySink {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let invalid = || io::Error::from(io::ErrorKind::InvalidData);
+        let (name, rest) = metric.split_once(':').ok_or_else(invalid)?;
+        let (value, kind) = rest.split_once('|').ok_or_else(invalid)?;
+        let value: u64 = value.parse().map_err(|_error| invalid())?;
+        let mut sums = self.0.lock().expect("no holder of the lock panics");
+        if kind.starts_with("ms") {
+            let histogram = sums.latencies.entry(name.to_owned()).or_default();
+            for (bucket, bound) in histogram.buckets.iter_mut().zip(BUCKETS_MS) {
+                *bucket += u64::from(value <= bound);
+            }
+            histogram.count += 1;
+            histogram.sum_ms += value;
+        } else if let Some(sum) = sums.counters.get_mut(name) {
+            *sum += value;
+        } else {
+            sums.counters.insert(name.to_owned(), value);
+        }
+        Ok(metric.len())
+    }
+}
+
+/// Counters and latencies of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    sink: MemorySink,
+}
+
+impl Metrics {
+    /// Opens empty metrics.
+    pub fn open() -> Arc<Self> {
+        let sink = MemorySink::default();
+        Arc::new(Self {
+            client: StatsdClient::from_sink("tealsaddle", sink.clone()),
+            sink,
+        })
+    }
+
+    /// Adds one to a counter, such as `refused.no_runner`.
+    pub fn increment(&self, name: &str) {
+        // The sink refuses only names that break its format, and those are constants of this crate.
+        drop(self.client.incr(name));
+    }
+
+    /// Adds a latency.
+    pub fn latency(&self, name: &str, took: Duration) {
+        drop(self.client.time(name, took.as_millis() as u64));
+    }
+
+    /// All metrics, one per line.
+    pub fn text(&self) -> String {
+        let sums = self.sink.0.lock().expect("no holder of the lock panics");
+        let mut text = String::new();
+        let plain = |name: &str| name.replace('.', "_");
+        for (name, sum) in &sums.counters {
+            writeln!(text, "{}_total {sum}", plain(name)).expect("a string takes all");
+        }
+        for (name, histogram) in &sums.latencies {
+            let name = plain(name);
+            for (bucket, bound) in histogram.buckets.iter().zip(BUCKETS_MS) {
+                writeln!(text, "{name}_ms_bucket{{le=\"{bound}\"}} {bucket}")
+                    .expect("a string takes all");
+            }
+            let Histogram { count, sum_ms, .. } = histogram;
+            writeln!(text, "{name}_ms_count {count}\n{name}_ms_sum {sum_ms}")
+                .expect("a string takes all");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -0,0 +1,406 @@
+//! Membership in the store, and orders to runners.
+//!
+//! One lease carries both the node's registration and, at one node, the right to give orders. The store
+//! decides who holds that right: the key of the holder is created only where there is none, and its
+//! revision is the fencing token. Before orders are sent their intent is written under the condition
+//! that the key is still the same, so a holder whose key was taken away finds out before it acts. Every
+//! order names the count of orders that the runner must have accepted before, as the runner has just told
+//! it, which makes a late copy void once any other order was accepted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::Stage;
+use tealsaddle_core::fleet::lease::Authority;
+use tealsaddle_core::fleet::split::{self, StageMove};
+use tokio::sync::watch;
+
+use crate::border::{Freshness, Item, KeyRevision, Put, StageOrder, Transaction};
+use crate::clock;
+use crate::control::{Control, jittered, within};
+use crate::error::StoreError;
+use crate::upstream::{Reuse, Upstreams};
+
+/// Start of all keys of this system.
+const PREFIX: &str = "tealsaddle/";
+/// Start of the keys of nodes.
+const NODES: &str = "tealsaddle/nodes/";
+/// Start of the keys of orders that were given.
+const ORDERS: &str = "tealsaddle/orders/";
+/// Key of the node that gives orders.
+const HOLDER: &str = "tealsaddle/holder";
+/// Life of a node's lease without a renewal.
+const LEASE_TTL: Duration = Duration::from_secs(8);
+/// Time before the end of the lease at which the holder stops acting.
+const LEASE_MARGIN: Duration = Duration::from_secs(2);
+/// Time between rounds.
+const ROUND: Duration = Duration::from_millis(2_500);
+/// Time for the store to answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for a runner to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which an order without an answer may still be carried out.
+const SETTLE_US: u64 = 15_000_000;
+
+/// An order that was given, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Intent {
+    to_prefill: bool,
+    orders_before: u64,
+    fence: u64,
+}
+
+impl Intent {
+    const fn stage(&self) -> Stage {
+        if self.to_prefill {
+            Stage::Prefill
+        } else {
+            Stage::Decode
+        }
+    }
+}
+
+/// An order whose effect is not seen yet.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    to: Stage,
+    since_us: u64,
+}
+
+/// A change of stage with the count of orders that the runner has accepted so far.
+#[derive(Debug)]
+struct CountedMove {
+    step: StageMove,
+    orders_before: u64,
+}
+
+/// Part of the node in the store.
+#[derive(Debug)]
+pub struct Membership {
+    control: Arc<Control>,
+    upstreams: Arc<Upstreams>,
+    lease: Option<u64>,
+    renewed_us: u64,
+    authority: Option<Authority>,
+    pending: HashMap<String, Pending>,
+}
+
+impl Membership {
+    /// Makes the part of a node that is not registered yet.
+    pub fn open(control: Arc<Control>) -> Self {
+        Self {
+            control,
+            upstreams: Upstreams::open(),
+            lease: None,
+            renewed_us: 0,
+            authority: None,
+            pending: HashMap::default(),
+        }
+    }
+
+    /// Runs rounds until told to leave, then gives up what it holds.
+    pub async fn run(mut self, mut leaving: watch::Receiver<bool>) {
+        while !*leaving.borrow() {
+            if let Err(error) = self.round().await {
+                log::info!(error:%; "round with the store failed");
+                self.control.on_contact(Some(&error));
+            }
+            tokio::select! {
+                () = tokio::time::sleep(jittered(ROUND)) => {}
+                _ = leaving.wait_for(|is_leaving| *is_leaving) => {}
+            }
+        }
+        if let Some(lease) = self.lease.take() {
+            let ended = within(CALL_TIMEOUT, self.control.store.end_lease(lease)).await;
+            log::info!(was_holder = self.authority.is_some(), ended:?; "left the store");
+        }
+        // The watches go on until the process ends.
+        std::future::pending::<()>().await;
+    }
+
+    async fn round(&mut self) -> Result<(), StoreError> {
+        self.keep_lease().await?;
+        let list = self.control.store.list(PREFIX, Freshness::Stale);
+        let items = within(CALL_TIMEOUT, list).await?.items;
+        self.count_nodes(&items).await?;
+        self.note_intents(&items);
+        let has_holder = items.iter().any(|item| item.key == HOLDER);
+        let now_us = clock::now_us();
+        if self
+            .authority
+            .is_some_and(|authority| authority.is_over(now_us))
+        {
+            self.drop_authority("lease not renewed in time");
+        }
+        if self.authority.is_none() && !has_holder {
+            self.take_authority().await?;
+        }
+        self.give_orders().await
+    }
+
+    async fn keep_lease(&mut self) -> Result<(), StoreError> {
+        let sent_us = clock::now_us();
+        if let Some(lease) = self.lease {
+            match within(CALL_TIMEOUT, self.control.store.renew_lease(lease)).await {
+                Ok(()) => {
+                    self.renewed_us = sent_us;
+                    if let Some(authority) = &mut self.authority {
+                        authority.on_renewed(sent_us, us(LEASE_TTL), us(LEASE_MARGIN));
+                    }
+                    return Ok(());
+                }
+                Err(StoreError::NotFound) => {
+                    self.lease = None;
+                    self.drop_authority("the lease has ended");
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        let open = self.control.store.open_lease(LEASE_TTL);
+        let lease = within(CALL_TIMEOUT, open).await?;
+        self.lease = Some(lease);
+        self.renewed_us = sent_us;
+        self.register(lease).await
+    }
+
+    async fn register(&self, lease: u64) -> Result<(), StoreError> {
+        let node = &self.control.gateway.config.node;
+        let transaction = Transaction {
+            puts: vec![Put {
+                key: format!("{NODES}{node}"),
+                value: node.as_bytes().to_vec(),
+                lease: Some(lease),
+            }],
+            ..Transaction::default()
+        };
+        let commit = self.control.store.commit(transaction);
+        within(CALL_TIMEOUT, commit).await.map(|_revision| ())
+    }
+
+    async fn count_nodes(&self, items: &[Item]) -> Result<(), StoreError> {
+        let nodes = items.iter().filter(|item| item.key.starts_with(NODES));
+        let nodes = nodes.count().max(1) as u32;
+        let is_changed = {
+            let mut fleet = self.control.fleet();
+            let is_changed = fleet.nodes != nodes;
+            fleet.nodes = nodes;
+            is_changed
+        };
+        if is_changed {
+            self.control.publish();
+        }
+        let own = format!("{NODES}{}", self.control.gateway.config.node);
+        match self.lease {
+            // The store may have taken the key away without ending the lease.
+            Some(lease) if !items.iter().any(|item| item.key == own) => self.register(lease).await,
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    /// Takes over the orders of former holders whose effect is not known.
+    fn note_intents(&mut self, items: &[Item]) {
+        let now_us = clock::now_us();
+        for item in items {
+            let Some(runner) = item.key.strip_prefix(ORDERS) else {
+                continue;
+            };
+            let Ok(intent) = serde_json::from_slice::<Intent>(&item.value) else {
+                continue;
+            };
+            let pending = self.pending.entry(runner.to_owned());
+            pending.or_insert(Pending {
+                to: intent.stage(),
+                since_us: now_us,
+            });
+        }
+    }
+
+    async fn take_authority(&mut self) -> Result<(), StoreError> {
+        let Some(lease) = self.lease else {
+            return Ok(());
+        };
+        let node = &self.control.gateway.config.node;
+        let transaction = Transaction {
+            conditions: vec![KeyRevision {
+                key: HOLDER.to_owned(),
+                revision: 0,
+            }],
+            puts: vec![Put {
+                key: HOLDER.to_owned(),
+                value: node.as_bytes().to_vec(),
+                lease: Some(lease),
+            }],
+            ..Transaction::default()
+        };
+        let renewed_us = self.renewed_us;
+        let taken_us = clock::now_us();
+        match within(CALL_TIMEOUT, self.control.store.commit(transaction)).await {
+            Ok(fence) => {
+                let wait_us = taken_us - renewed_us + us(self.control.gateway.config.order_transit);
+                let (ttl_us, margin_us) = (us(LEASE_TTL), us(LEASE_MARGIN));
+                self.authority = Some(Authority::new(
+                    fence, renewed_us, ttl_us, margin_us, wait_us,
+                ));
+                log::info!(fence; "this node gives orders now");
+                Ok(())
+            }
+            Err(StoreError::Conflict) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn drop_authority(&mut self, reason: &str) {
+        if self.authority.take().is_some() {
+            log::info!(reason; "this node gives no more orders");
+        }
+    }
+
+    async fn give_orders(&mut self) -> Result<(), StoreError> {
+        let Some(authority) = self.authority else {
+            return Ok(());
+        };
+        if !authority.may_order(clock::now_us()) {
+            return Ok(());
+        }
+        self.settle();
+        let asked = self.plan().into_iter().map(|step| self.count_orders(step));
+        let asked = futures::future::join_all(asked).await;
+        let moves: Vec<CountedMove> = asked.into_iter().flatten().collect();
+        if moves.is_empty() {
+            return Ok(());
+        }
+        if !self.record(&moves, authority.fence).await? {
+            self.drop_authority("another node gives orders");
+            return Ok(());
+        }
+        let now_us = clock::now_us();
+        for CountedMove { step, .. } in &moves {
+            let pending = Pending {
+                to: step.to,
+                since_us: now_us,
+            };
+            self.pending.insert(step.runner.id.to_string(), pending);
+        }
+        if authority.may_order(clock::now_us()) {
+            let orders = moves
+                .iter()
+                .map(|counted| self.order(counted, authority.fence));
+            futures::future::join_all(orders).await;
+        }
+        Ok(())
+    }
+
+    /// Forgets orders whose effect is seen, whose runner is gone, or that can no longer take effect.
+    fn settle(&mut self) {
+        let now_us = clock::now_us();
+        let fleet = self.control.fleet();
+        self.pending.retain(|id, pending| {
+            let runner = fleet.runner(id);
+            let is_open = runner.is_some_and(|runner| runner.stage != Some(pending.to));
+            is_open && now_us.saturating_sub(pending.since_us) < SETTLE_US
+        });
+    }
+
+    fn plan(&self) -> Vec<StageMove> {
+        let world = self.control.gateway.world.load();
+        let mut moves = Vec::new();
+        let Some(config) = &world.config else {
+            return moves;
+        };
+        for service in config.services.values() {
+            if service.engine.is_some() {
+                moves.extend(split::plan(world.runners_of(&service.name)));
+            }
+        }
+        moves.retain(|step| !self.pending.contains_key(&*step.runner.id));
+        moves
+    }
+
+    /// Asks the runner how many orders it has accepted; `None` if it takes none now.
+    async fn count_orders(&self, step: StageMove) -> Option<CountedMove> {
+        let dialect = &self.control.gateway.dialect;
+        let call = dialect.ask_report(&step.runner.id);
+        let answer = self.upstreams.call(step.runner.address, call, Reuse::Any);
+        let (status, body) = tokio::time::timeout(ORDER_TIMEOUT, answer)
+            .await
+            .ok()?
+            .ok()?;
+        if !status.is_success() {
+            return None;
+        }
+        let report = dialect
+            .runner_report(&body)
+            .inspect_err(|error| {
+                log::warn!(runner:% = step.runner.id, error:%; "a report cannot be read");
+            })
+            .ok()?;
+        let is_free = !report.is_busy && report.stage == step.runner.stage;
+        is_free.then_some(CountedMove {
+            orders_before: report.orders_accepted,
+            step,
+        })
+    }
+
+    /// Writes the intents; `false` if another node gives orders.
+    async fn record(&self, moves: &[CountedMove], fence: u64) -> Result<bool, StoreError> {
+        let puts = moves.iter().map(|counted| {
+            let step = &counted.step;
+            let intent = Intent {
+                to_prefill: step.to == Stage::Prefill,
+                orders_before: counted.orders_before,
+                fence,
+            };
+            Put {
+                key: format!("{ORDERS}{}", step.runner.id),
+                value: serde_json::to_vec(&intent).expect("an intent has a JSON form"),
+                lease: None,
+            }
+        });
+        let transaction = Transaction {
+            conditions: vec![KeyRevision {
+                key: HOLDER.to_owned(),
+                revision: fence,
+            }],
+            puts: puts.collect(),
+            removes: Vec::new(),
+        };
+        match within(CALL_TIMEOUT, self.control.store.commit(transaction)).await {
+            Ok(_revision) => Ok(true),
+            Err(StoreError::Conflict) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn order(&self, counted: &CountedMove, fence: u64) {
+        let CountedMove {
+            step,
+            orders_before,
+        } = counted;
+        let orders_before = *orders_before;
+        let gateway = &self.control.gateway;
+        let call = gateway.dialect.stage_order(&StageOrder {
+            runner_id: &step.runner.id,
+            stage: step.to,
+            holder: &gateway.config.node,
+            fence,
+            orders_before,
+        });
+        let answer = self
+            .upstreams
+            .call(step.runner.address, call, Reuse::Recent);
+        let outcome = match tokio::time::timeout(ORDER_TIMEOUT, answer).await {
+            Ok(Ok((status, _body))) => status.to_string(),
+            Ok(Err(failure)) => format!("{:?}", failure.outcome),
+            Err(_elapsed) => "no answer".to_owned(),
+        };
+        gateway.metrics.increment("order.sent");
+        log::info!(runner:% = step.runner.id, to:? = step.to, fence,
+            orders_before, outcome:%; "order sent");
+    }
+}
+
+const fn us(time: Duration) -> u64 {
+    time.as_micros() as u64
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -0,0 +1,163 @@
+//! Passing an answer on while it arrives.
+//!
+//! Events go on as they come. A stream that breaks ends in an aborted connection, never in a clean end,
+//! unless its route allows another runner to resume it after the last whole event.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::header;
+use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::events::EventCutter;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tokio::time::Instant;
+
+use crate::answer::{Aborted, Body, strip_hop_headers};
+use crate::call::Call;
+use crate::stages::{OpenStream, STREAM_PATIENCE};
+use crate::upstream::AnswerBody;
+
+/// Passes on an answer of which the first bytes were read already.
+pub fn pass_on(first: Bytes, body: AnswerBody, deadline: Instant) -> Body {
+    let state = (Some(first), Some(body));
+    let frames = stream::unfold(state, move |(first, body)| async move {
+        if let Some(first) = first {
+            return Some((Ok(Frame::data(first)), (None, body)));
+        }
+        let mut body = body?;
+        match tokio::time::timeout_at(deadline, body.next()).await {
+            Ok(None) => None,
+            Ok(Some(Ok(data))) => Some((Ok(Frame::data(data)), (None, Some(body)))),
+            Ok(Some(Err(_))) | Err(_) => Some((Err(Aborted), (None, None))),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// The answer to a caller from an open stream.
+pub fn respond(
+    call: Arc<Call>,
+    engine: EngineLimits,
+    stream: OpenStream,
+    attempts: Attempts,
+) -> Response<Body> {
+    let mut head = stream.head.clone();
+    strip_hop_headers(&mut head.headers, |_name| false);
+    call.gateway.dialect.clean_answer(&mut head.headers);
+    let may_resume = call.route.repeat.may_repeat() && head.status.is_success();
+    if may_resume {
+        // Another runner may send the rest in other pieces.
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
+    let relay = Relay {
+        call,
+        engine,
+        stream,
+        attempts,
+        cutter: may_resume.then(EventCutter::default),
+        has_events: false,
+    };
+    let frames = stream::unfold(Some(relay), |relay| async move { relay?.next().await });
+    Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+}
+
+struct Relay {
+    call: Arc<Call>,
+    engine: EngineLimits,
+    stream: OpenStream,
+    attempts: Attempts,
+    /// Cuts at the ends of events, where the stream may be resumed.
+    cutter: Option<EventCutter>,
+    has_events: bool,
+}
+
+type Step = Option<(Result<Frame<Bytes>, Aborted>, Option<Relay>)>;
+
+impl Relay {
+    async fn next(mut self) -> Step {
+        loop {
+            let broken = match self.read().await {
+                Ok(Some(data)) => match self.take(data) {
+                    Some(events) => return Some((Ok(Frame::data(events)), Some(self))),
+                    None => continue,
+                },
+                Ok(None) => return self.finish(),
+                Err(reason) => reason,
+            };
+            if let Err(aborted) = self.resume(broken).await {
+                return Some((Err(aborted), None));
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, UnknownReason> {
+        let mut limit = self.call.deadline;
+        if self.cutter.is_some() {
+            limit = limit.min(Instant::now() + STREAM_PATIENCE);
+        }
+        match tokio::time::timeout_at(limit, self.stream.body.next()).await {
+            Ok(None) => Ok(None),
+            Ok(Some(Ok(data))) => Ok(Some(data)),
+            Ok(Some(Err(_broken))) => Err(UnknownReason::ConnectionLost),
+            Err(_elapsed) => Err(UnknownReason::Timeout),
+        }
+    }
+
+    /// Bytes to pass on now; `None` when they hold no whole event yet.
+    fn take(&mut self, data: Bytes) -> Option<Bytes> {
+        if !self.has_events {
+            self.has_events = true;
+            let took = self.call.started.elapsed();
+            self.call
+                .gateway
+                .metrics
+                .latency("request.first_event", took);
+        }
+        let Some(cutter) = &mut self.cutter else {
+            return Some(data);
+        };
+        let events = cutter.push(&data);
+        (!events.is_empty()).then(|| Bytes::from(events))
+    }
+
+    fn finish(mut self) -> Step {
+        self.stream.at.on_stream_end();
+        let runner = self.stream.at.runner();
+        self.call.log_end("answered", runner, self.attempts.made());
+        let rest = self.cutter.as_mut().map(EventCutter::rest)?;
+        (!rest.is_empty()).then(|| (Ok(Frame::data(Bytes::from(rest))), None))
+    }
+
+    /// Goes on at another runner after the last whole event.
+    async fn resume(&mut self, reason: UnknownReason) -> Result<(), Aborted> {
+        let outcome = AttemptOutcome::Unknown(reason);
+        self.stream.at.on_outcome(outcome, false);
+        if let Some(cutter) = &mut self.cutter {
+            drop(cutter.rest());
+            // The runner before stops when its connection closes.
+            self.stream.body.close();
+            if self.call.may_go_on(&mut self.attempts, outcome).is_ok() {
+                let last_id = cutter.last_id().map(str::to_owned);
+                let next = self
+                    .call
+                    .open_stream(&self.engine, &mut self.attempts, last_id.as_deref())
+                    .await;
+                if let Ok(stream) = next
+                    && stream.head.status.is_success()
+                {
+                    self.call.gateway.metrics.increment("stream.resumed");
+                    self.stream = stream;
+                    return Ok(());
+                }
+            }
+        }
+        let runner = self.stream.at.runner();
+        self.call
+            .log_end(reason.as_str(), runner, self.attempts.made());
+        Err(Aborted)
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -0,0 +1,341 @@
+//! A model request through its stages: a runner reads the prompt, another one generates.
+//!
+//! The decode runner is chosen, and the request counted there, before the prompt is read. What cannot
+//! have its first event by the deadline is refused before it costs anything. A call that only reads may
+//! be repeated, within the budget; without one the decode runner reads the prompt itself.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use hyper::http;
+use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::place::{Ask, Place};
+use tealsaddle_core::fleet::{Runner, prompt_tokens};
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tokio::time::Instant;
+
+use crate::answer::{OwnAnswer, judge};
+use crate::board::{AtRunner, Work};
+use crate::border::{KvSource, SendFacts};
+use crate::call::{Call, Refused};
+use crate::gateway::Gateway;
+use crate::upstream::{Answer, AnswerBody, Reuse};
+
+/// A request is refused when its first event is expected after this share of the time left.
+const FEASIBLE_SHARE: f64 = 0.9;
+/// A reader is given up after this many times the expected time, and not before the floor. Giving up
+/// early costs another read while the first one goes on.
+const READ_PATIENCE: f64 = 4.0;
+/// Shortest patience with a reader.
+const MIN_READ_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Largest answer to a call that only reads.
+const MAX_HANDLE_BYTES: usize = 4 << 10;
+/// Time for a call that frees a handle.
+const FREE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Silence of a decode runner after which a resumable stream goes on elsewhere.
+pub const STREAM_PATIENCE: Duration = Duration::from_millis(1_400);
+
+/// A stream whose head has arrived.
+#[derive(Debug)]
+pub struct OpenStream {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The events.
+    pub body: AnswerBody,
+    /// The count at the decode runner.
+    pub at: AtRunner,
+}
+
+/// KV cache at the runner that has read a prompt; it is freed there unless another runner took it.
+#[derive(Debug)]
+struct HeldKv {
+    gateway: Arc<Gateway>,
+    source: KvSource,
+    is_taken: bool,
+}
+
+impl Drop for HeldKv {
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let call = self.gateway.dialect.free_handle(&self.source.handle);
+        let upstreams = Arc::clone(&self.gateway.upstreams);
+        let address = self.source.runner.address;
+        tokio::spawn(async move {
+            let free = upstreams.call(address, call, Reuse::Any);
+            // A handle that could not be freed expires by itself.
+            drop(tokio::time::timeout(FREE_TIMEOUT, free).await);
+        });
+    }
+}
+
+impl Call {
+    /// Opens the stream of a model request, from `last_event_id` on where it is resumed.
+    pub async fn open_stream(
+        &self,
+        engine: &EngineLimits,
+        attempts: &mut Attempts,
+        last_event_id: Option<&str>,
+    ) -> Result<OpenStream, Refused> {
+        let mut excluded: Vec<Name> = Vec::new();
+        let mut held: Option<HeldKv> = None;
+        let mut has_read = false;
+        loop {
+            let reader = if has_read { None } else { self.reader(&[]) };
+            let is_read = reader.is_some() || held.is_some();
+            let decoder = self.decoder(engine, is_read, &excluded)?;
+            self.check_feasible(reader.as_ref(), &decoder, attempts)?;
+            let at = self.enter_decoder(&decoder);
+            if let Some(reader) = reader {
+                held = self.read_prompt(engine, reader).await;
+                has_read = true;
+            }
+            // It may have announced its leaving while the prompt was read.
+            if !self.gateway.world.load().takes_work(&decoder.runner) {
+                excluded.push(Name::clone(&decoder.runner.id));
+                continue;
+            }
+            let facts = SendFacts {
+                urgency: Some(self.route.priority),
+                kv_source: held.as_ref().map(|held| &held.source),
+                last_event_id,
+                ..self.send_facts(&decoder.runner.id)
+            };
+            let sent = self.exchange_until(&decoder.runner, &facts, self.stream_limit());
+            let outcome = match sent.await {
+                Ok(answer) => match self.take_stream(answer, at, held.as_mut()) {
+                    Ok(stream) => return Ok(stream),
+                    Err(outcome) => outcome,
+                },
+                Err(outcome) => {
+                    at.on_outcome(outcome, false);
+                    if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
+                        at.on_silence();
+                    }
+                    outcome
+                }
+            };
+            excluded.push(Name::clone(&decoder.runner.id));
+            if let Err(last) = self.may_go_on(attempts, outcome) {
+                return Err((OwnAnswer::of_outcome(last), self.decode_wait(engine)));
+            }
+        }
+    }
+
+    /// The head of a stream is awaited until the deadline, or for as long as it may go on elsewhere.
+    fn stream_limit(&self) -> Instant {
+        if self.route.repeat.may_repeat() {
+            self.deadline.min(Instant::now() + STREAM_PATIENCE)
+        } else {
+            self.deadline
+        }
+    }
+
+    fn ask(&self) -> Ask<'_> {
+        Ask {
+            parts: &self.facts.parts,
+            kv_tokens: prompt_tokens(&self.facts.parts) + self.facts.output_tokens,
+            zone: &self.gateway.config.zone,
+        }
+    }
+
+    fn reader(&self, excluded: &[Name]) -> Option<Place> {
+        let world = self.gateway.world.load();
+        let runners = world.runners_of(&self.service);
+        let board = &self.gateway.board;
+        board.reader(&self.service, runners, &self.ask(), excluded)
+    }
+
+    fn decoder(
+        &self,
+        engine: &EngineLimits,
+        is_read: bool,
+        excluded: &[Name],
+    ) -> Result<Place, Refused> {
+        let world = self.gateway.world.load();
+        let runners = world.runners_of(&self.service);
+        let board = &self.gateway.board;
+        let place = board.decoder(runners, &self.ask(), engine, is_read, excluded);
+        place.ok_or((OwnAnswer::NoRunner, Duration::ZERO))
+    }
+
+    /// Expected wait for a place to generate, for the caller's next try.
+    fn decode_wait(&self, engine: &EngineLimits) -> Duration {
+        let place = self.decoder(engine, true, &[]);
+        place.map_or(Duration::ZERO, |place| micros(place.wait_us))
+    }
+
+    fn check_feasible(
+        &self,
+        reader: Option<&Place>,
+        decoder: &Place,
+        attempts: &Attempts,
+    ) -> Result<(), Refused> {
+        let read = reader.map_or(micros(decoder.read_us), |r| micros(r.until_handover_us()));
+        let wait = micros(decoder.wait_us);
+        let left = self.left();
+        let expected = if reader.is_some() {
+            read.max(wait)
+        } else {
+            read + wait
+        };
+        log::info!(id:% = self.request_id, route:% = self.route.name,
+            reader:% = reader.map_or("-", |r| &r.runner.id), decoder:% = decoder.runner.id,
+            read_tokens = reader.map_or(decoder.read_tokens, |r| r.read_tokens),
+            read_ms = read.as_millis() as u64, wait_ms = wait.as_millis() as u64,
+            left_ms = left.as_millis() as u64, config_version = self.config.version,
+            runners_revision = self.gateway.world.load().runners_revision; "placed");
+        if attempts.made() == 0 && expected > left.mul_f64(FEASIBLE_SHARE) {
+            return Err((OwnAnswer::DeadlineInfeasible, expected));
+        }
+        Ok(())
+    }
+
+    fn enter_decoder(&self, decoder: &Place) -> AtRunner {
+        let work = Work {
+            read_tokens: decoder.read_tokens,
+            kv_tokens: self.ask().kv_tokens,
+        };
+        self.gateway.board.enter(&decoder.runner, work)
+    }
+
+    /// Has the prompt read; `None` when the decode runner has to read it.
+    async fn read_prompt(&self, engine: &EngineLimits, first: Place) -> Option<HeldKv> {
+        let mut excluded: Vec<Name> = Vec::new();
+        let mut place = first;
+        loop {
+            let outcome = match self.read_at(engine, &place).await {
+                Ok(held) => return Some(held),
+                Err(outcome) => outcome,
+            };
+            log::info!(id:% = self.request_id, runner:% = place.runner.id, outcome:?;
+                "prompt was not read");
+            excluded.push(Name::clone(&place.runner.id));
+            if !self.gateway.board.may_send_again(&self.service) {
+                self.gateway.metrics.increment("read.budget_used_up");
+                return None;
+            }
+            self.gateway.metrics.increment("read.again");
+            place = self.reader(&excluded)?;
+        }
+    }
+
+    async fn read_at(
+        &self,
+        engine: &EngineLimits,
+        place: &Place,
+    ) -> Result<HeldKv, AttemptOutcome> {
+        let work = Work {
+            read_tokens: place.read_tokens,
+            kv_tokens: 0,
+        };
+        let mut at = self.gateway.board.enter(&place.runner, work);
+        let facts = SendFacts {
+            urgency: Some(self.route.priority),
+            reads_only: true,
+            ..self.send_facts(&place.runner.id)
+        };
+        let patience = micros(place.until_handover_us() * READ_PATIENCE).max(MIN_READ_PATIENCE);
+        let limit = self.deadline.min(Instant::now() + patience);
+        let outcome = match self.exchange_until(&place.runner, &facts, limit).await {
+            Ok(answer) => match self.take_handle(answer, &at, &place.runner, limit).await {
+                Ok(held) => {
+                    at.on_read(&self.facts.parts, engine.kv_tokens);
+                    at.on_outcome(AttemptOutcome::Answered, false);
+                    return Ok(held);
+                }
+                Err(outcome) => outcome,
+            },
+            Err(outcome) => outcome,
+        };
+        at.on_outcome(outcome, false);
+        if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
+            at.on_silence();
+        }
+        Err(outcome)
+    }
+
+    async fn take_handle(
+        &self,
+        answer: Answer,
+        at: &AtRunner,
+        runner: &Runner,
+        limit: Instant,
+    ) -> Result<HeldKv, AttemptOutcome> {
+        let Answer { head, mut body } = answer;
+        let dialect = &self.gateway.dialect;
+        let facts = dialect.answer_facts(&head.headers);
+        if let Some(load) = facts.load {
+            at.on_load(load);
+        }
+        let invalid = AttemptOutcome::Unknown(UnknownReason::InvalidAnswer);
+        let is_foreign = facts.request_id.is_some_and(|id| id != self.request_id);
+        if !head.status.is_success() || is_foreign {
+            body.forbid_reuse();
+            let facts = dialect.answer_facts(&head.headers);
+            let outcome = judge(head.status, &facts, &self.request_id);
+            return Err(if outcome == AttemptOutcome::Answered {
+                invalid
+            } else {
+                outcome
+            });
+        }
+        let mut bytes = BytesMut::new();
+        loop {
+            match tokio::time::timeout_at(limit, body.next()).await {
+                Ok(None) => break,
+                Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
+                Ok(Some(Err(_broken))) => {
+                    return Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost));
+                }
+                Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+            }
+            if bytes.len() > MAX_HANDLE_BYTES {
+                return Err(invalid);
+            }
+        }
+        let handle = dialect.kv_handle(&bytes).map_err(|error| {
+            log::warn!(id:% = self.request_id, runner:% = runner.id, error:%; "no handle");
+            invalid
+        })?;
+        Ok(HeldKv {
+            gateway: Arc::clone(&self.gateway),
+            source: KvSource {
+                runner: runner.clone(),
+                handle,
+            },
+            is_taken: false,
+        })
+    }
+
+    fn take_stream(
+        &self,
+        answer: Answer,
+        mut at: AtRunner,
+        held: Option<&mut HeldKv>,
+    ) -> Result<OpenStream, AttemptOutcome> {
+        let Answer { head, mut body } = answer;
+        let facts = self.gateway.dialect.answer_facts(&head.headers);
+        if let Some(load) = facts.load {
+            at.on_load(load);
+        }
+        let outcome = judge(head.status, &facts, &self.request_id);
+        at.on_outcome(outcome, head.status.is_server_error());
+        if outcome != AttemptOutcome::Answered {
+            body.forbid_reuse();
+            return Err(outcome);
+        }
+        if let Some(held) = held {
+            held.is_taken = true;
+        }
+        at.on_read(&self.facts.parts, 0);
+        Ok(OpenStream { head, body, at })
+    }
+}
+
+fn micros(us: f64) -> Duration {
+    Duration::from_micros(us.max(0.0) as u64)
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -0,0 +1,357 @@
+//! Connections to runners, to the store and to peers.
+//!
+//! A connection carries one request at a time. It goes back to the pool only after a whole answer; a
+//! request that is dropped closes its connection, which tells the runner to stop and keeps a late answer
+//! away from the next request. Every connection has short keep-alive probes, since a path may go silent
+//! without a reset.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode, http};
+use hyper_util::rt::TokioIo;
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::border::RunnerCall;
+
+/// Time to connect. Within a region a connection takes milliseconds, and a lost SYN is sent again only
+/// after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after which unacknowledged bytes end a connection.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle time before the first keep-alive probe, and time between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer that end a connection.
+const PROBES: u32 = 2;
+/// Idle time after which a connection is not used again when the peer names no timeout.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// A connection is left alone this long before the peer's own timeout.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Idle time after which a request that may not be repeated gets a fresh connection: one that went
+/// silent meanwhile would leave its outcome unknown.
+const FRESH_IDLE: Duration = Duration::from_millis(2_500);
+/// Idle connections kept for one peer.
+const MAX_IDLE: usize = 24;
+
+/// Which connections a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any idle one.
+    Any,
+    /// One that was used of late, or a new one.
+    Recent,
+}
+
+/// Why a request has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendFailure {
+    /// Whether it may have run.
+    pub outcome: AttemptOutcome,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    usable_for: Duration,
+}
+
+/// Connections by address.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+/// The answer to a request, with its connection.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+/// Body of an answer; dropping it before its end closes the connection.
+#[derive(Debug)]
+pub struct AnswerBody {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    upstreams: Arc<Upstreams>,
+    address: SocketAddr,
+    usable_for: Option<Duration>,
+}
+
+impl Upstreams {
+    /// Opens an empty pool.
+    pub fn open() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// The caller bounds the time; dropping the future closes the connection.
+    pub async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<Answer, SendFailure> {
+        loop {
+            let (mut connection, is_fresh) = match self.take_idle(address, reuse) {
+                Some(connection) => (connection, false),
+                None => (connect(address).await?, true),
+            };
+            if connection.sender.ready().await.is_err() {
+                if is_fresh {
+                    return Err(not_run());
+                }
+                continue;
+            }
+            let mut failure = match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(address, connection, response)),
+                Err(failure) => failure,
+            };
+            // The message comes back only if none of its bytes were written.
+            match failure.take_message() {
+                Some(message) if !is_fresh => request = message,
+                Some(_unsent) => return Err(not_run()),
+                None => return Err(unknown(failure.error())),
+            }
+        }
+    }
+
+    /// Makes a call of the gateway's own to a runner and reads the whole answer.
+    pub async fn call(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        call: RunnerCall,
+        reuse: Reuse,
+    ) -> Result<(StatusCode, Bytes), SendFailure> {
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().map_err(|_error| not_run())?;
+        let headers = request.headers_mut();
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        headers.extend(call.headers);
+        let Answer { head, mut body } = self.send(address, request, reuse).await?;
+        let mut bytes = BytesMut::new();
+        while let Some(data) = body.next().await {
+            match data {
+                Ok(data) => bytes.extend_from_slice(&data),
+                Err(error) => return Err(unknown(&error)),
+            }
+        }
+        Ok((head.status, bytes.freeze()))
+    }
+
+    fn answer(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> Answer {
+        let (head, incoming) = response.into_parts();
+        let mut body = AnswerBody {
+            usable_for: usable_for(&head.headers),
+            incoming,
+            connection: Some(connection),
+            upstreams: Arc::clone(self),
+            address,
+        };
+        if body.incoming.is_end_stream() {
+            body.give_back();
+        }
+        Answer { head, body }
+    }
+
+    fn pool(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().expect("no holder of the lock panics")
+    }
+
+    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let mut pool = self.pool();
+        let of_address = pool.get_mut(&address)?;
+        while let Some(idle) = of_address.pop() {
+            let limit = match reuse {
+                Reuse::Any => idle.usable_for,
+                Reuse::Recent => idle.usable_for.min(FRESH_IDLE),
+            };
+            if idle.since.elapsed() < limit && !idle.connection.sender.is_closed() {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, address: SocketAddr, connection: Connection, usable_for: Duration) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut pool = self.pool();
+        let of_address = pool.entry(address).or_default();
+        if of_address.len() == MAX_IDLE {
+            of_address.remove(0);
+        }
+        of_address.push(Idle {
+            connection,
+            since: Instant::now(),
+            usable_for,
+        });
+    }
+
+    /// Closes the idle connections to addresses that are no longer in use, and those left too long.
+    pub fn retain<F>(&self, is_used: F)
+    where
+        F: Fn(&SocketAddr) -> bool,
+    {
+        self.pool().retain(|address, of_address| {
+            of_address.retain(|idle| idle.since.elapsed() < idle.usable_for);
+            is_used(address) && !of_address.is_empty()
+        });
+    }
+}
+
+impl AnswerBody {
+    /// The next bytes; `None` after the whole body.
+    pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        loop {
+            match self.incoming.frame().await {
+                None => {
+                    self.give_back();
+                    return None;
+                }
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    // A body of known length is whole with its last byte.
+                    if self.incoming.is_end_stream() {
+                        self.give_back();
+                    }
+                    return Some(Ok(data));
+                }
+                Some(Err(error)) => {
+                    self.connection = None;
+                    return Some(Err(error));
+                }
+            }
+        }
+    }
+
+    /// Closes the connection.
+    pub fn close(&mut self) {
+        self.connection = None;
+    }
+
+    /// Closes the connection as soon as the answer ends, in place of using it again.
+    pub const fn forbid_reuse(&mut self) {
+        self.usable_for = None;
+    }
+
+    fn give_back(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        if let Some(usable_for) = self.usable_for {
+            self.upstreams
+                .give_back(self.address, connection, usable_for);
+        }
+    }
+}
+
+const fn not_run() -> SendFailure {
+    SendFailure {
+        outcome: AttemptOutcome::NotRun(NotRunReason::ConnectFailed),
+    }
+}
+
+fn unknown(error: &hyper::Error) -> SendFailure {
+    let reason = if error.is_parse() {
+        UnknownReason::InvalidAnswer
+    } else {
+        UnknownReason::ConnectionLost
+    };
+    SendFailure {
+        outcome: AttemptOutcome::Unknown(reason),
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, SendFailure> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) | Err(_) => return Err(not_run()),
+    };
+    set_options(&stream);
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let Ok((sender, connection)) = handshake else {
+        return Err(not_run());
+    };
+    let driver = tokio::spawn(async move {
+        // The request that used the connection reports the failure.
+        drop(connection.await);
+    });
+    Ok(Connection {
+        sender,
+        driver: driver.abort_handle(),
+    })
+}
+
+/// Sets the options that end a connection on which the peer has gone silent.
+pub fn set_options(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let results = [
+        stream.set_nodelay(true),
+        socket.set_tcp_keepalive(&keepalive),
+        socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT)),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!(error:%; "a socket option was refused");
+    }
+}
+
+/// How long the connection may stay idle; `None` if it may not be used again.
+fn usable_for(headers: &HeaderMap) -> Option<Duration> {
+    let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
+    if headers.get_all(CONNECTION).iter().any(closes) {
+        return None;
+    }
+    let Some(stated) = headers.get("keep-alive").and_then(|v| v.to_str().ok()) else {
+        return Some(DEFAULT_IDLE);
+    };
+    let seconds = stated.split(',').find_map(|field| {
+        let (name, value) = field.split_once('=')?;
+        let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+        is_timeout.then(|| value.trim().parse::<u64>().ok())?
+    });
+    let stated = seconds.map_or(DEFAULT_IDLE, Duration::from_secs);
+    stated.checked_sub(IDLE_MARGIN)
+}
--- /dev/null
+++ b/crates/tealsaddle-node/src/front.rs
@@ -0,0 +1,28 @@
+//! The `front` role: a gateway on the users' platform.
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use tealsaddle_gateway::{lifecycle, logging};
+use tealsaddle_platform::{HttpStore, PlatformDialect, PlatformSettings, SettingsFile};
+
+/// Environment variable that names the settings file.
+const SETTINGS_VARIABLE: &str = "TEALSADDLE_CONFIG";
+
+/// Runs the role, or checks its settings.
+pub fn run(is_check: bool) -> Result<(), Box<dyn Error>> {
+    let file = std::env::var_os(SETTINGS_VARIABLE)
+        .map(PathBuf::from)
+        .ok_or_else(|| format!("the environment variable {SETTINGS_VARIABLE} is not set"))?;
+    let settings = PlatformSettings::from_file(&file)?;
+    if is_check {
+        println!("{}: valid", file.display());
+        return Ok(());
+    }
+    logging::open(log::LevelFilter::Info)?;
+    let store = Arc::new(HttpStore::open(settings.store_address));
+    let reload = Box::new(SettingsFile::open(&file));
+    lifecycle::run(settings.gateway, store, Arc::new(PlatformDialect), reload)?;
+    Ok(())
+}
--- a/crates/tealsaddle-node/src/main.rs
+++ b/crates/tealsaddle-node/src/main.rs
@@ -1,5 +1,7 @@
 //! The `tealsaddle` program: one entry node.
 
+mod front;
+
 use std::process::ExitCode;
 
 use getopts::Options;
@@ -9,6 +11,15 @@
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
+/// Argument that chooses the platform with self-registering runners.
+const FRONT_ROLE: &str = "front";
+
+const USAGE: &str = "Usage: tealsaddle [--check] SETTINGS.yaml
+       tealsaddle [--check] front
+
+With `front` the node serves a platform whose runners register themselves; the
+environment variable TEALSADDLE_CONFIG names its settings file.";
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
@@ -25,10 +36,7 @@
         Err(error) => return usage_error(&error.to_string()),
     };
     if matches.opt_present("help") {
-        print!(
-            "{}",
-            options.usage("Usage: tealsaddle [--check] SETTINGS.yaml")
-        );
+        print!("{}", options.usage(USAGE));
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("version") {
@@ -38,7 +46,13 @@
     let [file] = matches.free.as_slice() else {
         return usage_error("one settings file is needed");
     };
-    match run(file, matches.opt_present("check")) {
+    let is_check = matches.opt_present("check");
+    let result = if file == FRONT_ROLE {
+        front::run(is_check)
+    } else {
+        run(file, is_check).map_err(Into::into)
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("tealsaddle: {error}");
