Give most runners to reading, and believe queues of other nodes longer

Cause: reads took 0.5 to 1.0 s where 0.1 to 0.8 s were expected; the count of other nodes' requests was taken to drain at the runner's pace while they sent as much again, and half of the runners did not suffice for the prompts. Change: the count fades with a half-life of 1 s; 72% of the runners read; reading a shared part again counts four times; watches wait 5 s and are made anew when the store returns; a lower count of nodes is believed after 10 s.

--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers carry the runner's counts, which are old the moment they arrive: other nodes send too, and
 //! what this node sends is not in them yet. A view therefore keeps the node's own requests exactly and
-//! treats the rest of the reported count as work of others that is done at the runner's pace.
+//! treats the rest of the reported count as work of others, which fades as the count gets old.
 
 use super::knowledge::HeldParts;
 
@@ -22,6 +22,8 @@
 /// Time in which an old failure rate loses half of its weight, so that a runner that is avoided is
 /// tried again.
 const FAILURE_HALF_LIFE_US: f64 = 4e6;
+/// Age at which half of the reported work of others is still believed.
+const OTHERS_HALF_LIFE_US: f64 = 1e6;
 /// Time without a request after a runner did not answer at all.
 const SILENT_PAUSE_US: u64 = 1_000_000;
 /// Time without a request after a runner refused one.
@@ -95,11 +97,13 @@
         self.failure_rate * 0.5_f64.powf(age_us / FAILURE_HALF_LIFE_US)
     }
 
-    /// Estimated requests of other nodes, if each takes `service_us` and `at_once` run together.
-    pub fn others(&self, now_us: u64, service_us: f64, at_once: u32) -> f64 {
+    /// Estimated requests of other nodes.
+    ///
+    /// While the load is steady, others send as much as the runner completes, so the count holds for a
+    /// while and fades only as it gets old.
+    pub fn others(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.reported_at_us) as f64;
-        let done = age_us / service_us.max(1.0) * f64::from(at_once.max(1));
-        (f64::from(self.others) - done).max(0.0)
+        f64::from(self.others) * 0.5_f64.powf(age_us / OTHERS_HALF_LIFE_US)
     }
 
     /// Estimated requests of other nodes that wait there.
--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -17,7 +17,7 @@
 
 /// Reading a shared part again loads the whole pool, which the request itself does not feel; the time
 /// counts this many times.
-const REREAD_WEIGHT: f64 = 1.5;
+const REREAD_WEIGHT: f64 = 4.0;
 /// A runner that fails every request counts as this much slower.
 const FAILURE_PENALTY_US: f64 = 400_000.0;
 /// Preference for a runner of the own zone, in time.
@@ -31,6 +31,8 @@
 const QUEUE_STALE_US: u64 = 1_000_000;
 /// A decode runner reads prompts at half the speed of a prefill runner.
 const DECODE_READ_FACTOR: f64 = 2.0;
+/// Time that a read takes besides its tokens.
+const READ_OVERHEAD_US: f64 = 15_000.0;
 /// Time from the end of the read to the first event, transfer included.
 const HANDOVER_US: f64 = 25_000.0;
 
@@ -188,7 +190,7 @@
         let reread_tokens = prompt_tokens(shared).saturating_sub(cached_tokens);
         let read_us = read_tokens as f64 * pace.read_us_per_token;
         let reread_us = reread_tokens as f64 * pace.read_us_per_token;
-        let others_us = view.others(now_us, pace.read_us, 1) * pace.read_us;
+        let others_us = view.others(now_us) * (pace.read_us + READ_OVERHEAD_US);
         let wait_us = view.own_read_tokens as f64 * pace.read_us_per_token + others_us;
         let mut cost = wait_us + read_us + reread_us * (REREAD_WEIGHT - 1.0);
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
@@ -237,7 +239,7 @@
     cheapest(&candidates, |runner| {
         let view = view_of(views, &unknown, runner);
         let at_once = engine.slots.max(1);
-        let others = view.others(now_us, pace.stream_us, at_once);
+        let others = view.others(now_us);
         let active = others + f64::from(view.own_requests);
         let kv_tokens = others * pace.kv_tokens + view.own_kv_tokens as f64 + ask.kv_tokens as f64;
         let over_slots = (active + 1.0 - f64::from(at_once)).max(0.0);
@@ -285,7 +287,7 @@
     cheapest(&candidates, |runner| {
         let view = view_of(views, &unknown, runner);
         let slots = runner.slots.max(1);
-        let active = view.others(now_us, PLAIN_REQUEST_US, slots) + f64::from(view.own_requests);
+        let active = view.others(now_us) + f64::from(view.own_requests);
         let queue = (active + 1.0 - f64::from(slots)).max(0.0);
         let wait_us = queue * PLAIN_REQUEST_US / f64::from(slots);
         // Runners slow down when they are nearly full.
--- a/crates/tealsaddle-core/src/fleet/split.rs
+++ b/crates/tealsaddle-core/src/fleet/split.rs
@@ -1,9 +1,8 @@
 //! How many runners of a model service read prompts and how many generate output.
 //!
 //! Prompts outweigh outputs in most of the work that shares long prompt parts, but too few decode
-//! runners stop everything: streams pause, then memory runs out. The planner therefore starts from an
-//! even split, which keeps decode clear of that edge when a runner or two are lost, and moves one runner
-//! at a time only on a pressure that lasts.
+//! runners stop everything: streams pause, then memory runs out. The planner therefore gives most runners
+//! to reading and keeps enough for decoding to stay clear of that edge when one of them is lost.
 
 use std::sync::Arc;
 
@@ -19,7 +18,7 @@
 }
 
 /// Share of the runners of a model service that read prompts when nothing is known of the mix.
-const PREFILL_SHARE: f64 = 0.5;
+const PREFILL_SHARE: f64 = 0.72;
 /// Fewest decode runners: one may be lost and the streams still run.
 const MIN_DECODE: usize = 2;
 
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -23,7 +23,7 @@
 }
 
 /// Nodes that are taken to share the budget while their number is not known.
-const UNKNOWN_NODES: u32 = 10;
+pub const UNKNOWN_NODES: u32 = 10;
 
 fn nodes_sharing(nodes: u32) -> f64 {
     f64::from(if nodes == 0 { UNKNOWN_NODES } else { nodes })
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -9,6 +9,7 @@
 
 use rand::RngExt;
 use tealsaddle_core::fleet::lapse::RETURN_WINDOW_US;
+use tokio::sync::Notify;
 
 use crate::border::{Change, Changes, Freshness, Listing, Store};
 use crate::error::StoreError;
@@ -17,10 +18,11 @@
 use crate::orders::Membership;
 use crate::{Error, clock, peers};
 
-/// Time that a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Time that a watch waits for a change. A store that was away may have forgotten a watch that it
+/// acknowledged before, and only the end of the wait shows it.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Time for the store to answer beyond a watch's wait.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// First pause after a failed call; it doubles up to the longest one.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -34,6 +36,8 @@
     /// The platform's store.
     pub store: Arc<dyn Store>,
     fleet: Mutex<FleetState>,
+    /// Signals that the store answers again, so that watches from before are made anew.
+    returned: Notify,
 }
 
 /// The running control thread.
@@ -50,6 +54,7 @@
             gateway,
             store,
             fleet: Mutex::default(),
+            returned: Notify::new(),
         });
         let (leave, leaving) = tokio::sync::watch::channel(false);
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -101,17 +106,9 @@
     let mut revision = None;
     let mut pause = MIN_PAUSE;
     loop {
-        let result = match revision {
-            None => {
-                let list = control.store.list(prefix, Freshness::Latest);
-                within(CALL_TIMEOUT, list).await.map(News::Listing)
-            }
-            Some(after) => {
-                let watch = control.store.watch(prefix, after, WATCH_WAIT);
-                within(WATCH_WAIT + CALL_TIMEOUT, watch)
-                    .await
-                    .map(News::Changes)
-            }
+        let result = tokio::select! {
+            result = ask(&control, prefix, revision) => result,
+            () = control.returned.notified() => continue,
         };
         match result {
             Ok(news) => {
@@ -137,6 +134,16 @@
     }
 }
 
+async fn ask(control: &Control, prefix: &str, revision: Option<u64>) -> Result<News, StoreError> {
+    if let Some(after) = revision {
+        let watch = control.store.watch(prefix, after, WATCH_WAIT);
+        let changes = within(WATCH_WAIT + CALL_TIMEOUT, watch).await?;
+        return Ok(News::Changes(changes));
+    }
+    let list = control.store.list(prefix, Freshness::Latest);
+    within(CALL_TIMEOUT, list).await.map(News::Listing)
+}
+
 /// A pause between half of it and the whole, so that nodes do not call together.
 pub fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.5..1.0))
@@ -173,6 +180,7 @@
             None => {
                 if self.fleet().contact.on_answer(now_us) {
                     log::info!("the store answers again");
+                    self.returned.notify_waiters();
                 }
             }
             Some(error) => {
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -17,6 +17,7 @@
 use tealsaddle_core::fleet::split::{self, StageMove};
 use tokio::sync::watch;
 
+use crate::board::UNKNOWN_NODES;
 use crate::border::{Freshness, Item, KeyRevision, Put, StageOrder, Transaction};
 use crate::clock;
 use crate::control::{Control, jittered, within};
@@ -44,6 +45,9 @@
 /// Time in which an order without an answer may still be carried out.
 const SETTLE_US: u64 = 15_000_000;
 
+/// Time after which a lower count of nodes is believed.
+const FEWER_NODES_US: u64 = 10_000_000;
+
 /// An order that was given, as the store keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Intent {
@@ -85,6 +89,26 @@
     renewed_us: u64,
     authority: Option<Authority>,
     pending: HashMap<String, Pending>,
+    nodes: NodeCount,
+}
+
+/// Nodes that share a budget. A lower count is believed only after a while: after a common restart the
+/// first node to register sees itself alone.
+#[derive(Debug)]
+struct NodeCount {
+    nodes: u32,
+    seen_us: u64,
+}
+
+impl NodeCount {
+    fn on_listed(&mut self, listed: u32, now_us: u64) -> u32 {
+        let is_believed = now_us.saturating_sub(self.seen_us) > FEWER_NODES_US;
+        if listed >= self.nodes || is_believed {
+            self.nodes = listed;
+            self.seen_us = now_us;
+        }
+        self.nodes
+    }
 }
 
 impl Membership {
@@ -97,6 +121,10 @@
             renewed_us: 0,
             authority: None,
             pending: HashMap::default(),
+            nodes: NodeCount {
+                nodes: UNKNOWN_NODES,
+                seen_us: clock::now_us(),
+            },
         }
     }
 
@@ -179,9 +207,10 @@
         within(CALL_TIMEOUT, commit).await.map(|_revision| ())
     }
 
-    async fn count_nodes(&self, items: &[Item]) -> Result<(), StoreError> {
+    async fn count_nodes(&mut self, items: &[Item]) -> Result<(), StoreError> {
         let nodes = items.iter().filter(|item| item.key.starts_with(NODES));
-        let nodes = nodes.count().max(1) as u32;
+        let listed = nodes.count().max(1) as u32;
+        let nodes = self.nodes.on_listed(listed, clock::now_us());
         let is_changed = {
             let mut fleet = self.control.fleet();
             let is_changed = fleet.nodes != nodes;
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -243,6 +243,10 @@
         let outcome = match self.exchange_until(&place.runner, &facts, limit).await {
             Ok(answer) => match self.take_handle(answer, &at, &place.runner, limit).await {
                 Ok(held) => {
+                    log::info!(id:% = self.request_id, runner:% = place.runner.id,
+                        expected_ms = (place.wait_us + place.read_us) as u64 / 1_000,
+                        took_ms = at.elapsed_us() / 1_000, read_tokens = place.read_tokens;
+                        "prompt read");
                     at.on_read(&self.facts.parts, engine.kv_tokens);
                     at.on_outcome(AttemptOutcome::Answered, false);
                     return Ok(held);
