--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -49,6 +49,7 @@
     failed_at_us: u64,
     silences: u32,
     avoid_until_us: u64,
+    answered_at_us: u64,
 }
 
 impl RunnerView {
@@ -61,7 +62,8 @@
     }
 
     /// Takes an answer of any kind but a failure of the runner.
-    pub fn on_success(&mut self) {
+    pub fn on_success(&mut self, now_us: u64) {
+        self.answered_at_us = now_us;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
         self.silences = 0;
         self.avoid_until_us = 0;
@@ -86,6 +88,12 @@
         self.avoid_until_us = now_us + pause_us.min(MAX_SILENT_PAUSE_US);
     }
 
+    /// Whether the runner has answered any request of late: it is then slow to answer another one
+    /// because it is busy, not because it is gone.
+    pub const fn has_answered_since(&self, since_us: u64) -> bool {
+        self.answered_at_us >= since_us
+    }
+
     /// Whether the runner is passed over while others can take the request.
     pub const fn is_avoided(&self, now_us: u64) -> bool {
         now_us < self.avoid_until_us
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -1,6 +1,7 @@
 //! Load, pace and retry budgets as one node sees them, shared by all requests.
 
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::config::EngineLimits;
@@ -255,13 +256,21 @@
         let now_us = clock::now_us();
         self.with_view(|view| match outcome {
             AttemptOutcome::Answered if is_failure_status => view.on_failure(now_us),
-            AttemptOutcome::Answered => view.on_success(),
+            AttemptOutcome::Answered => view.on_success(now_us),
             AttemptOutcome::NotRun(NotRunReason::TargetRefused) => view.on_refused(now_us),
             AttemptOutcome::NotRun(_) => view.on_silence(now_us),
             AttemptOutcome::Unknown(_) => view.on_failure(now_us),
         });
     }
 
+    /// Whether the runner has answered this node within `window`.
+    pub fn has_answered_within(&self, window: Duration) -> bool {
+        let since_us = clock::now_us().saturating_sub(window.as_micros() as u64);
+        let state = self.board.state();
+        let view = state.views.get(&self.runner);
+        view.is_some_and(|view| view.has_answered_since(since_us))
+    }
+
     /// Notes that the runner has been silent for longer than it should need.
     pub fn on_silence(&self) {
         let now_us = clock::now_us();
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -25,11 +25,13 @@
 
 /// A request is refused when its first event is expected after this share of the time left.
 const FEASIBLE_SHARE: f64 = 0.9;
-/// A reader is given up after this many times the expected time, and not before the floor. Giving up
-/// early costs another read while the first one goes on.
+/// A reader is given up after this many times the expected time, and not before the floor, unless it
+/// answers other requests: giving up costs another read and makes an overload worse.
 const READ_PATIENCE: f64 = 4.0;
 /// Shortest patience with a reader.
-const MIN_READ_PATIENCE: Duration = Duration::from_millis(1_500);
+const MIN_READ_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Time within which a busy reader answers some request of this node.
+const READ_SIGN_OF_LIFE: Duration = Duration::from_millis(1_000);
 /// Largest answer to a call that only reads.
 const MAX_HANDLE_BYTES: usize = 4 << 10;
 /// Time for a call that frees a handle.
@@ -239,9 +241,9 @@
             ..self.send_facts(&place.runner.id)
         };
         let patience = micros(place.until_handover_us() * READ_PATIENCE).max(MIN_READ_PATIENCE);
-        let limit = self.deadline.min(Instant::now() + patience);
-        let outcome = match self.exchange_until(&place.runner, &facts, limit).await {
-            Ok(answer) => match self.take_handle(answer, &at, &place.runner, limit).await {
+        let exchange = self.exchange_until(&place.runner, &facts, self.deadline);
+        let outcome = match patiently(exchange, patience, &at).await {
+            Ok(answer) => match self.take_handle(answer, &at, &place.runner).await {
                 Ok(held) => {
                     log::info!(id:% = self.request_id, runner:% = place.runner.id,
                         expected_ms = (place.wait_us + place.read_us) as u64 / 1_000,
@@ -267,7 +269,6 @@
         answer: Answer,
         at: &AtRunner,
         runner: &Runner,
-        limit: Instant,
     ) -> Result<HeldKv, AttemptOutcome> {
         let Answer { head, mut body } = answer;
         let dialect = &self.gateway.dialect;
@@ -289,7 +290,7 @@
         }
         let mut bytes = BytesMut::new();
         loop {
-            match tokio::time::timeout_at(limit, body.next()).await {
+            match tokio::time::timeout_at(self.deadline, body.next()).await {
                 Ok(None) => break,
                 Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
                 Ok(Some(Err(_broken))) => {
@@ -340,6 +341,25 @@
     }
 }
 
+/// Waits for a reader as long as it gives signs of life.
+async fn patiently<F>(
+    exchange: F,
+    patience: Duration,
+    at: &AtRunner,
+) -> Result<Answer, AttemptOutcome>
+where
+    F: Future<Output = Result<Answer, AttemptOutcome>>,
+{
+    tokio::pin!(exchange);
+    loop {
+        match tokio::time::timeout(patience, exchange.as_mut()).await {
+            Ok(result) => return result,
+            Err(_elapsed) if at.has_answered_within(READ_SIGN_OF_LIFE) => {}
+            Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+        }
+    }
+}
+
 fn micros(us: f64) -> Duration {
     Duration::from_micros(us.max(0.0) as u64)
 }
