Learn how slow each runner is

Cause: runners of one pool differ in speed, and the homes of hot parts have queues that a node sees only in old counts; reads at the slowest runner took 357 ms on average against 126 ms at the fastest. Change: the ratio of the time taken to the time expected is kept per runner and multiplies its estimated wait, read and batch.

--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -22,6 +22,10 @@
 /// Time in which an old failure rate loses half of its weight, so that a runner that is avoided is
 /// tried again.
 const FAILURE_HALF_LIFE_US: f64 = 4e6;
+/// Weight of the newest request in a runner's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.08;
+/// Bound on what one request says of a runner's slowness.
+const MAX_SLOWNESS: f64 = 8.0;
 /// Age at which half of the reported work of others is still believed.
 const OTHERS_HALF_LIFE_US: f64 = 1e6;
 /// Time without a request after a runner did not answer at all.
@@ -32,7 +36,7 @@
 const MAX_SILENT_PAUSE_US: u64 = 8_000_000;
 
 /// One runner as this node sees it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RunnerView {
     /// Own requests at the runner.
     pub own_requests: u32,
@@ -50,6 +54,27 @@
     silences: u32,
     avoid_until_us: u64,
     answered_at_us: u64,
+    slowness: f64,
+}
+
+impl Default for RunnerView {
+    fn default() -> Self {
+        Self {
+            own_requests: 0,
+            own_read_tokens: 0,
+            own_kv_tokens: 0,
+            held: HeldParts::default(),
+            others: 0,
+            others_waiting: 0,
+            reported_at_us: 0,
+            failure_rate: 0.0,
+            failed_at_us: 0,
+            silences: 0,
+            avoid_until_us: 0,
+            answered_at_us: 0,
+            slowness: 1.0,
+        }
+    }
 }
 
 impl RunnerView {
@@ -88,6 +113,19 @@
         self.avoid_until_us = now_us + pause_us.min(MAX_SILENT_PAUSE_US);
     }
 
+    /// Takes the time that a request took and the time that a runner of the pool would have needed.
+    pub fn on_time(&mut self, took_us: f64, expected_us: f64) {
+        let ratio = took_us / expected_us.max(1.0);
+        let ratio = ratio.clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness);
+    }
+
+    /// How many times longer the runner takes than expected, queues that this node does not see
+    /// included.
+    pub const fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
     /// Whether the runner has answered any request of late: it is then slow to answer another one
     /// because it is busy, not because it is gone.
     pub const fn has_answered_since(&self, since_us: u64) -> bool {
--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -24,6 +24,8 @@
 const ZONE_PENALTY_US: f64 = 8_000.0;
 /// Time that a running request adds to the events of the others in its batch.
 const BATCH_PENALTY_US: f64 = 1_500.0;
+/// Requests whose time an idle decode runner's own steps take.
+const IDLE_BATCH: f64 = 6.0;
 /// Share of the KV cache that running requests may take; the rest absorbs what other nodes send at the
 /// same moment.
 const KV_SHARE: f64 = 0.9;
@@ -116,6 +118,8 @@
     pub read_us: f64,
     /// Prompt tokens that it has to read.
     pub read_tokens: u64,
+    /// Wait and read as a runner as fast as the pool would take them.
+    pub pool_us: f64,
 }
 
 impl Place {
@@ -191,7 +195,11 @@
         let read_us = read_tokens as f64 * pace.read_us_per_token;
         let reread_us = reread_tokens as f64 * pace.read_us_per_token;
         let others_us = view.others(now_us) * (pace.read_us + READ_OVERHEAD_US);
-        let wait_us = view.own_read_tokens as f64 * pace.read_us_per_token + others_us;
+        let queue_us = view.own_read_tokens as f64 * pace.read_us_per_token + others_us;
+        let slowness = view.slowness();
+        let wait_us = queue_us * slowness;
+        let pool_us = queue_us + read_us + READ_OVERHEAD_US;
+        let read_us = read_us * slowness;
         let mut cost = wait_us + read_us + reread_us * (REREAD_WEIGHT - 1.0);
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         if *runner.zone != *ask.zone {
@@ -202,6 +210,7 @@
             wait_us,
             read_us,
             read_tokens,
+            pool_us,
         };
         (cost, place)
     })
@@ -256,7 +265,8 @@
         };
         let queued_us = view.own_read_tokens as f64 * pace.read_us_per_token * DECODE_READ_FACTOR;
         let read_us = read_tokens as f64 * pace.read_us_per_token * DECODE_READ_FACTOR;
-        let mut cost = wait_us + queued_us + read_us + active * BATCH_PENALTY_US;
+        let batch_us = (active + IDLE_BATCH) * BATCH_PENALTY_US * view.slowness();
+        let mut cost = wait_us + queued_us + read_us + batch_us;
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         if *runner.zone != *ask.zone {
             cost += ZONE_PENALTY_US;
@@ -266,6 +276,7 @@
             wait_us: wait_us + if has_read { 0.0 } else { queued_us },
             read_us,
             read_tokens,
+            pool_us: 0.0,
         };
         (cost, place)
     })
@@ -301,6 +312,7 @@
             wait_us,
             read_us: 0.0,
             read_tokens: 0,
+            pool_us: 0.0,
         };
         (cost, place)
     })
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -243,7 +243,18 @@
         let took_us = self.elapsed_us();
         let mut state = self.board.state();
         let pace = state.paces.entry(Name::clone(&self.service)).or_default();
+        let expected_us = pace.stream_us;
         pace.on_stream(took_us);
+        if let Some(view) = state.views.get_mut(&self.runner) {
+            view.on_time(took_us as f64, expected_us);
+        }
+    }
+
+    /// Notes the time that a read took beside the time that was expected of a runner as fast as the
+    /// pool.
+    pub fn on_read_time(&self, expected_us: f64) {
+        let took_us = self.elapsed_us() as f64;
+        self.with_view(|view| view.on_time(took_us, expected_us));
     }
 
     /// Takes the load that an answer tells.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -249,6 +249,7 @@
                         expected_ms = (place.wait_us + place.read_us) as u64 / 1_000,
                         took_ms = at.elapsed_us() / 1_000, read_tokens = place.read_tokens;
                         "prompt read");
+                    at.on_read_time(place.pool_us);
                     at.on_read(&self.facts.parts, engine.kv_tokens);
                     at.on_outcome(AttemptOutcome::Answered, false);
                     return Ok(held);
