--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -21,7 +21,9 @@
 /// A runner that fails every request counts as this much slower.
 const FAILURE_PENALTY_US: f64 = 400_000.0;
 /// Preference for a runner of the own zone, in time.
-const ZONE_PENALTY_US: f64 = 8_000.0;
+const ZONE_PENALTY_US: f64 = 2_000.0;
+/// The same for each byte of the request: links between zones are shared and narrower.
+const ZONE_PENALTY_US_PER_BYTE: f64 = 2.0;
 /// Time that a running request adds to the events of the others in its batch.
 const BATCH_PENALTY_US: f64 = 1_500.0;
 /// Requests whose time an idle decode runner's own steps take.
@@ -105,6 +107,17 @@
     pub kv_tokens: u64,
     /// Zone of the node.
     pub zone: &'a str,
+    /// Bytes of its body.
+    pub body_bytes: usize,
+}
+
+impl Ask<'_> {
+    fn zone_penalty_us(&self, runner: &Runner) -> f64 {
+        if *runner.zone == *self.zone {
+            return 0.0;
+        }
+        ZONE_PENALTY_US + self.body_bytes as f64 * ZONE_PENALTY_US_PER_BYTE
+    }
 }
 
 /// A runner that was chosen.
@@ -202,9 +215,7 @@
         let read_us = read_us * slowness;
         let mut cost = wait_us + read_us + reread_us * (REREAD_WEIGHT - 1.0);
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
-        if *runner.zone != *ask.zone {
-            cost += ZONE_PENALTY_US;
-        }
+        cost += ask.zone_penalty_us(runner);
         let place = Place {
             runner: Arc::clone(runner),
             wait_us,
@@ -268,9 +279,7 @@
         let batch_us = (active + IDLE_BATCH) * BATCH_PENALTY_US * view.slowness();
         let mut cost = wait_us + queued_us + read_us + batch_us;
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
-        if *runner.zone != *ask.zone {
-            cost += ZONE_PENALTY_US;
-        }
+        cost += ask.zone_penalty_us(runner);
         let place = Place {
             runner: Arc::clone(runner),
             wait_us: wait_us + if has_read { 0.0 } else { queued_us },
@@ -289,7 +298,7 @@
 pub fn plain(
     views: &Views,
     runners: &[Arc<Runner>],
-    zone: &str,
+    ask: &Ask<'_>,
     excluded: &[Name],
     now_us: u64,
 ) -> Option<Place> {
@@ -304,9 +313,7 @@
         // Runners slow down when they are nearly full.
         let mut cost = wait_us + active / f64::from(slots) * PLAIN_REQUEST_US / 2.0;
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
-        if *runner.zone != *zone {
-            cost += ZONE_PENALTY_US;
-        }
+        cost += ask.zone_penalty_us(runner);
         let place = Place {
             runner: Arc::clone(runner),
             wait_us,
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -125,9 +125,14 @@
     }
 
     /// The runner of a plain service for a request.
-    pub fn plain(&self, runners: &[Arc<Runner>], zone: &str, excluded: &[Name]) -> Option<Place> {
+    pub fn plain(
+        &self,
+        runners: &[Arc<Runner>],
+        ask: &Ask<'_>,
+        excluded: &[Name],
+    ) -> Option<Place> {
         let state = self.state();
-        place::plain(&state.views, runners, zone, excluded, clock::now_us())
+        place::plain(&state.views, runners, ask, excluded, clock::now_us())
     }
 
     /// Counts a request at a runner.
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -14,6 +14,8 @@
 use hyper::{Method, Request, Response, Uri, http};
 use rand::RngExt;
 use tealsaddle_core::fleet::config::{EngineLimits, FleetConfig, Route};
+use tealsaddle_core::fleet::place::Ask;
+use tealsaddle_core::fleet::prompt_tokens;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 use tokio::time::Instant;
@@ -217,9 +219,8 @@
         loop {
             let world = self.gateway.world.load_full();
             let runners = world.runners_of(&self.service);
-            let zone = &self.gateway.config.zone;
             let board = &self.gateway.board;
-            let Some(place) = board.plain(runners, zone, &excluded) else {
+            let Some(place) = board.plain(runners, &self.ask(), &excluded) else {
                 return last_answer.ok_or((OwnAnswer::NoRunner, MIN_RETRY_AFTER));
             };
             let wait = Duration::from_micros(place.wait_us as u64);
@@ -374,6 +375,16 @@
         (outcome, Some(response))
     }
 
+    /// What placing needs to know of the request.
+    pub fn ask(&self) -> Ask<'_> {
+        Ask {
+            parts: &self.facts.parts,
+            kv_tokens: prompt_tokens(&self.facts.parts) + self.facts.output_tokens,
+            zone: &self.gateway.config.zone,
+            body_bytes: self.body.len(),
+        }
+    }
+
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -9,9 +9,9 @@
 
 use bytes::BytesMut;
 use hyper::http;
+use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
-use tealsaddle_core::fleet::place::{Ask, Place};
-use tealsaddle_core::fleet::{Runner, prompt_tokens};
+use tealsaddle_core::fleet::place::Place;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 use tokio::time::Instant;
@@ -136,14 +136,6 @@
         }
     }
 
-    fn ask(&self) -> Ask<'_> {
-        Ask {
-            parts: &self.facts.parts,
-            kv_tokens: prompt_tokens(&self.facts.parts) + self.facts.output_tokens,
-            zone: &self.gateway.config.zone,
-        }
-    }
-
     fn reader(&self, excluded: &[Name]) -> Option<Place> {
         let world = self.gateway.world.load();
         let runners = world.runners_of(&self.service);
