--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -38,6 +38,9 @@
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 /// Time between rounds.
 const ROUND: Duration = Duration::from_millis(2_500);
+/// Time to the next round after a failed one: the return of the store has to be noticed soon, since
+/// watches may hang from before its outage.
+const FAILED_ROUND: Duration = Duration::from_millis(500);
 /// Time for the store to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for a runner to answer an order.
@@ -131,12 +134,19 @@
     /// Runs rounds until told to leave, then gives up what it holds.
     pub async fn run(mut self, mut leaving: watch::Receiver<bool>) {
         while !*leaving.borrow() {
-            if let Err(error) = self.round().await {
-                log::info!(error:%; "round with the store failed");
-                self.control.on_contact(Some(&error));
-            }
+            let pause = match self.round().await {
+                Ok(()) => {
+                    self.control.on_contact(None);
+                    ROUND
+                }
+                Err(error) => {
+                    log::info!(error:%; "round with the store failed");
+                    self.control.on_contact(Some(&error));
+                    FAILED_ROUND
+                }
+            };
             tokio::select! {
-                () = tokio::time::sleep(jittered(ROUND)) => {}
+                () = tokio::time::sleep(jittered(pause)) => {}
                 _ = leaving.wait_for(|is_leaving| *is_leaving) => {}
             }
         }
