Refuse what cannot begin before its caller gives up

Cause: clients abandon a stream that has not begun after 2 to 3.2 s, well before their deadline; reads went on beyond that for nothing.

--- a/crates/tealsaddle-core/src/fleet/config.rs
+++ b/crates/tealsaddle-core/src/fleet/config.rs
@@ -58,8 +58,8 @@
     pub targets: Vec<RouteTarget>,
     /// Runners on which one request may run.
     pub max_attempts: u32,
-    /// Longest pause between events, for streams.
-    pub event_gap_ms: Option<u64>,
+    /// Time without an event after which callers abandon a stream, also before its first event.
+    pub event_patience_ms: Option<u64>,
 }
 
 impl Route {
--- a/crates/tealsaddle-core/src/fleet/events.rs
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -56,9 +56,8 @@
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let last = ids.last()?;
-    let id = String::from_utf8_lossy(last);
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = String::from_utf8_lossy(ids.next()?);
     Some(id.trim().to_owned())
 }
--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -204,26 +204,26 @@
             cached_tokens = prompt_tokens(shared);
         }
         let read_tokens = all_tokens.saturating_sub(cached_tokens);
-        let reread_tokens = prompt_tokens(shared).saturating_sub(cached_tokens);
+        let again_tokens = prompt_tokens(shared).saturating_sub(cached_tokens);
         let read_us = read_tokens as f64 * pace.read_us_per_token;
-        let reread_us = reread_tokens as f64 * pace.read_us_per_token;
+        let again_us = again_tokens as f64 * pace.read_us_per_token;
         let others_us = view.others(now_us) * (pace.read_us + READ_OVERHEAD_US);
         let queue_us = view.own_read_tokens as f64 * pace.read_us_per_token + others_us;
         let slowness = view.slowness();
         let wait_us = queue_us * slowness;
         let pool_us = queue_us + read_us + READ_OVERHEAD_US;
         let read_us = read_us * slowness;
-        let mut cost = wait_us + read_us + reread_us * (REREAD_WEIGHT - 1.0);
+        let mut cost = wait_us + read_us + again_us * (REREAD_WEIGHT - 1.0);
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         cost += ask.zone_penalty_us(runner);
-        let place = Place {
+        let found = Place {
             runner: Arc::clone(runner),
             wait_us,
             read_us,
             read_tokens,
             pool_us,
         };
-        (cost, place)
+        (cost, found)
     })
 }
 
@@ -280,14 +280,14 @@
         let mut cost = wait_us + queued_us + read_us + batch_us;
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         cost += ask.zone_penalty_us(runner);
-        let place = Place {
+        let found = Place {
             runner: Arc::clone(runner),
             wait_us: wait_us + if has_read { 0.0 } else { queued_us },
             read_us,
             read_tokens,
             pool_us: 0.0,
         };
-        (cost, place)
+        (cost, found)
     })
 }
 
@@ -314,13 +314,13 @@
         let mut cost = wait_us + active / f64::from(slots) * PLAIN_REQUEST_US / 2.0;
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         cost += ask.zone_penalty_us(runner);
-        let place = Place {
+        let found = Place {
             runner: Arc::clone(runner),
             wait_us,
             read_us: 0.0,
             read_tokens: 0,
             pool_us: 0.0,
         };
-        (cost, place)
+        (cost, found)
     })
 }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -56,6 +56,8 @@
     pub started: Instant,
     /// When the caller or the route gives up.
     pub deadline: Instant,
+    /// When the caller gives up if the stream has not begun.
+    pub first_event_deadline: Instant,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -113,6 +115,8 @@
     if let Some(deadline_ms) = facts.deadline_ms {
         left = left.min(Duration::from_millis(deadline_ms));
     }
+    let patience = route.event_patience_ms.map(Duration::from_millis);
+    let first_left = patience.map_or(left, |patience| left.min(patience));
     let mut headers = head.headers;
     strip_hop_headers(&mut headers, |name| gateway.dialect.is_end_to_end(name));
     headers.remove(header::CONTENT_LENGTH);
@@ -128,6 +132,7 @@
         facts,
         started,
         deadline: started + left,
+        first_event_deadline: started + first_left,
         method: head.method,
         uri: origin_form(&head.uri),
         headers,
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Time that is left until the stream has to begin.
+    fn first_event_left(&self) -> Duration {
+        self.first_event_deadline
+            .saturating_duration_since(Instant::now())
+    }
+
     fn reader(&self, excluded: &[Name]) -> Option<Place> {
         let world = self.gateway.world.load();
         let runners = world.runners_of(&self.service);
@@ -170,7 +176,7 @@
     ) -> Result<(), Refused> {
         let read = reader.map_or(micros(decoder.read_us), |r| micros(r.until_handover_us()));
         let wait = micros(decoder.wait_us);
-        let left = self.left();
+        let left = self.first_event_left();
         let expected = if reader.is_some() {
             read.max(wait)
         } else {
@@ -230,10 +236,11 @@
         let facts = SendFacts {
             urgency: Some(self.route.priority),
             reads_only: true,
+            left: self.first_event_left(),
             ..self.send_facts(&place.runner.id)
         };
         let patience = micros(place.until_handover_us() * READ_PATIENCE).max(MIN_READ_PATIENCE);
-        let exchange = self.exchange_until(&place.runner, &facts, self.deadline);
+        let exchange = self.exchange_until(&place.runner, &facts, self.first_event_deadline);
         let outcome = match patiently(exchange, patience, &at).await {
             Ok(answer) => match self.take_handle(answer, &at, &place.runner).await {
                 Ok(held) => {
@@ -283,7 +290,7 @@
         }
         let mut bytes = BytesMut::new();
         loop {
-            match tokio::time::timeout_at(self.deadline, body.next()).await {
+            match tokio::time::timeout_at(self.first_event_deadline, body.next()).await {
                 Ok(None) => break,
                 Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
                 Ok(Some(Err(_broken))) => {
