Treat a zone with two silent runners as cut off

Change: two silent runners of a zone, none of which has answered since, make the rest of the zone avoided for 2.5 s. Patience with readers is 1.5 s.

--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -54,6 +54,7 @@
     silences: u32,
     avoid_until_us: u64,
     answered_at_us: u64,
+    silent_at_us: u64,
     slowness: f64,
 }
 
@@ -72,6 +73,7 @@
             silences: 0,
             avoid_until_us: 0,
             answered_at_us: 0,
+            silent_at_us: 0,
             slowness: 1.0,
         }
     }
@@ -91,6 +93,7 @@
         self.answered_at_us = now_us;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
         self.silences = 0;
+        self.silent_at_us = 0;
         self.avoid_until_us = 0;
     }
 
@@ -110,6 +113,7 @@
         self.on_failure(now_us);
         let pause_us = SILENT_PAUSE_US << self.silences.min(3);
         self.silences += 1;
+        self.silent_at_us = now_us;
         self.avoid_until_us = now_us + pause_us.min(MAX_SILENT_PAUSE_US);
     }
 
@@ -132,6 +136,16 @@
         self.answered_at_us >= since_us
     }
 
+    /// When the runner was last silent, if it has not answered since.
+    pub fn silent_since_us(&self) -> Option<u64> {
+        (self.silent_at_us > 0).then_some(self.silent_at_us)
+    }
+
+    /// When the runner last answered; 0 if never.
+    pub const fn answered_at_us(&self) -> u64 {
+        self.answered_at_us
+    }
+
     /// Whether the runner is passed over while others can take the request.
     pub const fn is_avoided(&self, now_us: u64) -> bool {
         now_us < self.avoid_until_us
--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -150,6 +150,26 @@
     views.get(&runner.id).unwrap_or(unknown)
 }
 
+/// Silent runners of a zone after which the zone counts as cut off, if none of it has answered since.
+const CUT_OFF_RUNNERS: usize = 2;
+/// Time for which a zone counts as cut off after its last silent runner.
+const CUT_OFF_US: u64 = 2_500_000;
+
+/// Whether a zone does not answer this node: a partition shows at each of its runners one by one, and
+/// each costs a request its time.
+fn is_cut_off(views: &Views, runners: &[Arc<Runner>], zone: &str, now_us: u64) -> bool {
+    let of_zone = runners.iter().filter(|runner| *runner.zone == *zone);
+    let of_zone = of_zone.filter_map(|runner| views.get(&runner.id));
+    let mut silent: Vec<u64> = Vec::new();
+    let mut answered_us = 0;
+    for view in of_zone {
+        answered_us = answered_us.max(view.answered_at_us());
+        silent.extend(view.silent_since_us());
+    }
+    silent.retain(|silent_us| *silent_us > answered_us && silent_us + CUT_OFF_US > now_us);
+    silent.len() >= CUT_OFF_RUNNERS
+}
+
 /// Runners of a stage that take work: those that answer, or all when none is known to.
 fn usable<'a>(
     views: &'a Views,
@@ -162,9 +182,14 @@
         runner.stage == stage && !runner.is_draining && !excluded.contains(&runner.id)
     };
     let all: Vec<_> = runners.iter().filter(takes).collect();
+    let mut cut_off: HashMap<&Name, bool> = HashMap::default();
+    for runner in &all {
+        let is_cut_off = || is_cut_off(views, runners, &runner.zone, now_us);
+        cut_off.entry(&runner.zone).or_insert_with(is_cut_off);
+    }
     let is_avoided = |runner: &Runner| {
         let view = views.get(&runner.id);
-        view.is_some_and(|view| view.is_avoided(now_us))
+        cut_off[&runner.zone] || view.is_some_and(|view| view.is_avoided(now_us))
     };
     let answering: Vec<_> = all.iter().copied().filter(|r| !is_avoided(r)).collect();
     if answering.is_empty() { all } else { answering }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -198,9 +198,8 @@
             Ok(response) => response,
             Err((own, wait)) => {
                 self.log_end(own.as_str(), "-", 0);
-                let after = self.retry_after(wait);
                 let may_return = own.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
-                let after = if may_return { after } else { None };
+                let after = may_return.then(|| self.retry_after(wait));
                 own_response(&self.gateway, own, &self.request_id, after)
             }
         }
@@ -225,16 +224,16 @@
             let world = self.gateway.world.load_full();
             let runners = world.runners_of(&self.service);
             let board = &self.gateway.board;
-            let Some(place) = board.plain(runners, &self.ask(), &excluded) else {
+            let Some(chosen) = board.plain(runners, &self.ask(), &excluded) else {
                 return last_answer.ok_or((OwnAnswer::NoRunner, MIN_RETRY_AFTER));
             };
-            let wait = Duration::from_micros(place.wait_us as u64);
+            let wait = Duration::from_micros(chosen.wait_us as u64);
             if wait >= self.left() {
                 return last_answer.ok_or((OwnAnswer::DeadlineInfeasible, wait));
             }
-            let at = board.enter(&place.runner, Work::default());
-            let send = self.send_facts(&place.runner.id);
-            let sent = self.exchange(&place.runner, &send);
+            let at = board.enter(&chosen.runner, Work::default());
+            let facts = self.send_facts(&chosen.runner.id);
+            let sent = self.exchange(&chosen.runner, &facts);
             let (outcome, response) = match sent.await {
                 Ok(answer) => self.take_plain(answer).await,
                 Err(outcome) => (outcome, None),
@@ -396,10 +395,10 @@
     }
 
     /// When the caller should come back: not before the work ahead is done, and not all at once.
-    fn retry_after(&self, wait: Duration) -> Option<Duration> {
+    fn retry_after(&self, wait: Duration) -> Duration {
         let most = self.left().mul_f64(RETRY_AFTER_SHARE);
         let after = wait.max(MIN_RETRY_AFTER).min(most);
-        Some(after.mul_f64(rand::rng().random_range(0.5..1.0)))
+        after.mul_f64(rand::rng().random_range(0.5..1.0))
     }
 
     /// Writes the line at the end of a request.
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -25,7 +25,7 @@
 /// Pause between rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(700);
 /// Time for a peer to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What a node knows, as the store gave it.
 #[derive(Debug, Default, Serialize, Deserialize)]
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -29,9 +29,9 @@
 /// answers other requests: giving up costs another read and makes an overload worse.
 const READ_PATIENCE: f64 = 4.0;
 /// Shortest patience with a reader.
-const MIN_READ_PATIENCE: Duration = Duration::from_millis(1_200);
+const MIN_READ_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Time within which a busy reader answers some request of this node.
-const READ_SIGN_OF_LIFE: Duration = Duration::from_millis(1_000);
+const READ_SIGN_OF_LIFE: Duration = Duration::from_millis(1_500);
 /// Largest answer to a call that only reads.
 const MAX_HANDLE_BYTES: usize = 4 << 10;
 /// Time for a call that frees a handle.
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -36,7 +36,7 @@
 /// Idle time after which a connection is not used again when the peer names no timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// A connection is left alone this long before the peer's own timeout.
-const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Idle time after which a request that may not be repeated gets a fresh connection: one that went
 /// silent meanwhile would leave its outcome unknown.
 const FRESH_IDLE: Duration = Duration::from_millis(2_500);
@@ -302,9 +302,8 @@
 
 async fn connect(address: SocketAddr) -> Result<Connection, SendFailure> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = match connecting.await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(not_run()),
+    let Ok(Ok(stream)) = connecting.await else {
+        return Err(not_run());
     };
     set_options(&stream);
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
