--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -238,8 +238,8 @@
         let view = view_of(views, &unknown, runner);
         queue_us(view) * view.slowness()
     });
-    let queues_us = queues.sum::<f64>() / (ranked.len() - 1).max(1) as f64;
-    let mean_queue = queues_us / (pace.read_us + READ_OVERHEAD_US);
+    let others_us = queues.sum::<f64>() / (ranked.len() - 1).max(1) as f64;
+    let mean_queue = others_us / (pace.read_us + READ_OVERHEAD_US);
     let reread_weight = REREAD_WEIGHT + mean_queue * REREAD_WEIGHT_PER_QUEUED;
     if prompt_tokens(shared) >= HOMED_TOKENS {
         ranked.truncate(MAX_HOMES);
