--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -17,13 +17,14 @@
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, UnknownReason};
+use tealsaddle_gateway::answer::strip_hop_headers;
 use tokio::time::Instant;
 
 use super::chat::error_event;
 use super::completion;
 use super::dispatch::{Context, HOPS, MAX_HOPS};
 use super::liveness;
-use super::proxy::{Payload, strip_hop_headers};
+use super::proxy::Payload;
 use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState};
 use crate::clock;
 use crate::traffic::{PeerEndpoint, Snapshot, Traffic};
@@ -258,7 +259,7 @@
         .parse()
         .expect("an address and a path that was a URI make a URI");
     let mut headers = forward.headers.clone();
-    strip_hop_headers(&mut headers);
+    strip_hop_headers(&mut headers, |_name| false);
     headers.remove(HOST);
     headers.remove(CONTENT_LENGTH);
     headers.insert(HOPS, HeaderValue::from(context.hops + 1));
@@ -270,7 +271,7 @@
 
 fn pass_back(context: &Context, response: Response<Incoming>) -> Response<Body> {
     let (mut head, body) = response.into_parts();
-    strip_hop_headers(&mut head.headers);
+    strip_hop_headers(&mut head.headers, |_name| false);
     let is_events = head
         .headers
         .get(CONTENT_TYPE)
--- a/crates/tealsaddle-node/src/caller/proxy.rs
+++ b/crates/tealsaddle-node/src/caller/proxy.rs
@@ -8,7 +8,6 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -30,18 +29,6 @@
 /// Time in which a caller must send the next part of a body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// Client of the targets of plain services and of peers.
 #[derive(Debug)]
 pub struct TargetClient {
@@ -94,20 +81,6 @@
     }
 }
 
-/// Removes the headers that concern one connection only, also those that `Connection` names.
-pub fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_HEADERS) {
-        headers.remove(name);
-    }
-}
-
 /// Bytes held in a body that was read as a whole, as counted against the node's bound.
 pub type BytesHeld = Option<OwnedSemaphorePermit>;
 
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -15,6 +15,7 @@
 use tealsaddle_core::inventory::{Service, Target};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
+use tealsaddle_gateway::answer::strip_hop_headers;
 use tokio::time::Instant;
 
 use super::admit;
@@ -22,7 +23,7 @@
 use super::completion;
 use super::dispatch::{Context, HOPS};
 use super::forward::{self, Forward};
-use super::proxy::{BytesHeld, Payload, read_body, strip_hop_headers};
+use super::proxy::{BytesHeld, Payload, read_body};
 use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState, full};
 use crate::clock;
 use crate::traffic::{Snapshot, Traffic};
@@ -183,7 +184,7 @@
 }
 
 fn prepare(headers: &mut HeaderMap, context: &Context) {
-    strip_hop_headers(headers);
+    strip_hop_headers(headers, |_name| false);
     headers.remove(HOST);
     headers.remove(CONTENT_LENGTH);
     headers.remove(HOPS);
@@ -396,7 +397,7 @@
 
     fn pass_back(&self, response: Response<Incoming>) -> Response<Body> {
         let (mut head, body) = response.into_parts();
-        strip_hop_headers(&mut head.headers);
+        strip_hop_headers(&mut head.headers, |_name| false);
         let deadline = self.deadline;
         // A body that breaks off breaks the caller's connection, so that it is never taken as
         // whole.
--- a/crates/tealsaddle-node/src/lib.rs
+++ b/crates/tealsaddle-node/src/lib.rs
@@ -7,7 +7,6 @@
 
 pub mod admin;
 pub mod caller;
-pub mod clock;
 pub mod control;
 pub mod engine;
 pub mod error;
@@ -20,3 +19,4 @@
 pub mod traffic;
 
 pub use error::Error;
+pub use tealsaddle_gateway::clock;
