Send an order only right after its intent, and check the holder by a model

Cause: the store may take the holder's key away without a word. A holder that had written an intent before and was frozen could still send its order by its own lease, after the first order of its successor. Change: an order may be sent within 0.5 s of the write of its intent, and a new holder waits for that time besides the transit.

--- a/crates/tealsaddle-core/tests/it/model/mod.rs
+++ b/crates/tealsaddle-core/tests/it/model/mod.rs
@@ -4,5 +4,6 @@
 mod check;
 mod claims;
 mod explore;
+mod holder;
 mod records;
 mod world;
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::Stage;
-use tealsaddle_core::fleet::lease::Authority;
+use tealsaddle_core::fleet::lease::{Authority, LeaseTerms};
 use tealsaddle_core::fleet::split::{self, StageMove};
 use tokio::sync::watch;
 
@@ -36,6 +36,8 @@
 const LEASE_TTL: Duration = Duration::from_secs(8);
 /// Time before the end of the lease at which the holder stops acting.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
+/// Time from the write of an intent in which its order may be sent.
+const INTENT_VALID: Duration = Duration::from_millis(500);
 /// Time between rounds.
 const ROUND: Duration = Duration::from_millis(2_500);
 /// Time to the next round after a failed one: the return of the store has to be noticed soon, since
@@ -185,7 +187,7 @@
                 Ok(()) => {
                     self.renewed_us = sent_us;
                     if let Some(authority) = &mut self.authority {
-                        authority.on_renewed(sent_us, us(LEASE_TTL), us(LEASE_MARGIN));
+                        authority.on_renewed(sent_us);
                     }
                     return Ok(());
                 }
@@ -277,11 +279,13 @@
         let taken_us = clock::now_us();
         match within(CALL_TIMEOUT, self.control.store.commit(transaction)).await {
             Ok(fence) => {
-                let wait_us = taken_us - renewed_us + us(self.control.gateway.config.order_transit);
-                let (ttl_us, margin_us) = (us(LEASE_TTL), us(LEASE_MARGIN));
-                self.authority = Some(Authority::new(
-                    fence, renewed_us, ttl_us, margin_us, wait_us,
-                ));
+                let terms = LeaseTerms {
+                    ttl_us: us(LEASE_TTL),
+                    margin_us: us(LEASE_MARGIN),
+                    wait_us: us(self.control.gateway.config.order_transit + INTENT_VALID),
+                    intent_valid_us: us(INTENT_VALID),
+                };
+                self.authority = Some(Authority::new(fence, taken_us, renewed_us, terms));
                 log::info!(fence; "this node gives orders now");
                 Ok(())
             }
@@ -310,6 +314,7 @@
         if moves.is_empty() {
             return Ok(());
         }
+        let intent_us = clock::now_us();
         if !self.record(&moves, authority.fence).await? {
             self.drop_authority("another node gives orders");
             return Ok(());
@@ -322,7 +327,7 @@
             };
             self.pending.insert(step.runner.id.to_string(), pending);
         }
-        if authority.may_order(clock::now_us()) {
+        if authority.may_send(intent_us, clock::now_us()) {
             let orders = moves
                 .iter()
                 .map(|counted| self.order(counted, authority.fence));
