Name the runner of each failed attempt, and give decode runners back

A pool that lost all but one decode runner could not serve, and nothing ordered one back. Change: the line names the runner; target_failed is a reason of its own; below two decode runners readers are ordered back.

--- a/crates/tealsaddle-core/src/fleet/split.rs
+++ b/crates/tealsaddle-core/src/fleet/split.rs
@@ -30,27 +30,38 @@
 
 /// Moves towards the target; `runners` are those of one model service.
 ///
-/// Only missing prefill runners are ordered. A pool that has more than the target keeps them, since an
-/// order takes a runner away for seconds.
+/// A pool that has more prefill runners than the target keeps them, since an order takes a runner away
+/// for seconds. Only when too few decode runners are left for the pool to serve at all, readers go back.
 pub fn plan(runners: &[Arc<Runner>]) -> Vec<StageMove> {
-    let ready: Vec<_> = runners.iter().filter(|r| !r.is_draining).collect();
-    let staged = ready.iter().filter(|r| r.stage.is_some()).count();
-    let prefill = ready.iter().filter(|r| r.stage == Some(Stage::Prefill));
-    let missing = prefill_target(staged).saturating_sub(prefill.count());
-    let mut decode: Vec<_> = ready
-        .into_iter()
-        .filter(|r| r.stage == Some(Stage::Decode))
-        .collect();
-    // Spread over the zones: take from the zone with the most decode runners left.
+    let of_stage = |stage: Stage| {
+        let of_stage = runners
+            .iter()
+            .filter(|r| !r.is_draining && r.stage == Some(stage));
+        of_stage.cloned().collect::<Vec<_>>()
+    };
+    let prefill = of_stage(Stage::Prefill);
+    let decode = of_stage(Stage::Decode);
+    let staged = prefill.len() + decode.len();
+    let least_decode = MIN_DECODE.min(staged);
+    if decode.len() < least_decode {
+        return moves(prefill, least_decode - decode.len(), Stage::Decode);
+    }
+    let missing = prefill_target(staged).saturating_sub(prefill.len());
+    let spare = decode.len() - least_decode;
+    moves(decode, missing.min(spare), Stage::Prefill)
+}
+
+/// Moves `count` of the runners, each from the zone that has most of them left.
+fn moves(mut from: Vec<Arc<Runner>>, count: usize, to: Stage) -> Vec<StageMove> {
     let mut moves = Vec::new();
-    while moves.len() < missing && decode.len() > MIN_DECODE {
-        let in_zone = |zone: &str| decode.iter().filter(|r| *r.zone == *zone).count();
-        let Some(position) = (0..decode.len()).max_by_key(|&i| in_zone(&decode[i].zone)) else {
+    while moves.len() < count {
+        let in_zone = |zone: &str| from.iter().filter(|r| *r.zone == *zone).count();
+        let Some(position) = (0..from.len()).max_by_key(|&i| in_zone(&from[i].zone)) else {
             break;
         };
         moves.push(StageMove {
-            runner: Arc::clone(decode.swap_remove(position)),
-            to: Stage::Prefill,
+            runner: from.swap_remove(position),
+            to,
         });
     }
     moves
--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -35,6 +35,8 @@
     Timeout,
     /// The answer broke the protocol.
     InvalidAnswer,
+    /// The target answered that it failed.
+    TargetFailed,
 }
 
 impl UnknownReason {
@@ -44,6 +46,7 @@
             Self::ConnectionLost => "connection_lost",
             Self::Timeout => "timeout",
             Self::InvalidAnswer => "invalid_answer",
+            Self::TargetFailed => "target_failed",
         }
     }
 }
--- a/crates/tealsaddle-core/tests/it/fleet/split.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/split.rs
@@ -71,3 +71,17 @@
     // Four remain, two of which read already.
     assert!(plan(&runners).is_empty());
 }
+
+/// Guards against a pool that cannot serve at all, since decode runners were lost or none was there.
+#[parameterized(
+    none_left = { 9, 0, 2 },
+    one_left = { 9, 1, 1 },
+    two_left = { 9, 2, 0 },
+    single_reader = { 1, 0, 1 },
+    empty = { 0, 0, 0 },
+)]
+fn readers_go_back_when_decode_runners_are_lost(prefill: usize, decode: usize, expected: usize) {
+    let moves = plan(&pool(prefill, decode));
+    assert_eq!(moves.len(), expected);
+    assert!(moves.iter().all(|step| step.to == Stage::Decode));
+}
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -254,11 +254,11 @@
             }
             excluded.push(Name::clone(at.runner()));
             let outcome = if failed {
-                AttemptOutcome::Unknown(UnknownReason::InvalidAnswer)
+                AttemptOutcome::Unknown(UnknownReason::TargetFailed)
             } else {
                 outcome
             };
-            if self.may_go_on(&mut attempts, outcome).is_err() {
+            if self.may_go_on(&mut attempts, outcome, at.runner()).is_err() {
                 let own = OwnAnswer::of_outcome(attempts.outcome(outcome));
                 return last_answer.ok_or((own, MIN_RETRY_AFTER));
             }
@@ -270,6 +270,7 @@
         &self,
         attempts: &mut Attempts,
         outcome: AttemptOutcome,
+        runner: &str,
     ) -> Result<(), AttemptOutcome> {
         let board = &self.gateway.board;
         let decision = board.on_failure(&self.service, attempts, outcome);
@@ -278,7 +279,7 @@
             Err(give_up) => format!("retry.{}", give_up.as_str()),
         };
         self.gateway.metrics.increment(&name);
-        log::info!(id:% = self.request_id, outcome:? = outcome, decision:% = name,
+        log::info!(id:% = self.request_id, runner:%, outcome:? = outcome, decision:% = name,
             made = attempts.made(); "attempt failed");
         match decision {
             Ok(()) if !self.left().is_zero() => Ok(()),
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -140,7 +140,11 @@
             drop(cutter.rest());
             // The runner before stops when its connection closes.
             self.stream.body.close();
-            if self.call.may_go_on(&mut self.attempts, outcome).is_ok() {
+            if self
+                .call
+                .may_go_on(&mut self.attempts, outcome, self.stream.at.runner())
+                .is_ok()
+            {
                 let last_id = cutter.last_id().map(str::to_owned);
                 let next = self
                     .call
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -122,7 +122,7 @@
                 }
             };
             excluded.push(Name::clone(&decoder.runner.id));
-            if let Err(last) = self.may_go_on(attempts, outcome) {
+            if let Err(last) = self.may_go_on(attempts, outcome, &decoder.runner.id) {
                 return Err((OwnAnswer::of_outcome(last), self.decode_wait(engine)));
             }
         }
