Log numbers as numbers, and callers that leave

Cause: in the incidents' logs every value was a string, and a request whose caller left had no last line, so it could not be told from one that was lost. Change: integers and flags keep their type in JSON lines; a request that is dropped before its end logs caller_left.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -5,6 +5,7 @@
 //! everything that it holds at runners is dropped with it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -62,9 +63,18 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    has_ended: AtomicBool,
     _in_flight: InFlight,
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.has_ended.load(Ordering::Relaxed) {
+            self.log_end("caller_left", "-", 0);
+        }
+    }
+}
+
 /// Serves a request; the answer is always one.
 pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let facts = gateway.dialect.caller_facts(request.headers());
@@ -137,6 +147,7 @@
         uri: origin_form(&head.uri),
         headers,
         body,
+        has_ended: AtomicBool::new(false),
         _in_flight: in_flight,
     }))
 }
@@ -404,6 +415,7 @@
 
     /// Writes the line at the end of a request.
     pub fn log_end(&self, outcome: &str, runner: &str, failed_attempts: u32) {
+        self.has_ended.store(true, Ordering::Relaxed);
         let took = self.started.elapsed();
         let metrics = &self.gateway.metrics;
         metrics.increment(&format!("request.{outcome}"));
--- a/crates/tealsaddle-gateway/src/logging.rs
+++ b/crates/tealsaddle-gateway/src/logging.rs
@@ -22,18 +22,23 @@
 /// Time for the last lines of a process.
 const FLUSH_TIME: Duration = Duration::from_millis(300);
 
-/// Collects the key-value pairs of a record.
+/// Collects the key-value pairs of a record; numbers stay numbers.
 #[derive(Debug, Default)]
-struct Pairs(Vec<(String, String)>);
+struct Pairs(Vec<(String, serde_json::Value)>);
 
 impl<'kvs> VisitSource<'kvs> for Pairs {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        self.0.push((key.to_string(), value.to_string()));
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(flag)) => flag.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.0.push((key.to_string(), json));
         Ok(())
     }
 }
 
-fn pairs(record: &log::Record<'_>) -> Vec<(String, String)> {
+fn pairs(record: &log::Record<'_>) -> Vec<(String, serde_json::Value)> {
     let mut pairs = Pairs::default();
     // A value that cannot be shown is left out; the line itself is still worth writing.
     drop(record.key_values().visit(&mut pairs));
@@ -44,6 +49,9 @@
 pub fn text_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let mut line = format!("{} {} {message}", clock::unix_ms(), record.level());
     for (key, value) in pairs(record) {
+        let value = value
+            .as_str()
+            .map_or_else(|| value.to_string(), str::to_owned);
         write!(line, " {key}={value}").expect("writing to a string cannot fail");
     }
     line
@@ -57,7 +65,7 @@
     object.insert("target".to_owned(), record.target().into());
     object.insert("message".to_owned(), message.to_string().into());
     for (key, value) in pairs(record) {
-        object.insert(key, value.into());
+        object.insert(key, value);
     }
     serde_json::Value::Object(object).to_string()
 }
