Go on without the budget when a request reached no runner

Change: a failed connection takes no retry, at most three in a row; connecting takes 300 ms at most.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -141,7 +141,9 @@
         if self.made >= MAX_ATTEMPTS || self.may_have_run >= self.max_runs {
             return Err(GiveUp::Attempts);
         }
-        if budget.may_retry(now_us) {
+        // A request that reached no target adds no load by going elsewhere.
+        let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
+        if is_unsent || budget.may_retry(now_us) {
             Ok(())
         } else {
             Err(GiveUp::Budget)
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -14,7 +14,7 @@
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::place::Place;
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
 use crate::answer::{OwnAnswer, judge};
@@ -33,6 +33,8 @@
 const MIN_READ_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Time within which a busy reader answers some request of this node.
 const READ_SIGN_OF_LIFE: Duration = Duration::from_millis(1_500);
+/// Readers that may be unreachable before the next one counts against the budget.
+const MAX_UNSENT_READS: usize = 3;
 /// Largest answer to a call that only reads.
 const MAX_HANDLE_BYTES: usize = 4 << 10;
 /// Time for a call that frees a handle.
@@ -215,7 +217,10 @@
             log::info!(id:% = self.request_id, runner:% = place.runner.id, outcome:?;
                 "prompt was not read");
             excluded.push(Name::clone(&place.runner.id));
-            if !self.gateway.board.may_send_again(&self.service) {
+            let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
+            let has_tries = excluded.len() < MAX_UNSENT_READS;
+            let may_go_on = is_unsent && has_tries;
+            if !may_go_on && !self.gateway.board.may_send_again(&self.service) {
                 self.gateway.metrics.increment("read.budget_used_up");
                 return None;
             }
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -26,7 +26,7 @@
 
 /// Time to connect. Within a region a connection takes milliseconds, and a lost SYN is sent again only
 /// after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which unacknowledged bytes end a connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before the first keep-alive probe, and time between probes.
