Give the orders of a large pool in rounds, and let changes of runners gather

Cause: on the grown site (74 nodes, 90 model runners) no order was given: 35 intents do not fit into a transaction of 32 entries, which the store refuses. Change: at most 24 orders a round; a watch that brought changes pauses 0.3 s.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -23,6 +23,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Time for the store to answer beyond a watch's wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after changes, in which more of them gather: with many nodes and runners each call counts.
+const GATHER: Duration = Duration::from_millis(300);
 /// First pause after a failed call; it doubles up to the longest one.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -101,6 +103,15 @@
     Changes(Changes),
 }
 
+impl News {
+    fn has_changes(&self) -> bool {
+        match self {
+            Self::Listing(_) => false,
+            Self::Changes(changes) => !changes.changes.is_empty(),
+        }
+    }
+}
+
 /// Follows the keys under a prefix for ever.
 async fn follow(control: Arc<Control>, prefix: &'static str, apply: fn(&Arc<Control>, News)) {
     let mut revision = None;
@@ -116,9 +127,13 @@
                     News::Listing(listing) => listing.revision,
                     News::Changes(changes) => changes.revision,
                 });
+                let is_busy = news.has_changes();
                 control.on_contact(None);
                 apply(&control, news);
                 pause = MIN_PAUSE;
+                if is_busy {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Err(error) => {
                 if error == StoreError::HistoryGone {
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -43,6 +43,8 @@
 /// Time to the next round after a failed one: the return of the store has to be noticed soon, since
 /// watches may hang from before its outage.
 const FAILED_ROUND: Duration = Duration::from_millis(500);
+/// Orders given in one round; their intents have to fit into one transaction of the store.
+const ORDERS_PER_ROUND: usize = 24;
 /// Time for the store to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for a runner to answer an order.
@@ -308,7 +310,11 @@
             return Ok(());
         }
         self.settle();
-        let asked = self.plan().into_iter().map(|step| self.count_orders(step));
+        let asked = self
+            .plan()
+            .into_iter()
+            .take(ORDERS_PER_ROUND)
+            .map(|step| self.count_orders(step));
         let asked = futures::future::join_all(asked).await;
         let moves: Vec<CountedMove> = asked.into_iter().flatten().collect();
         if moves.is_empty() {
