--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -242,6 +242,10 @@
             if wait >= self.left() {
                 return last_answer.ok_or((OwnAnswer::DeadlineInfeasible, wait));
             }
+            log::info!(id:% = self.request_id, route:% = self.route.name,
+                runner:% = chosen.runner.id, wait_ms = wait.as_millis() as u64,
+                left_ms = self.left().as_millis() as u64, config_version = self.config.version,
+                runners_revision = world.runners_revision; "placed");
             let at = board.enter(&chosen.runner, Work::default());
             let facts = self.send_facts(&chosen.runner.id);
             let sent = self.exchange(&chosen.runner, &facts);
