--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -20,11 +20,11 @@
 
 /// Time that a watch waits for a change. A store that was away may have forgotten a watch that it
 /// acknowledged before, and only the end of the wait shows it.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time for the store to answer beyond a watch's wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after changes, in which more of them gather: with many nodes and runners each call counts.
-const GATHER: Duration = Duration::from_millis(300);
+const GATHER: Duration = Duration::from_millis(500);
 /// First pause after a failed call; it doubles up to the longest one.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
