Promise nothing after a run that may have begun

A stream that went on elsewhere after its first 2 s was given no time to be read again, and its reader was taken for silent. Change: the answer goes by all attempts; once the caller has an event, reads have until the deadline.

--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
-use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 
 use crate::border::AnswerFacts;
 
@@ -87,6 +87,15 @@
         }
     }
 
+    /// The answer after attempts of which one may have run: it must not promise that none has.
+    #[must_use]
+    pub const fn after(self, attempts: &Attempts) -> Self {
+        match attempts.outcome(AttemptOutcome::NotRun(NotRunReason::NoTarget)) {
+            AttemptOutcome::Unknown(reason) => Self::Unknown(reason),
+            AttemptOutcome::NotRun(_) | AttemptOutcome::Answered => self,
+        }
+    }
+
     /// The status. 408, 413, 429 and 503 state that the request was not run.
     pub const fn status(self) -> StatusCode {
         match self {
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -57,12 +57,13 @@
     pub started: Instant,
     /// When the caller or the route gives up.
     pub deadline: Instant,
-    /// When the caller gives up if the stream has not begun.
-    pub first_event_deadline: Instant,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// When the caller gives up if the stream has not begun.
+    first_event_deadline: Instant,
+    has_begun: AtomicBool,
     has_ended: AtomicBool,
     _in_flight: InFlight,
 }
@@ -147,6 +148,7 @@
         uri: origin_form(&head.uri),
         headers,
         body,
+        has_begun: AtomicBool::new(false),
         has_ended: AtomicBool::new(false),
         _in_flight: in_flight,
     }))
@@ -201,13 +203,16 @@
     async fn run(self: &Arc<Self>) -> Response<Body> {
         let engine = self.config.services.get(&self.service);
         let engine = engine.and_then(|service| service.engine.clone());
+        let mut attempts =
+            Attempts::with_max_runs(self.route.repeat.may_repeat(), self.route.max_attempts);
         let result = match engine {
-            Some(engine) => self.run_model(engine).await,
-            None => self.run_plain().await,
+            Some(engine) => self.run_model(engine, &mut attempts).await,
+            None => self.run_plain(&mut attempts).await,
         };
         match result {
             Ok(response) => response,
             Err((own, wait)) => {
+                let own = own.after(&attempts);
                 self.log_end(own.as_str(), "-", 0);
                 let may_return = own.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
                 let after = may_return.then(|| self.retry_after(wait));
@@ -216,19 +221,19 @@
         }
     }
 
-    async fn run_model(self: &Arc<Self>, engine: EngineLimits) -> Result<Response<Body>, Refused> {
-        let mut attempts = self.attempts();
-        let stream = self.open_stream(&engine, &mut attempts, None).await?;
-        Ok(relay::respond(Arc::clone(self), engine, stream, attempts))
-    }
-
-    /// Attempts of this request.
-    fn attempts(&self) -> Attempts {
-        Attempts::with_max_runs(self.route.repeat.may_repeat(), self.route.max_attempts)
+    async fn run_model(
+        self: &Arc<Self>,
+        engine: EngineLimits,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Refused> {
+        let stream = self.open_stream(&engine, attempts, None).await?;
+        Ok(relay::respond(Arc::clone(self), engine, stream, *attempts))
     }
 
-    async fn run_plain(self: &Arc<Self>) -> Result<Response<Body>, Refused> {
-        let mut attempts = self.attempts();
+    async fn run_plain(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Refused> {
         let mut excluded: Vec<Name> = Vec::new();
         let mut last_answer = None;
         loop {
@@ -273,7 +278,7 @@
             } else {
                 outcome
             };
-            if self.may_go_on(&mut attempts, outcome, at.runner()).is_err() {
+            if self.may_go_on(attempts, outcome, at.runner()).is_err() {
                 let own = OwnAnswer::of_outcome(attempts.outcome(outcome));
                 return last_answer.ok_or((own, MIN_RETRY_AFTER));
             }
@@ -405,6 +410,20 @@
         }
     }
 
+    /// Notes that the caller has got an event.
+    pub fn begin(&self) {
+        self.has_begun.store(true, Ordering::Relaxed);
+    }
+
+    /// When the stream has to begin; a stream that goes on elsewhere has the whole time.
+    pub fn event_deadline(&self) -> Instant {
+        if self.has_begun.load(Ordering::Relaxed) {
+            self.deadline
+        } else {
+            self.first_event_deadline
+        }
+    }
+
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -39,7 +39,7 @@
     pub grace: Duration,
 }
 
-/// Start of the process to its end.
+/// What all requests of a node share.
 #[derive(Debug)]
 pub struct Gateway {
     /// Settings.
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -111,6 +111,7 @@
     fn take(&mut self, data: Bytes) -> Option<Bytes> {
         if !self.has_events {
             self.has_events = true;
+            self.call.begin();
             let took = self.call.started.elapsed();
             self.call
                 .gateway
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -141,7 +141,7 @@
 
     /// Time that is left until the stream has to begin.
     fn first_event_left(&self) -> Duration {
-        self.first_event_deadline
+        self.event_deadline()
             .saturating_duration_since(Instant::now())
     }
 
@@ -246,7 +246,7 @@
             ..self.send_facts(&place.runner.id)
         };
         let patience = micros(place.until_handover_us() * READ_PATIENCE).max(MIN_READ_PATIENCE);
-        let exchange = self.exchange_until(&place.runner, &facts, self.first_event_deadline);
+        let exchange = self.exchange_until(&place.runner, &facts, self.event_deadline());
         let outcome = match patiently(exchange, patience, &at).await {
             Ok(answer) => match self.take_handle(answer, &at, &place.runner).await {
                 Ok(held) => {
@@ -296,7 +296,7 @@
         }
         let mut bytes = BytesMut::new();
         loop {
-            match tokio::time::timeout_at(self.first_event_deadline, body.next()).await {
+            match tokio::time::timeout_at(self.event_deadline(), body.next()).await {
                 Ok(None) => break,
                 Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
                 Ok(Some(Err(_broken))) => {
