--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -2,9 +2,9 @@
 //!
 //! Reading is placed by prefix: the home of the last shared part of a prompt is taken to hold it, any
 //! other runner has to read it again, and that time competes with the home's queue. A hot part thus
-//! spills to the next runner as soon as waiting costs more than reading, and no sooner. Output is placed
-//! by load, near the runner that has read the prompt. A place for the output is chosen before the prompt
-//! is read, so that no prompt is read for nothing.
+//! spills to the next runner as soon as waiting costs more than reading, and the busier the pool, the
+//! later, since a second read delays everything behind it. Output is placed by load, near the node. A
+//! place for the output is chosen before the prompt is read, so that no prompt is read for nothing.
 
 use std::sync::Arc;
 
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -40,6 +40,11 @@
 const INTENT_VALID: Duration = Duration::from_millis(500);
 /// Time between rounds.
 const ROUND: Duration = Duration::from_millis(2_500);
+/// Rounds after which what the nodes have written is read again: with many nodes it is long and rarely
+/// changes.
+const ROUNDS_PER_LIST: u32 = 3;
+/// Rounds after a start that always read it.
+const FIRST_ROUNDS: u32 = 4;
 /// Time to the next round after a failed one: the return of the store has to be noticed soon, since
 /// watches may hang from before its outage.
 const FAILED_ROUND: Duration = Duration::from_millis(500);
@@ -97,6 +102,7 @@
     authority: Option<Authority>,
     pending: HashMap<String, Pending>,
     nodes: NodeCount,
+    rounds: u32,
 }
 
 /// Nodes that share a budget. A lower count is believed only after a while: after a common restart the
@@ -132,6 +138,7 @@
                 nodes: UNKNOWN_NODES,
                 seen_us: clock::now_us(),
             },
+            rounds: 0,
         }
     }
 
@@ -164,11 +171,10 @@
 
     async fn round(&mut self) -> Result<(), StoreError> {
         self.keep_lease().await?;
-        let list = self.control.store.list(PREFIX, Freshness::Stale);
-        let items = within(CALL_TIMEOUT, list).await?.items;
-        self.count_nodes(&items).await?;
-        self.note_intents(&items);
-        let has_holder = items.iter().any(|item| item.key == HOLDER);
+        self.rounds += 1;
+        if self.rounds < FIRST_ROUNDS || self.rounds.is_multiple_of(ROUNDS_PER_LIST) {
+            self.look_around().await?;
+        }
         let now_us = clock::now_us();
         if self
             .authority
@@ -176,10 +182,20 @@
         {
             self.drop_authority("lease not renewed in time");
         }
+        self.give_orders().await
+    }
+
+    /// Reads what the nodes have written, and takes the right to give orders where nobody has it.
+    async fn look_around(&mut self) -> Result<(), StoreError> {
+        let list = self.control.store.list(PREFIX, Freshness::Stale);
+        let items = within(CALL_TIMEOUT, list).await?.items;
+        self.count_nodes(&items).await?;
+        self.note_intents(&items);
+        let has_holder = items.iter().any(|item| item.key == HOLDER);
         if self.authority.is_none() && !has_holder {
             self.take_authority().await?;
         }
-        self.give_orders().await
+        Ok(())
     }
 
     async fn keep_lease(&mut self) -> Result<(), StoreError> {
