Remove what the last reading found unused or done twice

Conclusion: found but left: the decoded engine limits (bytes per token, link, time of a switch) and the head's timeout are checked and not used; take_stream clears what a decode runner is thought to hold by a capacity of 0.

--- a/crates/tealsaddle-core/src/fleet/config.rs
+++ b/crates/tealsaddle-core/src/fleet/config.rs
@@ -1,5 +1,7 @@
 //! Configuration of a fleet: routes, services and the limits on callers.
 
+use std::sync::Arc;
+
 use crate::collections::HashMap;
 use crate::name::Name;
 
@@ -134,7 +136,7 @@
     pub services: HashMap<Name, FleetService>,
     /// Limits on callers.
     pub limits: CallerLimits,
-    routes: HashMap<String, Vec<std::sync::Arc<Route>>>,
+    routes: HashMap<String, Vec<Arc<Route>>>,
 }
 
 impl FleetConfig {
@@ -145,10 +147,10 @@
         services: Vec<FleetService>,
         limits: CallerLimits,
     ) -> Self {
-        let mut by_host: HashMap<String, Vec<std::sync::Arc<Route>>> = HashMap::default();
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::default();
         for route in routes {
             let of_host = by_host.entry(route.host.clone()).or_default();
-            of_host.push(std::sync::Arc::new(route));
+            of_host.push(Arc::new(route));
         }
         for of_host in by_host.values_mut() {
             // The longest prefix that matches decides.
@@ -164,7 +166,7 @@
     }
 
     /// The route of a request; `host` may carry a port and any case.
-    pub fn route(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
         let of_host = match self.routes.get(host) {
             Some(of_host) => of_host,
@@ -172,9 +174,4 @@
         };
         of_host.iter().find(|route| path.starts_with(&route.prefix))
     }
-
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &std::sync::Arc<Route>> {
-        self.routes.values().flatten()
-    }
 }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -283,10 +283,10 @@
             at.on_load(load);
         }
         let invalid = AttemptOutcome::Unknown(UnknownReason::InvalidAnswer);
-        let is_foreign = facts.request_id.is_some_and(|id| id != self.request_id);
+        let answered_id = facts.request_id.as_ref();
+        let is_foreign = answered_id.is_some_and(|id| *id != self.request_id);
         if !head.status.is_success() || is_foreign {
             body.forbid_reuse();
-            let facts = dialect.answer_facts(&head.headers);
             let outcome = judge(head.status, &facts, &self.request_id);
             return Err(if outcome == AttemptOutcome::Answered {
                 invalid
