Read keys anew after a failed watch

Its watch heard nothing for a second and was then cut; the node watched on from its old revision 30 ms later, before the store dropped its history, and that watch neither ended nor told of the change. The log of the node's watches shows it; the other 78 nodes asked a few milliseconds later and got 410. Ruled out: a stale listing, a lost answer.

Change: after any failed watch, and when the store returns, the keys are listed before the next watch.

The new test keys_are_read_anew_after_a_watch_was_cut never ended. After: the test passes, as do the 54 tests of the platform.

Conclusion: a cut watch is no proof that the store still tells of what came before.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -119,7 +119,10 @@
     loop {
         let result = tokio::select! {
             result = ask(&control, prefix, revision) => result,
-            () = control.returned.notified() => continue,
+            () = control.returned.notified() => {
+                revision = None;
+                continue;
+            }
         };
         match result {
             Ok(news) => {
@@ -138,10 +141,12 @@
             Err(error) => {
                 if error == StoreError::HistoryGone {
                     log::warn!(prefix; "the store's history is gone; reading anew");
-                    revision = None;
                 } else {
                     control.on_contact(Some(&error));
                 }
+                // A store in trouble may let a watch from an old revision wait although there are
+                // changes after it.
+                revision = None;
                 tokio::time::sleep(jittered(pause)).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
