Fetch shared prompt parts from a runner that holds them

Change: reads carry the address of a runner that holds the shared parts, or of the other home, and the choice of the reader counts the fetch instead of a second read where a holder is known. What a runner is thought to hold is divided by the nodes, as the others' requests evict as much; a runner that starts again under its id holds nothing. The choice moved to core::fleet::reading.

--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -52,6 +52,8 @@
     own_kv_tokens: u64,
     /// Parts that it is thought to hold.
     pub held: HeldParts,
+    /// Start of the process that this is known of; 0 while none is.
+    born_unix_ms: u64,
     others: u32,
     others_waiting: u32,
     reported_at_us: u64,
@@ -71,6 +73,7 @@
             own_read_tokens: 0,
             own_kv_tokens: 0,
             held: HeldParts::default(),
+            born_unix_ms: 0,
             others: 0,
             others_waiting: 0,
             reported_at_us: 0,
@@ -86,6 +89,18 @@
 }
 
 impl RunnerView {
+    /// Takes the start of the runner's process: one that started again under its id holds nothing, and
+    /// has neither failed nor been slow.
+    pub fn on_born(&mut self, born_unix_ms: u64) {
+        if self.born_unix_ms != 0 && self.born_unix_ms != born_unix_ms {
+            let own = (self.own_requests, self.own_read_tokens, self.own_kv_tokens);
+            *self = Self::default();
+            // Requests to the process before still leave one by one.
+            (self.own_requests, self.own_read_tokens, self.own_kv_tokens) = own;
+        }
+        self.born_unix_ms = born_unix_ms;
+    }
+
     /// Counts an own request that goes to the runner.
     pub const fn on_enter(&mut self, work: Work) {
         self.own_requests += 1;
--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod load;
 pub mod place;
+pub mod reading;
 pub mod split;
 
 use std::net::SocketAddr;
--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -1,33 +1,18 @@
 //! Where a request is read and where it runs.
 //!
-//! Reading is placed by prefix: the home of the last shared part of a prompt is taken to hold it, any
-//! other runner has to read it again, and that time competes with the home's queue. A hot part thus
-//! spills to the next runner as soon as waiting costs more than reading, and the busier the pool, the
-//! later, since a second read delays everything behind it. Output is placed by load, near the node. A
+//! Where a prompt is read stands in [`reading`](super::reading). Output is placed by load, near the node. A
 //! place for the output is chosen before the prompt is read, so that no prompt is read for nothing.
 
 use std::sync::Arc;
 
 use super::config::EngineLimits;
-use super::homes::rank_key;
 use super::load::RunnerView;
 use super::{PromptPart, Runner, Stage, prompt_tokens};
 use crate::collections::HashMap;
 use crate::name::Name;
 
-/// Reading a shared part again loads the whole pool, which the request itself does not feel; the time
-/// counts this many times.
-const REREAD_WEIGHT: f64 = 2.0;
-/// Shared parts from this length on have few homes; a shorter one is read again sooner than it waits.
-const HOMED_TOKENS: u64 = 2_000;
-/// Runners that a long shared part may go to. The nodes rank them alike, so that a part that spills finds
-/// the cache that other nodes have filled.
-const MAX_HOMES: usize = 3;
-/// What each request that waits at a reader, on average, adds to that weight: the busier the pool, the
-/// more others a second read delays.
-const REREAD_WEIGHT_PER_QUEUED: f64 = 3.0;
 /// A runner that fails every request counts as this much slower.
-const FAILURE_PENALTY_US: f64 = 400_000.0;
+pub(super) const FAILURE_PENALTY_US: f64 = 400_000.0;
 /// Preference for a runner of the own zone, in time.
 const ZONE_PENALTY_US: f64 = 2_000.0;
 /// The same for each byte of the request: links between zones are shared and narrower.
@@ -43,8 +28,6 @@
 const QUEUE_STALE_US: u64 = 1_000_000;
 /// A decode runner reads prompts at half the speed of a prefill runner.
 const DECODE_READ_FACTOR: f64 = 2.0;
-/// Time that a read takes besides its tokens.
-const READ_OVERHEAD_US: f64 = 15_000.0;
 /// Time from the end of the read to the first event, transfer included.
 const HANDOVER_US: f64 = 25_000.0;
 
@@ -120,7 +103,7 @@
 }
 
 impl Ask<'_> {
-    fn zone_penalty_us(&self, runner: &Runner) -> f64 {
+    pub(super) fn zone_penalty_us(&self, runner: &Runner) -> f64 {
         if *runner.zone == *self.zone {
             return 0.0;
         }
@@ -139,6 +122,8 @@
     pub read_us: f64,
     /// Prompt tokens that it has to read.
     pub read_tokens: u64,
+    /// Runner from which it fetches shared parts that it does not hold.
+    pub fetches_from: Option<Arc<Runner>>,
     /// Wait and read as a runner as fast as the pool would take them.
     pub pool_us: f64,
 }
@@ -154,7 +139,11 @@
 pub type Views = HashMap<Name, RunnerView>;
 
 /// A runner that nothing is known of yet.
-fn view_of<'a>(views: &'a Views, unknown: &'a RunnerView, runner: &Runner) -> &'a RunnerView {
+pub(super) fn view_of<'a>(
+    views: &'a Views,
+    unknown: &'a RunnerView,
+    runner: &Runner,
+) -> &'a RunnerView {
     views.get(&runner.id).unwrap_or(unknown)
 }
 
@@ -179,7 +168,7 @@
 }
 
 /// Runners of a stage that take work: those that answer, or all when none is known to.
-fn usable<'a>(
+pub(super) fn usable<'a>(
     views: &'a Views,
     runners: &'a [Arc<Runner>],
     stage: Option<Stage>,
@@ -203,7 +192,7 @@
     if answering.is_empty() { all } else { answering }
 }
 
-fn cheapest<F>(candidates: &[&Arc<Runner>], mut weigh: F) -> Option<Place>
+pub(super) fn cheapest<F>(candidates: &[&Arc<Runner>], mut weigh: F) -> Option<Place>
 where
     F: FnMut(&Arc<Runner>) -> (f64, Place),
 {
@@ -212,67 +201,6 @@
     best.map(|(_cost, place)| place)
 }
 
-/// The prefill runner for a prompt.
-pub fn reader(
-    views: &Views,
-    runners: &[Arc<Runner>],
-    ask: &Ask<'_>,
-    pace: &Pace,
-    excluded: &[Name],
-    now_us: u64,
-) -> Option<Place> {
-    let unknown = RunnerView::default();
-    let candidates = usable(views, runners, Some(Stage::Prefill), excluded, now_us);
-    let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
-    let home_part = shared.last().or(ask.parts.last()).map_or(0, |part| part.id);
-    let mut ranked = candidates;
-    ranked.sort_by_key(|runner| std::cmp::Reverse(rank_key(home_part, &runner.id)));
-    let home = Name::clone(&ranked.first()?.id);
-    let all_tokens = prompt_tokens(ask.parts);
-    let queue_us = |view: &RunnerView| {
-        let others_us = view.others(now_us) * (pace.read_us + READ_OVERHEAD_US);
-        view.own_read_tokens() as f64 * pace.read_us_per_token + others_us
-    };
-    // The home is left out: one hot part may spill while the rest of the pool is idle.
-    let queues = ranked[1..].iter().map(|runner| {
-        let view = view_of(views, &unknown, runner);
-        queue_us(view) * view.slowness()
-    });
-    let others_us = queues.sum::<f64>() / (ranked.len() - 1).max(1) as f64;
-    let mean_queue = others_us / (pace.read_us + READ_OVERHEAD_US);
-    let reread_weight = REREAD_WEIGHT + mean_queue * REREAD_WEIGHT_PER_QUEUED;
-    if prompt_tokens(shared) >= HOMED_TOKENS {
-        ranked.truncate(MAX_HOMES);
-    }
-    cheapest(&ranked, |runner| {
-        let view = view_of(views, &unknown, runner);
-        let mut cached_tokens = view.held.cached_tokens(shared);
-        if runner.id == home {
-            cached_tokens = prompt_tokens(shared);
-        }
-        let read_tokens = all_tokens.saturating_sub(cached_tokens);
-        let again_tokens = prompt_tokens(shared).saturating_sub(cached_tokens);
-        let read_us = read_tokens as f64 * pace.read_us_per_token;
-        let again_us = again_tokens as f64 * pace.read_us_per_token;
-        let queue_us = queue_us(view);
-        let slowness = view.slowness();
-        let wait_us = queue_us * slowness;
-        let pool_us = queue_us + read_us + READ_OVERHEAD_US;
-        let read_us = read_us * slowness;
-        let mut cost = wait_us + read_us + again_us * (reread_weight - 1.0);
-        cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
-        cost += ask.zone_penalty_us(runner);
-        let found = Place {
-            runner: Arc::clone(runner),
-            wait_us,
-            read_us,
-            read_tokens,
-            pool_us,
-        };
-        (cost, found)
-    })
-}
-
 /// A request for a decode runner.
 #[derive(Debug, Clone, Copy)]
 pub struct DecodeQuery<'a> {
@@ -333,6 +261,7 @@
             wait_us: wait_us + if has_read { 0.0 } else { queued_us },
             read_us,
             read_tokens,
+            fetches_from: None,
             pool_us: 0.0,
         };
         (cost, found)
@@ -367,6 +296,7 @@
             wait_us,
             read_us: 0.0,
             read_tokens: 0,
+            fetches_from: None,
             pool_us: 0.0,
         };
         (cost, found)
--- a/crates/tealsaddle-core/tests/it/fleet/load.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/load.rs
@@ -72,3 +72,22 @@
     }
     assert!((view.slowness() - 5.0).abs() < 0.1);
 }
+
+/// Guards against prompts that are sent to a runner for a cache that it lost when it started again under
+/// its id, and against counts of the requests that still leave.
+#[test]
+fn runner_that_started_again_holds_nothing() {
+    let parts = super::prompt(7, 10_000, 900, 1_000);
+    let mut view = RunnerView::default();
+    view.on_born(1);
+    view.on_enter(Work {
+        read_tokens: 100,
+        kv_tokens: 100,
+    });
+    view.held.on_read(&parts, 100_000);
+    view.on_born(1);
+    assert_eq!(view.held.cached_tokens(&parts), 11_000);
+    view.on_born(2);
+    assert_eq!(view.held.cached_tokens(&parts), 0);
+    assert_eq!(view.own_requests(), 1);
+}
--- a/crates/tealsaddle-core/tests/it/fleet/place.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/place.rs
@@ -5,7 +5,8 @@
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::homes::rank_key;
 use tealsaddle_core::fleet::load::{ReportedLoad, RunnerView, Work};
-use tealsaddle_core::fleet::place::{Ask, DecodeQuery, Pace, Place, Views, decoder, plain, reader};
+use tealsaddle_core::fleet::place::{Ask, DecodeQuery, Pace, Place, Views, decoder, plain};
+use tealsaddle_core::fleet::reading::{ReadQuery, reader};
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
 use tealsaddle_core::name::Name;
 
@@ -31,8 +32,21 @@
 }
 
 fn read(views: &Views, runners: &[Arc<Runner>], parts: &[PromptPart]) -> Place {
-    let pace = Pace::default();
-    reader(views, runners, &ask(parts, "a"), &pace, &[], NOW_US).expect("a reader takes work")
+    read_without(views, runners, parts, &[]).expect("a reader takes work")
+}
+
+fn read_without(
+    views: &Views,
+    runners: &[Arc<Runner>],
+    parts: &[PromptPart],
+    excluded: &[Name],
+) -> Option<Place> {
+    let query = ReadQuery {
+        ask: &ask(parts, "a"),
+        engine: &ENGINE,
+        pace: &Pace::default(),
+    };
+    reader(views, runners, &query, excluded, NOW_US)
 }
 
 fn home(runners: &[Arc<Runner>], part: u64) -> Name {
@@ -98,22 +112,14 @@
     let parts = prompt(7, 10_000, 900, 1_000);
     let first = read(&Views::default(), &runners, &parts).runner;
     let excluded = [Name::clone(&first.id)];
-    let pace = Pace::default();
     let views = Views::default();
-    let second = reader(
-        &views,
-        &runners,
-        &ask(&parts, "a"),
-        &pace,
-        &excluded,
-        NOW_US,
-    );
+    let second = read_without(&views, &runners, &parts, &excluded);
     let second = second.expect("two readers are left").runner;
     assert_ne!(second.id, first.id);
     for runner in &mut runners {
         *runner = draining(runner);
     }
-    let none = reader(&views, &runners, &ask(&parts, "a"), &pace, &[], NOW_US);
+    let none = read_without(&views, &runners, &parts, &[]);
     assert!(none.is_none());
 }
 
@@ -177,6 +183,46 @@
     assert_ne!(read(&views, &runners, &parts).runner.id, home);
 }
 
+/// Guards against a shared part that is read again although another runner holds it, and against a fetch
+/// from a runner that does not answer.
+#[test]
+fn part_that_spills_is_fetched_from_its_home() {
+    let runners = readers(6);
+    let parts = prompt(7, 10_000, 900, 1_000);
+    let home = home(&runners, 7);
+    let mut views = Views::default();
+    let view = views.entry(Name::clone(&home)).or_default();
+    view.held.on_read(&parts, 100_000);
+    view.on_enter(Work {
+        read_tokens: 30_000,
+        kv_tokens: 0,
+    });
+    let placed = read(&views, &runners, &parts);
+    let source = |placed: &Place| placed.fetches_from.as_ref().map(|r| Name::clone(&r.id));
+    assert_ne!(placed.runner.id, home);
+    assert_eq!(source(&placed), Some(Name::clone(&home)));
+    assert_eq!(placed.read_tokens, 1_000);
+    let view = views.entry(Name::clone(&home)).or_default();
+    view.on_silence(NOW_US);
+    let placed = read(&views, &runners, &parts);
+    assert_ne!(placed.runner.id, home);
+    assert_ne!(source(&placed), Some(home));
+}
+
+/// Guards against a home that has lost a part and reads it again although the next home holds it.
+#[test]
+fn home_fetches_from_the_next_home() {
+    let runners = readers(6);
+    let parts = prompt(7, 10_000, 900, 1_000);
+    let placed = read(&Views::default(), &runners, &parts);
+    let home = home(&runners, 7);
+    let others: Vec<_> = runners.iter().filter(|r| r.id != home).cloned().collect();
+    let next = self::home(&others, 7);
+    assert_eq!(placed.runner.id, home);
+    let source = placed.fetches_from.map(|source| Name::clone(&source.id));
+    assert_eq!(source, Some(next));
+}
+
 fn decoders() -> Vec<Arc<Runner>> {
     ["a", "b", "c"]
         .map(|zone| runner(&format!("d-{zone}"), zone, Some(Stage::Decode)))
--- a/crates/tealsaddle-core/tests/it/fleet/played.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/played.rs
@@ -8,9 +8,11 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::knowledge::HeldParts;
 use tealsaddle_core::fleet::load::{ReportedLoad, Work};
-use tealsaddle_core::fleet::place::{Ask, Pace, Views, reader};
+use tealsaddle_core::fleet::place::{Ask, Pace, Views};
+use tealsaddle_core::fleet::reading::{ReadQuery, reader};
 use tealsaddle_core::fleet::{PromptPart, Runner, prompt_tokens};
 use tealsaddle_core::name::Name;
 
@@ -22,6 +24,13 @@
 const CACHE_TOKENS: u64 = 300_000;
 const PARTS: u64 = 90;
 const SHARED_TOKENS: u64 = 10_000;
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 64,
+    kv_tokens: CACHE_TOKENS,
+    kv_bytes_per_token: 18_432,
+    link_mbps: 370_000.0,
+    switch_ms: 3_000,
+};
 /// Time until the first event that callers expect.
 const OBJECTIVE_US: u64 = 500_000;
 
@@ -34,8 +43,15 @@
     ends_us: Vec<u64>,
 }
 
-/// Runner, prompt tokens that it is expected to read, and the time expected of the pool.
-type Chosen = (Name, u64, f64);
+/// Where a request goes.
+struct Chosen {
+    runner: Name,
+    /// Prompt tokens that the runner is expected to read.
+    read_tokens: u64,
+    /// Time expected of the pool.
+    expected_us: f64,
+    fetches_from: Option<Name>,
+}
 
 struct Answer {
     node: usize,
@@ -70,16 +86,19 @@
             zone: "a",
             body_bytes: 0,
         };
-        let (runner, expected_tokens, expected_us) =
-            choose(&mut views[node], &runners, &ask, now_us);
+        let chosen = choose(&mut views[node], &runners, &ask, now_us);
+        let runner = chosen.runner;
         let view = views[node].entry(Name::clone(&runner)).or_default();
         let work = Work {
-            read_tokens: expected_tokens,
+            read_tokens: chosen.read_tokens,
             kv_tokens: 0,
         };
         view.on_enter(work);
+        let source = chosen.fetches_from.and_then(|source| played.get(&source));
+        let fetched_tokens = source.map_or(0, |source| source.held.cached_tokens(&parts));
         let reader = played.entry(Name::clone(&runner)).or_default();
-        let missing = prompt_tokens(&parts) - reader.held.cached_tokens(&parts);
+        let held_tokens = reader.held.cached_tokens(&parts).max(fetched_tokens);
+        let missing = prompt_tokens(&parts) - held_tokens;
         reader.held.on_read(&parts, CACHE_TOKENS);
         let took_us = (missing as f64 * US_PER_TOKEN) as u64 + 20_000;
         reader.free_us = reader.free_us.max(now_us) + took_us;
@@ -92,7 +111,7 @@
             node,
             runner,
             work,
-            expected_us: expected_us + 20_000.0,
+            expected_us: chosen.expected_us + 20_000.0,
             sent_us: now_us,
             at_us: reader.free_us,
             parts,
@@ -133,7 +152,8 @@
         };
         let view = views[answer.node].entry(answer.runner).or_default();
         view.on_leave(answer.work);
-        view.held.on_read(&answer.parts, CACHE_TOKENS);
+        view.held
+            .on_read(&answer.parts, CACHE_TOKENS / NODES as u64);
         view.on_report(report, answer.at_us);
         view.on_time((answer.at_us - answer.sent_us) as f64, answer.expected_us);
     }
@@ -144,12 +164,18 @@
         read_us_per_token: US_PER_TOKEN,
         ..Pace::default()
     };
-    let chosen = reader(views, runners, ask, &pace, &[], now_us).expect("readers take work");
-    (
-        Name::clone(&chosen.runner.id),
-        chosen.read_tokens,
-        chosen.pool_us,
-    )
+    let query = ReadQuery {
+        ask,
+        engine: &ENGINE,
+        pace: &pace,
+    };
+    let chosen = reader(views, runners, &query, &[], now_us).expect("readers take work");
+    Chosen {
+        runner: Name::clone(&chosen.runner.id),
+        read_tokens: chosen.read_tokens,
+        expected_us: chosen.pool_us,
+        fetches_from: chosen.fetches_from.map(|source| Name::clone(&source.id)),
+    }
 }
 
 /// The load that the pool could read if it found every shared part in a cache is 111 requests a second.
@@ -161,7 +187,12 @@
     let by_turns = share_in_time(60, |_views, runners, ask, _now_us| {
         turn += 1;
         let runner = &runners[turn % runners.len()];
-        (Name::clone(&runner.id), prompt_tokens(ask.parts), 1e5)
+        Chosen {
+            runner: Name::clone(&runner.id),
+            read_tokens: prompt_tokens(ask.parts),
+            expected_us: 1e5,
+            fetches_from: None,
+        }
     });
     let by_prefix = share_in_time(60, placed);
     assert!(by_turns < 0.2, "by turns {by_turns}");
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -7,6 +7,7 @@
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::load::{ReportedLoad, RunnerView, Work};
 use tealsaddle_core::fleet::place::{self, Ask, Pace, Place, Views};
+use tealsaddle_core::fleet::reading::{self, ReadQuery};
 use tealsaddle_core::fleet::{PromptPart, Runner};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, RetryBudget};
@@ -30,7 +31,8 @@
     f64::from(if nodes == 0 { UNKNOWN_NODES } else { nodes })
 }
 
-/// Share of a runner's KV cache that is taken to hold prompt parts when it also runs requests.
+/// Share of a runner's KV cache that is taken to hold prompt parts when it also runs requests. The nodes
+/// divide it: what the others send evicts as much for each request of this node.
 const CACHE_SHARE: f64 = 0.8;
 
 #[derive(Debug, Default)]
@@ -87,11 +89,17 @@
         service: &str,
         runners: &[Arc<Runner>],
         ask: &Ask<'_>,
+        engine: &EngineLimits,
         excluded: &[Name],
     ) -> Option<Place> {
         let state = self.state();
         let pace = state.paces.get(service).copied().unwrap_or_default();
-        place::reader(&state.views, runners, ask, &pace, excluded, clock::now_us())
+        let query = ReadQuery {
+            ask,
+            engine,
+            pace: &pace,
+        };
+        reading::reader(&state.views, runners, &query, excluded, clock::now_us())
     }
 
     /// The decode runner for a request.
@@ -134,6 +142,7 @@
             pace.on_placed(work.read_tokens, work.kv_tokens);
         }
         let view = state.views.entry(Name::clone(&runner.id)).or_default();
+        view.on_born(runner.born_unix_ms);
         let is_alone = view.own_read_tokens() == 0;
         view.on_enter(work);
         AtRunner {
@@ -199,6 +208,11 @@
         state
             .views
             .retain(|id, view| view.own_requests() > 0 || known.contains(id));
+        for runner in world.runners.values().flatten() {
+            if let Some(view) = state.views.get_mut(&runner.id) {
+                view.on_born(runner.born_unix_ms);
+            }
+        }
         for budget in state.budgets.values_mut() {
             budget.set_floor_per_s(floor_per_s);
         }
@@ -221,13 +235,14 @@
         let took_us = self.elapsed_us();
         let read_tokens = std::mem::take(&mut self.work.read_tokens);
         let mut state = self.board.state();
+        let nodes = nodes_sharing(state.nodes);
         if self.is_alone && read_tokens > 0 {
             let pace = state.paces.entry(Name::clone(&self.service)).or_default();
             pace.on_read(read_tokens, took_us);
         }
         if let Some(view) = state.views.get_mut(&self.runner) {
             view.on_read(read_tokens);
-            let capacity = capacity_tokens as f64 * CACHE_SHARE;
+            let capacity = capacity_tokens as f64 * CACHE_SHARE / nodes;
             view.held.on_read(parts, capacity as u64);
         }
     }
--- a/crates/tealsaddle-gateway/src/border.rs
+++ b/crates/tealsaddle-gateway/src/border.rs
@@ -5,6 +5,7 @@
 //! a decision.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -186,6 +187,8 @@
     pub reads_only: bool,
     /// Where it fetches the KV cache.
     pub kv_source: Option<&'a KvSource>,
+    /// Runner from which it fetches the parts of the prompt that it does not hold itself.
+    pub fetches_from: Option<SocketAddr>,
     /// Last event that the caller has, for a stream that is resumed.
     pub last_event_id: Option<&'a str>,
 }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -25,6 +25,7 @@
 use crate::answer::{Body, OwnAnswer, full, judge, strip_hop_headers};
 use crate::border::{CallerFacts, SendFacts};
 use crate::gateway::{Gateway, InFlight};
+use crate::progress::Progress;
 use crate::relay;
 use crate::upstream::{Answer, Reuse};
 
@@ -63,7 +64,7 @@
     body: Bytes,
     /// When the caller gives up if the stream has not begun.
     first_event_deadline: Instant,
-    has_begun: AtomicBool,
+    progress: Progress,
     has_ended: AtomicBool,
     _in_flight: InFlight,
 }
@@ -148,7 +149,7 @@
         uri: origin_form(&head.uri),
         headers,
         body,
-        has_begun: AtomicBool::new(false),
+        progress: Progress::default(),
         has_ended: AtomicBool::new(false),
         _in_flight: in_flight,
     }))
@@ -352,6 +353,7 @@
             urgency: None,
             reads_only: false,
             kv_source: None,
+            fetches_from: None,
             last_event_id: None,
         }
     }
@@ -410,14 +412,17 @@
         }
     }
 
-    /// Notes that the caller has got an event.
-    pub fn begin(&self) {
-        self.has_begun.store(true, Ordering::Relaxed);
+    /// Notes that the caller gets events now.
+    pub fn on_events(&self) {
+        let first = self.progress.on_events(self.started.elapsed());
+        if let Some(took) = first {
+            self.gateway.metrics.latency("request.first_event", took);
+        }
     }
 
     /// When the stream has to begin; a stream that goes on elsewhere has the whole time.
     pub fn event_deadline(&self) -> Instant {
-        if self.has_begun.load(Ordering::Relaxed) {
+        if self.progress.has_begun() {
             self.deadline
         } else {
             self.first_event_deadline
@@ -445,7 +450,9 @@
         metrics.latency("request.total", took);
         log::info!(id:% = self.request_id, route:% = self.route.name, service:% = self.service,
             config_version = self.config.version, outcome:%, runner:%, failed_attempts,
-            took_ms = took.as_millis() as u64, left_ms = self.left().as_millis() as u64;
+            took_ms = took.as_millis() as u64,
+            first_event_ms = self.progress.first_event_ms(),
+            longest_pause_ms = self.progress.longest_pause_ms(), left_ms = self.left().as_millis() as u64;
             "request ended");
     }
 }
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod orders;
 pub mod peers;
+mod progress;
 pub mod relay;
 pub mod stages;
 pub mod upstream;
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/progress.rs
@@ -0,0 +1,44 @@
+//! How a stream to a caller gets on.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Times of the events that a caller has got, counted from the head of its request.
+#[derive(Debug, Default)]
+#[expect(clippy::struct_field_names, reason = "each name ends with its unit")]
+pub struct Progress {
+    /// Time of the first event; 0 while there is none.
+    first_us: AtomicU64,
+    last_us: AtomicU64,
+    longest_pause_us: AtomicU64,
+}
+
+impl Progress {
+    /// Takes events that go on to the caller; gives the time of the first ones.
+    pub fn on_events(&self, since_start: Duration) -> Option<Duration> {
+        let now_us = (since_start.as_micros() as u64).max(1);
+        let last_us = self.last_us.swap(now_us, Ordering::Relaxed);
+        if last_us == 0 {
+            self.first_us.store(now_us, Ordering::Relaxed);
+            return Some(since_start);
+        }
+        let pause_us = now_us.saturating_sub(last_us);
+        self.longest_pause_us.fetch_max(pause_us, Ordering::Relaxed);
+        None
+    }
+
+    /// Whether the caller has got an event.
+    pub fn has_begun(&self) -> bool {
+        self.first_us.load(Ordering::Relaxed) > 0
+    }
+
+    /// Time to the first event; 0 while there is none.
+    pub fn first_event_ms(&self) -> u64 {
+        self.first_us.load(Ordering::Relaxed).div_ceil(1_000)
+    }
+
+    /// Longest time between two events.
+    pub fn longest_pause_ms(&self) -> u64 {
+        self.longest_pause_us.load(Ordering::Relaxed) / 1_000
+    }
+}
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -59,7 +59,6 @@
         stream,
         attempts,
         cutter: may_resume.then(EventCutter::default),
-        has_events: false,
     };
     let frames = stream::unfold(Some(relay), |relay| async move { relay?.next().await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -72,7 +71,6 @@
     attempts: Attempts,
     /// Cuts at the ends of events, where the stream may be resumed.
     cutter: Option<EventCutter>,
-    has_events: bool,
 }
 
 type Step = Option<(Result<Frame<Bytes>, Aborted>, Option<Relay>)>;
@@ -109,15 +107,7 @@
 
     /// Bytes to pass on now; `None` when they hold no whole event yet.
     fn take(&mut self, data: Bytes) -> Option<Bytes> {
-        if !self.has_events {
-            self.has_events = true;
-            self.call.begin();
-            let took = self.call.started.elapsed();
-            self.call
-                .gateway
-                .metrics
-                .latency("request.first_event", took);
-        }
+        self.call.on_events();
         let Some(cutter) = &mut self.cutter else {
             return Some(data);
         };
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -89,7 +89,11 @@
         let mut held: Option<HeldKv> = None;
         let mut has_read = false;
         loop {
-            let reader = if has_read { None } else { self.reader(&[]) };
+            let reader = if has_read {
+                None
+            } else {
+                self.reader(engine, &[])
+            };
             let is_read = reader.is_some() || held.is_some();
             let decoder = self.decoder(engine, is_read, &excluded)?;
             self.check_feasible(reader.as_ref(), &decoder, attempts)?;
@@ -145,11 +149,11 @@
             .saturating_duration_since(Instant::now())
     }
 
-    fn reader(&self, excluded: &[Name]) -> Option<Place> {
+    fn reader(&self, engine: &EngineLimits, excluded: &[Name]) -> Option<Place> {
         let world = self.gateway.world.load();
         let runners = world.runners_of(&self.service);
         let board = &self.gateway.board;
-        board.reader(&self.service, runners, &self.ask(), excluded)
+        board.reader(&self.service, runners, &self.ask(), engine, excluded)
     }
 
     fn decoder(
@@ -225,7 +229,7 @@
                 return None;
             }
             self.gateway.metrics.increment("read.again");
-            place = self.reader(&excluded)?;
+            place = self.reader(engine, &excluded)?;
         }
     }
 
@@ -242,6 +246,7 @@
         let facts = SendFacts {
             urgency: Some(self.route.priority),
             reads_only: true,
+            fetches_from: place.fetches_from.as_ref().map(|holder| holder.address),
             left: self.first_event_left(),
             ..self.send_facts(&place.runner.id)
         };
@@ -252,7 +257,8 @@
                 Ok(held) => {
                     log::info!(id:% = self.request_id, runner:% = place.runner.id,
                         expected_ms = (place.wait_us + place.read_us) as u64 / 1_000,
-                        took_ms = at.elapsed_us() / 1_000, read_tokens = place.read_tokens;
+                        took_ms = at.elapsed_us() / 1_000, read_tokens = place.read_tokens,
+                        fetched_from:% = place.fetches_from.as_ref().map_or("-", |r| &r.id);
                         "prompt read");
                     at.on_read_time(place.pool_us);
                     at.on_read(&self.facts.parts, engine.kv_tokens);
