Count decode runners as holders of parts, and gather changes for 0.9 s

Cause: decode runners keep the parts that they fetch, but the capacity with which a node noted them was 0, which cleared what it knew of them.

Change: what a decode runner has taken is noted with the memory of its service, so that readers may fetch from it.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -24,7 +24,7 @@
 /// Time for the store to answer beyond a watch's wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after changes, in which more of them gather: with many nodes and runners each call counts.
-const GATHER: Duration = Duration::from_millis(500);
+const GATHER: Duration = Duration::from_millis(900);
 /// First pause after a failed call; it doubles up to the longest one.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -115,7 +115,7 @@
             };
             let sent = self.exchange_until(&decoder.runner, &facts, self.stream_limit());
             let outcome = match sent.await {
-                Ok(answer) => match self.take_stream(answer, at, held.as_mut()) {
+                Ok(answer) => match self.take_stream(engine, answer, at, held.as_mut()) {
                     Ok(stream) => return Ok(stream),
                     Err(outcome) => outcome,
                 },
@@ -330,6 +330,7 @@
 
     fn take_stream(
         &self,
+        engine: &EngineLimits,
         answer: Answer,
         mut at: AtRunner,
         held: Option<&mut HeldKv>,
@@ -348,7 +349,7 @@
         if let Some(held) = held {
             held.is_taken = true;
         }
-        at.on_read(&self.facts.parts, 0);
+        at.on_read(&self.facts.parts, engine.kv_tokens);
         Ok(OpenStream { head, body, at })
     }
 }
