Give readers back while decode runners are full

Cause: the planner held 72% of a pool at reading whatever the mix, and gave decode runners back only below two.

Change: the holder of orders follows the use of the decode runners, slots or memory, whichever is more. From 60% for 2 s on, a twelfth of the pool goes back to decoding, one step at a time; towards reading runners move only below 20%. The gap keeps a pool from going back and forth, also when another node takes over the orders, as nothing but the use itself decides.

The planner still does not start from a measured mix.

--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -201,6 +201,32 @@
     best.map(|(_cost, place)| place)
 }
 
+/// Share of the slots or the memory of the decode runners that is in use, whichever is more, on average.
+pub fn decode_share(
+    views: &Views,
+    runners: &[Arc<Runner>],
+    engine: &EngineLimits,
+    pace: &Pace,
+    now_us: u64,
+) -> f64 {
+    let unknown = RunnerView::default();
+    let decode = runners
+        .iter()
+        .filter(|runner| runner.stage == Some(Stage::Decode));
+    let shares: Vec<f64> = decode
+        .map(|runner| {
+            let view = view_of(views, &unknown, runner);
+            let others = view.others(now_us);
+            let active = others + f64::from(view.own_requests());
+            let kv_tokens = others * pace.kv_tokens + view.own_kv_tokens() as f64;
+            let of_slots = active / f64::from(engine.slots.max(1));
+            let of_memory = kv_tokens / engine.kv_tokens.max(1) as f64;
+            of_slots.max(of_memory)
+        })
+        .collect();
+    shares.iter().sum::<f64>() / shares.len().max(1) as f64
+}
+
 /// A request for a decode runner.
 #[derive(Debug, Clone, Copy)]
 pub struct DecodeQuery<'a> {
--- a/crates/tealsaddle-core/src/fleet/split.rs
+++ b/crates/tealsaddle-core/src/fleet/split.rs
@@ -2,7 +2,8 @@
 //!
 //! Prompts outweigh outputs in most of the work that shares long prompt parts, but too few decode
 //! runners stop everything: streams pause, then memory runs out. The planner therefore gives most runners
-//! to reading and keeps enough for decoding to stay clear of that edge when one of them is lost.
+//! to reading and keeps enough for decoding to stay clear of that edge when one of them is lost. Where
+//! outputs outweigh prompts, the decode runners fill up, and readers go back one step at a time.
 
 use std::sync::Arc;
 
@@ -22,17 +23,68 @@
 /// Fewest decode runners: one may be lost and the streams still run.
 const MIN_DECODE: usize = 2;
 
+/// Fewest prefill runners: one may be lost.
+const MIN_PREFILL: usize = 2;
+/// Part of a pool, as a divisor, that goes back at a time: its effect is seen before the next step.
+const STEP_DIVISOR: usize = 12;
+
 /// Prefill runners that a pool of `count` should have.
 pub fn prefill_target(count: usize) -> usize {
     let most = count.saturating_sub(MIN_DECODE);
     ((count as f64 * PREFILL_SHARE).round() as usize).min(most)
 }
 
-/// Moves towards the target; `runners` are those of one model service.
+/// How busy the decode runners of a pool are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DecodeUse {
+    /// Some of them could read prompts instead.
+    Low,
+    /// No change is worth an order.
+    Moderate,
+    /// Streams slow down or wait.
+    High,
+}
+
+/// Use below which decode runners may become prefill runners. The gap to the other bound keeps a pool
+/// from going back and forth, also when another node takes over the orders.
+const LOW_USE: f64 = 0.2;
+/// Use from which prefill runners become decode runners: the rest absorbs a burst or a lost runner.
+const HIGH_USE: f64 = 0.6;
+/// Time for which the use has to be high: a burst of a second is over before a change of stage is.
+const HIGH_FOR_US: u64 = 2_000_000;
+
+/// Follows the use of the decode runners of one pool.
+#[derive(Debug, Default)]
+pub struct DecodeWatch {
+    high_since_us: Option<u64>,
+}
+
+impl DecodeWatch {
+    /// Takes the share of slots or memory in use, whichever is more.
+    pub fn on_share(&mut self, share: f64, now_us: u64) -> DecodeUse {
+        if share < HIGH_USE {
+            self.high_since_us = None;
+            return if share < LOW_USE {
+                DecodeUse::Low
+            } else {
+                DecodeUse::Moderate
+            };
+        }
+        let since_us = *self.high_since_us.get_or_insert(now_us);
+        if now_us.saturating_sub(since_us) < HIGH_FOR_US {
+            DecodeUse::Moderate
+        } else {
+            DecodeUse::High
+        }
+    }
+}
+
+/// Moves towards the target while decode runners have little to do, and back while they have too much;
+/// `runners` are those of one model service.
 ///
 /// A pool that has more prefill runners than the target keeps them, since an order takes a runner away
-/// for seconds. Only when too few decode runners are left for the pool to serve at all, readers go back.
-pub fn plan(runners: &[Arc<Runner>]) -> Vec<StageMove> {
+/// for seconds.
+pub fn plan(runners: &[Arc<Runner>], decode_use: DecodeUse) -> Vec<StageMove> {
     let of_stage = |stage: Stage| {
         let of_stage = runners
             .iter()
@@ -46,9 +98,22 @@
     if decode.len() < least_decode {
         return moves(prefill, least_decode - decode.len(), Stage::Decode);
     }
-    let missing = prefill_target(staged).saturating_sub(prefill.len());
-    let spare = decode.len() - least_decode;
-    moves(decode, missing.min(spare), Stage::Prefill)
+    match decode_use {
+        DecodeUse::Low => {
+            let missing = prefill_target(staged).saturating_sub(prefill.len());
+            let spare = decode.len() - least_decode;
+            moves(decode, missing.min(spare), Stage::Prefill)
+        }
+        DecodeUse::Moderate => Vec::new(),
+        DecodeUse::High => {
+            let spare = prefill.len().saturating_sub(MIN_PREFILL);
+            moves(
+                prefill,
+                staged.div_ceil(STEP_DIVISOR).min(spare),
+                Stage::Decode,
+            )
+        }
+    }
 }
 
 /// Moves `count` of the runners, each from the zone that has most of them left.
--- a/crates/tealsaddle-core/tests/it/fleet/split.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/split.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use tealsaddle_core::fleet::split::{plan, prefill_target};
+use tealsaddle_core::fleet::split::{DecodeUse, DecodeWatch, plan, prefill_target};
 use tealsaddle_core::fleet::{Runner, Stage};
 use yare::parameterized;
 
-use super::{draining, runner};
+use super::{SECOND_US, draining, runner};
 
 fn pool(prefill: usize, decode: usize) -> Vec<Arc<Runner>> {
     let zones = ["a", "b", "c"];
@@ -38,7 +38,7 @@
 /// Guards against orders that only move the shortage to one zone.
 #[test]
 fn moves_come_from_all_zones() {
-    let moves = plan(&pool(6, 12));
+    let moves = plan(&pool(6, 12), DecodeUse::Low);
     assert_eq!(moves.len(), 7);
     assert!(moves.iter().all(|step| step.to == Stage::Prefill));
     let taken = |zone: &str| {
@@ -58,7 +58,7 @@
     plain_service = { 0, 0 },
 )]
 fn enough_readers_need_no_order(prefill: usize, decode: usize) {
-    assert!(plan(&pool(prefill, decode)).is_empty());
+    assert!(plan(&pool(prefill, decode), DecodeUse::Low).is_empty());
 }
 
 /// Guards against an order to a runner that is about to leave.
@@ -69,7 +69,7 @@
         *runner = draining(runner);
     }
     // Four remain, two of which read already.
-    assert!(plan(&runners).is_empty());
+    assert!(plan(&runners, DecodeUse::Low).is_empty());
 }
 
 /// Guards against a pool that cannot serve at all, since decode runners were lost or none was there.
@@ -81,7 +81,39 @@
     empty = { 0, 0, 0 },
 )]
 fn readers_go_back_when_decode_runners_are_lost(prefill: usize, decode: usize, expected: usize) {
-    let moves = plan(&pool(prefill, decode));
+    let moves = plan(&pool(prefill, decode), DecodeUse::Low);
     assert_eq!(moves.len(), expected);
     assert!(moves.iter().all(|step| step.to == Stage::Decode));
 }
+
+/// Guards against streams that wait for want of decode runners while prefill runners idle, on a site whose
+/// outputs outweigh its prompts, and against a pool that is left without readers.
+#[parameterized(
+    small = { 9, 3, 1 },
+    large = { 58, 22, 7 },
+    few_readers = { 2, 10, 0 },
+)]
+fn readers_go_back_while_decode_runners_are_full(prefill: usize, decode: usize, expected: usize) {
+    let moves = plan(&pool(prefill, decode), DecodeUse::High);
+    assert_eq!(moves.len(), expected);
+    assert!(moves.iter().all(|step| step.to == Stage::Decode));
+}
+
+/// Guards against orders back and forth: after a step back the use is lower, but no reason to undo it.
+#[test]
+fn moderate_use_needs_no_order() {
+    assert!(plan(&pool(4, 8), DecodeUse::Moderate).is_empty());
+    let mut watch = DecodeWatch::default();
+    assert_eq!(watch.on_share(0.1, 0), DecodeUse::Low);
+    assert_eq!(watch.on_share(0.4, 0), DecodeUse::Moderate);
+}
+
+/// Guards against an order for a burst that is over before the runner has changed its stage.
+#[test]
+fn only_lasting_use_is_high() {
+    let mut watch = DecodeWatch::default();
+    assert_eq!(watch.on_share(0.9, 0), DecodeUse::Moderate);
+    assert_eq!(watch.on_share(0.5, SECOND_US), DecodeUse::Moderate);
+    assert_eq!(watch.on_share(0.9, 2 * SECOND_US), DecodeUse::Moderate);
+    assert_eq!(watch.on_share(0.9, 4 * SECOND_US), DecodeUse::High);
+}
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -123,6 +123,15 @@
         place::decoder(&state.views, runners, &query, excluded, clock::now_us())
     }
 
+    /// Share of the decode runners of a service that is in use.
+    pub fn decode_share(&self, runners: &[Arc<Runner>], engine: &EngineLimits) -> f64 {
+        let state = self.state();
+        let service = runners.first().map(|runner| &runner.service);
+        let pace = service.and_then(|s| state.paces.get(s)).copied();
+        let pace = pace.unwrap_or_default();
+        place::decode_share(&state.views, runners, engine, &pace, clock::now_us())
+    }
+
     /// The runner of a plain service for a request.
     pub fn plain(
         &self,
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -14,7 +14,8 @@
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::Stage;
 use tealsaddle_core::fleet::lease::{Authority, LeaseTerms};
-use tealsaddle_core::fleet::split::{self, StageMove};
+use tealsaddle_core::fleet::split::{self, DecodeWatch, StageMove};
+use tealsaddle_core::name::Name;
 use tokio::sync::watch;
 
 use crate::board::UNKNOWN_NODES;
@@ -101,6 +102,7 @@
     renewed_us: u64,
     authority: Option<Authority>,
     pending: HashMap<String, Pending>,
+    decode: HashMap<Name, DecodeWatch>,
     nodes: NodeCount,
     rounds: u32,
 }
@@ -134,6 +136,7 @@
             renewed_us: 0,
             authority: None,
             pending: HashMap::default(),
+            decode: HashMap::default(),
             nodes: NodeCount {
                 nodes: UNKNOWN_NODES,
                 seen_us: clock::now_us(),
@@ -369,16 +372,28 @@
         });
     }
 
-    fn plan(&self) -> Vec<StageMove> {
-        let world = self.control.gateway.world.load();
+    fn plan(&mut self) -> Vec<StageMove> {
+        let gateway = &self.control.gateway;
+        let world = gateway.world.load();
         let mut moves = Vec::new();
         let Some(config) = &world.config else {
             return moves;
         };
+        let now_us = clock::now_us();
         for service in config.services.values() {
-            if service.engine.is_some() {
-                moves.extend(split::plan(world.runners_of(&service.name)));
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let runners = world.runners_of(&service.name);
+            let share = gateway.board.decode_share(runners, engine);
+            let watch = self.decode.entry(Name::clone(&service.name)).or_default();
+            let decode_use = watch.on_share(share, now_us);
+            let planned = split::plan(runners, decode_use);
+            if !planned.is_empty() {
+                log::info!(service:% = service.name, moves = planned.len(), share, decode_use:?;
+                    "stages planned");
             }
+            moves.extend(planned);
         }
         moves.retain(|step| !self.pending.contains_key(&*step.runner.id));
         moves
