--- a/crates/tealsaddle-core/src/fleet/reading.rs
+++ b/crates/tealsaddle-core/src/fleet/reading.rs
@@ -118,7 +118,7 @@
         let shared = query.shared();
         let home_part = shared.last().or(query.ask.parts.last());
         let home_part = home_part.map_or(0, |part| part.id);
-        candidates.sort_by_key(|runner| std::cmp::Reverse(rank_key(home_part, &runner.id)));
+        candidates.sort_by_cached_key(|runner| std::cmp::Reverse(rank_key(home_part, &runner.id)));
         if candidates.is_empty() {
             return None;
         }
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -5,7 +5,8 @@
 
 use arc_swap::ArcSwap;
 use hyper::StatusCode;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::Instant;
 
 use crate::Error;
@@ -32,28 +33,66 @@
     fn changed(&mut self) -> Option<RetryShare>;
 }
 
-/// Runs a gateway until it is told to stop.
-pub fn run(
-    config: GatewayConfig,
-    store: Arc<dyn Store>,
-    dialect: Arc<dyn Dialect>,
-    reload: Box<dyn Reload>,
-) -> Result<(), Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(Error::Thread)?;
-    runtime.block_on(serve(config, store, dialect, reload))
+/// A process that takes signals and does not serve yet.
+#[derive(Debug)]
+pub struct Lifecycle {
+    runtime: Runtime,
+    terminate: Signal,
+    hang_up: Signal,
 }
 
-async fn serve(
+impl Lifecycle {
+    /// Takes the signals; to be called before anything else, since an early SIGHUP ends a process that
+    /// does not handle it.
+    pub fn open() -> Result<Self, Error> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(Error::Thread)?;
+        let context = runtime.enter();
+        let terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
+        let hang_up = signal(SignalKind::hangup()).map_err(Error::Thread)?;
+        drop(context);
+        Ok(Self {
+            runtime,
+            terminate,
+            hang_up,
+        })
+    }
+
+    /// Runs a gateway until it is told to stop.
+    pub fn run(
+        self,
+        config: GatewayConfig,
+        store: Arc<dyn Store>,
+        dialect: Arc<dyn Dialect>,
+        reload: Box<dyn Reload>,
+    ) -> Result<(), Error> {
+        let Self {
+            runtime,
+            mut terminate,
+            hang_up,
+        } = self;
+        runtime.block_on(async {
+            let (gateway, control, front) = start(config, store, dialect)?;
+            tokio::spawn(keep_house(Arc::clone(&gateway), hang_up, reload));
+            log::info!(node:% = gateway.config.node, callers:% = gateway.config.caller_listen;
+                "gateway started");
+            terminate.recv().await;
+            stop(&gateway, &control, &front).await;
+            Ok(())
+        })
+    }
+}
+
+/// What runs while the process serves.
+type Started = (Arc<Gateway>, Arc<ControlHandle>, Front);
+
+fn start(
     config: GatewayConfig,
     store: Arc<dyn Store>,
     dialect: Arc<dyn Dialect>,
-    reload: Box<dyn Reload>,
-) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
-    let hang_up = signal(SignalKind::hangup()).map_err(Error::Thread)?;
+) -> Result<Started, Error> {
     let world = Arc::new(ArcSwap::from_pointee(World::default()));
     let gateway = Gateway::new(config, dialect, world);
     let control = Arc::new(ControlHandle::spawn(Arc::clone(&gateway), store)?);
@@ -61,12 +100,7 @@
     bind_ready(&gateway)?;
     bind_peers(&gateway, &control)?;
     bind_metrics(&gateway);
-    tokio::spawn(keep_house(Arc::clone(&gateway), hang_up, reload));
-    log::info!(node:% = gateway.config.node, callers:% = gateway.config.caller_listen;
-        "gateway started");
-    terminate.recv().await;
-    stop(&gateway, &control, &front).await;
-    Ok(())
+    Ok((gateway, control, front))
 }
 
 fn bind_ready(gateway: &Arc<Gateway>) -> Result<(), Error> {
@@ -108,11 +142,7 @@
     }
 }
 
-async fn keep_house(
-    gateway: Arc<Gateway>,
-    mut hang_up: tokio::signal::unix::Signal,
-    mut reload: Box<dyn Reload>,
-) {
+async fn keep_house(gateway: Arc<Gateway>, mut hang_up: Signal, mut reload: Box<dyn Reload>) {
     loop {
         tokio::select! {
             _ = hang_up.recv() => log::info!("told to read the settings again"),
--- a/crates/tealsaddle-node/src/front.rs
+++ b/crates/tealsaddle-node/src/front.rs
@@ -4,7 +4,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use tealsaddle_gateway::{lifecycle, logging};
+use tealsaddle_gateway::lifecycle::Lifecycle;
+use tealsaddle_gateway::logging;
 use tealsaddle_platform::{HttpStore, PlatformDialect, PlatformSettings, SettingsFile};
 
 /// Environment variable that names the settings file.
@@ -12,6 +13,7 @@
 
 /// Runs the role, or checks its settings.
 pub fn run(is_check: bool) -> Result<(), Box<dyn Error>> {
+    let lifecycle = Lifecycle::open()?;
     let file = std::env::var_os(SETTINGS_VARIABLE)
         .map(PathBuf::from)
         .ok_or_else(|| format!("the environment variable {SETTINGS_VARIABLE} is not set"))?;
@@ -23,6 +25,6 @@
     logging::open(log::LevelFilter::Info)?;
     let store = Arc::new(HttpStore::open(settings.store_address));
     let reload = Box::new(SettingsFile::open(&file));
-    lifecycle::run(settings.gateway, store, Arc::new(PlatformDialect), reload)?;
+    lifecycle.run(settings.gateway, store, Arc::new(PlatformDialect), reload)?;
     Ok(())
 }
