Remove what the last reading found done twice

Cause: reading the whole change once more. The load of a decode runner, the pace of a service, the time of a call to the store and the check of the engines' records each stood twice. Each publication compared all known runners with all views, and each listing all keys with all keys: at 3,000 runners nine million comparisons on a fraction of a core.

Change: one decode_load, one pace_of, one CALL_TIMEOUT, one assert_safe; a map and a set in place of the linear searches, and views follow restarts in the same pass.

Conclusion: left are border::Put and its like beside platform::KeyValue, which go with the union of both fronts.

--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -201,6 +201,20 @@
     best.map(|(_cost, place)| place)
 }
 
+/// Work at a decode runner: what this node sent, and the estimate of what others did.
+struct DecodeLoad {
+    requests: f64,
+    kv_tokens: f64,
+}
+
+fn decode_load(view: &RunnerView, pace: &Pace, now_us: u64) -> DecodeLoad {
+    let others = view.others(now_us);
+    DecodeLoad {
+        requests: others + f64::from(view.own_requests()),
+        kv_tokens: others * pace.kv_tokens + view.own_kv_tokens() as f64,
+    }
+}
+
 /// Share of the slots or the memory of the decode runners that is in use, whichever is more, on average.
 pub fn decode_share(
     views: &Views,
@@ -215,12 +229,9 @@
         .filter(|runner| runner.stage == Some(Stage::Decode));
     let shares: Vec<f64> = decode
         .map(|runner| {
-            let view = view_of(views, &unknown, runner);
-            let others = view.others(now_us);
-            let active = others + f64::from(view.own_requests());
-            let kv_tokens = others * pace.kv_tokens + view.own_kv_tokens() as f64;
-            let of_slots = active / f64::from(engine.slots.max(1));
-            let of_memory = kv_tokens / engine.kv_tokens.max(1) as f64;
+            let load = decode_load(view_of(views, &unknown, runner), pace, now_us);
+            let of_slots = load.requests / f64::from(engine.slots.max(1));
+            let of_memory = load.kv_tokens / engine.kv_tokens.max(1) as f64;
             of_slots.max(of_memory)
         })
         .collect();
@@ -259,10 +270,9 @@
     cheapest(&candidates, |runner| {
         let view = view_of(views, &unknown, runner);
         let at_once = engine.slots.max(1);
-        let others = view.others(now_us);
-        let active = others + f64::from(view.own_requests());
-        let kv_tokens =
-            others * pace.kv_tokens + view.own_kv_tokens() as f64 + ask.kv_tokens as f64;
+        let load = decode_load(view, pace, now_us);
+        let active = load.requests;
+        let kv_tokens = load.kv_tokens + ask.kv_tokens as f64;
         let over_slots = (active + 1.0 - f64::from(at_once)).max(0.0);
         let over_kv_tokens = kv_tokens - engine.kv_tokens as f64 * KV_SHARE;
         let over_kv = (over_kv_tokens / pace.kv_tokens.max(1.0)).max(0.0);
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -43,6 +43,15 @@
     nodes: u32,
 }
 
+impl State {
+    /// Pace of the service to which all the runners belong.
+    fn pace_of(&self, runners: &[Arc<Runner>]) -> Pace {
+        let service = runners.first().map(|runner| &runner.service);
+        let pace = service.and_then(|service| self.paces.get(service));
+        pace.copied().unwrap_or_default()
+    }
+}
+
 /// What this node knows of the runners beyond their registrations.
 #[derive(Debug)]
 pub struct Board {
@@ -86,18 +95,16 @@
     /// The prefill runner for a prompt.
     pub fn reader(
         &self,
-        service: &str,
         runners: &[Arc<Runner>],
         ask: &Ask<'_>,
         engine: &EngineLimits,
         excluded: &[Name],
     ) -> Option<Place> {
         let state = self.state();
-        let pace = state.paces.get(service).copied().unwrap_or_default();
         let query = ReadQuery {
             ask,
             engine,
-            pace: &pace,
+            pace: &state.pace_of(runners),
         };
         reading::reader(&state.views, runners, &query, excluded, clock::now_us())
     }
@@ -112,12 +119,10 @@
         excluded: &[Name],
     ) -> Option<Place> {
         let state = self.state();
-        let service = runners.first().map(|runner| &runner.service);
-        let pace = service.and_then(|s| state.paces.get(s)).copied();
         let query = place::DecodeQuery {
             ask,
             engine,
-            pace: &pace.unwrap_or_default(),
+            pace: &state.pace_of(runners),
             has_read,
         };
         place::decoder(&state.views, runners, &query, excluded, clock::now_us())
@@ -126,9 +131,7 @@
     /// Share of the decode runners of a service that is in use.
     pub fn decode_share(&self, runners: &[Arc<Runner>], engine: &EngineLimits) -> f64 {
         let state = self.state();
-        let service = runners.first().map(|runner| &runner.service);
-        let pace = service.and_then(|s| state.paces.get(s)).copied();
-        let pace = pace.unwrap_or_default();
+        let pace = state.pace_of(runners);
         place::decode_share(&state.views, runners, engine, &pace, clock::now_us())
     }
 
@@ -208,20 +211,15 @@
         let floor_per_s = self.retry().floor_per_s / nodes_sharing(world.nodes);
         let mut state = self.state();
         state.nodes = world.nodes;
-        let known: Vec<Name> = world
-            .runners
-            .values()
-            .flatten()
-            .map(|runner| Name::clone(&runner.id))
-            .collect();
-        state
-            .views
-            .retain(|id, view| view.own_requests() > 0 || known.contains(id));
-        for runner in world.runners.values().flatten() {
-            if let Some(view) = state.views.get_mut(&runner.id) {
-                view.on_born(runner.born_unix_ms);
+        let known = world.runners.values().flatten();
+        let known: HashMap<&Name, u64> = known.map(|r| (&r.id, r.born_unix_ms)).collect();
+        state.views.retain(|id, view| {
+            let born_unix_ms = known.get(id);
+            if let Some(born_unix_ms) = born_unix_ms {
+                view.on_born(*born_unix_ms);
             }
-        }
+            born_unix_ms.is_some() || view.own_requests() > 0
+        });
         for budget in state.budgets.values_mut() {
             budget.set_floor_per_s(floor_per_s);
         }
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -22,7 +22,7 @@
 /// acknowledged before, and only the end of the wait shows it.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time for the store to answer beyond a watch's wait.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after changes, in which more of them gather: with many nodes and runners each call counts.
 const GATHER: Duration = Duration::from_millis(900);
 /// First pause after a failed call; it doubles up to the longest one.
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::FleetConfig;
 use tealsaddle_core::fleet::lapse::StoreContact;
@@ -55,8 +55,8 @@
         listing: Listing,
         now_us: u64,
     ) {
-        let listed: Vec<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
-        let is_gone = |key: &&String| !listed.contains(&key.as_str());
+        let listed: HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
+        let is_gone = |key: &&String| !listed.contains(key.as_str());
         let gone: Vec<String> = self.registrations.keys().filter(is_gone).cloned().collect();
         for key in gone {
             self.remove(&key, listing.revision, now_us);
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -21,7 +21,7 @@
 use crate::board::UNKNOWN_NODES;
 use crate::border::{Freshness, Item, KeyRevision, Put, StageOrder, Transaction};
 use crate::clock;
-use crate::control::{Control, jittered, within};
+use crate::control::{CALL_TIMEOUT, Control, jittered, within};
 use crate::error::StoreError;
 use crate::upstream::{Reuse, Upstreams};
 
@@ -51,8 +51,6 @@
 const FAILED_ROUND: Duration = Duration::from_millis(500);
 /// Orders given in one round; their intents have to fit into one transaction of the store.
 const ORDERS_PER_ROUND: usize = 24;
-/// Time for the store to answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for a runner to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time in which an order without an answer may still be carried out.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -153,7 +153,7 @@
         let world = self.gateway.world.load();
         let runners = world.runners_of(&self.service);
         let board = &self.gateway.board;
-        board.reader(&self.service, runners, &self.ask(), engine, excluded)
+        board.reader(runners, &self.ask(), engine, excluded)
     }
 
     fn decoder(
--- a/crates/tealsaddle-node/tests/it/faults/orders.rs
+++ b/crates/tealsaddle-node/tests/it/faults/orders.rs
@@ -13,11 +13,12 @@
 use tealsaddle_schema::inventory::Policy;
 use tealsaddle_testkit::client::{Client, wait_until};
 use tealsaddle_testkit::deployment::{Deployment, MODEL, quick_engine};
-use tealsaddle_testkit::engine::record::{OrderEffect, conflicts, cut_off_by_role_change};
+use tealsaddle_testkit::engine::record::OrderEffect;
 use tokio::task::JoinHandle;
 use yare::parameterized;
 
 use super::{assert_complete, plan};
+use crate::support::assert_safe;
 
 const ZONE: &str = "buda-hall";
 const VMS: [&str; 3] = ["vm-1", "vm-2", "vm-3"];
@@ -104,19 +105,6 @@
     .await;
 }
 
-/// No engine saw a conflict, and none cut a stream off.
-fn assert_safe(deployment: &Deployment) {
-    for (name, engine) in deployment.engines() {
-        let record = engine.record();
-        assert_eq!(conflicts(&record), Vec::<String>::new(), "{name}");
-        assert_eq!(
-            cut_off_by_role_change(&record),
-            Vec::<String>::new(),
-            "{name}"
-        );
-    }
-}
-
 /// Orders that changed an engine, as engine, id and fencing token.
 fn changes(deployment: &Deployment) -> Vec<(String, String, u64)> {
     let mut changes = Vec::new();
--- a/crates/tealsaddle-node/tests/it/planner.rs
+++ b/crates/tealsaddle-node/tests/it/planner.rs
@@ -6,9 +6,10 @@
 use tealsaddle_schema::inventory::Policy;
 use tealsaddle_testkit::client::Client;
 use tealsaddle_testkit::deployment::{Deployment, MODEL, Plan, quick_engine};
-use tealsaddle_testkit::engine::record::{conflicts, cut_off_by_role_change};
 use tealsaddle_testkit::engine::sim::SimConfig;
 
+use crate::support::assert_safe;
+
 /// Sends `count` requests for `max_tokens` tokens, `at_once` at a time.
 async fn send(deployment: &Deployment, count: u64, at_once: u64, max_tokens: u64) {
     let caller = deployment.config("vm-1").caller;
@@ -70,15 +71,7 @@
         );
         send(&deployment, 16, 16, 100).await;
     }
-    for (name, engine) in deployment.engines() {
-        let record = engine.record();
-        assert_eq!(conflicts(&record), Vec::<String>::new(), "{name}");
-        assert_eq!(
-            cut_off_by_role_change(&record),
-            Vec::<String>::new(),
-            "{name}"
-        );
-    }
+    assert_safe(&deployment);
 }
 
 fn has_changed(deployment: &Deployment) -> bool {
--- a/crates/tealsaddle-node/tests/it/support.rs
+++ b/crates/tealsaddle-node/tests/it/support.rs
@@ -5,6 +5,8 @@
 use hyper::Method;
 use tealsaddle_schema::record::ConfigRecord;
 use tealsaddle_testkit::client::{Answer, Client, ClientError};
+use tealsaddle_testkit::deployment::Deployment;
+use tealsaddle_testkit::engine::record::{conflicts, cut_off_by_role_change};
 use tealsaddle_testkit::process::{NodeConfig, NodeProcess};
 
 /// Starts a node; `test` keeps the files of different tests apart.
@@ -56,3 +58,16 @@
         .ok()?;
     status.json()["config_version"].as_u64()
 }
+
+/// No engine saw a conflict, and none cut a stream off.
+pub fn assert_safe(deployment: &Deployment) {
+    for (name, engine) in deployment.engines() {
+        let record = engine.record();
+        assert_eq!(conflicts(&record), Vec::<String>::new(), "{name}");
+        assert_eq!(
+            cut_off_by_role_change(&record),
+            Vec::<String>::new(),
+            "{name}"
+        );
+    }
+}
