Log requests that a stopping node takes, and what is open at each step of a stop

Cause: from the lines of a node one could not tell whether a request that was cut at the end of a stop came on a new connection or on one that was open before, nor how long after the signal it was taken.

Change: 'request taken while stopping' with the time since the signal, the age of the caller's connection and the requests on it before; 'closing connections' when idle connections are closed; open connections in 'told to stop' and 'gateway stopped'; the counter stop.taken. One line a request, only while a node stops.

Stopping itself is unchanged.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -24,6 +24,7 @@
 
 use crate::answer::{Body, OwnAnswer, full, judge, strip_hop_headers};
 use crate::border::{CallerFacts, SendFacts};
+use crate::front::CallerConnection;
 use crate::gateway::{Gateway, InFlight};
 use crate::progress::Progress;
 use crate::relay;
@@ -78,9 +79,20 @@
 }
 
 /// Serves a request; the answer is always one.
-pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    caller: &CallerConnection,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let facts = gateway.dialect.caller_facts(request.headers());
     let request_id = facts.request_id.clone().unwrap_or_default();
+    let earlier_requests = caller.on_request();
+    if let Some(since) = gateway.stopping_since() {
+        gateway.metrics.increment("stop.taken");
+        log::info!(id:% = request_id, stopping_ms = since.elapsed().as_millis() as u64,
+            connection_age_ms = caller.age().as_millis() as u64, earlier_requests;
+            "request taken while stopping");
+    }
     let mut response = match admit(&gateway, request, facts).await {
         Ok(call) => call.run().await,
         Err(own) => own_response(&gateway, own, &request_id, None),
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use tealsaddle_core::fleet::config::CallerLimits;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::answer::{Body, full};
 use crate::gateway::Gateway;
@@ -35,6 +36,32 @@
     open: Arc<AtomicUsize>,
 }
 
+/// A caller's connection, as its requests see it.
+#[derive(Debug)]
+pub struct CallerConnection {
+    opened: Instant,
+    requests: AtomicU32,
+}
+
+impl CallerConnection {
+    fn open() -> Arc<Self> {
+        Arc::new(Self {
+            opened: Instant::now(),
+            requests: AtomicU32::new(0),
+        })
+    }
+
+    /// Counts a request; gives the number of those before it.
+    pub fn on_request(&self) -> u32 {
+        self.requests.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Time since the connection was accepted.
+    pub fn age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+}
+
 /// Listens on an address.
 pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     let open = || {
@@ -97,9 +124,11 @@
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
     set_options(&stream);
     let limits = caller_limits(&gateway);
+    let caller = CallerConnection::open();
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, Infallible>(call::serve(gateway, request).await) }
+        let caller = Arc::clone(&caller);
+        async move { Ok::<_, Infallible>(call::serve(gateway, &caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -1,12 +1,13 @@
 //! The running gateway and what all requests share.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use tealsaddle_core::name::Name;
+use tokio::time::Instant;
 
 use crate::board::{Board, RetryShare};
 use crate::border::Dialect;
@@ -55,7 +56,7 @@
     /// Counters and latencies.
     pub metrics: Arc<Metrics>,
     in_flight: AtomicUsize,
-    is_stopping: AtomicBool,
+    stopping_since: OnceLock<Instant>,
 }
 
 /// A request in flight, counted until this is dropped.
@@ -77,7 +78,7 @@
             dialect,
             world,
             in_flight: AtomicUsize::new(0),
-            is_stopping: AtomicBool::new(false),
+            stopping_since: OnceLock::new(),
         })
     }
 
@@ -88,12 +89,17 @@
 
     /// Whether the process was told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.stopping_since.get().is_some()
     }
 
-    /// Notes that the process was told to stop.
-    pub fn stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+    /// When the process was told to stop.
+    pub fn stopping_since(&self) -> Option<Instant> {
+        self.stopping_since.get().copied()
+    }
+
+    /// Notes that the process was told to stop; gives the time of the first call.
+    pub fn stop(&self) -> Instant {
+        *self.stopping_since.get_or_init(Instant::now)
     }
 
     /// Requests in flight.
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -162,17 +162,19 @@
 
 /// Completes what is in flight. The node stays reachable until the balancer has noticed.
 async fn stop(gateway: &Gateway, control: &ControlHandle, front: &Front) {
-    let started = Instant::now();
-    gateway.stop();
+    let started = gateway.stop();
     control.leave();
-    log::info!(in_flight = gateway.in_flight(); "told to stop");
+    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections();
+        "told to stop");
     tokio::time::sleep(PROBE_TIME).await;
     front.close();
+    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections();
+        "closing connections");
     let limit = started + gateway.config.grace.saturating_sub(GRACE_MARGIN);
     while front.open_connections() > 0 && Instant::now() < limit {
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
-    log::info!(in_flight = gateway.in_flight(), took_ms = started.elapsed().as_millis() as u64;
-        "gateway stopped");
+    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections(),
+        took_ms = started.elapsed().as_millis() as u64; "gateway stopped");
     crate::logging::flush();
 }
