Take no new connections once the balancer has noticed a stop

Callers saw: a request that they sent to a node seconds after its SIGTERM was cut in the middle of the answer, or its connection was closed without one.

Cause: the listener stayed open until the process ended. When fewer than half of a zone's nodes are in rotation the balancer sends new connections to all of them, those that stop included. Whether such a connection was served hung on chance: the select between the connection and the order to close polls in random order, so half of them were closed unread and the others had their first request passed on. Each one that was served kept the process alive, so that under load there was always one left to cut at the end.

Change: the front stops listening when it closes its idle connections. Connections that wait in the kernel's queue are taken first, and a request that has arrived is served before the close is heeded. A connection is counted before its task runs, so that a stop does not overlook it. A caller that connects later is refused at once and can go to another node, and the process ends with its last answer.

A closed port is chosen over a 503 for each late connection: both leave the caller free to go elsewhere at once, but the 503 keeps the process alive while connections come.

--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,6 +16,7 @@
 use tealsaddle_core::fleet::config::CallerLimits;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::answer::{Body, full};
@@ -34,6 +36,7 @@
 pub struct Front {
     close: watch::Sender<bool>,
     open: Arc<AtomicUsize>,
+    accepting: JoinHandle<()>,
 }
 
 /// A caller's connection, as its requests see it.
@@ -80,13 +83,18 @@
         let (close, closing) = watch::channel(false);
         let open = Arc::new(AtomicUsize::new(0));
         let accepting = accept(listener, Arc::clone(gateway), closing, Arc::clone(&open));
-        tokio::spawn(accepting);
-        Ok(Self { close, open })
+        Ok(Self {
+            close,
+            open,
+            accepting: tokio::spawn(accepting),
+        })
     }
 
-    /// Closes idle connections, and the others after their answers.
-    pub fn close(&self) {
+    /// Takes no more connections and closes the idle ones now, the others after their answers.
+    pub async fn close(&mut self) {
         self.close.send_replace(true);
+        // It fails only if the task has panicked, and then it accepts nothing either.
+        drop((&mut self.accepting).await);
     }
 
     /// Connections that are still open.
@@ -98,27 +106,37 @@
 async fn accept(
     listener: TcpListener,
     gateway: Arc<Gateway>,
-    closing: watch::Receiver<bool>,
+    mut closing: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
 ) {
+    let told_to_close = closing.clone();
+    let spawn = |stream: TcpStream| {
+        let gateway = Arc::clone(&gateway);
+        let closing = told_to_close.clone();
+        let open = Arc::clone(&open);
+        open.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            serve(stream, gateway, closing).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _address)) => {
-                let gateway = Arc::clone(&gateway);
-                let closing = closing.clone();
-                let open = Arc::clone(&open);
-                tokio::spawn(async move {
-                    open.fetch_add(1, Ordering::Relaxed);
-                    serve(stream, gateway, closing).await;
-                    open.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _is_told = closing.wait_for(|is_closing| *is_closing) => break,
+        };
+        match accepted {
+            Ok((stream, _address)) => spawn(stream),
             Err(error) => {
                 log::warn!(error:%; "a connection could not be accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    // Connections that wait to be accepted would be reset with the listener.
+    while let Some(Ok((stream, _address))) = listener.accept().now_or_never() {
+        spawn(stream);
+    }
 }
 
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
@@ -139,6 +157,8 @@
     tokio::pin!(connection);
     let told_to_close = async move { closing.wait_for(|is_closing| *is_closing).await.is_ok() };
     let result = tokio::select! {
+        // A request that has arrived before the close is served.
+        biased;
         result = connection.as_mut() => result,
         _is_told = told_to_close => {
             connection.as_mut().graceful_shutdown();
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -74,12 +74,12 @@
             hang_up,
         } = self;
         runtime.block_on(async {
-            let (gateway, control, front) = start(config, store, dialect)?;
+            let (gateway, control, mut front) = start(config, store, dialect)?;
             tokio::spawn(keep_house(Arc::clone(&gateway), hang_up, reload));
             log::info!(node:% = gateway.config.node, callers:% = gateway.config.caller_listen;
                 "gateway started");
             terminate.recv().await;
-            stop(&gateway, &control, &front).await;
+            stop(&gateway, &control, &mut front).await;
             Ok(())
         })
     }
@@ -161,13 +161,13 @@
 }
 
 /// Completes what is in flight. The node stays reachable until the balancer has noticed.
-async fn stop(gateway: &Gateway, control: &ControlHandle, front: &Front) {
+async fn stop(gateway: &Gateway, control: &ControlHandle, front: &mut Front) {
     let started = gateway.stop();
     control.leave();
     log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections();
         "told to stop");
     tokio::time::sleep(PROBE_TIME).await;
-    front.close();
+    front.close().await;
     log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections();
         "closing connections");
     let limit = started + gateway.config.grace.saturating_sub(GRACE_MARGIN);
