Refuse as not run what a stopping node cannot end

Callers saw: a stream of which the node had read the last part of the head or of the body late in its stop was passed on to a runner and cut when the process ended.

Cause: nothing compared the time that an answer may take with the time that the process had left. A stopping node took whatever it read, with the deadline of its caller, and was gone before that.

Change: the moments of a stop are planned at the signal (stop.rs). Once the node takes no more connections, only a request whose own deadline comes before the end of the process is taken. Before that, while the balancer may still send, a request is taken unless its stream is expected to end too late: the time until the first event as for every request, plus the mean time of the service's streams from first to last event, scaled by the output tokens that the caller asks for. Its deadline is bound by the end of the process, so that the runner knows as well. A refusal is a 503 'stopping' with Retry-After, and so are refusals without a configuration, which named no time before; each refusal before a route was found has a line now.

Why not refuse at once whatever might take longer than the process has: callers grant 5 to 15 s and answers take 0.1 to 1 s, so most requests in the first seconds would be sent away for nothing.

--- a/crates/tealsaddle-core/src/fleet/place.rs
+++ b/crates/tealsaddle-core/src/fleet/place.rs
@@ -40,6 +40,10 @@
     pub read_us: f64,
     /// Mean time of a request at its decode runner.
     pub stream_us: f64,
+    /// Mean time from the first event of a stream to its last one; 0 before one has ended.
+    pub events_us: f64,
+    /// Mean output tokens that the callers of those streams asked for.
+    pub output_tokens: f64,
     /// Mean tokens that a request keeps in memory.
     pub kv_tokens: f64,
 }
@@ -50,6 +54,8 @@
             read_us_per_token: 25.0,
             read_us: 60_000.0,
             stream_us: 800_000.0,
+            events_us: 0.0,
+            output_tokens: 0.0,
             kv_tokens: 6_000.0,
         }
     }
@@ -87,6 +93,24 @@
     pub fn on_stream(&mut self, took_us: u64) {
         self.stream_us += PACE_WEIGHT * (took_us as f64 - self.stream_us);
     }
+
+    /// Takes the time from the first to the last event of a stream whose caller asked for this many
+    /// tokens.
+    pub fn on_generated(&mut self, output_tokens: u64, took_us: u64) {
+        let weight = if self.output_tokens > 0.0 {
+            PACE_WEIGHT
+        } else {
+            1.0
+        };
+        self.events_us += weight * (took_us as f64 - self.events_us);
+        self.output_tokens += weight * (output_tokens as f64 - self.output_tokens);
+    }
+
+    /// Expected time from the first event to the end of a stream; 0 before one has ended.
+    pub fn generation_us(&self, output_tokens: u64) -> f64 {
+        // Both means weigh long streams by their length; a mean of ratios would not.
+        output_tokens as f64 * self.events_us / self.output_tokens.max(1.0)
+    }
 }
 
 /// What placing needs to know of a request.
--- a/crates/tealsaddle-core/tests/it/fleet/place.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/place.rs
@@ -312,3 +312,16 @@
     }
     assert_eq!(id(&views), Some(Name::from("p1")));
 }
+
+/// Guards against long outputs that are expected to end as soon as the short ones of the same service.
+#[test]
+fn generation_is_expected_by_its_tokens() {
+    let mut pace = Pace::default();
+    assert!(pace.generation_us(1_000) < 1.0);
+    for _ in 0..200 {
+        pace.on_generated(10, 200_000);
+        pace.on_generated(500, 1_000_000);
+    }
+    let expected_us = pace.generation_us(1_000);
+    assert!((2.2e6..2.5e6).contains(&expected_us), "{expected_us}");
+}
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -54,6 +54,8 @@
     NoRunner,
     /// It could not be answered by its deadline.
     DeadlineInfeasible,
+    /// The node stops before it could be answered.
+    Stopping,
     /// The runners refused it.
     Refused(NotRunReason),
     /// It may have run, and no answer came.
@@ -73,6 +75,7 @@
             Self::BodyCutOff => "body_cut_off",
             Self::NoRunner => "no_runner",
             Self::DeadlineInfeasible => "deadline_infeasible",
+            Self::Stopping => "stopping",
             Self::Refused(reason) => reason.as_str(),
             Self::Unknown(reason) => reason.as_str(),
         }
@@ -102,6 +105,7 @@
             Self::NoConfiguration
             | Self::NoRunner
             | Self::DeadlineInfeasible
+            | Self::Stopping
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
@@ -112,6 +116,11 @@
         }
     }
 
+    /// Whether the caller should come back: the request has not run and may well be answered then.
+    pub fn may_return(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// Builds the answer.
     pub fn response(self, retry_after: Option<Duration>) -> Response<Body> {
         let body = Bytes::from(format!("{}\n", self.as_str()));
--- a/crates/tealsaddle-gateway/src/board.rs
+++ b/crates/tealsaddle-gateway/src/board.rs
@@ -135,6 +135,12 @@
         place::decode_share(&state.views, runners, engine, &pace, clock::now_us())
     }
 
+    /// Expected time from the first event to the end of a stream.
+    pub fn generation_us(&self, service: &Name, output_tokens: u64) -> f64 {
+        let pace = self.state().paces.get(service).copied();
+        pace.unwrap_or_default().generation_us(output_tokens)
+    }
+
     /// The runner of a plain service for a request.
     pub fn plain(
         &self,
@@ -254,13 +260,14 @@
         }
     }
 
-    /// Notes that a stream ended as a whole.
-    pub fn on_stream_end(&self) {
+    /// Notes that a stream ended as a whole; its events came within `events_time`.
+    pub fn on_stream_end(&self, output_tokens: u64, events_time: Duration) {
         let took_us = self.elapsed_us();
         let mut state = self.board.state();
         let pace = state.paces.entry(Name::clone(&self.service)).or_default();
         let expected_us = pace.stream_us;
         pace.on_stream(took_us);
+        pace.on_generated(output_tokens, events_time.as_micros() as u64);
         if let Some(view) = state.views.get_mut(&self.runner) {
             view.on_time(took_us as f64, expected_us);
         }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -13,7 +13,6 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Response, Uri, http};
-use rand::RngExt;
 use tealsaddle_core::fleet::config::{EngineLimits, FleetConfig, Route};
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::place::Ask;
@@ -24,6 +23,7 @@
 
 use crate::answer::{Body, OwnAnswer, full, judge, strip_hop_headers};
 use crate::border::{CallerFacts, SendFacts};
+use crate::clock::jittered;
 use crate::front::CallerConnection;
 use crate::gateway::{Gateway, InFlight};
 use crate::progress::Progress;
@@ -65,7 +65,8 @@
     body: Bytes,
     /// When the caller gives up if the stream has not begun.
     first_event_deadline: Instant,
-    progress: Progress,
+    /// How its stream gets on.
+    pub progress: Progress,
     has_ended: AtomicBool,
     _in_flight: InFlight,
 }
@@ -86,16 +87,14 @@
 ) -> Response<Body> {
     let facts = gateway.dialect.caller_facts(request.headers());
     let request_id = facts.request_id.clone().unwrap_or_default();
-    let earlier_requests = caller.on_request();
-    if let Some(since) = gateway.stopping_since() {
-        gateway.metrics.increment("stop.taken");
-        log::info!(id:% = request_id, stopping_ms = since.elapsed().as_millis() as u64,
-            connection_age_ms = caller.age().as_millis() as u64, earlier_requests;
-            "request taken while stopping");
-    }
+    log_if_stopping(&gateway, caller, &request_id);
     let mut response = match admit(&gateway, request, facts).await {
         Ok(call) => call.run().await,
-        Err(own) => own_response(&gateway, own, &request_id, None),
+        Err(own) => {
+            log::info!(id:% = request_id, reason = own.as_str(); "request refused");
+            let after = own.may_return().then(|| jittered(MIN_RETRY_AFTER));
+            own_response(&gateway, own, &request_id, after)
+        }
     };
     if gateway.is_stopping() {
         let close = header::HeaderValue::from_static("close");
@@ -104,6 +103,16 @@
     response
 }
 
+fn log_if_stopping(gateway: &Gateway, caller: &CallerConnection, request_id: &str) {
+    let earlier_requests = caller.on_request();
+    if let Some(stop) = gateway.stopping() {
+        gateway.metrics.increment("stop.taken");
+        log::info!(id:% = request_id, stopping_ms = stop.began.elapsed().as_millis() as u64,
+            connection_age_ms = caller.age().as_millis() as u64, earlier_requests;
+            "request taken while stopping");
+    }
+}
+
 fn own_response(
     gateway: &Gateway,
     own: OwnAnswer,
@@ -139,6 +148,12 @@
     if let Some(deadline_ms) = facts.deadline_ms {
         left = left.min(Duration::from_millis(deadline_ms));
     }
+    if let Some(stop) = gateway.stopping() {
+        if !stop.takes(Instant::now(), started + left) {
+            return Err(OwnAnswer::Stopping);
+        }
+        left = left.min(stop.answers_end.saturating_duration_since(started));
+    }
     let patience = route.event_patience_ms.map(Duration::from_millis);
     let first_left = patience.map_or(left, |patience| left.min(patience));
     let mut headers = head.headers;
@@ -214,26 +229,28 @@
 
 impl Call {
     async fn run(self: &Arc<Self>) -> Response<Body> {
-        let engine = self.config.services.get(&self.service);
-        let engine = engine.and_then(|service| service.engine.clone());
         let mut attempts =
             Attempts::with_max_runs(self.route.repeat.may_repeat(), self.route.max_attempts);
-        let result = match engine {
-            Some(engine) => self.run_model(engine, &mut attempts).await,
-            None => self.run_plain(&mut attempts).await,
-        };
-        match result {
+        match self.answer(&mut attempts).await {
             Ok(response) => response,
             Err((own, wait)) => {
                 let own = own.after(&attempts);
                 self.log_end(own.as_str(), "-", 0);
-                let may_return = own.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
-                let after = may_return.then(|| self.retry_after(wait));
+                let after = own.may_return().then(|| self.retry_after(wait));
                 own_response(&self.gateway, own, &self.request_id, after)
             }
         }
     }
 
+    async fn answer(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Response<Body>, Refused> {
+        let engine = self.config.services.get(&self.service);
+        let engine = engine.and_then(|service| service.engine.clone());
+        match engine {
+            Some(engine) => self.run_model(engine, attempts).await,
+            None => self.run_plain(attempts).await,
+        }
+    }
+
     async fn run_model(
         self: &Arc<Self>,
         engine: EngineLimits,
@@ -449,8 +466,7 @@
     /// When the caller should come back: not before the work ahead is done, and not all at once.
     fn retry_after(&self, wait: Duration) -> Duration {
         let most = self.left().mul_f64(RETRY_AFTER_SHARE);
-        let after = wait.max(MIN_RETRY_AFTER).min(most);
-        after.mul_f64(rand::rng().random_range(0.5..1.0))
+        jittered(wait.max(MIN_RETRY_AFTER).min(most))
     }
 
     /// Writes the line at the end of a request.
--- a/crates/tealsaddle-gateway/src/clock.rs
+++ b/crates/tealsaddle-gateway/src/clock.rs
@@ -1,10 +1,13 @@
-//! The node's clock.
+//! The node's clock, and pauses.
 //!
 //! Leases and pauses are judged on a clock that counts suspended time. The monotonic clock of the
 //! standard library stops while the VM is suspended, so a holder that slept could believe that its
 //! lease still runs.
 
+use std::time::Duration;
+
 use nix::time::{ClockId, clock_gettime};
+use rand::RngExt;
 
 /// Microseconds since the VM's boot, suspended time included.
 pub fn now_us() -> u64 {
@@ -18,3 +21,8 @@
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
+
+/// A pause between half of it and the whole, so that nodes or callers do not come together.
+pub fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.0))
+}
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -7,11 +7,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use rand::RngExt;
 use tealsaddle_core::fleet::lapse::RETURN_WINDOW_US;
 use tokio::sync::Notify;
 
 use crate::border::{Change, Changes, Freshness, Listing, Store};
+use crate::clock::jittered;
 use crate::error::StoreError;
 use crate::fleet_state::FleetState;
 use crate::gateway::Gateway;
@@ -164,11 +164,6 @@
     list.await.map(News::Listing)
 }
 
-/// A pause between half of it and the whole, so that nodes do not call together.
-pub fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.0))
-}
-
 /// Bounds a call to the store in time.
 pub async fn within<F, T>(limit: Duration, call: F) -> Result<T, StoreError>
 where
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::board::{Board, RetryShare};
 use crate::border::Dialect;
 use crate::metrics::Metrics;
+use crate::stop::Stop;
 use crate::upstream::Upstreams;
 use crate::world::World;
 
@@ -56,7 +57,7 @@
     /// Counters and latencies.
     pub metrics: Arc<Metrics>,
     in_flight: AtomicUsize,
-    stopping_since: OnceLock<Instant>,
+    stop: OnceLock<Stop>,
 }
 
 /// A request in flight, counted until this is dropped.
@@ -78,7 +79,7 @@
             dialect,
             world,
             in_flight: AtomicUsize::new(0),
-            stopping_since: OnceLock::new(),
+            stop: OnceLock::new(),
         })
     }
 
@@ -89,17 +90,18 @@
 
     /// Whether the process was told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+        self.stop.get().is_some()
     }
 
-    /// When the process was told to stop.
-    pub fn stopping_since(&self) -> Option<Instant> {
-        self.stopping_since.get().copied()
+    /// The stop that is going on.
+    pub fn stopping(&self) -> Option<Stop> {
+        self.stop.get().copied()
     }
 
-    /// Notes that the process was told to stop; gives the time of the first call.
-    pub fn stop(&self) -> Instant {
-        *self.stopping_since.get_or_init(Instant::now)
+    /// Begins a stop, unless one is going on.
+    pub fn stop(&self) -> Stop {
+        let plan = || Stop::plan(Instant::now(), self.config.grace);
+        *self.stop.get_or_init(plan)
     }
 
     /// Requests in flight.
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -20,9 +20,10 @@
 pub mod metrics;
 pub mod orders;
 pub mod peers;
-mod progress;
+pub mod progress;
 pub mod relay;
 pub mod stages;
+pub mod stop;
 pub mod upstream;
 pub mod world;
 
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -17,11 +17,6 @@
 use crate::gateway::{Gateway, GatewayConfig};
 use crate::world::World;
 
-/// Time after the signal for which new connections may still come: the balancer asks each second and
-/// takes a node out after two misses.
-const PROBE_TIME: Duration = Duration::from_millis(3_200);
-/// Time before the end of the grace period at which the process ends by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two looks at the requests in flight while the process stops.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two looks at the settings file, and at idle connections.
@@ -162,19 +157,25 @@
 
 /// Completes what is in flight. The node stays reachable until the balancer has noticed.
 async fn stop(gateway: &Gateway, control: &ControlHandle, front: &mut Front) {
-    let started = gateway.stop();
+    let stop = gateway.stop();
     control.leave();
-    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections();
-        "told to stop");
-    tokio::time::sleep(PROBE_TIME).await;
+    log_stop(gateway, front, "told to stop");
+    tokio::time::sleep_until(stop.closes).await;
     front.close().await;
-    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections();
-        "closing connections");
-    let limit = started + gateway.config.grace.saturating_sub(GRACE_MARGIN);
+    log_stop(gateway, front, "closing connections");
+    until_closed(front, stop.answers_end).await;
+    log_stop(gateway, front, "gateway stopped");
+    crate::logging::flush();
+}
+
+fn log_stop(gateway: &Gateway, front: &Front, step: &str) {
+    let stopping_ms = gateway.stop().began.elapsed().as_millis() as u64;
+    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections(),
+        stopping_ms; "{step}");
+}
+
+async fn until_closed(front: &Front, limit: Instant) {
     while front.open_connections() > 0 && Instant::now() < limit {
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
-    log::info!(in_flight = gateway.in_flight(), open_connections = front.open_connections(),
-        took_ms = started.elapsed().as_millis() as u64; "gateway stopped");
-    crate::logging::flush();
 }
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -20,8 +20,8 @@
 
 use crate::board::UNKNOWN_NODES;
 use crate::border::{Freshness, Item, KeyRevision, Put, StageOrder, Transaction};
-use crate::clock;
-use crate::control::{CALL_TIMEOUT, Control, jittered, within};
+use crate::clock::{self, jittered};
+use crate::control::{CALL_TIMEOUT, Control, within};
 use crate::error::StoreError;
 use crate::upstream::{Reuse, Upstreams};
 
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -15,7 +15,8 @@
 
 use crate::border::{Item, Listing, RunnerCall};
 use crate::clock;
-use crate::control::{Control, jittered};
+use crate::clock::jittered;
+use crate::control::Control;
 use crate::fleet_state::FleetState;
 use crate::upstream::{Reuse, Upstreams};
 
--- a/crates/tealsaddle-gateway/src/progress.rs
+++ b/crates/tealsaddle-gateway/src/progress.rs
@@ -37,6 +37,12 @@
         self.first_us.load(Ordering::Relaxed).div_ceil(1_000)
     }
 
+    /// Time from the first event to the last one so far.
+    pub fn events_time(&self) -> Duration {
+        let last_us = self.last_us.load(Ordering::Relaxed);
+        Duration::from_micros(last_us.saturating_sub(self.first_us.load(Ordering::Relaxed)))
+    }
+
     /// Longest time between two events.
     pub fn longest_pause_ms(&self) -> u64 {
         self.longest_pause_us.load(Ordering::Relaxed) / 1_000
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -116,7 +116,11 @@
     }
 
     fn finish(mut self) -> Step {
-        self.stream.at.on_stream_end();
+        let call = &self.call;
+        let events_time = call.progress.events_time();
+        self.stream
+            .at
+            .on_stream_end(call.facts.output_tokens, events_time);
         let runner = self.stream.at.runner();
         self.call.log_end("answered", runner, self.attempts.made());
         let rest = self.cutter.as_mut().map(EventCutter::rest)?;
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -198,9 +198,23 @@
         if attempts.made() == 0 && expected > left.mul_f64(FEASIBLE_SHARE) {
             return Err((OwnAnswer::DeadlineInfeasible, expected));
         }
+        if attempts.made() == 0 && self.outlasts_stop(expected) {
+            return Err((OwnAnswer::Stopping, Duration::ZERO));
+        }
         Ok(())
     }
 
+    /// Whether the node stops before the stream is expected to end.
+    fn outlasts_stop(&self, until_first_event: Duration) -> bool {
+        let Some(stop) = self.gateway.stopping() else {
+            return false;
+        };
+        let board = &self.gateway.board;
+        let generation_us = board.generation_us(&self.service, self.facts.output_tokens);
+        let left = stop.answers_end.saturating_duration_since(Instant::now());
+        until_first_event + micros(generation_us) > left.mul_f64(FEASIBLE_SHARE)
+    }
+
     fn enter_decoder(&self, decoder: &Place) -> AtRunner {
         let work = Work {
             read_tokens: decoder.read_tokens,
