Write the last log lines after the last answer, not before it

Callers saw: answers that would have ended in the last 300 ms of a process were cut.

Cause: at its limit the process slept 300 ms for its log on the thread that serves, with connections open. New connections waited unread in that time as well.

Change: the runtime ends first, so that what is cut writes its last line, and then the process waits until its lines are written, 200 ms at most, in place of a fixed time.

--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -68,7 +68,7 @@
             mut terminate,
             hang_up,
         } = self;
-        runtime.block_on(async {
+        let result = runtime.block_on(async {
             let (gateway, control, mut front) = start(config, store, dialect)?;
             tokio::spawn(keep_house(Arc::clone(&gateway), hang_up, reload));
             log::info!(node:% = gateway.config.node, callers:% = gateway.config.caller_listen;
@@ -76,7 +76,11 @@
             terminate.recv().await;
             stop(&gateway, &control, &mut front).await;
             Ok(())
-        })
+        });
+        // What is still open ends here and writes its lines.
+        drop(runtime);
+        crate::logging::flush();
+        result
     }
 }
 
@@ -165,7 +169,6 @@
     log_stop(gateway, front, "closing connections");
     until_closed(front, stop.answers_end).await;
     log_stop(gateway, front, "gateway stopped");
-    crate::logging::flush();
 }
 
 fn log_stop(gateway: &Gateway, front: &Front, step: &str) {
--- a/crates/tealsaddle-gateway/src/logging.rs
+++ b/crates/tealsaddle-gateway/src/logging.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::kv::{Key, Value, VisitSource};
 
@@ -19,8 +19,13 @@
 const QUEUE_LINES: usize = 4_096;
 /// Time that lines gather before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
-/// Time for the last lines of a process.
-const FLUSH_TIME: Duration = Duration::from_millis(300);
+/// Longest time for the last lines of a process.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Time between two looks at the lines that wait.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Lines that were queued and are not written yet.
+static WAITING_LINES: AtomicU64 = AtomicU64::new(0);
 
 /// Collects the key-value pairs of a record; numbers stay numbers.
 #[derive(Debug, Default)]
@@ -95,7 +100,9 @@
 }
 
 fn enqueue(sender: &SyncSender<String>, dropped: &AtomicU64, line: String) {
+    WAITING_LINES.fetch_add(1, Ordering::AcqRel);
     if sender.try_send(line).is_err() {
+        WAITING_LINES.fetch_sub(1, Ordering::AcqRel);
         dropped.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -105,9 +112,11 @@
     while let Ok(first) = receiver.recv() {
         std::thread::sleep(GATHER);
         let mut text = first + "\n";
+        let mut lines = 1;
         while let Ok(line) = receiver.try_recv() {
             text.push_str(&line);
             text.push('\n');
+            lines += 1;
         }
         let left_out = dropped.swap(0, Ordering::Relaxed);
         if left_out > 0 {
@@ -121,10 +130,14 @@
         // Standard output that is gone leaves nowhere to say so.
         drop(out.write_all(text.as_bytes()));
         drop(out.flush());
+        WAITING_LINES.fetch_sub(lines, Ordering::AcqRel);
     }
 }
 
-/// Gives the last lines of a process the time to be written.
+/// Waits until the last lines of a process are written.
 pub fn flush() {
-    std::thread::sleep(FLUSH_TIME);
+    let started = Instant::now();
+    while WAITING_LINES.load(Ordering::Acquire) > 0 && started.elapsed() < FLUSH_TIME {
+        std::thread::sleep(FLUSH_INTERVAL);
+    }
 }
