Answer what is in flight before a stopping node ends

Callers saw: a call that was in flight at the end of a stop had its connection closed without an answer, so that they could not tell whether it had run, or that it had not and could be sent again.

Cause: a stop waited for open connections until its limit and then dropped them. A request in flight then had no outcome, neither for its caller nor in the log.

Change: half a second before the end of the grace period every request that has no answer yet gets one: 503 with Retry-After if no runner may have run it, 504 otherwise. Connections have a quarter of a second more to take it. What is cut after that is logged as 'cut_by_stop' in place of 'caller_left'.

Streams that have begun cannot be answered otherwise; they end in an aborted connection, which looks incomplete.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -37,6 +37,8 @@
     InvalidAnswer,
     /// The target answered that it failed.
     TargetFailed,
+    /// The node stopped before the answer came.
+    NodeStopped,
 }
 
 impl UnknownReason {
@@ -47,6 +49,7 @@
             Self::Timeout => "timeout",
             Self::InvalidAnswer => "invalid_answer",
             Self::TargetFailed => "target_failed",
+            Self::NodeStopped => "node_stopped",
         }
     }
 }
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -111,7 +111,9 @@
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::Unknown(UnknownReason::Timeout) => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown(UnknownReason::Timeout | UnknownReason::NodeStopped) => {
+                StatusCode::GATEWAY_TIMEOUT
+            }
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
         }
     }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -67,6 +67,8 @@
     first_event_deadline: Instant,
     /// How its stream gets on.
     pub progress: Progress,
+    /// Whether a runner has been sent the request and has not said what became of it.
+    is_at_runner: AtomicBool,
     has_ended: AtomicBool,
     _in_flight: InFlight,
 }
@@ -74,7 +76,13 @@
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.has_ended.load(Ordering::Relaxed) {
-            self.log_end("caller_left", "-", 0);
+            let has_stopped = self.gateway.answers_ended.is_cancelled();
+            let outcome = if has_stopped {
+                "cut_by_stop"
+            } else {
+                "caller_left"
+            };
+            self.log_end(outcome, "-", 0);
         }
     }
 }
@@ -88,7 +96,9 @@
     let facts = gateway.dialect.caller_facts(request.headers());
     let request_id = facts.request_id.clone().unwrap_or_default();
     log_if_stopping(&gateway, caller, &request_id);
-    let mut response = match admit(&gateway, request, facts).await {
+    let admitted = admit(&gateway, request, facts);
+    let admitted = gateway.answers_ended.run_until_cancelled(admitted).await;
+    let mut response = match admitted.unwrap_or(Err(OwnAnswer::Stopping)) {
         Ok(call) => call.run().await,
         Err(own) => {
             log::info!(id:% = request_id, reason = own.as_str(); "request refused");
@@ -177,6 +187,7 @@
         headers,
         body,
         progress: Progress::default(),
+        is_at_runner: AtomicBool::new(false),
         has_ended: AtomicBool::new(false),
         _in_flight: in_flight,
     }))
@@ -231,7 +242,10 @@
     async fn run(self: &Arc<Self>) -> Response<Body> {
         let mut attempts =
             Attempts::with_max_runs(self.route.repeat.may_repeat(), self.route.max_attempts);
-        match self.answer(&mut attempts).await {
+        let answered = self.answer(&mut attempts);
+        let ended = &self.gateway.answers_ended;
+        let result = ended.run_until_cancelled(answered).await;
+        match result.unwrap_or_else(|| Err(self.give_up())) {
             Ok(response) => response,
             Err((own, wait)) => {
                 let own = own.after(&attempts);
@@ -242,6 +256,16 @@
         }
     }
 
+    /// The answer of a node that stops before there is another one.
+    fn give_up(&self) -> Refused {
+        let own = if self.is_at_runner.load(Ordering::Relaxed) {
+            OwnAnswer::Unknown(UnknownReason::NodeStopped)
+        } else {
+            OwnAnswer::Stopping
+        };
+        (own, Duration::ZERO)
+    }
+
     async fn answer(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Response<Body>, Refused> {
         let engine = self.config.services.get(&self.service);
         let engine = engine.and_then(|service| service.engine.clone());
@@ -367,11 +391,16 @@
         let request = self.request(facts);
         let upstreams = &self.gateway.upstreams;
         let sent = upstreams.send(runner.address, request, reuse);
-        match tokio::time::timeout_at(limit, sent).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(failure)) => Err(failure.outcome),
-            Err(_elapsed) => Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
-        }
+        let is_run = !facts.reads_only;
+        self.is_at_runner.store(is_run, Ordering::Relaxed);
+        let result = match tokio::time::timeout_at(limit, sent).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(failure)) => failure.outcome,
+            Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
+        };
+        // From here on the attempts say whether it may have run.
+        self.is_at_runner.store(false, Ordering::Relaxed);
+        Err(result)
     }
 
     /// What is set on a request to a runner that runs it as it is.
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use tealsaddle_core::name::Name;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::board::{Board, RetryShare};
 use crate::border::Dialect;
@@ -56,6 +57,8 @@
     pub board: Arc<Board>,
     /// Counters and latencies.
     pub metrics: Arc<Metrics>,
+    /// Cancelled when a stop leaves no more time to wait for answers.
+    pub answers_ended: CancellationToken,
     in_flight: AtomicUsize,
     stop: OnceLock<Stop>,
 }
@@ -75,6 +78,7 @@
             board: Board::open(config.retry),
             upstreams: Upstreams::open(),
             metrics: Metrics::open(),
+            answers_ended: CancellationToken::new(),
             config,
             dialect,
             world,
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -168,6 +168,8 @@
     front.close().await;
     log_stop(gateway, front, "closing connections");
     until_closed(front, stop.answers_end).await;
+    gateway.answers_ended.cancel();
+    until_closed(front, stop.exits).await;
     log_stop(gateway, front, "gateway stopped");
 }
 
--- a/crates/tealsaddle-gateway/src/stop.rs
+++ b/crates/tealsaddle-gateway/src/stop.rs
@@ -1,8 +1,9 @@
 //! The planned end of a process.
 //!
-//! From the signal on the node is not ready, and serves what still reaches it
+//! A stop has four moments. From the signal on the node is not ready, and serves what still reaches it
 //! until the balancer has noticed. Then it takes no more connections, and only requests that end before
-//! it does. Shortly before the end of the grace period the process ends.
+//! it does. Shortly before the end of the grace period whatever has no answer yet gets one. Last, the
+//! process ends.
 
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 const PROBE_TIME: Duration = Duration::from_secs(3);
 /// Time before the end of the grace period at which every request has its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end of the grace period at which the process ends.
+const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
 /// The moments of a stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +26,8 @@
     pub closes: Instant,
     /// When every request has its answer.
     pub answers_end: Instant,
+    /// When the process ends.
+    pub exits: Instant,
 }
 
 impl Stop {
@@ -32,6 +37,7 @@
             began,
             closes: began + PROBE_TIME.min(grace / 2),
             answers_end: began + grace.saturating_sub(ANSWER_MARGIN).max(grace / 2),
+            exits: began + grace.saturating_sub(EXIT_MARGIN).max(grace / 2),
         }
     }
 
