Split the path of a request into modules with one job each

Now: request.rs serves a request from its head to the answer, admit.rs goes from the head to a call, outgoing.rs holds what is sent to runners, call.rs the call with its attempts and its last line, plain.rs a call of a plain service.

Behaviour is unchanged. The field 'target' of three log lines ("request refused", "request taken while stopping", "placed" of a plain service) names the module that holds them now; nothing in the repository reads it.

Tests: tealsaddle-platform, tealsaddle-gateway and tealsaddle-core, all passed.

--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -22,7 +22,7 @@
 use crate::answer::{Body, full};
 use crate::gateway::Gateway;
 use crate::upstream::set_options;
-use crate::{Error, call};
+use crate::{Error, request};
 
 /// Connections that wait to be accepted; a full queue drops the opening packet for seconds.
 const BACKLOG: u32 = 1_024;
@@ -146,7 +146,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
         let caller = Arc::clone(&caller);
-        async move { Ok::<_, Infallible>(call::serve(gateway, &caller, request).await) }
+        async move { Ok::<_, Infallible>(request::serve(gateway, &caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! stage. All requests run on another thread. The decisions come from `tealsaddle_core::fleet`; what a
 //! platform calls things is known only to the implementations of the traits in [`border`].
 
+pub mod admit;
 pub mod answer;
 pub mod board;
 pub mod border;
@@ -19,9 +20,12 @@
 pub mod logging;
 pub mod metrics;
 pub mod orders;
+pub mod outgoing;
 pub mod peers;
+pub mod plain;
 pub mod progress;
 pub mod relay;
+pub mod request;
 pub mod stages;
 pub mod stop;
 pub mod upstream;
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -0,0 +1,110 @@
+//! One request of a caller, from its head to the answer.
+//!
+//! A request that is admitted becomes a [`Call`], which takes the path of its service: a model's prompt
+//! is read and its events are streamed, a plain service answers at once. A request that gets no answer
+//! from a runner gets one of the gateway's own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::{Request, Response};
+use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::retry::Attempts;
+
+use crate::admit::admit;
+use crate::answer::{Body, OwnAnswer};
+use crate::call::{Call, MIN_RETRY_AFTER, Refused};
+use crate::clock::jittered;
+use crate::front::CallerConnection;
+use crate::gateway::Gateway;
+use crate::relay;
+
+/// Serves a request; the answer is always one.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    caller: &CallerConnection,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let facts = gateway.dialect.caller_facts(request.headers());
+    let request_id = facts.request_id.clone().unwrap_or_default();
+    log_if_stopping(&gateway, caller, &request_id);
+    let admitted = admit(&gateway, request, facts);
+    let admitted = gateway.answers_ended.run_until_cancelled(admitted).await;
+    let mut response = match admitted.unwrap_or(Err(OwnAnswer::Stopping)) {
+        Ok(call) => call.run().await,
+        Err(own) => {
+            log::info!(id:% = request_id, reason = own.as_str(); "request refused");
+            let after = own.may_return().then(|| jittered(MIN_RETRY_AFTER));
+            own_response(&gateway, own, &request_id, after)
+        }
+    };
+    if gateway.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn log_if_stopping(gateway: &Gateway, caller: &CallerConnection, request_id: &str) {
+    let earlier_requests = caller.on_request();
+    if let Some(stop) = gateway.stopping() {
+        gateway.metrics.increment("stop.taken");
+        log::info!(id:% = request_id, stopping_ms = stop.began.elapsed().as_millis() as u64,
+            connection_age_ms = caller.age().as_millis() as u64, earlier_requests;
+            "request taken while stopping");
+    }
+}
+
+fn own_response(
+    gateway: &Gateway,
+    own: OwnAnswer,
+    request_id: &str,
+    retry_after: Option<Duration>,
+) -> Response<Body> {
+    gateway
+        .metrics
+        .increment(&format!("refused.{}", own.as_str()));
+    let mut response = own.response(retry_after);
+    let headers = response.headers_mut();
+    gateway.dialect.mark_own_answer(headers, request_id);
+    response
+}
+
+impl Call {
+    async fn run(self: &Arc<Self>) -> Response<Body> {
+        let mut attempts =
+            Attempts::with_max_runs(self.route.repeat.may_repeat(), self.route.max_attempts);
+        let answered = self.answer(&mut attempts);
+        let ended = &self.gateway.answers_ended;
+        let result = ended.run_until_cancelled(answered).await;
+        match result.unwrap_or_else(|| Err(self.give_up())) {
+            Ok(response) => response,
+            Err((own, wait)) => {
+                let own = own.after(&attempts);
+                self.log_end(own.as_str(), "-", 0);
+                let after = own.may_return().then(|| self.retry_after(wait));
+                own_response(&self.gateway, own, &self.request_id, after)
+            }
+        }
+    }
+
+    async fn answer(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Response<Body>, Refused> {
+        let engine = self.config.services.get(&self.service);
+        let engine = engine.and_then(|service| service.engine.clone());
+        match engine {
+            Some(engine) => self.run_model(engine, attempts).await,
+            None => self.run_plain(attempts).await,
+        }
+    }
+
+    async fn run_model(
+        self: &Arc<Self>,
+        engine: EngineLimits,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Refused> {
+        let stream = self.open_stream(&engine, attempts, None).await?;
+        Ok(relay::respond(Arc::clone(self), engine, stream, *attempts))
+    }
+}
