Split membership in the store from the orders to runners

Why: one type held the lease, the registration and the count of nodes, and with them the right to give orders, their intents and their sending.

Now: membership.rs keeps the lease, the registration and the count; orders.rs the right, the intents and the sending; rounds.rs holds both and calls them in order. Neither of the two knows the rounds, and only the lease goes from membership to orders. A lease and the time of its renewal are one value.

Behaviour is unchanged, and so are the calls to the store and their order: renew or open and register, list, register again, take the key of the holder, write intents. The field 'target' of the log lines about rounds names the new module; nothing in the repository reads it.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -15,7 +15,7 @@
 use crate::error::StoreError;
 use crate::fleet_state::FleetState;
 use crate::gateway::Gateway;
-use crate::orders::Membership;
+use crate::rounds::Rounds;
 use crate::{Error, clock, peers};
 
 /// Time that a watch waits for a change. A store that was away may have forgotten a watch that it
@@ -93,7 +93,7 @@
     tokio::spawn(peers::ask_until_ready(Arc::clone(&control)));
     tokio::spawn(config);
     tokio::spawn(runners);
-    Membership::open(Arc::clone(&control)).run(leaving).await;
+    Rounds::open(Arc::clone(&control)).run(leaving).await;
 }
 
 /// What a watch has brought.
