Shorten the long functions of the stages and of the relay

Why: reading at a prefill runner, taking its handle and resuming a stream each mixed their decision with bookkeeping, and four places turned the next bytes of an answer into the same outcomes.

Now: 'AnswerBody::next_until' says once what a broken body and a silent one mean; what is set on a send, the notes after a read and the notes after a failure are functions of their own; a resumed stream is opened apart from the line that ends one which is not.

The loop of 'open_stream' stays whole: the count at the decode runner lives until the end of one turn, and a split would end it before the wait for the next try is estimated.

--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -144,11 +144,9 @@
     async fn read_or_pass_on(&self, mut body: AnswerBody) -> Result<Body, UnknownReason> {
         let mut bytes = BytesMut::new();
         while bytes.len() <= WHOLE_ANSWER_BYTES {
-            match tokio::time::timeout_at(self.deadline, body.next()).await {
-                Ok(None) => return Ok(full(bytes.freeze())),
-                Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
-                Ok(Some(Err(_broken))) => return Err(UnknownReason::ConnectionLost),
-                Err(_elapsed) => return Err(UnknownReason::Timeout),
+            match body.next_until(self.deadline).await? {
+                Some(data) => bytes.extend_from_slice(&data),
+                None => return Ok(full(bytes.freeze())),
             }
         }
         Ok(relay::pass_on(bytes.freeze(), body, self.deadline))
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -29,10 +29,10 @@
             return Some((Ok(Frame::data(first)), (None, body)));
         }
         let mut body = body?;
-        match tokio::time::timeout_at(deadline, body.next()).await {
+        match body.next_until(deadline).await {
             Ok(None) => None,
-            Ok(Some(Ok(data))) => Some((Ok(Frame::data(data)), (None, Some(body)))),
-            Ok(Some(Err(_))) | Err(_) => Some((Err(Aborted), (None, None))),
+            Ok(Some(data)) => Some((Ok(Frame::data(data)), (None, Some(body)))),
+            Err(_reason) => Some((Err(Aborted), (None, None))),
         }
     });
     StreamBody::new(frames).boxed_unsync()
@@ -97,12 +97,7 @@
         if self.cutter.is_some() {
             limit = limit.min(Instant::now() + STREAM_PATIENCE);
         }
-        match tokio::time::timeout_at(limit, self.stream.body.next()).await {
-            Ok(None) => Ok(None),
-            Ok(Some(Ok(data))) => Ok(Some(data)),
-            Ok(Some(Err(_broken))) => Err(UnknownReason::ConnectionLost),
-            Err(_elapsed) => Err(UnknownReason::Timeout),
-        }
+        self.stream.body.next_until(limit).await
     }
 
     /// Bytes to pass on now; `None` when they hold no whole event yet.
@@ -131,32 +126,31 @@
     async fn resume(&mut self, reason: UnknownReason) -> Result<(), Aborted> {
         let outcome = AttemptOutcome::Unknown(reason);
         self.stream.at.on_outcome(outcome, false);
-        if let Some(cutter) = &mut self.cutter {
-            drop(cutter.rest());
-            // The runner before stops when its connection closes.
-            self.stream.body.close();
-            if self
-                .call
-                .may_go_on(&mut self.attempts, outcome, self.stream.at.runner())
-                .is_ok()
-            {
-                let last_id = cutter.last_id().map(str::to_owned);
-                let next = self
-                    .call
-                    .open_stream(&self.engine, &mut self.attempts, last_id.as_deref())
-                    .await;
-                if let Ok(stream) = next
-                    && stream.head.status.is_success()
-                {
-                    self.call.gateway.metrics.increment("stream.resumed");
-                    self.stream = stream;
-                    return Ok(());
-                }
-            }
+        if let Some(stream) = self.open_next(outcome).await {
+            self.call.gateway.metrics.increment("stream.resumed");
+            self.stream = stream;
+            return Ok(());
         }
         let runner = self.stream.at.runner();
         self.call
             .log_end(reason.as_str(), runner, self.attempts.made());
         Err(Aborted)
     }
+
+    /// Opens the rest of the stream at another runner, where the route and the attempts allow it.
+    async fn open_next(&mut self, outcome: AttemptOutcome) -> Option<OpenStream> {
+        let cutter = self.cutter.as_mut()?;
+        drop(cutter.rest());
+        // The runner before stops when its connection closes.
+        self.stream.body.close();
+        let runner = self.stream.at.runner();
+        let decision = self.call.may_go_on(&mut self.attempts, outcome, runner);
+        decision.ok()?;
+        let last_id = cutter.last_id().map(str::to_owned);
+        let next = self
+            .call
+            .open_stream(&self.engine, &mut self.attempts, last_id.as_deref());
+        let stream = next.await.ok()?;
+        stream.head.status.is_success().then_some(stream)
+    }
 }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -107,12 +107,7 @@
                 excluded.push(Name::clone(&decoder.runner.id));
                 continue;
             }
-            let facts = SendFacts {
-                urgency: Some(self.route.priority),
-                kv_source: held.as_ref().map(|held| &held.source),
-                last_event_id,
-                ..self.send_facts(&decoder.runner.id)
-            };
+            let facts = self.stream_facts(&decoder.runner.id, held.as_ref(), last_event_id);
             let sent = self.exchange_until(&decoder.runner, &facts, self.stream_limit());
             let outcome = match sent.await {
                 Ok(answer) => match self.take_stream(engine, answer, at, held.as_mut()) {
@@ -120,10 +115,7 @@
                     Err(outcome) => outcome,
                 },
                 Err(outcome) => {
-                    at.on_outcome(outcome, false);
-                    if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
-                        at.on_silence();
-                    }
+                    note_failure(&at, outcome);
                     outcome
                 }
             };
@@ -134,6 +126,21 @@
         }
     }
 
+    /// What is set on a request to the runner that generates.
+    fn stream_facts<'a>(
+        &self,
+        runner_id: &'a str,
+        held: Option<&'a HeldKv>,
+        last_event_id: Option<&'a str>,
+    ) -> SendFacts<'a> {
+        SendFacts {
+            urgency: Some(self.route.priority),
+            kv_source: held.map(|held| &held.source),
+            last_event_id,
+            ..self.send_facts(runner_id)
+        }
+    }
+
     /// The head of a stream is awaited until the deadline, or for as long as it may go on elsewhere.
     fn stream_limit(&self) -> Instant {
         if self.route.repeat.may_repeat() {
@@ -257,37 +264,40 @@
             kv_tokens: 0,
         };
         let mut at = self.gateway.board.enter(&place.runner, work);
-        let facts = SendFacts {
+        let facts = self.read_facts(place);
+        let patience = micros(place.until_handover_us() * READ_PATIENCE).max(MIN_READ_PATIENCE);
+        let exchange = self.exchange_until(&place.runner, &facts, self.event_deadline());
+        let result = match patiently(exchange, patience, &at).await {
+            Ok(answer) => self.take_handle(answer, &at, &place.runner).await,
+            Err(outcome) => Err(outcome),
+        };
+        match &result {
+            Ok(_held) => self.note_read(engine, place, &mut at),
+            Err(outcome) => note_failure(&at, *outcome),
+        }
+        result
+    }
+
+    /// What is set on a request to the runner that only reads.
+    fn read_facts<'a>(&self, place: &'a Place) -> SendFacts<'a> {
+        SendFacts {
             urgency: Some(self.route.priority),
             reads_only: true,
             fetches_from: place.fetches_from.as_ref().map(|holder| holder.address),
             left: self.first_event_left(),
             ..self.send_facts(&place.runner.id)
-        };
-        let patience = micros(place.until_handover_us() * READ_PATIENCE).max(MIN_READ_PATIENCE);
-        let exchange = self.exchange_until(&place.runner, &facts, self.event_deadline());
-        let outcome = match patiently(exchange, patience, &at).await {
-            Ok(answer) => match self.take_handle(answer, &at, &place.runner).await {
-                Ok(held) => {
-                    log::info!(id:% = self.request_id, runner:% = place.runner.id,
-                        expected_ms = (place.wait_us + place.read_us) as u64 / 1_000,
-                        took_ms = at.elapsed_us() / 1_000, read_tokens = place.read_tokens,
-                        fetched_from:% = place.fetches_from.as_ref().map_or("-", |r| &r.id);
-                        "prompt read");
-                    at.on_read_time(place.pool_us);
-                    at.on_read(&self.facts.parts, engine.kv_tokens);
-                    at.on_outcome(AttemptOutcome::Answered, false);
-                    return Ok(held);
-                }
-                Err(outcome) => outcome,
-            },
-            Err(outcome) => outcome,
-        };
-        at.on_outcome(outcome, false);
-        if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
-            at.on_silence();
         }
-        Err(outcome)
+    }
+
+    fn note_read(&self, engine: &EngineLimits, place: &Place, at: &mut AtRunner) {
+        log::info!(id:% = self.request_id, runner:% = place.runner.id,
+            expected_ms = (place.wait_us + place.read_us) as u64 / 1_000,
+            took_ms = at.elapsed_us() / 1_000, read_tokens = place.read_tokens,
+            fetched_from:% = place.fetches_from.as_ref().map_or("-", |r| &r.id);
+            "prompt read");
+        at.on_read_time(place.pool_us);
+        at.on_read(&self.facts.parts, engine.kv_tokens);
+        at.on_outcome(AttemptOutcome::Answered, false);
     }
 
     async fn take_handle(
@@ -314,20 +324,8 @@
                 outcome
             });
         }
-        let mut bytes = BytesMut::new();
-        loop {
-            match tokio::time::timeout_at(self.event_deadline(), body.next()).await {
-                Ok(None) => break,
-                Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
-                Ok(Some(Err(_broken))) => {
-                    return Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost));
-                }
-                Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
-            }
-            if bytes.len() > MAX_HANDLE_BYTES {
-                return Err(invalid);
-            }
-        }
+        let bytes = self.read_handle(body).await;
+        let bytes = bytes.map_err(AttemptOutcome::Unknown)?;
         let handle = dialect.kv_handle(&bytes).map_err(|error| {
             log::warn!(id:% = self.request_id, runner:% = runner.id, error:%; "no handle");
             invalid
@@ -342,6 +340,17 @@
         })
     }
 
+    async fn read_handle(&self, mut body: AnswerBody) -> Result<BytesMut, UnknownReason> {
+        let mut bytes = BytesMut::new();
+        while let Some(data) = body.next_until(self.event_deadline()).await? {
+            bytes.extend_from_slice(&data);
+            if bytes.len() > MAX_HANDLE_BYTES {
+                return Err(UnknownReason::InvalidAnswer);
+            }
+        }
+        Ok(bytes)
+    }
+
     fn take_stream(
         &self,
         engine: &EngineLimits,
@@ -368,6 +377,14 @@
     }
 }
 
+/// Notes at a runner that it gave no answer.
+fn note_failure(at: &AtRunner, outcome: AttemptOutcome) {
+    at.on_outcome(outcome, false);
+    if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
+        at.on_silence();
+    }
+}
+
 /// Waits for a reader as long as it gives signs of life.
 async fn patiently<F>(
     exchange: F,
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -262,6 +262,16 @@
         }
     }
 
+    /// The next bytes until `limit`; `Ok(None)` after the whole body.
+    pub async fn next_until(&mut self, limit: Instant) -> Result<Option<Bytes>, UnknownReason> {
+        match tokio::time::timeout_at(limit, self.next()).await {
+            Ok(None) => Ok(None),
+            Ok(Some(Ok(data))) => Ok(Some(data)),
+            Ok(Some(Err(_broken))) => Err(UnknownReason::ConnectionLost),
+            Err(_elapsed) => Err(UnknownReason::Timeout),
+        }
+    }
+
     /// Closes the connection.
     pub fn close(&mut self) {
         self.connection = None;
