Write the last line of a plain answer when it has ended

Seen by the reading of the request path: an idempotent call whose runners all fail gets the last failure, but its last line said 'caller_left' and request.caller_left counted it; a plain answer of over 64 KiB was 'answered' before its body had come, also when that broke off, and no longer counted as in flight.

Cause: the failure that was kept for the caller was returned past log_end, and a long body was passed on without its call.

Change: both go through one place; a long answer holds its call and its count at the runner until it ends.

What callers get is unchanged.

--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -1,12 +1,16 @@
 //! A call of a plain service: one runner answers it.
 //!
 //! A short answer is read as a whole before it is passed on, so that one that breaks off, or that states
-//! a failure, can be replaced by that of another runner.
+//! a failure, can be replaced by that of another runner. Its last line is written when all of it has come.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, future, stream};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
+use hyper::body::Frame;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::place::Place;
@@ -14,11 +18,10 @@
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 use tokio::time::Instant;
 
-use crate::answer::{Body, OwnAnswer, full, judge, strip_hop_headers};
+use crate::answer::{Aborted, Body, OwnAnswer, full, judge, strip_hop_headers};
 use crate::board::AtRunner;
 use crate::border::SendFacts;
 use crate::call::{Call, MIN_RETRY_AFTER, Refused};
-use crate::relay;
 use crate::upstream::{Answer, AnswerBody};
 
 /// Largest answer of a plain service that is read as a whole before it is passed on, so that one that
@@ -27,38 +30,74 @@
 /// An idempotent call to a silent runner is sent elsewhere after this many times its objective.
 const PATIENCE_FACTOR: u32 = 4;
 
+/// A body that was read as far as it is kept.
+#[derive(Debug)]
+struct StartedBody {
+    start: Bytes,
+    /// What follows the start; `None` if that is all.
+    rest: Option<AnswerBody>,
+}
+
+/// The answer of a runner.
+#[derive(Debug)]
+struct PlainAnswer {
+    response: Response<StartedBody>,
+    at: AtRunner,
+}
+
 impl Call {
     /// Has a runner answer the call, or others after it as far as the attempts allow.
-    pub async fn run_plain(&self, attempts: &mut Attempts) -> Result<Response<Body>, Refused> {
+    pub async fn run_plain(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Refused> {
         let mut excluded: Vec<Name> = Vec::new();
         let mut last_answer = None;
-        loop {
+        let refused = loop {
             let place = match self.place_plain(&excluded) {
                 Ok(place) => place,
-                Err(refused) => return last_answer.ok_or(refused),
+                Err(refused) => break refused,
             };
-            let at = self.gateway.board.enter(&place.runner, Work::default());
-            let outcome = match self.attempt_plain(&place.runner, &at).await {
-                Ok(response) if self.is_replaceable(&response) => {
-                    last_answer = Some(response);
+            let runner = &place.runner;
+            let outcome = match self.attempt_plain(runner).await {
+                Ok(answer) if self.is_replaceable(&answer) => {
+                    last_answer = Some(answer);
                     AttemptOutcome::Unknown(UnknownReason::TargetFailed)
                 }
-                Ok(response) => {
-                    self.log_end("answered", at.runner(), attempts.made());
-                    return Ok(response);
-                }
+                Ok(answer) => return Ok(self.give_back(answer, attempts)),
                 Err(outcome) => outcome,
             };
-            excluded.push(Name::clone(at.runner()));
-            if let Err(last) = self.may_go_on(attempts, outcome, at.runner()) {
-                return last_answer.ok_or((OwnAnswer::of_outcome(last), MIN_RETRY_AFTER));
+            excluded.push(Name::clone(&runner.id));
+            if let Err(last) = self.may_go_on(attempts, outcome, &runner.id) {
+                break (OwnAnswer::of_outcome(last), MIN_RETRY_AFTER);
             }
-        }
+        };
+        let answer = last_answer.ok_or(refused)?;
+        Ok(self.give_back(answer, attempts))
     }
 
     /// Whether another runner may answer in place of this answer.
-    fn is_replaceable(&self, response: &Response<Body>) -> bool {
-        response.status().is_server_error() && self.route.repeat.may_repeat()
+    fn is_replaceable(&self, answer: &PlainAnswer) -> bool {
+        answer.response.status().is_server_error() && self.route.repeat.may_repeat()
+    }
+
+    /// Makes the answer to the caller from that of a runner.
+    fn give_back(self: &Arc<Self>, answer: PlainAnswer, attempts: &Attempts) -> Response<Body> {
+        let failed_attempts = attempts.made();
+        let PlainAnswer { response, at } = answer;
+        response.map(|StartedBody { start, rest }| {
+            let Some(body) = rest else {
+                self.log_end("answered", at.runner(), failed_attempts);
+                return full(start);
+            };
+            let rest = PassedOn {
+                call: Arc::clone(self),
+                body,
+                at,
+                failed_attempts,
+            };
+            rest.after(start)
+        })
     }
 
     fn place_plain(&self, excluded: &[Name]) -> Result<Place, Refused> {
@@ -78,26 +117,24 @@
     }
 
     /// Sends the request to a runner, and notes there what came of it.
-    async fn attempt_plain(
-        &self,
-        runner: &Runner,
-        at: &AtRunner,
-    ) -> Result<Response<Body>, AttemptOutcome> {
+    async fn attempt_plain(&self, runner: &Runner) -> Result<PlainAnswer, AttemptOutcome> {
+        let at = self.gateway.board.enter(runner, Work::default());
         let facts = self.send_facts(&runner.id);
         let result = match self.exchange(runner, &facts).await {
-            Ok(answer) => self.take_plain(answer, at).await,
+            Ok(answer) => self.take_plain(answer, &at).await,
             Err(outcome) => Err(outcome),
         };
-        match &result {
+        match result {
             Ok(response) => {
-                at.on_outcome(
-                    AttemptOutcome::Answered,
-                    response.status().is_server_error(),
-                );
+                let has_failed = response.status().is_server_error();
+                at.on_outcome(AttemptOutcome::Answered, has_failed);
+                Ok(PlainAnswer { response, at })
+            }
+            Err(outcome) => {
+                at.on_outcome(outcome, false);
+                Err(outcome)
             }
-            Err(outcome) => at.on_outcome(*outcome, false),
         }
-        result
     }
 
     /// Sends the request to a runner; the whole head of the answer is awaited for the time that the
@@ -115,13 +152,13 @@
         self.exchange_until(runner, facts, limit).await
     }
 
-    /// Makes the answer to the caller from that of a runner.
+    /// Checks an answer and reads it as far as it is kept.
     async fn take_plain(
         &self,
         answer: Answer,
         at: &AtRunner,
-    ) -> Result<Response<Body>, AttemptOutcome> {
-        let Answer { head, mut body } = answer;
+    ) -> Result<Response<StartedBody>, AttemptOutcome> {
+        let Answer { mut head, mut body } = answer;
         let dialect = &self.gateway.dialect;
         let facts = dialect.answer_facts(&head.headers);
         let outcome = judge(head.status, &facts, &self.request_id);
@@ -129,26 +166,62 @@
             body.forbid_reuse();
             return Err(outcome);
         }
-        let body = self.read_or_pass_on(body).await;
-        let mut response = Response::from_parts(head, body.map_err(AttemptOutcome::Unknown)?);
-        let headers = response.headers_mut();
-        strip_hop_headers(headers, |_name| false);
-        dialect.clean_answer(headers);
+        let body = self.read_start(body).await?;
+        strip_hop_headers(&mut head.headers, |_name| false);
+        dialect.clean_answer(&mut head.headers);
         if let Some(load) = facts.load {
             at.on_load(load);
         }
-        Ok(response)
+        Ok(Response::from_parts(head, body))
     }
 
-    /// Reads a short body as a whole; a longer one is passed on while it arrives.
-    async fn read_or_pass_on(&self, mut body: AnswerBody) -> Result<Body, UnknownReason> {
+    /// Reads a short body as a whole, and of a longer one the start.
+    async fn read_start(&self, mut body: AnswerBody) -> Result<StartedBody, AttemptOutcome> {
         let mut bytes = BytesMut::new();
-        while bytes.len() <= WHOLE_ANSWER_BYTES {
-            match body.next_until(self.deadline).await? {
+        let mut is_whole = false;
+        while !is_whole && bytes.len() <= WHOLE_ANSWER_BYTES {
+            let next = body.next_until(self.deadline).await;
+            match next.map_err(AttemptOutcome::Unknown)? {
                 Some(data) => bytes.extend_from_slice(&data),
-                None => return Ok(full(bytes.freeze())),
+                None => is_whole = true,
             }
         }
-        Ok(relay::pass_on(bytes.freeze(), body, self.deadline))
+        Ok(StartedBody {
+            start: bytes.freeze(),
+            rest: (!is_whole).then_some(body),
+        })
+    }
+}
+
+/// The rest of a long answer, which goes to the caller while it arrives.
+#[derive(Debug)]
+struct PassedOn {
+    call: Arc<Call>,
+    body: AnswerBody,
+    at: AtRunner,
+    failed_attempts: u32,
+}
+
+impl PassedOn {
+    /// The body of the answer, which begins with `start`.
+    fn after(self, start: Bytes) -> Body {
+        let start = stream::once(future::ready(Ok(Frame::data(start))));
+        let rest = stream::unfold(Some(self), |rest| async move { rest?.next().await });
+        StreamBody::new(start.chain(rest)).boxed_unsync()
+    }
+
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, Aborted>, Option<Self>)> {
+        let (outcome, step) = match self.body.next_until(self.call.deadline).await {
+            Ok(Some(data)) => return Some((Ok(Frame::data(data)), Some(self))),
+            Ok(None) => ("answered", None),
+            Err(reason) => {
+                let outcome = AttemptOutcome::Unknown(reason);
+                self.at.on_outcome(outcome, false);
+                (reason.as_str(), Some((Err(Aborted), None)))
+            }
+        };
+        self.call
+            .log_end(outcome, self.at.runner(), self.failed_attempts);
+        step
     }
 }
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -19,24 +19,6 @@
 use crate::answer::{Aborted, Body, strip_hop_headers};
 use crate::call::Call;
 use crate::stages::{OpenStream, STREAM_PATIENCE};
-use crate::upstream::AnswerBody;
-
-/// Passes on an answer of which the first bytes were read already.
-pub fn pass_on(first: Bytes, body: AnswerBody, deadline: Instant) -> Body {
-    let state = (Some(first), Some(body));
-    let frames = stream::unfold(state, move |(first, body)| async move {
-        if let Some(first) = first {
-            return Some((Ok(Frame::data(first)), (None, body)));
-        }
-        let mut body = body?;
-        match body.next_until(deadline).await {
-            Ok(None) => None,
-            Ok(Some(data)) => Some((Ok(Frame::data(data)), (None, Some(body)))),
-            Err(_reason) => Some((Err(Aborted), (None, None))),
-        }
-    });
-    StreamBody::new(frames).boxed_unsync()
-}
 
 /// The answer to a caller from an open stream.
 pub fn respond(
