Look at the end of a stop before each run, not only when a request is placed

Callers saw: a stream that a stopping node had taken in time was started when the node had no time left for it, after a long read, after another runner's refusal, or as the rest of a stream that had broken off, and was cut.

Cause: the time until the end of the stop was compared once, before the prompt was read, and not at all for a plain service.

Change: the comparison stands in Call::check_stop and is made for every placement and directly before the run. Where nothing may have run the caller gets 503 'stopping'. Before a stream of the service has ended, and for a plain service, the route's objective stands for the time that an answer takes.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -23,6 +23,9 @@
 use crate::progress::Progress;
 use crate::upstream::{Answer, Reuse};
 
+/// A request is refused when its first event, or while the node stops its end, is expected after this share
+/// of the time left.
+pub const FEASIBLE_SHARE: f64 = 0.9;
 /// Shortest wait that a refusal asks for.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Callers honour a wait of up to this share of the time that they have left.
@@ -95,6 +98,23 @@
         (own, Duration::ZERO)
     }
 
+    /// Refuses a run that is expected to outlast the node; `wait` is the time until its first event.
+    pub fn check_stop(&self, wait: Duration) -> Result<(), Refused> {
+        let Some(stop) = self.gateway.stopping() else {
+            return Ok(());
+        };
+        let board = &self.gateway.board;
+        let generation_us = board.generation_us(&self.service, self.facts.output_tokens);
+        let expected = wait + Duration::from_micros(generation_us as u64);
+        // Before any stream has ended, and for a plain service, nothing better is known.
+        let expected = expected.max(Duration::from_millis(self.route.objective_ms));
+        let left = stop.answers_end.saturating_duration_since(Instant::now());
+        if expected > left.mul_f64(FEASIBLE_SHARE) {
+            return Err((OwnAnswer::Stopping, Duration::ZERO));
+        }
+        Ok(())
+    }
+
     /// Decides whether another attempt may follow a failed one.
     pub fn may_go_on(
         &self,
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -106,6 +106,7 @@
         let place = self.gateway.board.plain(runners, &self.ask(), excluded);
         let place = place.ok_or((OwnAnswer::NoRunner, MIN_RETRY_AFTER))?;
         let wait = Duration::from_micros(place.wait_us as u64);
+        self.check_stop(wait)?;
         if wait >= self.left() {
             return Err((OwnAnswer::DeadlineInfeasible, wait));
         }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -20,12 +20,10 @@
 use crate::answer::{OwnAnswer, judge};
 use crate::board::AtRunner;
 use crate::border::{KvSource, SendFacts};
-use crate::call::{Call, Refused};
+use crate::call::{Call, FEASIBLE_SHARE, Refused};
 use crate::gateway::Gateway;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
-/// A request is refused when its first event is expected after this share of the time left.
-const FEASIBLE_SHARE: f64 = 0.9;
 /// A reader is given up after this many times the expected time, and not before the floor, unless it
 /// answers other requests: giving up costs another read and makes an overload worse.
 const READ_PATIENCE: f64 = 4.0;
@@ -107,6 +105,8 @@
                 excluded.push(Name::clone(&decoder.runner.id));
                 continue;
             }
+            // The read, or another runner's refusal, may have taken longer than expected.
+            self.check_stop(Duration::ZERO)?;
             let facts = self.stream_facts(&decoder.runner.id, held.as_ref(), last_event_id);
             let sent = self.exchange_until(&decoder.runner, &facts, self.stream_limit());
             let outcome = match sent.await {
@@ -202,26 +202,13 @@
             read_ms = read.as_millis() as u64, wait_ms = wait.as_millis() as u64,
             left_ms = left.as_millis() as u64, config_version = self.config.version,
             runners_revision = self.gateway.world.load().runners_revision; "placed");
+        self.check_stop(expected)?;
         if attempts.made() == 0 && expected > left.mul_f64(FEASIBLE_SHARE) {
             return Err((OwnAnswer::DeadlineInfeasible, expected));
         }
-        if attempts.made() == 0 && self.outlasts_stop(expected) {
-            return Err((OwnAnswer::Stopping, Duration::ZERO));
-        }
         Ok(())
     }
 
-    /// Whether the node stops before the stream is expected to end.
-    fn outlasts_stop(&self, until_first_event: Duration) -> bool {
-        let Some(stop) = self.gateway.stopping() else {
-            return false;
-        };
-        let board = &self.gateway.board;
-        let generation_us = board.generation_us(&self.service, self.facts.output_tokens);
-        let left = stop.answers_end.saturating_duration_since(Instant::now());
-        until_first_event + micros(generation_us) > left.mul_f64(FEASIBLE_SHARE)
-    }
-
     fn enter_decoder(&self, decoder: &Place) -> AtRunner {
         let work = Work {
             read_tokens: decoder.read_tokens,
