Close 2.5 s after the signal, so that a late one leaves no request to be cut

Callers saw: a stream sent 3.03 s after SIGTERM was taken on an estimate, passed on and cut, when the process had seen its signal 100 ms late.

Cause: the node took requests on an estimate for exactly the 3 s after which nothing may be cut any more, counted from the moment at which it saw the signal. A process whose share of the processor is used up, or that is paused, sees it later.

Change: the node closes after 2.5 s. The balancer takes it out after 2 s.

Tried and reverted: taking on an estimate for 2.5 s and closing after 3 s.

--- a/crates/tealsaddle-gateway/src/stop.rs
+++ b/crates/tealsaddle-gateway/src/stop.rs
@@ -10,8 +10,9 @@
 use tokio::time::Instant;
 
 /// Time after the signal in which new connections may come: the balancer asks each second and takes a
-/// node out after two misses.
-const PROBE_TIME: Duration = Duration::from_secs(3);
+/// node out after two misses. What is sent later than 3 s after the signal must not be cut, and a busy
+/// process sees its signal late.
+const PROBE_TIME: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which every request has its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Time before the end of the grace period at which the process ends.
