Let the stop alone decide how a request ends when the node does

Callers saw: a request that a stopping node had taken and only had had read was answered with 504 in place of the promise that it has not run; the log said 'timeout', which blames the runner.

Cause: the deadline of what a stopping node takes was bound to the moment at which the stop answers what is left, and the stop looks at its moments each 50 ms, so the deadline always passed first.

Change: deadlines stay those of the caller and the route; a runner whose request goes with the node sees its connection close. What a stop cuts has the outcome 'node_stopped', as what it answers with 504.

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
+use crate::stop::Stop;
 
 /// Finds the route, reads the body and begins the call.
 pub async fn admit(
@@ -92,7 +93,7 @@
     }
 }
 
-/// Time from `started` to the deadline: that of the route, of the caller, and of a stop that is going on.
+/// Time from `started` to the deadline, that of the route or of the caller, unless a stop leaves less.
 fn time_left(
     gateway: &Gateway,
     route: &Route,
@@ -103,13 +104,12 @@
     if let Some(deadline_ms) = facts.deadline_ms {
         left = left.min(Duration::from_millis(deadline_ms));
     }
-    if let Some(stop) = gateway.stopping() {
-        if !stop.takes(Instant::now(), started + left) {
-            return Err(OwnAnswer::Stopping);
-        }
-        left = left.min(stop.answers_end.saturating_duration_since(started));
+    let is_taken = |stop: Stop| stop.takes(Instant::now(), started + left);
+    if gateway.stopping().is_none_or(is_taken) {
+        Ok(left)
+    } else {
+        Err(OwnAnswer::Stopping)
     }
-    Ok(left)
 }
 
 fn hash(text: &str) -> u64 {
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -78,7 +78,7 @@
         if !self.state.has_ended.load(Ordering::Relaxed) {
             let has_stopped = self.gateway.answers_ended.is_cancelled();
             let outcome = if has_stopped {
-                "cut_by_stop"
+                UnknownReason::NodeStopped.as_str()
             } else {
                 "caller_left"
             };
