Give the answers at the end of a stop a turn of the runtime, whatever the grace period

Callers saw: a call in flight got no byte when its node was paused over the last moments of its stop. With grace periods under 3 s, runs were given up before the last sixth of it.

Cause: the wait for connections after the answers were due did not yield when its own moment had passed, so that the runtime was dropped before any answer was written. The margins were fixed times, and with a grace period under a second both moments fell on its half.

Change: the wait lasts at least one look. The margin is half a second, and a sixth of a shorter grace period at most; the process ends half a margin later.

--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -169,7 +169,9 @@
     log_stop(gateway, front, "closing connections");
     until_closed(front, stop.answers_end).await;
     gateway.answers_ended.cancel();
-    until_closed(front, stop.exits).await;
+    // However late it is, the answers need a turn of the runtime.
+    let exits = stop.exits.max(Instant::now() + DRAIN_INTERVAL);
+    until_closed(front, exits).await;
     log_stop(gateway, front, "gateway stopped");
 }
 
--- a/crates/tealsaddle-gateway/src/stop.rs
+++ b/crates/tealsaddle-gateway/src/stop.rs
@@ -13,10 +13,10 @@
 /// node out after two misses. What is sent later than 3 s after the signal must not be cut, and a busy
 /// process sees its signal late.
 const PROBE_TIME: Duration = Duration::from_millis(2_500);
-/// Time before the end of the grace period at which every request has its answer.
+/// Longest time before the end of the grace period at which every request has its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
-/// Time before the end of the grace period at which the process ends.
-const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Part of the grace period that this may take: runs must not be given up before.
+const ANSWER_MARGIN_PART: u32 = 6;
 
 /// The moments of a stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,11 +34,12 @@
 impl Stop {
     /// Plans a stop that begins at `began` and is enforced after `grace`.
     pub fn plan(began: Instant, grace: Duration) -> Self {
+        let margin = ANSWER_MARGIN.min(grace / ANSWER_MARGIN_PART);
         Self {
             began,
             closes: began + PROBE_TIME.min(grace / 2),
-            answers_end: began + grace.saturating_sub(ANSWER_MARGIN).max(grace / 2),
-            exits: began + grace.saturating_sub(EXIT_MARGIN).max(grace / 2),
+            answers_end: began + grace - margin,
+            exits: began + grace - margin / 2,
         }
     }
 
