Take what has arrived before a stopping node closes, also after a pause

Callers saw: after a pause of the process over the moment at which it closes, connections that waited in the kernel's queue and requests on kept connections were closed unread, up to 300 of 300.

Cause: neither the listener nor a connection has been looked at by the runtime since the pause when the close takes effect: asking the listener once without waiting finds nothing, and so does the poll of a connection before the close is heeded.

Change: a connection lets the runtime look once more before it heeds the close, and the front takes connections until none has come for 5 ms, at most as many as the queue holds.

--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::answer::{Body, full};
 use crate::gateway::Gateway;
@@ -28,6 +27,8 @@
 const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, which means that descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time without another connection after which the kernel's queue is taken to be empty when the node closes.
+const QUEUE_PAUSE: Duration = Duration::from_millis(5);
 /// Smallest read buffer that the HTTP library takes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -133,8 +134,12 @@
             }
         }
     }
-    // Connections that wait to be accepted would be reset with the listener.
-    while let Some(Ok((stream, _address))) = listener.accept().now_or_never() {
+    // Connections that wait to be accepted would be reset with the listener. A process that was paused does
+    // not know of them yet.
+    for _ in 0..BACKLOG {
+        let Ok(Ok((stream, _address))) = timeout(QUEUE_PAUSE, listener.accept()).await else {
+            break;
+        };
         spawn(stream);
     }
 }
@@ -155,7 +160,13 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let told_to_close = async move { closing.wait_for(|is_closing| *is_closing).await.is_ok() };
+    let told_to_close = async move {
+        let is_told = closing.wait_for(|is_closing| *is_closing).await.is_ok();
+        // The runtime has not looked yet whether a request has arrived on a connection that is new, or
+        // whose process was paused.
+        tokio::task::yield_now().await;
+        is_told
+    };
     let result = tokio::select! {
         // A request that has arrived before the close is served.
         biased;
