Answer callers of HTTP/1.0 with 505

Callers saw: a stream that was cut, by the end of a stop or by a runner, looked complete to a caller of HTTP/1.0: it has neither a length nor chunks, so the end of the connection is the end of the answer.

Change: such a request is answered with 505 before it is placed. The gateway's callers speak HTTP/1.1; a reset in place of the orderly end would depend on how much of the answer has been sent.

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, header, http};
+use hyper::{Request, Version, header, http};
 use tealsaddle_core::fleet::config::{CallerLimits, Route};
 use tealsaddle_core::name::Name;
 use tokio::time::Instant;
@@ -34,6 +34,9 @@
     let world = gateway.world.load_full();
     let config = world.config.clone().ok_or(OwnAnswer::NoConfiguration)?;
     let (head, body) = request.into_parts();
+    if head.version < Version::HTTP_11 {
+        return Err(OwnAnswer::OldProtocol);
+    }
     let host = host(&head).ok_or(OwnAnswer::NoHost)?;
     let route = config.route(host, head.uri.path());
     let route = Arc::clone(route.ok_or(OwnAnswer::NoRoute)?);
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -44,6 +44,9 @@
     NoHost,
     /// The request has no id.
     NoRequestId,
+    /// The caller speaks HTTP/1.0, where the end of a connection that was cut looks like the end of its
+    /// answer.
+    OldProtocol,
     /// The body is over the limit.
     BodyTooLarge,
     /// The body did not arrive in time.
@@ -70,6 +73,7 @@
             Self::NoRoute => "no_route",
             Self::NoHost => "no_host",
             Self::NoRequestId => "no_request_id",
+            Self::OldProtocol => "old_protocol",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_timeout",
             Self::BodyCutOff => "body_cut_off",
@@ -109,6 +113,7 @@
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
+            Self::OldProtocol => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Unknown(UnknownReason::Timeout | UnknownReason::NodeStopped) => {
