Give no orders, and take no right to, while the node stops

Seen by the review: the round in which a node is told to stop went on, so that it could record intents and send orders to runners after the signal, which nobody follows once the process has ended.

Change: a node that stops does not take the right to give orders, and looks again after it has asked the runners. The next holder plans anew.

--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -132,13 +132,17 @@
         self.note_intents(items);
         let has_holder = items.iter().any(|item| item.key == HOLDER);
         match lease {
-            Some(lease) if self.authority.is_none() && !has_holder => {
+            Some(lease) if self.authority.is_none() && !has_holder && !self.is_stopping() => {
                 self.take_authority(lease).await
             }
             Some(_) | None => Ok(()),
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        self.control.gateway.is_stopping()
+    }
+
     /// Takes over the orders of former holders whose effect is not known.
     fn note_intents(&mut self, items: &[Item]) {
         let now_us = clock::now_us();
@@ -196,7 +200,8 @@
         }
         self.settle();
         let moves = self.plan_counted().await;
-        if moves.is_empty() {
+        // A node that stops leaves them to the next holder.
+        if moves.is_empty() || self.is_stopping() {
             return Ok(());
         }
         let intent_us = clock::now_us();
