Answer the requests that have arrived when a stopping node closes its listener

Callers saw: a connection that was reset or closed without an answer, although the node had only to refuse its request as not run. They could not tell whether it had run; a node that forwards a call which may not be repeated reported it as unknown.

Cause: the stop aborted the task that accepts, so the kernel reset the connections that waited to be accepted. Connections that had been accepted and had sent no request were told to shut down at once; the HTTP library then closes them without reading what has arrived, and the select between the two polled in random order.

Change: the accepting task is told to stop. It then takes from the kernel what waits to be accepted before it closes the listener. A connection is told to shut down only after its first request; until then the time for its head bounds it, as the doc comment of the shutdown said already. A request that has arrived goes before the order to shut down. All these requests meet the refusal of a leaving node: 503, not run.

--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -1,12 +1,12 @@
 //! HTTP server for callers.
 //!
 //! Connections are bounded in number, and a caller has a bounded time to send the head of a request.
-//! A stop closes the listener and lets every request in flight finish.
+//! A stop closes the listener, takes the connections that wait to be accepted, and lets every request
+//! in flight finish.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::service::service_fn;
@@ -58,10 +58,9 @@
     /// Idle connections are closed at once. A connection that never sent a whole request is closed
     /// when its header time is over.
     pub async fn shutdown(self) {
-        self.accepting.abort();
+        self.stop.cancel();
         // The task owns the listener; only its end closes the port.
         drop(self.accepting.await);
-        self.stop.cancel();
         self.connections.close();
         self.connections.wait().await;
         self.traffic.tasks.close();
@@ -98,27 +97,13 @@
     connections: TaskTracker,
 ) {
     let places = Arc::new(Semaphore::new(traffic.settings.limits.connections));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let open = |stream: TcpStream| {
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
             traffic.counters.increment("refused.connections");
-            continue;
+            return;
         };
-        // Nagle's algorithm would hold back single tokens of a stream.
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
-        // The kernel then breaks a connection whose caller leaves its window closed, which frees
-        // the places of a reader that has stopped reading.
-        let stall = traffic.settings.limits.header_timeout * STALL_FACTOR;
-        if SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(stall))
-            .is_err()
-        {
-            continue;
+        if set_options(&stream, &traffic).is_err() {
+            return;
         }
         let traffic = Arc::clone(&traffic);
         let stop = stop.clone();
@@ -126,15 +111,49 @@
             serve(stream, traffic, stop).await;
             drop(place);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _address)) => open(stream),
+            Err(_refused) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    // Closing the listener would reset the connections that wait to be accepted.
+    for stream in waiting(listener) {
+        open(stream);
     }
 }
 
+/// Connections that wait to be accepted. The system is asked, since the runtime may not know of the
+/// latest yet.
+fn waiting(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, _address) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
+fn set_options(stream: &TcpStream, traffic: &Traffic) -> std::io::Result<()> {
+    // Nagle's algorithm would hold back single tokens of a stream.
+    stream.set_nodelay(true)?;
+    // The kernel then breaks a connection whose caller leaves its window closed, which frees
+    // the places of a reader that has stopped reading.
+    let stall = traffic.settings.limits.header_timeout * STALL_FACTOR;
+    SockRef::from(stream).set_tcp_user_timeout(Some(stall))
+}
+
 async fn serve(stream: TcpStream, traffic: Arc<Traffic>, stop: CancellationToken) {
     let header_timeout = traffic.settings.limits.header_timeout;
-    let has_request = Arc::new(AtomicBool::new(false));
-    let seen = Arc::clone(&has_request);
+    let requested = CancellationToken::new();
+    let seen = requested.clone();
     let service = service_fn(move |request| {
-        seen.store(true, Ordering::Relaxed);
+        seen.cancel();
         let traffic = Arc::clone(&traffic);
         async move { Ok::<_, Infallible>(dispatch::answer(traffic, request).await) }
     });
@@ -155,17 +174,26 @@
     let first_request = tokio::time::sleep(header_timeout);
     let mut first_request = std::pin::pin!(first_request);
     let mut is_first = true;
-    let mut is_stopping = false;
+    // Before its first request the library would close the connection without reading what has
+    // arrived.
+    let closing = async {
+        stop.cancelled().await;
+        requested.cancelled().await;
+    };
+    let mut closing = std::pin::pin!(closing);
+    let mut is_closing = false;
     loop {
         tokio::select! {
+            // A request that has arrived is taken before the connection is told to close.
+            biased;
             // A broken connection ends its own requests and nothing else.
             _ended = connection.as_mut() => return,
-            () = stop.cancelled(), if !is_stopping => {
-                is_stopping = true;
+            () = closing.as_mut(), if !is_closing => {
+                is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
             () = first_request.as_mut(), if is_first => {
-                if !has_request.load(Ordering::Relaxed) {
+                if !requested.is_cancelled() {
                     return;
                 }
                 is_first = false;
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -17,5 +17,6 @@
 mod prefix;
 mod rig;
 mod service;
+mod stop;
 mod stream;
 mod support;
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -0,0 +1,108 @@
+//! A planned stop as callers and peers see it.
+
+use std::io::Write as _;
+use std::net::TcpStream as BlockingStream;
+
+use tealsaddle_testkit::client::wait_until;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use yare::parameterized;
+
+use crate::caller::rig_with;
+use crate::rig::{Engine, Rig, body};
+
+/// Connections on which late requests are sent.
+const LATE_CALLERS: usize = 16;
+
+/// What has arrived at a node when it takes no more connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Arrived {
+    /// A connection that waits in the accept queue, with its request.
+    WaitingConnection,
+    /// A request on a connection that was accepted.
+    Request,
+    /// A connection that was accepted.
+    Connection,
+    /// Half a head.
+    HalfHead,
+}
+
+impl Arrived {
+    /// The part of a request that is sent before the stop, and the part after it.
+    fn split(self, request: &str) -> (&str, &str) {
+        request.split_at(match self {
+            Self::WaitingConnection | Self::Request => request.len(),
+            Self::Connection => 0,
+            Self::HalfHead => 20,
+        })
+    }
+}
+
+fn request(body: &str) -> String {
+    let length = body.len();
+    format!("POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Connects without giving the node a chance to run.
+fn connect(rig: &Rig) -> BlockingStream {
+    BlockingStream::connect(rig.address).expect("the node listens")
+}
+
+fn into_async(stream: BlockingStream) -> TcpStream {
+    stream.set_nonblocking(true).expect("a socket");
+    TcpStream::from_std(stream).expect("a socket")
+}
+
+/// Reads to the end of the connection, also of one that is reset.
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    drop(stream.read_to_end(&mut answer).await);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn until_port_is_closed(rig: &Rig) {
+    wait_until(|| async { TcpStream::connect(rig.address).await.is_err() }).await;
+}
+
+/// Guards against a request that a stopping node drops unread, so that its caller cannot tell whether it
+/// has run.
+#[parameterized(
+    waiting_connection = { Arrived::WaitingConnection },
+    whole_request = { Arrived::Request },
+    connection = { Arrived::Connection },
+    half_head = { Arrived::HalfHead },
+)]
+#[test_macro(tokio::test)]
+async fn late_request_is_refused_by_a_stopping_node(arrived: Arrived) {
+    let engine = Engine::good(0).await;
+    let mut rig = rig_with(&engine, "", "").await;
+    let server = rig.server.take().expect("a server");
+    rig.publish(|snapshot| snapshot.is_leaving = true);
+    let request = request(&body(1, false));
+    let (before, after) = arrived.split(&request);
+    let mut callers: Vec<BlockingStream> = (0..LATE_CALLERS).map(|_| connect(&rig)).collect();
+    if arrived != Arrived::WaitingConnection {
+        // A later connection is accepted after the others.
+        rig.get("/readyz").await;
+    }
+    for caller in &mut callers {
+        caller.write_all(before.as_bytes()).expect("the node reads");
+    }
+    if arrived == Arrived::HalfHead {
+        rig.get("/readyz").await;
+    }
+    let shutdown = tokio::spawn(server.shutdown());
+    until_port_is_closed(&rig).await;
+    let mut callers: Vec<TcpStream> = callers.into_iter().map(into_async).collect();
+    for caller in &mut callers {
+        // The node may have closed the connection.
+        drop(caller.write_all(after.as_bytes()).await);
+    }
+    for caller in &mut callers {
+        let answer = read_to_end(caller).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+        assert!(answer.contains("x-outcome: not-run\r\n"), "{answer}");
+    }
+    shutdown.await.expect("no panic");
+    assert_eq!(engine.generated(), 0);
+}
