Wait for a forwarded request at a peer that stops

Callers saw: 504 with an unknown outcome, or a late answer from a second run, for a request that a node had passed on to a peer, when the peer was stopped while it worked on it. The peer itself would have completed the request; giving it up cancelled the work there, so a planned stop did abort a request in flight.

Cause: while the head of a forwarded answer is awaited, the peer is asked for a sign of life each second on a new connection, and two questions without an answer end the attempt. A stopping node closes its listener after 3 s. The refused connections counted as questions without an answer.

Change: only a question that runs out of time counts as unanswered. A host that refuses a connection is there, and if the process has ended the kernel breaks the connection of the request itself, which ends the attempt at once.

--- a/crates/tealsaddle-node/src/caller/liveness.rs
+++ b/crates/tealsaddle-node/src/caller/liveness.rs
@@ -3,13 +3,16 @@
 //! A forwarded answer may take as long as the whole generation, so the time until its head says
 //! nothing about the peer. A process that is paused or cut off still has its connections accepted by
 //! the kernel or left open by the network, and only a question that any live process answers at once
-//! tells it apart.
+//! tells it apart. A question that is refused counts as answered: a peer that stops has closed its
+//! listener and still completes the request, and the end of a process breaks the connection of the
+//! request itself.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use tealsaddle_core::retry::{AttemptOutcome, UnknownReason};
 use tokio::time::Instant;
 
 use super::response::Body;
@@ -30,8 +33,8 @@
         let deadline = Instant::now() + PROBE_TIMEOUT;
         // A fresh connection; an answer with any status shows that the process runs.
         match traffic.targets.send(question(peer), false, deadline).await {
-            Ok(_any) => unanswered = 0,
-            Err(_none) => unanswered += 1,
+            Err(AttemptOutcome::Unknown(UnknownReason::Timeout)) => unanswered += 1,
+            Ok(_) | Err(_) => unanswered = 0,
         }
     }
 }
--- a/crates/tealsaddle-node/tests/it/stop.rs
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -2,17 +2,20 @@
 
 use std::io::Write as _;
 use std::net::TcpStream as BlockingStream;
+use std::time::Duration;
 
 use tealsaddle_testkit::client::wait_until;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use yare::parameterized;
 
 use crate::caller::rig_with;
-use crate::rig::{Engine, Rig, body};
+use crate::rig::{ANY, Engine, Rig, body};
 
 /// Connections on which late requests are sent.
 const LATE_CALLERS: usize = 16;
+/// A peer that has closed its listener answers after this time; several signs of life are due in it.
+const PEER_ANSWERS_AFTER: Duration = Duration::from_secs(4);
 
 /// What has arrived at a node when it takes no more connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -106,3 +109,30 @@
     shutdown.await.expect("no panic");
     assert_eq!(engine.generated(), 0);
 }
+
+/// Guards against a forwarded request that is given up because its peer, which stops, has closed its
+/// listener.
+#[tokio::test]
+async fn forwarded_request_is_awaited_from_a_peer_that_stops() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "", "").await;
+    let listener = TcpListener::bind(ANY).await.expect("a listener");
+    let mut peer = rig.as_peer("a");
+    peer.caller_address = listener.local_addr().expect("an address");
+    rig.publish(|snapshot| {
+        snapshot.is_registered = false;
+        snapshot.peers = vec![peer];
+    });
+    let peer = tokio::spawn(async move {
+        let (mut stream, _address) = listener.accept().await.expect("a connection");
+        drop(listener);
+        tokio::time::sleep(PEER_ANSWERS_AFTER).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).await.expect("the node reads");
+        read_to_end(&mut stream).await
+    });
+    let answer = rig.complete(1, false).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.body, "ok");
+    peer.abort();
+}
