Refuse bodies that have not arrived when a stopping node closes its listener

Callers saw: a request of which the node had the head and a part of the body when it was told to stop was answered 408 half a minute later, or, if the rest came, was sent to an engine long after the node had closed its listener. The stop waited for it; each part may take 30 s, so the body of one slow caller can hold a stop up for hours.

Cause: whether a node leaves is asked when the head arrives, and nothing asks again until the body is there.

Change: the moment at which the node takes no more connections is a part of the state that requests share, and reading a body ends with it, in the refusal of a leaving node: 503, not run. Bodies that are passed on while they arrive are not concerned; the time of their call bounds them.

--- a/crates/tealsaddle-node/src/caller/dispatch.rs
+++ b/crates/tealsaddle-node/src/caller/dispatch.rs
@@ -93,7 +93,7 @@
 
 fn readiness(snapshot: &Snapshot) -> Result<Response<Body>, Refusal> {
     if snapshot.is_leaving {
-        return Err(leaving());
+        return Err(Refusal::leaving());
     }
     if snapshot.inventory.is_none() {
         return Err(Refusal::busy(
@@ -105,13 +105,6 @@
     Ok(response::json(StatusCode::OK, &ready))
 }
 
-fn leaving() -> Refusal {
-    Refusal {
-        closes: true,
-        ..Refusal::busy("draining", "this node is stopping; connect again")
-    }
-}
-
 async fn take(
     traffic: &Arc<Traffic>,
     request: Request<Incoming>,
@@ -126,7 +119,7 @@
     wait_until_fresh(traffic).await;
     let snapshot = traffic.snapshot.load_full();
     if snapshot.is_leaving {
-        return Err(leaving());
+        return Err(Refusal::leaving());
     }
     let customer = match &snapshot.inventory {
         Some(inventory) => auth::customer(inventory, request.headers())?,
--- a/crates/tealsaddle-node/src/caller/proxy.rs
+++ b/crates/tealsaddle-node/src/caller/proxy.rs
@@ -85,7 +85,16 @@
 pub type BytesHeld = Option<OwnedSemaphorePermit>;
 
 /// Reads a whole body, within the bound on one body and the bound on all bodies that are held.
+///
+/// A node that takes no more connections does not wait for the rest of a body: the request would be new
+/// work.
 pub async fn read_body(traffic: &Traffic, body: Incoming) -> Result<(Bytes, BytesHeld), Refusal> {
+    let reading = read_whole(traffic, body);
+    let read = traffic.stopping.closing.run_until_cancelled(reading).await;
+    read.unwrap_or_else(|| Err(Refusal::leaving()))
+}
+
+async fn read_whole(traffic: &Traffic, body: Incoming) -> Result<(Bytes, BytesHeld), Refusal> {
     let limit_bytes = traffic.settings.limits.request_body_bytes as usize;
     if body.size_hint().lower() > limit_bytes as u64 {
         return Err(too_large(limit_bytes));
--- a/crates/tealsaddle-node/src/caller/response.rs
+++ b/crates/tealsaddle-node/src/caller/response.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// The refusal of a node that is stopping.
+    pub fn leaving() -> Self {
+        Self {
+            closes: true,
+            ..Self::busy("draining", "this node is stopping; connect again")
+        }
+    }
+
     /// A request that may have been run.
     pub fn unknown(status: StatusCode, reason: &'static str, message: impl Into<String>) -> Self {
         Self {
--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -41,7 +41,6 @@
 pub struct CallerServer {
     address: SocketAddr,
     accepting: JoinHandle<()>,
-    stop: CancellationToken,
     connections: TaskTracker,
     traffic: Arc<Traffic>,
 }
@@ -55,10 +54,11 @@
     /// Stops accepting connections and waits until all requests in flight are answered, and until
     /// cancellations and outcomes of keyed calls have been passed on.
     ///
-    /// Idle connections are closed at once. A connection that never sent a whole request is closed
+    /// Idle connections are closed at once, and a request whose body has not arrived is refused. A
+    /// connection that never sent a whole request is closed
     /// when its header time is over.
     pub async fn shutdown(self) {
-        self.stop.cancel();
+        self.traffic.stopping.closing.cancel();
         // The task owns the listener; only its end closes the port.
         drop(self.accepting.await);
         self.connections.close();
@@ -73,29 +73,17 @@
     let listen_error = |source| Error::Listen { address, source };
     let listener = TcpListener::bind(address).await.map_err(listen_error)?;
     let address = listener.local_addr().map_err(listen_error)?;
-    let stop = CancellationToken::new();
     let connections = TaskTracker::new();
-    let accepting = tokio::spawn(accept(
-        listener,
-        Arc::clone(&traffic),
-        stop.clone(),
-        connections.clone(),
-    ));
+    let accepting = tokio::spawn(accept(listener, Arc::clone(&traffic), connections.clone()));
     Ok(CallerServer {
         address,
         accepting,
-        stop,
         connections,
         traffic,
     })
 }
 
-async fn accept(
-    listener: TcpListener,
-    traffic: Arc<Traffic>,
-    stop: CancellationToken,
-    connections: TaskTracker,
-) {
+async fn accept(listener: TcpListener, traffic: Arc<Traffic>, connections: TaskTracker) {
     let places = Arc::new(Semaphore::new(traffic.settings.limits.connections));
     let open = |stream: TcpStream| {
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
@@ -106,16 +94,15 @@
             return;
         }
         let traffic = Arc::clone(&traffic);
-        let stop = stop.clone();
         connections.spawn(async move {
-            serve(stream, traffic, stop).await;
+            serve(stream, traffic).await;
             drop(place);
         });
     };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
+            () = traffic.stopping.closing.cancelled() => break,
         };
         match accepted {
             Ok((stream, _address)) => open(stream),
@@ -148,7 +135,8 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(stall))
 }
 
-async fn serve(stream: TcpStream, traffic: Arc<Traffic>, stop: CancellationToken) {
+async fn serve(stream: TcpStream, traffic: Arc<Traffic>) {
+    let stopping = traffic.stopping.clone();
     let header_timeout = traffic.settings.limits.header_timeout;
     let requested = CancellationToken::new();
     let seen = requested.clone();
@@ -177,7 +165,7 @@
     // Before its first request the library would close the connection without reading what has
     // arrived.
     let closing = async {
-        stop.cancelled().await;
+        stopping.closing.cancelled().await;
         requested.cancelled().await;
     };
     let mut closing = std::pin::pin!(closing);
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod demand;
 mod in_flight;
+mod stopping;
 mod suspects;
 mod watchdog;
 
@@ -28,6 +29,7 @@
 
 use self::demand::Demands;
 pub use self::in_flight::{InFlight, InFlightGuard};
+pub use self::stopping::Stopping;
 pub use self::suspects::Suspects;
 pub use self::watchdog::Watchdog;
 use crate::caller::claim::ClaimLease;
@@ -137,6 +139,8 @@
     pub process: ProcessId,
     /// The lease under which claims are written.
     pub claim_lease: ClaimLease,
+    /// How far a planned stop is.
+    pub stopping: Stopping,
     /// Work that goes on when its caller goes away; a planned stop waits for it.
     pub tasks: TaskTracker,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
@@ -180,6 +184,7 @@
             router: Router::default(),
             process,
             claim_lease: ClaimLease::default(),
+            stopping: Stopping::default(),
             tasks: TaskTracker::new(),
             retry_budgets: Mutex::default(),
             admissions: Mutex::default(),
--- a/crates/tealsaddle-node/tests/it/stop.rs
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -110,6 +110,35 @@
     assert_eq!(engine.generated(), 0);
 }
 
+/// Guards against a stop that waits for bodies which do not arrive, and against their late work.
+#[tokio::test]
+async fn body_that_has_not_arrived_is_refused_by_a_stopping_node() {
+    let engine = Engine::good(0).await;
+    let mut rig = rig_with(&engine, "", "services: [{name: ladder}]\n").await;
+    let server = rig.server.take().expect("a server");
+    let whole = request(&body(1, false));
+    let keyed = whole.replace("/v1/completions", "/services/ladder/scores");
+    let keyed = keyed.replace("host: a", "host: a\r\nidempotency-key: k");
+    let mut callers = Vec::new();
+    for request in [&whole, &keyed] {
+        let mut caller = TcpStream::connect(rig.address).await.expect("a connection");
+        let half = &request.as_bytes()[..request.len() - 5];
+        caller.write_all(half).await.expect("the node reads");
+        callers.push(caller);
+    }
+    wait_until(|| async { rig.count("caller.requests") == 2 }).await;
+    rig.publish(|snapshot| snapshot.is_leaving = true);
+    let shutdown = tokio::spawn(server.shutdown());
+    for caller in &mut callers {
+        let answer = read_to_end(caller).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+        assert!(answer.contains("x-outcome: not-run\r\n"), "{answer}");
+        assert!(answer.contains("x-reason: draining\r\n"), "{answer}");
+    }
+    shutdown.await.expect("no panic");
+    assert_eq!(engine.generated(), 0);
+}
+
 /// Guards against a forwarded request that is given up because its peer, which stops, has closed its
 /// listener.
 #[tokio::test]
