Give every request in flight an outcome when the drain timeout passes

Callers saw: when 'limits.drain_timeout_ms' had passed, the connection of a request in flight was closed without an answer and a stream ended in the middle, so that nobody could tell whether the request had run. A peer that had passed one on saw a broken connection.

Cause: the stop went on to resign, with the requests still running, and the process then ended and dropped them. They had no outcome for the caller, for the claim of a keyed call or for the engine, and the node had left the router list while it still had work at engines.

Change: when the time is over, requests are given up where they wait for an engine, a target or a peer. What was not sent ends as not run (503, 'node_stopping'), what was sent as unknown (504, 'node_stopped'), a stream of events with an error event; the body of a plain service that has begun breaks off. No further attempt is made. The usual paths carry these outcomes on: to the claim, which stays 'started' or is settled as not run, and to the engine, which gets the cancellation; a completion is one of the tasks that a stop waits for, so that this cannot be missed. A node whose peer gave a request up treats it as a failed attempt and sends it to another node if it may run twice. Callers and engines have 3 s to take all this; then the node resigns.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -13,6 +13,8 @@
     TargetRefused,
     /// No engine or target takes this work now.
     NoTarget,
+    /// The node was stopping before it sent the request.
+    NodeStopping,
 }
 
 impl NotRunReason {
@@ -22,6 +24,7 @@
             Self::ConnectFailed => "connect_failed",
             Self::TargetRefused => "target_refused",
             Self::NoTarget => "no_target",
+            Self::NodeStopping => "node_stopping",
         }
     }
 }
@@ -77,6 +80,8 @@
     Budget,
     /// It may have run and may not be repeated.
     NotRepeatable,
+    /// The node stops before another attempt could end.
+    NodeStopping,
 }
 
 impl GiveUp {
@@ -86,6 +91,7 @@
             Self::Attempts => "attempts_used_up",
             Self::Budget => "budget_used_up",
             Self::NotRepeatable => "not_repeatable",
+            Self::NodeStopping => "node_stopping",
         }
     }
 }
--- a/crates/tealsaddle-node/src/caller/attempt.rs
+++ b/crates/tealsaddle-node/src/caller/attempt.rs
@@ -259,10 +259,7 @@
         deadline: Instant,
     ) -> Result<EventStream, AttemptOutcome> {
         let start = self.traffic.engines.generate(engine, request);
-        match tokio::time::timeout_at(deadline, start).await {
-            Ok(result) => result,
-            Err(_elapsed) => Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
-        }
+        self.traffic.stopping.send(deadline, start).await?
     }
 
     async fn next(
@@ -271,12 +268,12 @@
         deadline: Instant,
     ) -> Result<GenerateEvent, AttemptOutcome> {
         loop {
-            match tokio::time::timeout_at(deadline, events.next()).await {
+            match self.traffic.stopping.wait(deadline, events.next()).await {
                 Ok(Some(Ok(EngineLine::Event(event)))) => return Ok(event),
                 Ok(Some(Ok(EngineLine::Junk))) => self.traffic.counters.increment("stream.junk"),
                 Ok(Some(Err(outcome))) => return Err(outcome),
                 Ok(None) => return Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost)),
-                Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+                Err(reason) => return Err(AttemptOutcome::Unknown(reason)),
             }
         }
     }
--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use tealsaddle_core::inventory::Model;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tealsaddle_core::stream::StreamJoiner;
 use tokio::sync::mpsc;
 
@@ -66,7 +66,9 @@
 pub fn spawn(traffic: Arc<Traffic>, completion: Completion, plan: Plan) -> mpsc::Receiver<Output> {
     let places = completion.max_tokens.clamp(1, TOKENS_BUFFERED) as usize;
     let (sender, receiver) = mpsc::channel(places);
-    tokio::spawn(async move {
+    let tasks = traffic.tasks.clone();
+    // A stop waits for it, so that the cancellation of what it gives up reaches the engine.
+    tasks.spawn(async move {
         let last = match run(&traffic, &completion, plan, &sender).await {
             Ok(Some(done)) => Output::Done(done),
             Ok(None) => {
@@ -151,7 +153,7 @@
         }
         AttemptOutcome::Unknown(reason) => {
             let status = match reason {
-                tealsaddle_core::retry::UnknownReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+                UnknownReason::Timeout | UnknownReason::NodeStopped => StatusCode::GATEWAY_TIMEOUT,
                 _ => StatusCode::BAD_GATEWAY,
             };
             let message = "the request may have been run, and its answer is lost";
--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -25,9 +25,9 @@
 use super::dispatch::{Context, HOPS, MAX_HOPS};
 use super::liveness;
 use super::proxy::Payload;
-use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState};
+use super::response::{Body, BodyError, OUTCOME, REASON, REQUEST_ID, Refusal, RunState};
 use crate::clock;
-use crate::traffic::{PeerEndpoint, Snapshot, Traffic};
+use crate::traffic::{PeerEndpoint, Snapshot, Stopping, Traffic};
 
 /// Time for the head of a streamed answer; the peer may need all its attempts before its first
 /// token.
@@ -142,7 +142,12 @@
             return Err(completion::refusal(outcome));
         };
         let (outcome, refused) = match pass_on(traffic, context, &forward, &peer).await {
-            Ok(response) if !is_busy(&response) => return Ok(pass_back(context, response)),
+            Ok(response) if is_given_up(&response) => {
+                (AttemptOutcome::Unknown(UnknownReason::NodeStopped), None)
+            }
+            Ok(response) if !is_busy(&response) => {
+                return Ok(pass_back(traffic, context, response));
+            }
             Ok(response) => {
                 let outcome = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
                 (outcome, Some(response))
@@ -155,13 +160,13 @@
         let may_go_on = match next {
             Ok(()) => true,
             Err(GiveUp::Budget) => refused.is_none() && wait_for_budget(traffic, &budget).await,
-            Err(GiveUp::Attempts | GiveUp::NotRepeatable) => false,
+            Err(GiveUp::Attempts | GiveUp::NotRepeatable | GiveUp::NodeStopping) => false,
         };
         if !may_go_on || !route.has_next(traffic) {
             let outcome = attempts.outcome(outcome);
             return match refused {
                 Some(response) if matches!(outcome, AttemptOutcome::NotRun(_)) => {
-                    Ok(pass_back(context, response))
+                    Ok(pass_back(traffic, context, response))
                 }
                 _ => Err(completion::refusal(outcome)),
             };
@@ -174,8 +179,12 @@
 /// All requests in flight at a peer that goes silent fail at once, and the budget is for the mean
 /// over time. Those that find it used up still have time to wait for their turn.
 async fn wait_for_budget(traffic: &Traffic, budget: &Name) -> bool {
+    let giving_up = &traffic.stopping.giving_up;
     for _ in 0..BUDGET_WAITS {
-        tokio::time::sleep(BUDGET_WAIT).await;
+        let wait = tokio::time::sleep(BUDGET_WAIT);
+        if giving_up.run_until_cancelled(wait).await.is_none() {
+            return false;
+        }
         if traffic.take_retry(budget) {
             return true;
         }
@@ -242,14 +251,22 @@
     }
 }
 
+/// Whether a peer gave the request up because it stopped, so that another node may still answer it.
+fn is_given_up(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::GATEWAY_TIMEOUT
+        && has_header(response, OUTCOME, RunState::Unknown.as_str())
+        && has_header(response, REASON, UnknownReason::NodeStopped.as_str())
+}
+
 /// Whether a peer refused the request as not run in a way that another node may not share.
 fn is_busy(response: &Response<Incoming>) -> bool {
-    let not_run = RunState::NotRun.as_str().as_bytes();
     response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response
-            .headers()
-            .get(OUTCOME)
-            .is_some_and(|outcome| outcome.as_bytes() == not_run)
+        && has_header(response, OUTCOME, RunState::NotRun.as_str())
+}
+
+fn has_header(response: &Response<Incoming>, name: &str, value: &str) -> bool {
+    let given = response.headers().get(name);
+    given.is_some_and(|given| given.as_bytes() == value.as_bytes())
 }
 
 fn request(context: &Context, forward: &Forward, peer: &PeerEndpoint) -> Request<Body> {
@@ -269,27 +286,30 @@
     request
 }
 
-fn pass_back(context: &Context, response: Response<Incoming>) -> Response<Body> {
+fn pass_back(traffic: &Traffic, context: &Context, response: Response<Incoming>) -> Response<Body> {
     let (mut head, body) = response.into_parts();
     strip_hop_headers(&mut head.headers, |_name| false);
     let is_events = head
         .headers
         .get(CONTENT_TYPE)
         .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    let body = pass_body(body, is_events.then(|| context.request_id.clone()));
+    let events_of = is_events.then(|| context.request_id.clone());
+    let body = pass_body(body, events_of, traffic.stopping.clone());
     Response::from_parts(head, body)
 }
 
 /// Passes a body on. One that breaks off ends with an error event where it is a stream of events,
 /// and otherwise with a broken connection.
-fn pass_body(body: Incoming, events_of: Option<String>) -> Body {
-    let frames = stream::unfold(Some((body, events_of)), |state| async move {
-        let (mut body, events_of) = state?;
-        let refusal = match tokio::time::timeout(PART_TIMEOUT, body.frame()).await {
+fn pass_body(body: Incoming, events_of: Option<String>, stopping: Stopping) -> Body {
+    let first = Some((body, events_of, stopping));
+    let frames = stream::unfold(first, |state| async move {
+        let (mut body, events_of, stopping) = state?;
+        let deadline = Instant::now() + PART_TIMEOUT;
+        let refusal = match stopping.wait(deadline, body.frame()).await {
             Ok(None) => return None,
-            Ok(Some(Ok(frame))) => return Some((Ok(frame), Some((body, events_of)))),
+            Ok(Some(Ok(frame))) => return Some((Ok(frame), Some((body, events_of, stopping)))),
             Ok(Some(Err(_broken))) => completion::broken_off(),
-            Err(_elapsed) => completion::refusal(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+            Err(reason) => completion::refusal(AttemptOutcome::Unknown(reason)),
         };
         let last = match events_of {
             Some(request_id) => Ok(Frame::data(error_event(&refusal, &request_id))),
--- a/crates/tealsaddle-node/src/caller/proxy.rs
+++ b/crates/tealsaddle-node/src/caller/proxy.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::response::{Body, BodyError, Refusal};
-use crate::traffic::Traffic;
+use crate::traffic::{Stopping, Traffic};
 
 /// Time to connect. Within a region a connection takes about a millisecond, and a lost SYN is sent
 /// again after a second.
@@ -34,11 +34,12 @@
 pub struct TargetClient {
     pooled: Client<HttpConnector, Body>,
     fresh: Client<HttpConnector, Body>,
+    stopping: Stopping,
 }
 
 impl TargetClient {
     /// Opens a client; no call is made yet.
-    pub fn open() -> Self {
+    pub fn open(stopping: Stopping) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -51,10 +52,12 @@
                 .pool_max_idle_per_host(0)
                 .retry_canceled_requests(false)
                 .build(connector),
+            stopping,
         }
     }
 
-    /// Sends a request and waits for the head of the answer until `deadline`.
+    /// Sends a request and waits for the head of the answer until `deadline`, or until a stop gives
+    /// requests up.
     ///
     /// A call that may not be repeated gets a fresh connection: an idle one that the target closes
     /// at this moment would make its outcome unknown. Dropping the call after a timeout closes its
@@ -70,14 +73,14 @@
         } else {
             &self.fresh
         };
-        match tokio::time::timeout_at(deadline, client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => {
-                Err(AttemptOutcome::NotRun(NotRunReason::ConnectFailed))
+        let sent = self.stopping.send(deadline, client.request(request));
+        sent.await?.map_err(|error| {
+            if error.is_connect() {
+                AttemptOutcome::NotRun(NotRunReason::ConnectFailed)
+            } else {
+                AttemptOutcome::Unknown(UnknownReason::ConnectionLost)
             }
-            Ok(Err(_broken)) => Err(AttemptOutcome::Unknown(UnknownReason::ConnectionLost)),
-            Err(_elapsed) => Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
-        }
+        })
     }
 }
 
--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -55,8 +55,8 @@
     /// cancellations and outcomes of keyed calls have been passed on.
     ///
     /// Idle connections are closed at once, and a request whose body has not arrived is refused. A
-    /// connection that never sent a whole request is closed
-    /// when its header time is over.
+    /// connection that never sent a whole request is closed when its header time is over, or when
+    /// requests are given up.
     pub async fn shutdown(self) {
         self.traffic.stopping.closing.cancel();
         // The task owns the listener; only its end closes the port.
@@ -159,7 +159,8 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     // The library's own header time starts only after the first bytes have shown the version of
     // HTTP, so the first request has a time of its own.
-    let first_request = tokio::time::sleep(header_timeout);
+    let giving_up = stopping.giving_up.clone();
+    let first_request = giving_up.run_until_cancelled(tokio::time::sleep(header_timeout));
     let mut first_request = std::pin::pin!(first_request);
     let mut is_first = true;
     // Before its first request the library would close the connection without reading what has
@@ -180,7 +181,7 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = first_request.as_mut(), if is_first => {
+            _is_over = first_request.as_mut(), if is_first => {
                 if !requested.is_cancelled() {
                     return;
                 }
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -399,15 +399,16 @@
         let (mut head, body) = response.into_parts();
         strip_hop_headers(&mut head.headers, |_name| false);
         let deadline = self.deadline;
+        let stopping = self.traffic.stopping.clone();
         // A body that breaks off breaks the caller's connection, so that it is never taken as
         // whole.
-        let frames = stream::unfold(Some(body), move |body| async move {
-            let mut body = body?;
-            match tokio::time::timeout_at(deadline, body.frame()).await {
+        let frames = stream::unfold(Some((body, stopping)), move |state| async move {
+            let (mut body, stopping) = state?;
+            match stopping.wait(deadline, body.frame()).await {
                 Ok(None) => None,
-                Ok(Some(Ok(frame))) => Some((Ok(frame), Some(body))),
+                Ok(Some(Ok(frame))) => Some((Ok(frame), Some((body, stopping)))),
                 Ok(Some(Err(error))) => Some((Err(BodyError::from(error)), None)),
-                Err(_elapsed) => Some((Err(BodyError::from("the call took too long")), None)),
+                Err(reason) => Some((Err(BodyError::from(reason.as_str())), None)),
             }
         });
         Response::from_parts(head, StreamBody::new(frames.boxed()).boxed_unsync())
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -17,6 +17,9 @@
 /// Time for which a node that leaves still answers new connections with refusals. A leaving VM may get
 /// work for up to 3 s (section 6 of the design).
 const PROBE_GRACE: Duration = Duration::from_secs(3);
+/// Time for callers to take the answers to requests that are given up, and for engines to take the
+/// cancellations, which end after 2 s.
+const GIVE_UP_TIME: Duration = Duration::from_secs(3);
 /// Time to hand over and resign; the control thread gives up earlier by itself.
 const RESIGN_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -66,22 +69,27 @@
     Ok(())
 }
 
+/// Completes what is in flight; what is left when the time is over gets the outcome that is known.
+async fn shutdown_within(limit: Duration, callers: CallerServer, traffic: &Traffic) {
+    let mut shutdown = std::pin::pin!(callers.shutdown());
+    if tokio::time::timeout(limit, &mut shutdown).await.is_ok() {
+        return;
+    }
+    log::warn!(limit_ms = limit.as_millis(), in_flight = traffic.requests_in_flight();
+        "requests in flight are given up");
+    traffic.stopping.giving_up.cancel();
+    if tokio::time::timeout(GIVE_UP_TIME, shutdown).await.is_err() {
+        log::warn!(in_flight = traffic.requests_in_flight(); "callers did not take their answers");
+    }
+}
+
 /// Completes what is in flight, then leaves the router list.
 async fn stop(control: &ControlHandle, callers: CallerServer, traffic: &Traffic) {
     // Probes of the load balancer must see the 503 before connections are refused.
     tokio::time::sleep(PROBE_GRACE).await;
-    let shutdown = async {
-        callers.shutdown().await;
-        traffic.tasks.close();
-        traffic.tasks.wait().await;
-    };
     match traffic.settings.limits.drain_timeout {
-        None => shutdown.await,
-        Some(limit) => {
-            if tokio::time::timeout(limit, shutdown).await.is_err() {
-                log::warn!(limit_ms = limit.as_millis(); "requests in flight were given up");
-            }
-        }
+        None => callers.shutdown().await,
+        Some(limit) => shutdown_within(limit, callers, traffic).await,
     }
     if control.resign(RESIGN_TIMEOUT).await.is_err() {
         log::warn!("the node is still in the router list");
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -165,6 +165,7 @@
             incarnation: Uuid::new_v4().to_string(),
         };
         let places = Arc::new(Semaphore::new(settings.limits.requests_in_flight));
+        let stopping = Stopping::default();
         let body_bytes = settings.limits.request_body_bytes as usize;
         let body_bytes = body_bytes.saturating_mul(BODIES_HELD);
         let body_bytes = body_bytes.min(Semaphore::MAX_PERMITS);
@@ -177,14 +178,14 @@
             in_flight: Arc::default(),
             demands: Demands::default(),
             control_watchdog: Watchdog::default(),
-            targets: TargetClient::open(),
+            targets: TargetClient::open(stopping.clone()),
             places,
             body_bytes: Arc::new(Semaphore::new(body_bytes)),
             suspects: Suspects::default(),
             router: Router::default(),
             process,
             claim_lease: ClaimLease::default(),
-            stopping: Stopping::default(),
+            stopping,
             tasks: TaskTracker::new(),
             retry_budgets: Mutex::default(),
             admissions: Mutex::default(),
@@ -244,6 +245,11 @@
         is_open.then_some(guard)
     }
 
+    /// Requests in flight.
+    pub fn requests_in_flight(&self) -> usize {
+        self.settings.limits.requests_in_flight - self.places.available_permits()
+    }
+
     /// Counts the first attempt of a request of a model or service.
     pub fn on_first_attempt(&self, service: &Name) {
         let mut budgets = self.budgets();
@@ -267,6 +273,11 @@
             let budget = budgets.entry(Name::clone(service)).or_default();
             attempts.on_failure(outcome, budget, now_us)
         };
+        let next = if self.stopping.giving_up.is_cancelled() {
+            next.and(Err(GiveUp::NodeStopping))
+        } else {
+            next
+        };
         let reason = match outcome {
             AttemptOutcome::Answered => "answered",
             AttemptOutcome::NotRun(reason) => reason.as_str(),
--- a/crates/tealsaddle-node/tests/it/faults/mod.rs
+++ b/crates/tealsaddle-node/tests/it/faults/mod.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod orders;
 mod partition;
+mod stopping;
 mod streams;
 
 use std::path::Path;
--- a/crates/tealsaddle-node/tests/it/rig.rs
+++ b/crates/tealsaddle-node/tests/it/rig.rs
@@ -40,9 +40,9 @@
 impl Rig {
     /// Starts it in zone `a` with a configuration in force; `limits` is YAML.
     pub async fn with(yaml: &str, platform: SocketAddr, limits: &str) -> Self {
-        let mut settings = NodeConfig::new("vm-1", "a", platform).to_yaml();
-        writeln!(settings, "limits: {{{limits}}}").expect("writing to a string cannot fail");
-        let settings = Settings::from_yaml(&settings).expect("valid settings");
+        let mut config = NodeConfig::new("vm-1", "a", platform);
+        limits.clone_into(&mut config.limits);
+        let settings = Settings::from_yaml(&config.to_yaml()).expect("valid settings");
         let counters = Counters::open(&settings.metrics).expect("counters without a collector");
         let key_value = HttpPlatform::open(platform, settings.platform_timeout);
         let engines = Arc::new(HttpEngines::open());
--- a/crates/tealsaddle-node/tests/it/stop.rs
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -4,7 +4,10 @@
 use std::net::TcpStream as BlockingStream;
 use std::time::Duration;
 
+use http_body_util::BodyExt;
+use hyper::StatusCode;
 use tealsaddle_testkit::client::wait_until;
+use tealsaddle_testkit::http;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use yare::parameterized;
@@ -165,3 +168,95 @@
     assert_eq!(answer.body, "ok");
     peer.abort();
 }
+
+/// Guards against a request that is lost with the peer that gave it up, and against a second run of one
+/// that may run once.
+#[parameterized(
+    repeatable = { false, 200, 1 },
+    marked = { true, 504, 0 },
+)]
+#[test_macro(tokio::test)]
+async fn request_that_a_stopping_peer_gave_up(is_marked: bool, status: u16, generated: usize) {
+    let engine = Engine::good(0).await;
+    let stopping = http::bind(ANY, |request| async move {
+        drop(request.into_body().collect().await);
+        let mut response = http::json(StatusCode::GATEWAY_TIMEOUT, &"stopped");
+        for (name, value) in [("x-outcome", "unknown"), ("x-reason", "node_stopped")] {
+            let value = value.parse().expect("a header value");
+            response.headers_mut().insert(name, value);
+        }
+        response
+    });
+    let stopping = stopping.await.expect("a server");
+    let good = rig_with(&engine, "", "").await;
+    let rig = rig_with(&engine, "", "").await;
+    rig.publish(|snapshot| {
+        snapshot.is_registered = false;
+        // The own zone goes first.
+        let mut first = good.as_peer("a");
+        first.caller_address = stopping.address();
+        snapshot.peers = vec![good.as_peer("b"), first];
+    });
+    let marks: &[(&str, &str)] = if is_marked {
+        &[("x-non-repeatable", "true")]
+    } else {
+        &[]
+    };
+    let answer = rig.post("/v1/completions", marks, &body(3, false)).await;
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(engine.generated(), generated);
+    if is_marked {
+        assert_eq!(answer.header("x-outcome"), "unknown");
+    }
+}
+
+/// Guards against an answer that says that a request may have run which a stop gave up before it was sent.
+#[tokio::test]
+async fn request_that_is_given_up_unsent_is_refused_as_not_run() {
+    let engine = Engine::good(0).await;
+    let target = Engine::good(0).await;
+    let service = format!(
+        "services: [{{name: ladder, targets: [{{name: l, zone: a, vm: v, address: \"{}\"}}]}}]\n",
+        target.address()
+    );
+    let rig = rig_with(&engine, "", &service).await;
+    rig.traffic.stopping.giving_up.cancel();
+    let calls = [
+        rig.complete(1, false).await,
+        rig.complete(1, true).await,
+        rig.post("/services/ladder/scores", &[], "{}").await,
+    ];
+    for answer in calls {
+        let headers = (answer.header("x-outcome"), answer.header("x-reason"));
+        assert_eq!(
+            (answer.status, headers),
+            (503, ("not-run", "node_stopping")),
+            "{answer:?}"
+        );
+    }
+    assert_eq!(engine.generated(), 0);
+    assert!(target.asked("/scores").is_empty());
+}
+
+/// Guards against a forwarded answer that a stopping node cuts without an outcome.
+#[parameterized(plain = { false }, streamed = { true })]
+#[test_macro(tokio::test)]
+async fn forwarded_request_that_is_given_up_has_an_outcome(is_streamed: bool) {
+    let engine = Engine::good(20).await;
+    let other = rig_with(&engine, "", "").await;
+    let rig = rig_with(&engine, "", "").await;
+    rig.publish(|snapshot| {
+        snapshot.is_registered = false;
+        snapshot.peers = vec![other.as_peer("a")];
+    });
+    let give_up = async {
+        wait_until(|| async { other.traffic.in_flight.count("e0") == 1 }).await;
+        rig.traffic.stopping.giving_up.cancel();
+    };
+    let (answer, ()) = tokio::join!(rig.complete(100_000, is_streamed), give_up);
+    let text = String::from_utf8_lossy(&answer.body);
+    assert!(text.contains("\"outcome\":\"unknown\""), "{answer:?}");
+    assert!(text.contains("\"reason\":\"node_stopped\""), "{answer:?}");
+    // The peer cancels what nobody waits for.
+    wait_until(|| async { other.traffic.in_flight.count("e0") == 0 }).await;
+}
--- a/crates/tealsaddle-testkit/src/deployment.rs
+++ b/crates/tealsaddle-testkit/src/deployment.rs
@@ -39,6 +39,8 @@
     services: Vec<(String, String)>,
     /// Rules of routing and role planning; by default no role is changed.
     pub policy: schema::Policy,
+    /// Bounds of the nodes on callers as fields of a YAML map.
+    pub limits: String,
 }
 
 /// An engine that is fast enough for tests: 2 ms between tokens, 300 ms for a change of role.
@@ -69,6 +71,7 @@
                 planner: "fixed".to_owned(),
                 ..schema::Policy::default()
             },
+            limits: String::new(),
         }
     }
 
@@ -135,6 +138,7 @@
             platform_links: BTreeMap::new(),
             configs: BTreeMap::new(),
             nodes: BTreeMap::new(),
+            limits: self.limits,
         };
         for (vm, zone) in &self.nodes {
             deployment.add_node(vm, zone).await?;
@@ -163,6 +167,7 @@
     platform_links: BTreeMap<String, Proxy>,
     configs: BTreeMap<String, NodeConfig>,
     nodes: BTreeMap<String, NodeProcess>,
+    limits: String,
 }
 
 impl Deployment {
@@ -171,6 +176,7 @@
         self.add_zone(zone);
         let link = Proxy::bind(self.platform.address()).await?;
         let mut config = NodeConfig::new(vm, zone, link.address());
+        config.limits.clone_from(&self.limits);
         config.seed_peers = self.configs.values().map(|node| node.peer).collect();
         self.platform.set_vm(vm, zone, config.peer, VmState::Live);
         self.platform_links.insert(vm.to_owned(), link);
--- a/crates/tealsaddle-testkit/src/process.rs
+++ b/crates/tealsaddle-testkit/src/process.rs
@@ -45,6 +45,8 @@
     pub platform: SocketAddr,
     /// Peers to ask first.
     pub seed_peers: Vec<SocketAddr>,
+    /// Bounds on callers as fields of a YAML map; the defaults hold for those left out.
+    pub limits: String,
 }
 
 /// Token that operators present to nodes under test.
@@ -61,6 +63,7 @@
             admin: free_address(),
             platform,
             seed_peers: Vec::new(),
+            limits: String::new(),
         }
     }
 
@@ -74,7 +77,8 @@
         format!(
             "node:\n  vm: {}\n  zone: {}\n  caller_listen: \"{}\"\n  peer_listen: \"{}\"\n  \
              admin_listen: \"{}\"\n  traffic_threads: 2\nplatform:\n  address: \"{}\"\n\
-             seed_peers: [{}]\nadmin:\n  token: {ADMIN_TOKEN}\n",
+             seed_peers: [{}]\nadmin:\n  token: {ADMIN_TOKEN}\n\
+             limits: {{{}}}\n",
             self.vm,
             self.zone,
             self.caller,
@@ -82,6 +86,7 @@
             self.admin,
             self.platform,
             peers.join(", "),
+            self.limits,
         )
     }
 }
