Answer operators whose requests are in flight at the end of a stop

Operators saw: the answer to a change of the configuration was lost, because the node to which they had sent it ended in the middle; the change may or may not have been written.

Cause: the administration API accepted requests until the process ended, and the stop did not wait for them. With a slow platform a change takes up to 20 s.

Change: the server for operators returns a handle. After the node has resigned it takes no more connections, ends the streams of watchers and waits for the other answers, 25 s at most.

--- a/crates/tealsaddle-node/src/admin/mod.rs
+++ b/crates/tealsaddle-node/src/admin/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! It has its own address, so that no path for callers ever reaches it. What it says about control
 //! state comes from the control thread by calls with deadlines; counters and decisions are read
-//! where the traffic threads keep them.
+//! where the traffic threads keep them. A stop ends the streams of watchers and waits for the answers to
+//! all other requests.
 
 pub mod auth;
 mod request;
@@ -19,8 +20,11 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::Error;
 use crate::caller::response::{Body, json};
@@ -43,56 +47,97 @@
     /// The control thread.
     pub control: ControlHandle,
     watchers: Arc<Semaphore>,
+    closing: CancellationToken,
 }
 
-/// Binds the address for operators and serves them until the runtime stops.
+/// A running server for operators; it goes on until the runtime ends or it is shut down.
+#[derive(Debug)]
+pub struct AdminServer {
+    accepting: JoinHandle<()>,
+    closing: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl AdminServer {
+    /// Takes no more requests and waits until those in flight are answered.
+    pub async fn shutdown(self) {
+        self.closing.cancel();
+        // It fails only if the task has panicked, and then it accepts nothing either.
+        drop(self.accepting.await);
+        self.connections.close();
+        self.connections.wait().await;
+    }
+}
+
+/// Binds the address for operators and serves them.
 pub async fn bind(
     address: SocketAddr,
     traffic: Arc<Traffic>,
     control: ControlHandle,
-) -> Result<(), Error> {
+) -> Result<AdminServer, Error> {
     let listener = TcpListener::bind(address)
         .await
         .map_err(|source| Error::Listen { address, source })?;
+    let closing = CancellationToken::new();
     let admin = Arc::new(Admin {
         traffic,
         control,
         watchers: Arc::new(Semaphore::new(MAX_WATCHERS)),
+        closing: closing.clone(),
     });
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    tokio::spawn(async move {
-        loop {
-            let permit = Arc::clone(&connections)
-                .acquire_owned()
-                .await
-                .expect("the semaphore is never closed");
-            let Ok((stream, _)) = listener.accept().await else {
-                // Out of file descriptors, for example; a pause keeps the loop from spinning.
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            };
-            let admin = Arc::clone(&admin);
-            tokio::spawn(async move {
-                let _permit = permit;
-                let service = service_fn(move |request| {
-                    let admin = Arc::clone(&admin);
-                    async move { Ok::<_, Infallible>(answer(&admin, request).await) }
-                });
-                let mut connection = Builder::new(TokioExecutor::new());
-                connection
-                    .http1()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(HEADER_TIMEOUT);
-                // A broken connection ends its own requests and nothing else.
-                drop(
-                    connection
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await,
-                );
-            });
-        }
+    let connections = TaskTracker::new();
+    let accepting = accept(listener, admin, connections.clone());
+    let stopped = closing.clone();
+    let accepting = tokio::spawn(async move {
+        stopped.run_until_cancelled(accepting).await;
     });
-    Ok(())
+    Ok(AdminServer {
+        accepting,
+        closing,
+        connections,
+    })
+}
+
+async fn accept(listener: TcpListener, admin: Arc<Admin>, connections: TaskTracker) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let place = Arc::clone(&places)
+            .acquire_owned()
+            .await
+            .expect("the semaphore is never closed");
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors, for example; a pause keeps the loop from spinning.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let admin = Arc::clone(&admin);
+        connections.spawn(async move {
+            serve(stream, admin).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, admin: Arc<Admin>) {
+    let closing = admin.closing.clone();
+    let service = service_fn(move |request| {
+        let admin = Arc::clone(&admin);
+        async move { Ok::<_, Infallible>(answer(&admin, request).await) }
+    });
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT);
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // A request that has arrived is taken before the connection is told to close.
+        biased;
+        // A broken connection ends its own requests and nothing else.
+        _ended = connection.as_mut() => return,
+        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    drop(connection.await);
 }
 
 /// An answer that tells the operator what is wrong and what helps.
--- a/crates/tealsaddle-node/src/admin/watch.rs
+++ b/crates/tealsaddle-node/src/admin/watch.rs
@@ -47,7 +47,8 @@
     let state = (admin.traffic.watch(), Arc::clone(admin), kinds, permit);
     let frames = stream::unfold(state, |(mut decisions, admin, kinds, permit)| async move {
         let bytes = loop {
-            match tokio::time::timeout(KEEP_ALIVE, decisions.recv()).await {
+            let next = tokio::time::timeout(KEEP_ALIVE, decisions.recv());
+            match admin.closing.run_until_cancelled(next).await? {
                 Err(_quiet) => break Bytes::from_static(b": keep-alive\n\n"),
                 Ok(Ok(decision)) if is_wanted(kinds.as_deref(), &decision) => {
                     let data = serde_json::to_string(&decision).unwrap_or_default();
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::admin::AdminServer;
 use crate::caller::server::CallerServer;
 use crate::control::api::ControlHandle;
 use crate::engine::http::HttpEngines;
@@ -23,6 +24,9 @@
 /// Time to hand over and resign; the control thread gives up earlier by itself.
 const RESIGN_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time for the answers to operators, of which a change of the configuration takes 20 s at most.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(25);
+
 /// Runs a node until it is told to stop.
 pub fn run(settings: Settings) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -53,7 +57,7 @@
     };
     let control = control::spawn(Arc::clone(&traffic), services)?;
     let callers = caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
-    admin::bind(admin_listen, Arc::clone(&traffic), control.clone()).await?;
+    let operators = admin::bind(admin_listen, Arc::clone(&traffic), control.clone()).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(Error::Thread)?;
@@ -65,7 +69,7 @@
         }
         () = control.left() => {}
     }
-    stop(&control, callers, &traffic).await;
+    stop(&control, callers, operators, &traffic).await;
     Ok(())
 }
 
@@ -84,7 +88,12 @@
 }
 
 /// Completes what is in flight, then leaves the router list.
-async fn stop(control: &ControlHandle, callers: CallerServer, traffic: &Traffic) {
+async fn stop(
+    control: &ControlHandle,
+    callers: CallerServer,
+    operators: AdminServer,
+    traffic: &Traffic,
+) {
     // Probes of the load balancer must see the 503 before connections are refused.
     tokio::time::sleep(PROBE_GRACE).await;
     match traffic.settings.limits.drain_timeout {
@@ -94,5 +103,11 @@
     if control.resign(RESIGN_TIMEOUT).await.is_err() {
         log::warn!("the node is still in the router list");
     }
+    if tokio::time::timeout(ADMIN_TIMEOUT, operators.shutdown())
+        .await
+        .is_err()
+    {
+        log::warn!("an operator's request was cut off");
+    }
     log::info!("node stopped");
 }
--- a/crates/tealsaddle-node/tests/it/faults/stopping.rs
+++ b/crates/tealsaddle-node/tests/it/faults/stopping.rs
@@ -111,3 +111,23 @@
     let status = deployment.ended("vm-1").await;
     assert!(status.success(), "{status}");
 }
+
+/// Guards against a change of the configuration that a stopping node accepts and whose outcome it drops.
+#[tokio::test]
+async fn operators_change_in_flight_at_the_end_of_a_stop_has_an_outcome() {
+    let mut deployment = start("stopping-operator", "").await;
+    let version = deployment.status("vm-1").await["config_version"].clone();
+    let path = format!("/admin/config?if_version={version}");
+    let yaml = deployment.config_file();
+    deployment.signal("vm-1", Signal::SIGTERM);
+    let caller = deployment.config("vm-1").caller;
+    wait_until(|| async { tokio::net::TcpStream::connect(caller).await.is_err() }).await;
+    deployment
+        .platform
+        .update(|faults| faults.delay_before_ms = 900);
+    let answer = deployment.admin("vm-1", Method::PUT, &path, yaml).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let status = deployment.ended("vm-1").await;
+    assert!(status.success(), "{status}");
+}
