Take waiting connections from the system, in both fronts by the same function

The gateway waited for the runtime to tell of connections in the kernel's queue, until none came for 5 ms; the product's own front asks the system. The second way needs no time, and both now use it.

--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use crate::answer::{Body, full};
 use crate::gateway::Gateway;
@@ -27,8 +27,6 @@
 const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, which means that descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time without another connection after which the kernel's queue is taken to be empty when the node closes.
-const QUEUE_PAUSE: Duration = Duration::from_millis(5);
 /// Smallest read buffer that the HTTP library takes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -134,16 +132,23 @@
             }
         }
     }
-    // Connections that wait to be accepted would be reset with the listener. A process that was paused does
-    // not know of them yet.
-    for _ in 0..BACKLOG {
-        let Ok(Ok((stream, _address))) = timeout(QUEUE_PAUSE, listener.accept()).await else {
-            break;
-        };
+    // Closing the listener would reset the connections that wait to be accepted.
+    for stream in waiting(listener) {
         spawn(stream);
     }
 }
 
+/// Connections that wait to be accepted. The system is asked, since the runtime may not know of the
+/// latest yet.
+pub fn waiting(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, _address) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
     set_options(&stream);
     let limits = caller_limits(&gateway);
--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use socket2::SockRef;
+use tealsaddle_gateway::front::waiting;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
@@ -115,17 +116,6 @@
     }
 }
 
-/// Connections that wait to be accepted. The system is asked, since the runtime may not know of the
-/// latest yet.
-fn waiting(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
-    let listener = listener.into_std().ok();
-    std::iter::from_fn(move || {
-        let (stream, _address) = listener.as_ref()?.accept().ok()?;
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    })
-}
-
 fn set_options(stream: &TcpStream, traffic: &Traffic) -> std::io::Result<()> {
     // Nagle's algorithm would hold back single tokens of a stream.
     stream.set_nodelay(true)?;
--- a/crates/tealsaddle-testkit/src/process.rs
+++ b/crates/tealsaddle-testkit/src/process.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -112,6 +113,8 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
+            // A group that loses its shell while one of its processes is frozen gets a SIGHUP.
+            .process_group(0)
             .spawn()?;
         Ok(Self {
             config,
