--- a/crates/tealsaddle-node/tests/it/stop.rs
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -260,3 +260,15 @@
     // The peer cancels what nobody waits for.
     wait_until(|| async { other.traffic.in_flight.count("e0") == 0 }).await;
 }
+
+/// Guards against a forwarded request that waits for a peer to which the network has no way any more.
+#[tokio::test]
+async fn peer_that_cannot_be_reached_is_silent() {
+    let engine = Engine::good(0).await;
+    let rig = rig_with(&engine, "", "").await;
+    // The system refuses a connection to this address at once, and no process answers there.
+    let unreachable = "255.255.255.255:9".parse().expect("an address");
+    let silence = tealsaddle_node::caller::liveness::silence(&rig.traffic, unreachable);
+    let found = tokio::time::timeout(Duration::from_secs(8), silence).await;
+    assert!(found.is_ok(), "a peer that cannot be reached counts as alive");
+}
