--- a/crates/tealsaddle-node/tests/it/stop.rs
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -272,3 +272,38 @@
     let found = tokio::time::timeout(Duration::from_secs(8), silence).await;
     assert!(found.is_ok(), "a peer that cannot be reached counts as alive");
 }
+
+/// Guards against a request that has arrived on a kept connection before the node closes it, and that is
+/// dropped unread.
+#[tokio::test]
+async fn request_on_a_kept_connection_is_refused_by_a_stopping_node() {
+    let engine = Engine::good(0).await;
+    let mut rig = rig_with(&engine, "", "").await;
+    let server = rig.server.take().expect("a server");
+    let request = request(&body(1, false));
+    let mut callers = Vec::new();
+    for _ in 0..LATE_CALLERS {
+        let mut caller = TcpStream::connect(rig.address).await.expect("a connection");
+        let first = b"GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n";
+        caller.write_all(first).await.expect("the node reads");
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"}") {
+            caller.read_buf(&mut answer).await.expect("an answer");
+        }
+        callers.push(caller);
+    }
+    rig.publish(|snapshot| snapshot.is_leaving = true);
+    for caller in &callers {
+        // Without giving the node a chance to run, as after a pause of its process.
+        let written = caller.try_write(request.as_bytes());
+        assert_eq!(written.expect("the connection is open"), request.len());
+    }
+    let shutdown = tokio::spawn(server.shutdown());
+    let mut unanswered = 0;
+    for caller in &mut callers {
+        let answer = read_to_end(caller).await;
+        unanswered += usize::from(!answer.starts_with("HTTP/1.1 503"));
+    }
+    shutdown.await.expect("no panic");
+    assert_eq!(unanswered, 0, "of {LATE_CALLERS}");
+}
