--- a/crates/tealsaddle-node/tests/it/stop.rs
+++ b/crates/tealsaddle-node/tests/it/stop.rs
@@ -270,7 +270,10 @@
     let unreachable = "255.255.255.255:9".parse().expect("an address");
     let silence = tealsaddle_node::caller::liveness::silence(&rig.traffic, unreachable);
     let found = tokio::time::timeout(Duration::from_secs(8), silence).await;
-    assert!(found.is_ok(), "a peer that cannot be reached counts as alive");
+    assert!(
+        found.is_ok(),
+        "a peer that cannot be reached counts as alive"
+    );
 }
 
 /// Guards against a request that has arrived on a kept connection before the node closes it, and that is
