Refuse requests that have arrived on kept connections when a node stops

Callers saw: a request on a kept connection was dropped unread when it had arrived just before the product's own front closed its idle connections.

Change: it looks once more, for callers and for operators.

--- a/crates/tealsaddle-node/src/admin/mod.rs
+++ b/crates/tealsaddle-node/src/admin/mod.rs
@@ -130,12 +130,17 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT);
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let closing = async {
+        closing.cancelled().await;
+        // The runtime may not have looked yet whether a request has arrived.
+        tokio::task::yield_now().await;
+    };
     tokio::select! {
         // A request that has arrived is taken before the connection is told to close.
         biased;
         // A broken connection ends its own requests and nothing else.
         _ended = connection.as_mut() => return,
-        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = closing => connection.as_mut().graceful_shutdown(),
     }
     drop(connection.await);
 }
--- a/crates/tealsaddle-node/src/caller/server.rs
+++ b/crates/tealsaddle-node/src/caller/server.rs
@@ -158,6 +158,8 @@
     let closing = async {
         stopping.closing.cancelled().await;
         requested.cancelled().await;
+        // The runtime may not have looked yet whether another request has arrived.
+        tokio::task::yield_now().await;
     };
     let mut closing = std::pin::pin!(closing);
     let mut is_closing = false;
