Look once more for answers before a stopping node gives its own

Callers saw: 504 'node_stopped' for a call whose answer had arrived at the node in time, when the process was paused over the end of its stop.

Cause: the answers of the node's own were given before the runtime had read what had come meanwhile.

--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -168,6 +168,10 @@
     front.close().await;
     log_stop(gateway, front, "closing connections");
     until_closed(front, stop.answers_end).await;
+    if front.open_connections() > 0 {
+        // Answers may have arrived while the process was held up.
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+    }
     gateway.answers_ended.cancel();
     // However late it is, the answers need a turn of the runtime.
     let exits = stop.exits.max(Instant::now() + DRAIN_INTERVAL);
