Log what tells truncated answers apart

Cause: a caller's connection that was closed within an answer left one line, "request ended" with outcome `timeout` or `connection_lost`, and so did a request that was answered with 504. The line named neither the silence of the runner, nor whether the limit was the route's or the caller's, nor the configuration in force. The hypotheses of the incident (a silent runner, a limit of a configuration, a lost request, a stop) could not be told apart.

Change: a line "answer truncated" and a counter by reason where the gateway aborts an answer: runner, silence, source of the deadline, time left, version of the request's configuration and of the newest one. The call keeps which limit set its deadline.

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::answer::GatewayAnswer;
-use crate::call::{Call, CallState};
+use crate::call::{Call, CallState, DeadlineSource};
 use crate::external::RequestMetadata;
 use crate::gateway::Gateway;
 use crate::outgoing::OutgoingRequest;
@@ -48,7 +48,7 @@
         .clone()
         .ok_or(GatewayAnswer::NoRequestId)?;
     let body = read_body(body, config.limits).await?;
-    let left = time_left(gateway, &route, &metadata, started)?;
+    let (left, deadline_source) = time_left(gateway, &route, &metadata, started)?;
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
     let request = OutgoingRequest::new(head, body, &*gateway.dialect);
@@ -63,6 +63,7 @@
         metadata,
         started,
         deadline: started + left,
+        deadline_source,
         first_event_deadline: started + first_event_left,
         request,
         progress: Progress::default(),
@@ -102,21 +103,23 @@
     }
 }
 
-/// Time from `started` to the deadline: the shorter of the route's limit and the caller's. Refuses the
-/// request if the node is stopping and does not accept one with this deadline.
+/// Time from `started` to the deadline, and which limit sets it: the shorter of the route's and the
+/// caller's. Refuses the request if the node is stopping and does not accept one with this deadline.
 fn time_left(
     gateway: &Gateway,
     route: &Route,
     metadata: &RequestMetadata,
     started: Instant,
-) -> Result<Duration, GatewayAnswer> {
-    let mut left = Duration::from_millis(route.timeout_ms);
-    if let Some(deadline_ms) = metadata.deadline_ms {
-        left = left.min(Duration::from_millis(deadline_ms));
-    }
+) -> Result<(Duration, DeadlineSource), GatewayAnswer> {
+    let of_route = Duration::from_millis(route.timeout_ms);
+    let of_caller = metadata.deadline_ms.map(Duration::from_millis);
+    let (left, source) = match of_caller {
+        Some(of_caller) if of_caller < of_route => (of_caller, DeadlineSource::Caller),
+        Some(_) | None => (of_route, DeadlineSource::Route),
+    };
     let is_accepted = |stop: Stop| stop.accepts(Instant::now(), started + left);
     if gateway.current_stop().is_none_or(is_accepted) {
-        Ok(left)
+        Ok((left, source))
     } else {
         Err(GatewayAnswer::Stopping)
     }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -50,6 +50,8 @@
     pub started: Instant,
     /// Deadline of the whole answer, set by the route or the caller.
     pub deadline: Instant,
+    /// Which of the two set the deadline.
+    pub deadline_source: DeadlineSource,
     /// Deadline of the first event of a stream, after which the caller gives up.
     pub first_event_deadline: Instant,
     /// Request as it is sent to runners.
@@ -62,6 +64,25 @@
     pub in_flight: InFlightGuard,
 }
 
+/// What sets the deadline of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeadlineSource {
+    /// The timeout of the route, in the configuration by which the request was routed.
+    Route,
+    /// The caller's own deadline, which is earlier.
+    Caller,
+}
+
+impl DeadlineSource {
+    /// Name in log records.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Caller => "caller",
+        }
+    }
+}
+
 /// State of a call that changes while it runs.
 #[derive(Debug, Default)]
 pub struct CallState {
@@ -222,6 +243,21 @@
         jittered(wait.max(MIN_RETRY_AFTER).min(longest))
     }
 
+    /// Logs and counts that the caller's connection is closed before the end of an answer whose start was
+    /// passed on.
+    pub fn log_truncated(&self, reason: UnknownReason, runner: &str) {
+        let reason = reason.as_str();
+        let metrics = &self.gateway.metrics;
+        metrics.increment(&format!("answer.truncated.{reason}"));
+        let current = self.gateway.snapshot.load();
+        let current_config_version = current.config.as_ref().map(|config| config.version);
+        log::info!(id:% = self.request_id, runner:%, reason, deadline_source = self.deadline_source.as_str(),
+            config_version = self.config.version, current_config_version,
+            silent_ms = self.progress.since_last(self.started.elapsed()).as_millis() as u64,
+            left_ms = self.remaining().as_millis() as u64;
+            "answer truncated");
+    }
+
     /// Logs the end of the request and counts its outcome and latency. `runner` is the id of the runner
     /// whose attempt decided the outcome, or `-`.
     pub fn log_end(&self, outcome: &str, runner: &str, failed_attempts: u32) {
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -227,6 +227,7 @@
             Err(reason) => {
                 let outcome = AttemptOutcome::Unknown(reason);
                 self.attempt.on_outcome(outcome, false);
+                self.call.log_truncated(reason, self.attempt.runner());
                 (reason.as_str(), Some((Err(Aborted), None)))
             }
         };
--- a/crates/tealsaddle-gateway/src/progress.rs
+++ b/crates/tealsaddle-gateway/src/progress.rs
@@ -27,6 +27,11 @@
         None
     }
 
+    /// Time from the latest event to `since_start`; the whole time before the first event.
+    pub fn since_last(&self, since_start: Duration) -> Duration {
+        since_start.saturating_sub(Duration::from_micros(self.last_us.load(Ordering::Relaxed)))
+    }
+
     /// Whether any event was passed on.
     pub fn has_begun(&self) -> bool {
         self.first_us.load(Ordering::Relaxed) > 0
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -116,6 +116,7 @@
             return Ok(());
         }
         let runner = self.stream.attempt.runner();
+        self.call.log_truncated(reason, runner);
         self.call
             .log_end(reason.as_str(), runner, self.attempts.failed());
         Err(Aborted)
