Move prefill into a module of its own

Change: prefill.rs takes prefill with its timeouts and the guard of the KV cache. Code is moved; two accessors of the guard are new.

--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod outgoing;
 pub mod peers;
 pub mod plain;
+pub mod prefill;
 pub mod progress;
 pub mod relay;
 pub mod request;
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -0,0 +1,237 @@
+//! Prefill of a model request: a prefill runner reads the prompt and keeps its KV cache for the decode runner.
+//!
+//! Prefill may be repeated at other runners within the retry budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::load::Work;
+use tealsaddle_core::fleet::placement::Placement;
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+
+use crate::answer::classify_answer;
+use crate::call::Call;
+use crate::external::{KvSource, SendMetadata};
+use crate::gateway::Gateway;
+use crate::scheduler::RunnerAttempt;
+use crate::stages::{micros, record_failure};
+use crate::upstream::{Answer, AnswerBody, Reuse};
+
+/// Prefill times out after this many times its expected duration, but not before the minimum, and not while
+/// the runner answers other requests: repeating a prefill costs a second one and worsens an overload.
+const PREFILL_TIMEOUT_FACTOR: f64 = 4.0;
+/// Minimum timeout of prefill.
+const MIN_PREFILL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A prefill runner counts as responsive if it has answered any request of this node within this time.
+const RESPONSIVE_WINDOW: Duration = Duration::from_millis(1_500);
+/// After a failure to connect, a further prefill attempt is not deducted from the retry budget while fewer
+/// than this many attempts have failed.
+const MAX_UNSENT_PREFILLS: usize = 3;
+/// Largest answer of a prefill runner.
+const MAX_HANDLE_BYTES: usize = 4 << 10;
+/// Timeout of a call that frees the KV cache of a handle.
+const FREE_TIMEOUT: Duration = Duration::from_secs(2);
+/// KV cache of a prompt at its prefill runner. Dropping the guard frees the cache there, unless a decode
+/// runner has fetched it.
+#[derive(Debug)]
+pub struct KvHandleGuard {
+    gateway: Arc<Gateway>,
+    source: KvSource,
+    is_transferred: bool,
+}
+
+impl KvHandleGuard {
+    /// Where the decode runner fetches the KV cache from.
+    pub const fn source(&self) -> &KvSource {
+        &self.source
+    }
+
+    /// Records that a decode runner has fetched the KV cache.
+    pub const fn on_transferred(&mut self) {
+        self.is_transferred = true;
+    }
+}
+
+impl Drop for KvHandleGuard {
+    fn drop(&mut self) {
+        if self.is_transferred {
+            return;
+        }
+        let call = self.gateway.dialect.free_handle(&self.source.handle);
+        let upstreams = Arc::clone(&self.gateway.upstreams);
+        let address = self.source.runner.address;
+        tokio::spawn(async move {
+            let free = upstreams.call(address, call, Reuse::Any);
+            // If the call fails, the handle expires at the runner.
+            drop(tokio::time::timeout(FREE_TIMEOUT, free).await);
+        });
+    }
+}
+
+impl Call {
+    /// Chooses the runner that reads the prompt; `None` if the decode runner has to.
+    pub fn choose_prefill(&self, engine: &EngineLimits, excluded: &[Name]) -> Option<Placement> {
+        let snapshot = self.gateway.snapshot.load();
+        let runners = snapshot.runners_of(&self.service);
+        let scheduler = &self.gateway.scheduler;
+        scheduler.choose_prefill_runner(runners, &self.placement_request(), engine, excluded)
+    }
+
+    /// Runs prefill, at several runners if necessary; returns `None` if the decode runner has to read the
+    /// prompt itself.
+    pub async fn prefill(&self, engine: &EngineLimits, first: Placement) -> Option<KvHandleGuard> {
+        let mut excluded: Vec<Name> = Vec::new();
+        let mut placement = first;
+        loop {
+            let outcome = match self.prefill_at(engine, &placement).await {
+                Ok(kv_guard) => return Some(kv_guard),
+                Err(outcome) => outcome,
+            };
+            log::info!(id:% = self.request_id, runner:% = placement.runner.id, outcome:?;
+                "prompt was not read");
+            excluded.push(Name::clone(&placement.runner.id));
+            let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
+            let has_tries = excluded.len() < MAX_UNSENT_PREFILLS;
+            let is_budget_exempt = is_unsent && has_tries;
+            if !is_budget_exempt && !self.gateway.scheduler.try_consume_retry(&self.service) {
+                self.gateway.metrics.increment("read.budget_used_up");
+                return None;
+            }
+            self.gateway.metrics.increment("read.again");
+            placement = self.choose_prefill(engine, &excluded)?;
+        }
+    }
+
+    async fn prefill_at(
+        &self,
+        engine: &EngineLimits,
+        placement: &Placement,
+    ) -> Result<KvHandleGuard, AttemptOutcome> {
+        let work = Work {
+            read_tokens: placement.read_tokens,
+            kv_tokens: 0,
+        };
+        let mut attempt = self
+            .gateway
+            .scheduler
+            .begin_attempt(&placement.runner, work);
+        let metadata = self.prefill_metadata(placement);
+        let timeout = micros(placement.until_first_event_us() * PREFILL_TIMEOUT_FACTOR)
+            .max(MIN_PREFILL_TIMEOUT);
+        let exchange = self.exchange_until(&placement.runner, &metadata, self.event_deadline());
+        let result = match wait_while_responsive(exchange, timeout, &attempt).await {
+            Ok(answer) => {
+                self.parse_prefill_answer(answer, &attempt, &placement.runner)
+                    .await
+            }
+            Err(outcome) => Err(outcome),
+        };
+        match &result {
+            Ok(_kv_guard) => self.record_prefill(engine, placement, &mut attempt),
+            Err(outcome) => record_failure(&attempt, *outcome),
+        }
+        result
+    }
+
+    /// Metadata of a request to the prefill runner.
+    fn prefill_metadata<'a>(&self, placement: &'a Placement) -> SendMetadata<'a> {
+        SendMetadata {
+            urgency: Some(self.route.priority),
+            is_prefill_only: true,
+            fetches_from: placement.fetches_from.as_ref().map(|source| source.address),
+            remaining: self.first_event_remaining(),
+            ..self.send_metadata(&placement.runner.id)
+        }
+    }
+
+    fn record_prefill(
+        &self,
+        engine: &EngineLimits,
+        placement: &Placement,
+        attempt: &mut RunnerAttempt,
+    ) {
+        log::info!(id:% = self.request_id, runner:% = placement.runner.id,
+            expected_ms = (placement.wait_us + placement.read_us) as u64 / 1_000,
+            took_ms = attempt.elapsed_us() / 1_000, read_tokens = placement.read_tokens,
+            fetched_from:% = placement.fetches_from.as_ref().map_or("-", |r| &r.id);
+            "prompt read");
+        attempt.on_prefill_time(placement.nominal_us);
+        attempt.on_prefill_end(&self.metadata.parts, engine.kv_tokens);
+        attempt.on_outcome(AttemptOutcome::Answered, false);
+    }
+
+    async fn parse_prefill_answer(
+        &self,
+        answer: Answer,
+        attempt: &RunnerAttempt,
+        runner: &Runner,
+    ) -> Result<KvHandleGuard, AttemptOutcome> {
+        let Answer { head, mut body } = answer;
+        let dialect = &self.gateway.dialect;
+        let metadata = dialect.answer_metadata(&head.headers);
+        if let Some(load) = metadata.load {
+            attempt.on_load(load);
+        }
+        let invalid = AttemptOutcome::Unknown(UnknownReason::InvalidAnswer);
+        let answered_id = metadata.request_id.as_ref();
+        let is_foreign = answered_id.is_some_and(|id| *id != self.request_id);
+        if !head.status.is_success() || is_foreign {
+            body.forbid_reuse();
+            let outcome = classify_answer(head.status, &metadata, &self.request_id);
+            return Err(if outcome == AttemptOutcome::Answered {
+                invalid
+            } else {
+                outcome
+            });
+        }
+        let bytes = self.read_handle_body(body).await;
+        let bytes = bytes.map_err(AttemptOutcome::Unknown)?;
+        let handle = dialect.kv_handle(&bytes).map_err(|error| {
+            log::warn!(id:% = self.request_id, runner:% = runner.id, error:%; "prefill answer has no valid KV handle");
+            invalid
+        })?;
+        Ok(KvHandleGuard {
+            gateway: Arc::clone(&self.gateway),
+            source: KvSource {
+                runner: runner.clone(),
+                handle,
+            },
+            is_transferred: false,
+        })
+    }
+
+    async fn read_handle_body(&self, mut body: AnswerBody) -> Result<BytesMut, UnknownReason> {
+        let mut bytes = BytesMut::new();
+        while let Some(data) = body.next_until(self.event_deadline()).await? {
+            bytes.extend_from_slice(&data);
+            if bytes.len() > MAX_HANDLE_BYTES {
+                return Err(UnknownReason::InvalidAnswer);
+            }
+        }
+        Ok(bytes)
+    }
+}
+
+/// Waits for the answer of a prefill runner. After `timeout` the wait continues only while the runner
+/// answers other requests of this node.
+async fn wait_while_responsive<F>(
+    exchange: F,
+    timeout: Duration,
+    attempt: &RunnerAttempt,
+) -> Result<Answer, AttemptOutcome>
+where
+    F: Future<Output = Result<Answer, AttemptOutcome>>,
+{
+    tokio::pin!(exchange);
+    loop {
+        match tokio::time::timeout(timeout, exchange.as_mut()).await {
+            Ok(result) => return result,
+            Err(_elapsed) if attempt.has_answered_within(RESPONSIVE_WINDOW) => {}
+            Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
+        }
+    }
+}
