Keep a silent runner's stream until another runner has begun to go on

Seen by callers: a stream was cut in the middle, or answered with 504, although its runner was only silent for a second or so and went on.

Cause: silence was treated as a failure of the attempt. After 1.4 s without data the gateway closed the runner's connection and asked only then whether another attempt is allowed and finds a runner. Attempts of the route, retry budget, runners in place and a stop decide that, and each can say no; with the connection the only source of the rest was gone.

Change: a silent runner keeps the request. Another one is asked beside it, if the request may run twice and the limits allow it. Whichever is heard first serves the caller, the other one is closed. The state "may be running" of a call becomes a count, since two runners may have it: a prefill beside a silent decode runner must not turn the answer of a stop into "not run". A timeout before the head now counts once for the runner, not twice.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -141,26 +141,57 @@
         budget: &mut RetryBudget,
         now_us: u64,
     ) -> Result<(), GiveUp> {
+        self.count(outcome);
+        if self.unknown.is_some() && !self.is_repeatable {
+            return Err(GiveUp::NotRepeatable);
+        }
+        self.check_limits(0)?;
+        // A request that has reached no target adds no load when it is sent to another one.
+        let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
+        if is_unsent || budget.try_consume(now_us) {
+            Ok(())
+        } else {
+            Err(GiveUp::Budget)
+        }
+    }
+
+    /// Counts a failed attempt.
+    pub const fn count(&mut self, outcome: AttemptOutcome) {
         self.failed += 1;
         if let AttemptOutcome::Unknown(reason) = outcome {
             self.unknown = Some(reason);
             self.maybe_executed += 1;
         }
-        if self.unknown.is_some() && !self.is_repeatable {
+    }
+
+    /// Decides whether another attempt may start beside `running` ones, which may all be executed. An attempt
+    /// that is allowed is taken out of `budget`.
+    pub fn on_silence(
+        &self,
+        running: u32,
+        budget: &mut RetryBudget,
+        now_us: u64,
+    ) -> Result<(), GiveUp> {
+        if !self.is_repeatable {
             return Err(GiveUp::NotRepeatable);
         }
-        if self.failed >= MAX_ATTEMPTS || self.maybe_executed >= self.max_executions {
-            return Err(GiveUp::Attempts);
-        }
-        // A request that has reached no target adds no load when it is sent to another one.
-        let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
-        if is_unsent || budget.try_consume(now_us) {
+        self.check_limits(running)?;
+        if budget.try_consume(now_us) {
             Ok(())
         } else {
             Err(GiveUp::Budget)
         }
     }
 
+    const fn check_limits(&self, running: u32) -> Result<(), GiveUp> {
+        let has_attempts = self.failed + running < MAX_ATTEMPTS;
+        if has_attempts && self.maybe_executed + running < self.max_executions {
+            Ok(())
+        } else {
+            Err(GiveUp::Attempts)
+        }
+    }
+
     /// Returns the outcome of the whole request if its last attempt ended with `last`.
     pub const fn outcome(&self, last: AttemptOutcome) -> AttemptOutcome {
         match (last, self.unknown) {
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -4,7 +4,7 @@
 //! request is logged once, by [`Call::log_end`] or when the call is dropped.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use tealsaddle_core::fleet::Runner;
@@ -86,8 +86,8 @@
 /// State of a call that changes while it runs.
 #[derive(Debug, Default)]
 pub struct CallState {
-    /// Whether the request is at a runner that may run it; false again when the attempt has failed.
-    may_be_running: AtomicBool,
+    /// Number of runners that may run the request. A runner whose attempt has failed does not count.
+    maybe_running: AtomicU32,
     has_ended: AtomicBool,
 }
 
@@ -111,7 +111,7 @@
 impl Call {
     /// The answer at the end of a stop, if no runner has answered by then.
     pub fn answer_at_stop(&self) -> Refusal {
-        let own = if self.state.may_be_running.load(Ordering::Relaxed) {
+        let own = if self.state.maybe_running.load(Ordering::Relaxed) > 0 {
             GatewayAnswer::Unknown(UnknownReason::NodeStopped)
         } else {
             GatewayAnswer::Stopping
@@ -162,6 +162,21 @@
         }
     }
 
+    /// Decides whether another attempt may start beside `running` ones, of which the last, at `runner`, is
+    /// silent.
+    pub fn may_run_beside(&self, attempts: &Attempts, running: u32, runner: &str) -> bool {
+        let scheduler = &self.gateway.scheduler;
+        let decision = scheduler.on_silence(&self.service, attempts, running);
+        let name = match decision {
+            Ok(()) => "silence.granted".to_owned(),
+            Err(give_up) => format!("silence.{}", give_up.as_str()),
+        };
+        self.gateway.metrics.increment(&name);
+        log::info!(id:% = self.request_id, runner:%, decision:% = name, running,
+            failed_attempts = attempts.failed(); "runner is silent");
+        decision.is_ok()
+    }
+
     /// Sends the request to a runner and waits until `limit` for the head of the answer.
     pub async fn exchange_until(
         &self,
@@ -177,15 +192,16 @@
         let request = self.request.to_runner(metadata, &*self.gateway.dialect);
         let upstreams = &self.gateway.upstreams;
         let sent = upstreams.send(runner.address, request, reuse);
-        let is_run = !metadata.is_prefill_only;
-        self.state.may_be_running.store(is_run, Ordering::Relaxed);
+        let running = u32::from(!metadata.is_prefill_only);
+        let maybe_running = &self.state.maybe_running;
+        maybe_running.fetch_add(running, Ordering::Relaxed);
         let result = match tokio::time::timeout_at(limit, sent).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(failure)) => failure.outcome,
             Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
         };
         // From here on, `Attempts` tracks whether the request may have run.
-        self.state.may_be_running.store(false, Ordering::Relaxed);
+        maybe_running.fetch_sub(running, Ordering::Relaxed);
         Err(result)
     }
 
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod request;
 pub mod rounds;
 pub mod scheduler;
+pub mod silence;
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! Events are passed on as they arrive. If the stream breaks, and the route allows it, another runner
 //! resumes it after the last complete event. Otherwise the caller's connection is aborted, so that a broken
-//! stream never looks complete.
+//! stream never looks complete. A runner that is only silent keeps the stream until another one has begun to
+//! resume it.
 
 use std::sync::Arc;
 
@@ -15,11 +16,11 @@
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::events::EventSplitter;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
-use tokio::time::Instant;
 
 use crate::answer::{Aborted, Body, strip_hop_headers};
 use crate::call::Call;
-use crate::stages::{OpenStream, STREAM_SILENCE_LIMIT};
+use crate::silence::{Resumption, STREAM_SILENCE_LIMIT, Waited};
+use crate::stages::OpenStream;
 
 /// Makes the response to the caller from an open stream.
 pub fn respond(
@@ -61,7 +62,14 @@
 impl Relay {
     async fn next(mut self) -> NextFrame {
         loop {
-            let broken = match self.read().await {
+            let heard = match self.read().await {
+                Waited::Heard(heard) => heard,
+                Waited::Replaced(stream) => {
+                    self.continue_with(*stream);
+                    continue;
+                }
+            };
+            let broken = match heard {
                 Ok(Some(data)) => match self.complete_events(data) {
                     Some(events) => return Some((Ok(Frame::data(events)), Some(self))),
                     None => continue,
@@ -75,16 +83,46 @@
         }
     }
 
-    async fn read(&mut self) -> Result<Option<Bytes>, UnknownReason> {
-        let mut limit = self.call.deadline;
-        if self.splitter.is_some() {
-            limit = limit.min(Instant::now() + STREAM_SILENCE_LIMIT);
+    /// The next bytes of the stream, or the same stream from another runner.
+    async fn read(&mut self) -> Waited<Result<Option<Bytes>, UnknownReason>> {
+        let Self {
+            call,
+            engine,
+            stream,
+            attempts,
+            splitter,
+        } = self;
+        let OpenStream { body, attempt, .. } = stream;
+        let read = body.next_until(call.deadline);
+        let Some(splitter) = splitter else {
+            return Waited::Heard(read.await);
+        };
+        let resumption = Resumption {
+            engine,
+            last_event_id: splitter.last_id(),
+            runner: attempt.runner(),
+        };
+        call.wait_or_replace(read, resumption, attempts).await
+    }
+
+    /// Goes on with the stream of another runner. Closing the connection stops the previous one.
+    fn continue_with(&mut self, stream: OpenStream) {
+        if let Some(splitter) = &mut self.splitter {
+            drop(splitter.take_incomplete());
         }
-        self.stream.body.next_until(limit).await
+        self.call.gateway.metrics.increment("stream.resumed");
+        self.stream = stream;
     }
 
     /// Bytes to pass on now; `None` if there is no complete event yet.
     fn complete_events(&mut self, data: Bytes) -> Option<Bytes> {
+        let since_last = self.call.progress.since_last(self.call.started.elapsed());
+        if since_last >= STREAM_SILENCE_LIMIT {
+            // Ends the avoidance of a runner that was silent.
+            self.stream
+                .attempt
+                .on_outcome(AttemptOutcome::Answered, false);
+        }
         self.call.on_events();
         let Some(splitter) = &mut self.splitter else {
             return Some(data);
@@ -111,8 +149,7 @@
         let outcome = AttemptOutcome::Unknown(reason);
         self.stream.attempt.on_outcome(outcome, false);
         if let Some(stream) = self.open_next(outcome).await {
-            self.call.gateway.metrics.increment("stream.resumed");
-            self.stream = stream;
+            self.continue_with(stream);
             return Ok(());
         }
         let runner = self.stream.attempt.runner();
@@ -125,7 +162,6 @@
     /// Opens the rest of the stream at another runner, if the route and the retry rules allow it.
     async fn open_next(&mut self, outcome: AttemptOutcome) -> Option<OpenStream> {
         let splitter = self.splitter.as_mut()?;
-        drop(splitter.take_incomplete());
         // Closing the connection stops the previous runner.
         self.stream.body.close();
         let runner = self.stream.attempt.runner();
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -207,6 +207,32 @@
         })
     }
 
+    /// Decides whether another attempt of a request may start beside `running` ones that are silent.
+    pub fn on_silence(
+        &self,
+        service: &Name,
+        attempts: &Attempts,
+        running: u32,
+    ) -> Result<(), GiveUp> {
+        let now_us = clock::now_us();
+        self.with_budget(service, |budget| {
+            attempts.on_silence(running, budget, now_us)
+        })
+    }
+
+    /// Records that a runner is silent. Before the start of an answer it counts as unreachable, afterwards as
+    /// failing.
+    pub fn on_silent_runner(&self, runner: &str, has_begun: bool) {
+        let now_us = clock::now_us();
+        if let Some(view) = self.state().views.get_mut(runner) {
+            if has_begun {
+                view.on_failure(now_us);
+            } else {
+                view.on_unreachable(now_us);
+            }
+        }
+    }
+
     /// Takes one retry out of the service's retry budget. Returns `false` if none is left.
     pub fn try_consume_retry(&self, service: &Name) -> bool {
         let now_us = clock::now_us();
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -4,9 +4,11 @@
 //! first event is not expected by the deadline is refused before any runner has worked on it. Prefill may be
 //! repeated at other runners within the retry budget; if it fails, the decode runner reads the prompt itself.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::http;
+use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::placement::Placement;
@@ -19,11 +21,9 @@
 use crate::external::SendMetadata;
 use crate::prefill::KvHandleGuard;
 use crate::scheduler::RunnerAttempt;
+use crate::silence::{Resumption, Waited};
 use crate::upstream::{Answer, AnswerBody};
 
-/// Time without data from a decode runner after which a resumable stream is resumed at another one.
-pub const STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
-
 /// A stream whose head has arrived.
 #[derive(Debug)]
 pub struct OpenStream {
@@ -35,6 +35,106 @@
     pub attempt: RunnerAttempt,
 }
 
+/// A decode runner that was chosen for a request, whose prompt has been read if a prefill runner is to.
+#[derive(Debug)]
+pub struct ReadyDecode {
+    runner: Arc<Runner>,
+    attempt: RunnerAttempt,
+}
+
+impl ReadyDecode {
+    /// Id of the runner.
+    pub fn id(&self) -> Name {
+        Name::clone(&self.runner.id)
+    }
+}
+
+/// Opens the stream of a model request, at one decode runner after another.
+#[derive(Debug)]
+pub struct StreamOpener<'a> {
+    call: &'a Call,
+    engine: &'a EngineLimits,
+    /// Id of the event after which the stream is resumed; `None` for a stream from its start.
+    last_event_id: Option<&'a str>,
+    excluded: Vec<Name>,
+    kv_guard: Option<KvHandleGuard>,
+    has_tried_prefill: bool,
+}
+
+impl<'a> StreamOpener<'a> {
+    /// Prepares to open a stream at any runner that is not `excluded`.
+    pub const fn new(
+        call: &'a Call,
+        engine: &'a EngineLimits,
+        last_event_id: Option<&'a str>,
+        excluded: Vec<Name>,
+    ) -> Self {
+        Self {
+            call,
+            engine,
+            last_event_id,
+            excluded,
+            kv_guard: None,
+            has_tried_prefill: false,
+        }
+    }
+
+    /// Leaves a runner out from now on.
+    pub fn exclude(&mut self, runner: Name) {
+        self.excluded.push(runner);
+    }
+
+    /// Chooses the decode runner and has the prompt read, unless that has been tried before.
+    pub async fn prepare(&mut self, attempts: &Attempts) -> Result<ReadyDecode, Refusal> {
+        let (call, engine) = (self.call, self.engine);
+        loop {
+            let prefill = if self.has_tried_prefill {
+                None
+            } else {
+                call.choose_prefill(engine, &[])
+            };
+            let is_prefilled = prefill.is_some() || self.kv_guard.is_some();
+            let decode = call.choose_decode(engine, is_prefilled, &self.excluded)?;
+            call.check_first_event_in_time(prefill.as_ref(), &decode, attempts)?;
+            let attempt = call.begin_decode(&decode);
+            if let Some(prefill) = prefill {
+                self.kv_guard = call.prefill(engine, prefill).await;
+                self.has_tried_prefill = true;
+            }
+            let runner = decode.runner;
+            // The decode runner may have announced during prefill that it is draining.
+            if call.gateway.snapshot.load().accepts_requests(&runner) {
+                return Ok(ReadyDecode { runner, attempt });
+            }
+            self.exclude(Name::clone(&runner.id));
+        }
+    }
+
+    /// Sends the request to the decode runner and waits until `limit` for the head of the stream.
+    pub async fn send(
+        &mut self,
+        ready: ReadyDecode,
+        limit: Instant,
+    ) -> Result<OpenStream, AttemptOutcome> {
+        let ReadyDecode { runner, attempt } = ready;
+        let kv_guard = self.kv_guard.as_mut();
+        let metadata =
+            self.call
+                .stream_metadata(&runner.id, kv_guard.as_deref(), self.last_event_id);
+        match self.call.exchange_until(&runner, &metadata, limit).await {
+            Ok(answer) => self
+                .call
+                .check_stream_answer(self.engine, answer, attempt, kv_guard),
+            Err(outcome) => {
+                if outcome != AttemptOutcome::Unknown(UnknownReason::Timeout) {
+                    attempt.on_outcome(outcome, false);
+                }
+                Err(outcome)
+            }
+        }
+    }
+}
+
 impl Call {
     /// Opens the stream of a model request; `last_event_id` is set for a stream that is resumed after that
     /// event.
@@ -44,54 +144,30 @@
         attempts: &mut Attempts,
         last_event_id: Option<&str>,
     ) -> Result<OpenStream, Refusal> {
-        let mut excluded: Vec<Name> = Vec::new();
-        let mut kv_guard: Option<KvHandleGuard> = None;
-        let mut has_tried_prefill = false;
+        let mut opener = StreamOpener::new(self, engine, last_event_id, Vec::new());
         loop {
-            let prefill = if has_tried_prefill {
-                None
-            } else {
-                self.choose_prefill(engine, &[])
-            };
-            let is_prefilled = prefill.is_some() || kv_guard.is_some();
-            let decode = self.choose_decode(engine, is_prefilled, &excluded)?;
-            self.check_first_event_in_time(prefill.as_ref(), &decode, attempts)?;
-            let attempt = self.begin_decode(&decode);
-            if let Some(prefill) = prefill {
-                kv_guard = self.prefill(engine, prefill).await;
-                has_tried_prefill = true;
-            }
-            // The decode runner may have announced during prefill that it is draining.
-            if !self
-                .gateway
-                .snapshot
-                .load()
-                .accepts_requests(&decode.runner)
-            {
-                excluded.push(Name::clone(&decode.runner.id));
-                continue;
-            }
+            let ready = opener.prepare(attempts).await?;
             // Prefill, or another runner's refusal, may have taken longer than expected.
             self.check_ends_before_stop(Duration::ZERO)?;
-            let metadata =
-                self.stream_metadata(&decode.runner.id, kv_guard.as_ref(), last_event_id);
-            let sent = self.exchange_until(&decode.runner, &metadata, self.stream_limit());
-            let outcome = match sent.await {
-                Ok(answer) => {
-                    match self.check_stream_answer(engine, answer, attempt, kv_guard.as_mut()) {
-                        Ok(stream) => return Ok(stream),
-                        Err(outcome) => outcome,
-                    }
-                }
-                Err(outcome) => {
-                    record_failure(&attempt, outcome);
-                    outcome
-                }
+            let runner = ready.id();
+            let resumption = Resumption {
+                engine,
+                last_event_id,
+                runner: &runner,
             };
-            excluded.push(Name::clone(&decode.runner.id));
-            if let Err(last) = self.on_failed_attempt(attempts, outcome, &decode.runner.id) {
+            let sent = opener.send(ready, self.deadline);
+            let outcome = match self.wait_or_replace(sent, resumption, attempts).await {
+                Waited::Heard(Ok(stream)) => return Ok(stream),
+                Waited::Replaced(stream) => return Ok(*stream),
+                Waited::Heard(Err(outcome)) => outcome,
+            };
+            if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
+                self.gateway.scheduler.on_silent_runner(&runner, false);
+            }
+            if let Err(last) = self.on_failed_attempt(attempts, outcome, &runner) {
                 return Err((GatewayAnswer::from_outcome(last), self.decode_wait(engine)));
             }
+            opener.exclude(runner);
         }
     }
 
@@ -110,15 +186,6 @@
         }
     }
 
-    /// Time limit for the head of a stream: the deadline, or earlier if another runner may be tried.
-    fn stream_limit(&self) -> Instant {
-        if self.route.repeat.may_repeat() {
-            self.deadline.min(Instant::now() + STREAM_SILENCE_LIMIT)
-        } else {
-            self.deadline
-        }
-    }
-
     /// Time until the deadline of the first event.
     pub fn first_event_remaining(&self) -> Duration {
         self.event_deadline()
