Do not send a KV handle again after a runner that may have used it

Seen by callers: 502 where another decode runner was ready.

Cause: after a decode runner broke off before its head, the request went to the next one with the same KV handle. A handle can be fetched once, so each further runner refused (503, not run) until no runner or attempt was left.

Change: an unknown outcome gives the handle up, and the prompt is read again. A refusal keeps it.

Evidence: gateway::used_kv_handle_is_not_sent_again failed with "HTTP/1.1 502 Bad Gateway" and passes now.

--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -129,6 +129,11 @@
                 if outcome != AttemptOutcome::Unknown(UnknownReason::Timeout) {
                     attempt.on_outcome(outcome, false);
                 }
+                if matches!(outcome, AttemptOutcome::Unknown(_)) {
+                    // The runner may have fetched the KV cache, which is possible only once.
+                    self.kv_guard = None;
+                    self.has_tried_prefill = false;
+                }
                 Err(outcome)
             }
         }
