Keep a silent runner's call while another runner is asked beside it

Seen by callers: a repeatable call of a plain service got 504 after 0.6 s of silence, although its runner answered a moment later and the deadline was far.

After four times the route's objective the attempt was ended, and only then did attempts, budget and runners in place decide whether there is another one.

Change: the attempt goes on until it ends by itself or the deadline passes. Silence lets another runner be asked beside it; the first good answer is passed on and the others are closed. The time of silence now covers the body of a short answer too, which had no limit but the deadline. Runners count as failing after a silence as before.

--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures::stream::FuturesUnordered;
 use futures::{StreamExt, future, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -17,20 +18,18 @@
 use tealsaddle_core::fleet::placement::Placement;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
-use tokio::time::Instant;
 
 use crate::answer::{Aborted, Body, GatewayAnswer, classify_answer, full_body, strip_hop_headers};
 use crate::call::{Call, MIN_RETRY_AFTER, Refusal};
-use crate::external::SendMetadata;
 use crate::scheduler::RunnerAttempt;
 use crate::upstream::{Answer, AnswerBody};
 
 /// Answers up to this size are read completely before they are passed on, so that a truncated one can be
 /// replaced.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
-/// An attempt of a call that may be repeated ends if the head of the answer has not arrived after this many
-/// times the route's objective; the call is then sent to another runner.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 4;
+/// If a call may be repeated and its runner has not answered after this many times the route's objective,
+/// another one is asked as well.
+const SILENCE_FACTOR: u32 = 4;
 
 /// A body whose start has been read into memory.
 #[derive(Debug)]
@@ -47,35 +46,121 @@
     attempt: RunnerAttempt,
 }
 
+/// What is known of a call at the runners that were asked.
+#[derive(Debug, Default)]
+struct PlainRun {
+    /// Ids of the runners, in the order in which they were asked.
+    asked: Vec<Name>,
+    /// Last answer with a server error, for the case that no runner gives a better one.
+    failure: Option<PlainAnswer>,
+}
+
+/// What to do after a wait for runners.
+#[derive(Debug)]
+enum PlainStep {
+    /// This answer goes to the caller.
+    Answered(Box<PlainAnswer>),
+    /// Another runner is to be asked.
+    AskAnother,
+    /// All runners have failed, with this outcome.
+    GiveUp(AttemptOutcome),
+}
+
 impl Call {
-    /// Sends the call to a runner, and after a failure to others as far as the retry rules allow.
+    /// Sends the call to a runner, and after a failure to others as far as the retry rules allow. A runner that
+    /// is silent keeps the call while another one is asked beside it.
     pub async fn run_plain(
         self: &Arc<Self>,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Refusal> {
-        let mut excluded: Vec<Name> = Vec::new();
-        let mut last_answer = None;
+        let mut run = PlainRun::default();
+        let mut running = FuturesUnordered::new();
         let refused = loop {
-            let placement = match self.place_plain(&excluded) {
-                Ok(placement) => placement,
-                Err(refused) => break refused,
+            let has_started = match self.place_plain(&run.asked) {
+                Ok(placement) => {
+                    run.asked.push(Name::clone(&placement.runner.id));
+                    running.push(self.attempt_plain(placement.runner));
+                    true
+                }
+                Err(refused) if running.is_empty() => break refused,
+                // The silent runners may still answer.
+                Err(_refused) => false,
+            };
+            let step = self.wait_plain(&mut run, &mut running, has_started, attempts);
+            match step.await {
+                PlainStep::Answered(answer) => return Ok(self.respond(*answer, attempts)),
+                PlainStep::AskAnother => {}
+                PlainStep::GiveUp(last) => {
+                    break (GatewayAnswer::from_outcome(last), MIN_RETRY_AFTER);
+                }
+            }
+        };
+        let answer = run.failure.ok_or(refused)?;
+        Ok(self.respond(answer, attempts))
+    }
+
+    /// Waits for the runners that have the call until one answers, another one may be asked, or all have
+    /// failed. `may_ask` tells whether another one may be asked because of silence.
+    async fn wait_plain<F>(
+        &self,
+        run: &mut PlainRun,
+        running: &mut FuturesUnordered<F>,
+        mut may_ask: bool,
+        attempts: &mut Attempts,
+    ) -> PlainStep
+    where
+        F: Future<Output = (Name, Result<PlainAnswer, AttemptOutcome>)>,
+    {
+        may_ask &= self.route.repeat.may_repeat();
+        loop {
+            let ended = self.next_ended(running, may_ask).await;
+            let Some((runner, result)) = ended else {
+                may_ask = self.may_ask_beside(run, running.len(), attempts);
+                if may_ask {
+                    return PlainStep::AskAnother;
+                }
+                continue;
             };
-            let runner = &placement.runner;
-            let outcome = match self.attempt_plain(runner).await {
+            let outcome = match result {
                 Ok(answer) if self.is_replaceable(&answer) => {
-                    last_answer = Some(answer);
+                    run.failure = Some(answer);
                     AttemptOutcome::Unknown(UnknownReason::TargetFailed)
                 }
-                Ok(answer) => return Ok(self.respond(answer, attempts)),
+                Ok(answer) => return PlainStep::Answered(Box::new(answer)),
                 Err(outcome) => outcome,
             };
-            excluded.push(Name::clone(&runner.id));
-            if let Err(last) = self.on_failed_attempt(attempts, outcome, &runner.id) {
-                break (GatewayAnswer::from_outcome(last), MIN_RETRY_AFTER);
+            if running.is_empty() {
+                let decision = self.on_failed_attempt(attempts, outcome, &runner);
+                return decision.map_or_else(PlainStep::GiveUp, |()| PlainStep::AskAnother);
             }
+            attempts.count(outcome);
+        }
+    }
+
+    /// The next attempt that ends; `None` if all are silent for long and `may_ask` is set.
+    async fn next_ended<F>(
+        &self,
+        running: &mut FuturesUnordered<F>,
+        may_ask: bool,
+    ) -> Option<F::Output>
+    where
+        F: Future,
+    {
+        if !may_ask {
+            return running.next().await;
+        }
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let ended = tokio::time::timeout(objective * SILENCE_FACTOR, running.next());
+        ended.await.ok().flatten()
+    }
+
+    /// Decides whether another runner may be asked beside `running` silent ones.
+    fn may_ask_beside(&self, run: &PlainRun, running: usize, attempts: &Attempts) -> bool {
+        let Some(newest) = run.asked.last() else {
+            return false;
         };
-        let answer = last_answer.ok_or(refused)?;
-        Ok(self.respond(answer, attempts))
+        self.gateway.scheduler.on_silent_runner(newest, true);
+        self.may_run_beside(attempts, running as u32, newest)
     }
 
     /// Whether this answer may be replaced by that of another runner.
@@ -124,17 +209,19 @@
     }
 
     /// Sends the request to a runner and records the outcome in the runner's statistics.
-    async fn attempt_plain(&self, runner: &Runner) -> Result<PlainAnswer, AttemptOutcome> {
-        let attempt = self
-            .gateway
-            .scheduler
-            .begin_attempt(runner, Work::default());
+    async fn attempt_plain(
+        &self,
+        runner: Arc<Runner>,
+    ) -> (Name, Result<PlainAnswer, AttemptOutcome>) {
+        let scheduler = &self.gateway.scheduler;
+        let attempt = scheduler.begin_attempt(&runner, Work::default());
         let metadata = self.send_metadata(&runner.id);
-        let result = match self.exchange(runner, &metadata).await {
+        let sent = self.exchange_until(&runner, &metadata, self.deadline);
+        let result = match sent.await {
             Ok(answer) => self.read_plain(answer, &attempt).await,
             Err(outcome) => Err(outcome),
         };
-        match result {
+        let result = match result {
             Ok(response) => {
                 let has_failed = response.status().is_server_error();
                 attempt.on_outcome(AttemptOutcome::Answered, has_failed);
@@ -144,22 +231,8 @@
                 attempt.on_outcome(outcome, false);
                 Err(outcome)
             }
-        }
-    }
-
-    /// Sends the request to a runner and waits for the head of the answer, for as long as the attempt may
-    /// take.
-    async fn exchange(
-        &self,
-        runner: &Runner,
-        metadata: &SendMetadata<'_>,
-    ) -> Result<Answer, AttemptOutcome> {
-        let mut limit = self.deadline;
-        if self.route.repeat.may_repeat() {
-            let objective = Duration::from_millis(self.route.objective_ms);
-            limit = limit.min(Instant::now() + objective * ATTEMPT_TIMEOUT_FACTOR);
-        }
-        self.exchange_until(runner, metadata, limit).await
+        };
+        (Name::clone(&runner.id), result)
     }
 
     /// Checks an answer and reads its body, or the start of a long body.
