--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -4,7 +4,7 @@
 //! request is logged once, by [`Call::log_end`] or when the call is dropped.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use tealsaddle_core::fleet::Runner;
@@ -50,6 +50,8 @@
     pub started: Instant,
     /// Deadline of the whole answer, set by the route or the caller.
     pub deadline: Instant,
+    /// Which of the two set the deadline.
+    pub deadline_source: DeadlineSource,
     /// Deadline of the first event of a stream, after which the caller gives up.
     pub first_event_deadline: Instant,
     /// Request as it is sent to runners.
@@ -62,11 +64,30 @@
     pub in_flight: InFlightGuard,
 }
 
+/// What sets the deadline of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeadlineSource {
+    /// The timeout of the route, in the configuration by which the request was routed.
+    Route,
+    /// The caller's own deadline, which is earlier.
+    Caller,
+}
+
+impl DeadlineSource {
+    /// Name in log records.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Caller => "caller",
+        }
+    }
+}
+
 /// State of a call that changes while it runs.
 #[derive(Debug, Default)]
 pub struct CallState {
-    /// Whether the request is at a runner that may run it; false again when the attempt has failed.
-    may_be_running: AtomicBool,
+    /// Number of runners that may run the request. A runner whose attempt has failed does not count.
+    maybe_running: AtomicU32,
     has_ended: AtomicBool,
 }
 
@@ -90,7 +111,7 @@
 impl Call {
     /// The answer at the end of a stop, if no runner has answered by then.
     pub fn answer_at_stop(&self) -> Refusal {
-        let own = if self.state.may_be_running.load(Ordering::Relaxed) {
+        let own = if self.state.maybe_running.load(Ordering::Relaxed) > 0 {
             GatewayAnswer::Unknown(UnknownReason::NodeStopped)
         } else {
             GatewayAnswer::Stopping
@@ -141,6 +162,21 @@
         }
     }
 
+    /// Decides whether another attempt may start beside `running` ones, of which the last, at `runner`, is
+    /// silent.
+    pub fn may_run_beside(&self, attempts: &Attempts, running: u32, runner: &str) -> bool {
+        let scheduler = &self.gateway.scheduler;
+        let decision = scheduler.on_silence(&self.service, attempts, running);
+        let name = match decision {
+            Ok(()) => "silence.granted".to_owned(),
+            Err(give_up) => format!("silence.{}", give_up.as_str()),
+        };
+        self.gateway.metrics.increment(&name);
+        log::info!(id:% = self.request_id, runner:%, decision:% = name, running,
+            failed_attempts = attempts.failed(); "runner is silent");
+        decision.is_ok()
+    }
+
     /// Sends the request to a runner and waits until `limit` for the head of the answer.
     pub async fn exchange_until(
         &self,
@@ -156,15 +192,16 @@
         let request = self.request.to_runner(metadata, &*self.gateway.dialect);
         let upstreams = &self.gateway.upstreams;
         let sent = upstreams.send(runner.address, request, reuse);
-        let is_run = !metadata.is_prefill_only;
-        self.state.may_be_running.store(is_run, Ordering::Relaxed);
+        let running = u32::from(!metadata.is_prefill_only);
+        let maybe_running = &self.state.maybe_running;
+        maybe_running.fetch_add(running, Ordering::Relaxed);
         let result = match tokio::time::timeout_at(limit, sent).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(failure)) => failure.outcome,
             Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
         };
         // From here on, `Attempts` tracks whether the request may have run.
-        self.state.may_be_running.store(false, Ordering::Relaxed);
+        maybe_running.fetch_sub(running, Ordering::Relaxed);
         Err(result)
     }
 
@@ -222,6 +259,21 @@
         jittered(wait.max(MIN_RETRY_AFTER).min(longest))
     }
 
+    /// Logs and counts that the caller's connection is closed before the end of an answer whose start was
+    /// passed on.
+    pub fn log_truncated(&self, reason: UnknownReason, runner: &str) {
+        let reason = reason.as_str();
+        let metrics = &self.gateway.metrics;
+        metrics.increment(&format!("answer.truncated.{reason}"));
+        let current = self.gateway.snapshot.load();
+        let current_config_version = current.config.as_ref().map(|config| config.version);
+        log::info!(id:% = self.request_id, runner:%, reason, deadline_source = self.deadline_source.as_str(),
+            config_version = self.config.version, current_config_version,
+            silent_ms = self.progress.since_last(self.started.elapsed()).as_millis() as u64,
+            left_ms = self.remaining().as_millis() as u64;
+            "answer truncated");
+    }
+
     /// Logs the end of the request and counts its outcome and latency. `runner` is the id of the runner
     /// whose attempt decided the outcome, or `-`.
     pub fn log_end(&self, outcome: &str, runner: &str, failed_attempts: u32) {
