Use the prompt of a silent prefill runner that goes on

Seen by callers: late first events, and requests that ended at their deadline after a prompt had been read at up to three runners for nothing.

A prefill runner that was silent for 1.5 s was closed before another one had read the prompt; if that one was silent as well, or none was left, what the first would have finished a moment later was lost. After the deadline of the first event the loop went on to further runners, each with no time at all.

Change: the silent runner goes on while another one is asked; the first handle is used and the others are closed. Nothing is asked after the deadline of the first event. A silent prefill runner counts as unreachable once; before, the timeout counted twice.

--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::load::Work;
@@ -18,13 +20,14 @@
 use crate::external::{KvSource, SendMetadata};
 use crate::gateway::Gateway;
 use crate::scheduler::RunnerAttempt;
-use crate::stages::{micros, record_failure};
+use crate::stages::micros;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
-/// Prefill times out after this many times its expected duration, but not before the minimum, and not while
-/// the runner answers other requests: repeating a prefill costs a second one and worsens an overload.
+/// Another runner is asked to read the prompt after this many times the expected duration, but not before the
+/// minimum, and not while the first one answers other requests: repeating a prefill costs a second one and
+/// worsens an overload.
 const PREFILL_TIMEOUT_FACTOR: f64 = 4.0;
-/// Minimum timeout of prefill.
+/// Minimum time before another runner is asked to read the prompt.
 const MIN_PREFILL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A prefill runner counts as responsive if it has answered any request of this node within this time.
 const RESPONSIVE_WINDOW: Duration = Duration::from_millis(1_500);
@@ -35,6 +38,35 @@
 const MAX_HANDLE_BYTES: usize = 4 << 10;
 /// Timeout of a call that frees the KV cache of a handle.
 const FREE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long to wait for the newest of the prefill runners that were asked.
+#[derive(Debug)]
+struct PrefillWait {
+    runner: Name,
+    timeout: Duration,
+}
+
+impl PrefillWait {
+    fn new(placement: &Placement) -> Self {
+        let timeout = micros(placement.until_first_event_us() * PREFILL_TIMEOUT_FACTOR);
+        Self {
+            runner: Name::clone(&placement.runner.id),
+            timeout: timeout.max(MIN_PREFILL_TIMEOUT),
+        }
+    }
+}
+
+/// What ended a wait for prefill runners.
+#[derive(Debug)]
+enum PrefillStep {
+    /// A runner has read the prompt.
+    Done(KvHandleGuard),
+    /// All runners have failed, the last one with this outcome.
+    Failed(AttemptOutcome),
+    /// The newest runner is silent.
+    Silent,
+}
+
 /// KV cache of a prompt at its prefill runner. Dropping the guard frees the cache there, unless a decode
 /// runner has fetched it.
 #[derive(Debug)]
@@ -82,57 +114,87 @@
     }
 
     /// Runs prefill, at several runners if necessary; returns `None` if the decode runner has to read the
-    /// prompt itself.
+    /// prompt itself. A runner that is silent goes on while another one reads the prompt as well.
     pub async fn prefill(&self, engine: &EngineLimits, first: Placement) -> Option<KvHandleGuard> {
-        let mut excluded: Vec<Name> = Vec::new();
+        let mut asked: Vec<Name> = Vec::new();
+        let mut running = FuturesUnordered::new();
         let mut placement = first;
         loop {
-            let outcome = match self.prefill_at(engine, &placement).await {
-                Ok(kv_guard) => return Some(kv_guard),
-                Err(outcome) => outcome,
+            let newest = PrefillWait::new(&placement);
+            asked.push(Name::clone(&newest.runner));
+            running.push(self.prefill_at(engine, placement));
+            let is_unsent = match self.wait_for_prefill(&mut running, newest).await {
+                PrefillStep::Done(kv_guard) => return Some(kv_guard),
+                PrefillStep::Failed(outcome) => {
+                    outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed)
+                }
+                PrefillStep::Silent => false,
             };
-            log::info!(id:% = self.request_id, runner:% = placement.runner.id, outcome:?;
-                "prompt was not read");
-            excluded.push(Name::clone(&placement.runner.id));
-            let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
-            let has_tries = excluded.len() < MAX_UNSENT_PREFILLS;
-            let is_budget_exempt = is_unsent && has_tries;
+            if self.first_event_remaining().is_zero() {
+                return None;
+            }
+            let is_budget_exempt = is_unsent && asked.len() < MAX_UNSENT_PREFILLS;
             if !is_budget_exempt && !self.gateway.scheduler.try_consume_retry(&self.service) {
                 self.gateway.metrics.increment("read.budget_used_up");
                 return None;
             }
             self.gateway.metrics.increment("read.again");
-            placement = self.choose_prefill(engine, &excluded)?;
+            placement = self.choose_prefill(engine, &asked)?;
+        }
+    }
+
+    /// Waits until a runner has read the prompt, the last of them has failed, or the newest is silent.
+    async fn wait_for_prefill<F>(
+        &self,
+        running: &mut FuturesUnordered<F>,
+        newest: PrefillWait,
+    ) -> PrefillStep
+    where
+        F: Future<Output = Result<KvHandleGuard, AttemptOutcome>>,
+    {
+        let scheduler = &self.gateway.scheduler;
+        loop {
+            match tokio::time::timeout(newest.timeout, running.next()).await {
+                Ok(Some(Ok(kv_guard))) => return PrefillStep::Done(kv_guard),
+                Ok(Some(Err(outcome))) if running.is_empty() => {
+                    return PrefillStep::Failed(outcome);
+                }
+                Ok(Some(Err(_outcome))) => {}
+                Ok(None) => return PrefillStep::Silent,
+                Err(_elapsed)
+                    if scheduler.has_answered_within(&newest.runner, RESPONSIVE_WINDOW) => {}
+                Err(_elapsed) => {
+                    scheduler.on_silent_runner(&newest.runner, false);
+                    log::info!(id:% = self.request_id, runner:% = newest.runner; "prefill runner is silent");
+                    return PrefillStep::Silent;
+                }
+            }
         }
     }
 
     async fn prefill_at(
         &self,
         engine: &EngineLimits,
-        placement: &Placement,
+        placement: Placement,
     ) -> Result<KvHandleGuard, AttemptOutcome> {
         let work = Work {
             read_tokens: placement.read_tokens,
             kv_tokens: 0,
         };
-        let mut attempt = self
-            .gateway
-            .scheduler
-            .begin_attempt(&placement.runner, work);
-        let metadata = self.prefill_metadata(placement);
-        let timeout = micros(placement.until_first_event_us() * PREFILL_TIMEOUT_FACTOR)
-            .max(MIN_PREFILL_TIMEOUT);
-        let exchange = self.exchange_until(&placement.runner, &metadata, self.event_deadline());
-        let result = match wait_while_responsive(exchange, timeout, &attempt).await {
-            Ok(answer) => {
-                self.parse_prefill_answer(answer, &attempt, &placement.runner)
-                    .await
-            }
+        let runner = &placement.runner;
+        let mut attempt = self.gateway.scheduler.begin_attempt(runner, work);
+        let metadata = self.prefill_metadata(&placement);
+        let exchange = self.exchange_until(runner, &metadata, self.event_deadline());
+        let result = match exchange.await {
+            Ok(answer) => self.parse_prefill_answer(answer, &attempt, runner).await,
             Err(outcome) => Err(outcome),
         };
         match &result {
-            Ok(_kv_guard) => self.record_prefill(engine, placement, &mut attempt),
-            Err(outcome) => record_failure(&attempt, *outcome),
+            Ok(_kv_guard) => self.record_prefill(engine, &placement, &mut attempt),
+            Err(outcome) => {
+                attempt.on_outcome(*outcome, false);
+                log::info!(id:% = self.request_id, runner:% = runner.id, outcome:?; "prompt was not read");
+            }
         }
         result
     }
@@ -215,23 +277,3 @@
         Ok(bytes)
     }
 }
-
-/// Waits for the answer of a prefill runner. After `timeout` the wait continues only while the runner
-/// answers other requests of this node.
-async fn wait_while_responsive<F>(
-    exchange: F,
-    timeout: Duration,
-    attempt: &RunnerAttempt,
-) -> Result<Answer, AttemptOutcome>
-where
-    F: Future<Output = Result<Answer, AttemptOutcome>>,
-{
-    tokio::pin!(exchange);
-    loop {
-        match tokio::time::timeout(timeout, exchange.as_mut()).await {
-            Ok(result) => return result,
-            Err(_elapsed) if attempt.has_answered_within(RESPONSIVE_WINDOW) => {}
-            Err(_elapsed) => return Err(AttemptOutcome::Unknown(UnknownReason::Timeout)),
-        }
-    }
-}
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -220,6 +220,14 @@
         })
     }
 
+    /// Whether a runner has answered this node within `window`.
+    pub fn has_answered_within(&self, runner: &str, window: Duration) -> bool {
+        let since_us = clock::now_us().saturating_sub(window.as_micros() as u64);
+        let state = self.state();
+        let view = state.views.get(runner);
+        view.is_some_and(|view| view.has_answered_since(since_us))
+    }
+
     /// Records that a runner is silent. Before the start of an answer it counts as unreachable, afterwards as
     /// failing.
     pub fn on_silent_runner(&self, runner: &str, has_begun: bool) {
@@ -345,20 +353,6 @@
         });
     }
 
-    /// Whether the runner has answered this node within `window`.
-    pub fn has_answered_within(&self, window: Duration) -> bool {
-        let since_us = clock::now_us().saturating_sub(window.as_micros() as u64);
-        let state = self.scheduler.state();
-        let view = state.views.get(&self.runner);
-        view.is_some_and(|view| view.has_answered_since(since_us))
-    }
-
-    /// Records that the runner did not answer in time, in addition to the outcome.
-    pub fn on_timeout(&self) {
-        let now_us = clock::now_us();
-        self.with_view(|view| view.on_unreachable(now_us));
-    }
-
     fn with_view<F>(&self, act: F)
     where
         F: FnOnce(&mut RunnerView),
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -287,14 +287,6 @@
     }
 }
 
-/// Records a failed attempt in the runner's statistics.
-pub fn record_failure(attempt: &RunnerAttempt, outcome: AttemptOutcome) {
-    attempt.on_outcome(outcome, false);
-    if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
-        attempt.on_timeout();
-    }
-}
-
 /// Converts microseconds to a duration; negative values count as zero.
 pub fn micros(us: f64) -> Duration {
     Duration::from_micros(us.max(0.0) as u64)
