Close a silent runner soon after another one has got its stream

The platform allows 400 ms from when another runner goes on with a stream.

Change: once the request is sent to the other runner, only a refusal or a break there keeps the silent one; after 300 ms the silent one is closed. So that this does not end an answer where a whole service is silent, only a runner is asked that answered this node in the last 300 ms or reports its state within 300 ms, before the prompt is read for it. Until the request is sent, the silent runner is heard and comes first.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -261,8 +261,7 @@
 
     /// Logs and counts that the caller's connection is closed before the end of an answer whose start was
     /// passed on.
-    pub fn log_truncated(&self, reason: UnknownReason, runner: &str) {
-        let reason = reason.as_str();
+    pub fn log_truncated(&self, reason: &str, runner: &str) {
         let metrics = &self.gateway.metrics;
         metrics.increment(&format!("answer.truncated.{reason}"));
         let current = self.gateway.snapshot.load();
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -300,7 +300,8 @@
             Err(reason) => {
                 let outcome = AttemptOutcome::Unknown(reason);
                 self.attempt.on_outcome(outcome, false);
-                self.call.log_truncated(reason, self.attempt.runner());
+                let runner = self.attempt.runner();
+                self.call.log_truncated(reason.as_str(), runner);
                 (reason.as_str(), Some((Err(Aborted), None)))
             }
         };
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -15,12 +15,15 @@
 use hyper::header;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::events::EventSplitter;
+use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 
-use crate::answer::{Aborted, Body, strip_hop_headers};
+use crate::answer::{Aborted, Body, GatewayAnswer, strip_hop_headers};
 use crate::call::Call;
+use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, STREAM_SILENCE_LIMIT, Waited};
 use crate::stages::OpenStream;
+use crate::upstream::AnswerBody;
 
 /// Makes the response to the caller from an open stream.
 pub fn respond(
@@ -40,7 +43,8 @@
     let relay = Relay {
         call,
         engine,
-        stream,
+        body: Some(stream.body),
+        attempt: stream.attempt,
         attempts,
         splitter: may_resume.then(EventSplitter::default),
     };
@@ -48,10 +52,15 @@
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
 
+/// Outcome of an attempt whose connection is closed.
+const LOST: AttemptOutcome = AttemptOutcome::Unknown(UnknownReason::ConnectionLost);
+
 struct Relay {
     call: Arc<Call>,
     engine: EngineLimits,
-    stream: OpenStream,
+    /// Body of the runner's answer; `None` once it is closed, which tells the runner to stop.
+    body: Option<AnswerBody>,
+    attempt: RunnerAttempt,
     attempts: Attempts,
     /// Splits the stream after complete events; `None` if the stream must not be resumed.
     splitter: Option<EventSplitter>,
@@ -59,50 +68,86 @@
 
 type NextFrame = Option<(Result<Frame<Bytes>, Aborted>, Option<Relay>)>;
 
+/// What the relay does after a wait for its runner.
+enum Step {
+    /// Bytes have arrived.
+    Data(Bytes),
+    /// The stream is complete.
+    End,
+    /// Another runner goes on with the stream.
+    Resumed,
+    /// The runner has failed.
+    Broken(Name, AttemptOutcome),
+}
+
 impl Relay {
     async fn next(mut self) -> NextFrame {
         loop {
-            let heard = match self.read().await {
-                Waited::Heard(heard) => heard,
-                Waited::Replaced(stream) => {
-                    self.continue_with(*stream);
-                    continue;
+            match self.step().await {
+                Step::Data(data) => {
+                    if let Some(events) = self.complete_events(data) {
+                        return Some((Ok(Frame::data(events)), Some(self)));
+                    }
+                }
+                Step::End => return self.finish(),
+                Step::Resumed => {}
+                Step::Broken(runner, outcome) => {
+                    if let Err(aborted) = self.resume(&runner, outcome).await {
+                        return Some((Err(aborted), None));
+                    }
                 }
-            };
-            let broken = match heard {
-                Ok(Some(data)) => match self.complete_events(data) {
-                    Some(events) => return Some((Ok(Frame::data(events)), Some(self))),
-                    None => continue,
-                },
-                Ok(None) => return self.finish(),
-                Err(reason) => reason,
-            };
-            if let Err(aborted) = self.resume(broken).await {
-                return Some((Err(aborted), None));
             }
         }
     }
 
-    /// The next bytes of the stream, or the same stream from another runner.
-    async fn read(&mut self) -> Waited<Result<Option<Bytes>, UnknownReason>> {
-        let Self {
-            call,
-            engine,
-            stream,
-            attempts,
-            splitter,
-        } = self;
-        let OpenStream { body, attempt, .. } = stream;
-        let read = body.next_until(call.deadline);
-        let Some(splitter) = splitter else {
-            return Waited::Heard(read.await);
+    /// Waits for the runner, or for another one if it is silent.
+    async fn step(&mut self) -> Step {
+        let runner = Name::clone(self.attempt.runner());
+        let Some(mut body) = self.body.take() else {
+            return Step::Broken(runner, LOST);
+        };
+        let limit = self.call.deadline;
+        let hearing = async move {
+            let read = body.next_until(limit).await;
+            (body, read)
         };
-        let resumption = Resumption {
-            engine,
-            last_event_id: splitter.last_id(),
-            runner: attempt.runner(),
+        let waited = match &self.splitter {
+            None => Waited::Heard(hearing.await),
+            Some(splitter) => {
+                let resumption = Resumption {
+                    engine: &self.engine,
+                    last_event_id: splitter.last_id(),
+                    runner: &runner,
+                };
+                let attempts = &mut self.attempts;
+                self.call
+                    .wait_or_replace(hearing, resumption, attempts)
+                    .await
+            }
         };
-        call.wait_or_replace(read, resumption, attempts).await
+        match waited {
+            Waited::Heard((body, read)) => {
+                self.body = Some(body);
+                self.on_read(runner, read)
+            }
+            Waited::Replaced(stream) => {
+                self.continue_with(*stream);
+                Step::Resumed
+            }
+            Waited::Failed(other, outcome) => Step::Broken(other, outcome),
+        }
+    }
+
+    fn on_read(&self, runner: Name, read: Result<Option<Bytes>, UnknownReason>) -> Step {
+        match read {
+            Ok(Some(data)) => Step::Data(data),
+            Ok(None) => Step::End,
+            Err(reason) => {
+                let outcome = AttemptOutcome::Unknown(reason);
+                self.attempt.on_outcome(outcome, false);
+                Step::Broken(runner, outcome)
+            }
+        }
     }
 
     /// Goes on with the stream of another runner. Closing the connection stops the previous one.
@@ -111,7 +156,8 @@
             drop(splitter.take_incomplete());
         }
         self.call.gateway.metrics.increment("stream.resumed");
-        self.stream = stream;
+        self.body = Some(stream.body);
+        self.attempt = stream.attempt;
     }
 
     /// Bytes to pass on now; `None` if there is no complete event yet.
@@ -119,9 +165,7 @@
         let since_last = self.call.progress.since_last(self.call.started.elapsed());
         if since_last >= STREAM_SILENCE_LIMIT {
             // Ends the avoidance of a runner that was silent.
-            self.stream
-                .attempt
-                .on_outcome(AttemptOutcome::Answered, false);
+            self.attempt.on_outcome(AttemptOutcome::Answered, false);
         }
         self.call.on_events();
         let Some(splitter) = &mut self.splitter else {
@@ -134,45 +178,39 @@
     fn finish(mut self) -> NextFrame {
         let call = &self.call;
         let events_time = call.progress.events_time();
-        self.stream
-            .attempt
+        self.attempt
             .on_stream_end(call.metadata.output_tokens, events_time);
-        let runner = self.stream.attempt.runner();
-        self.call
-            .log_end("answered", runner, self.attempts.failed());
+        let runner = self.attempt.runner();
+        call.log_end("answered", runner, self.attempts.failed());
         let rest = self.splitter.as_mut().map(EventSplitter::take_incomplete)?;
         (!rest.is_empty()).then(|| (Ok(Frame::data(Bytes::from(rest))), None))
     }
 
     /// Resumes the stream at another runner after the last complete event, or fails.
-    async fn resume(&mut self, reason: UnknownReason) -> Result<(), Aborted> {
-        let outcome = AttemptOutcome::Unknown(reason);
-        self.stream.attempt.on_outcome(outcome, false);
-        if let Some(stream) = self.open_next(outcome).await {
+    async fn resume(&mut self, runner: &str, outcome: AttemptOutcome) -> Result<(), Aborted> {
+        // Closing the connection stops the previous runner.
+        self.body = None;
+        if let Some(stream) = self.open_next(runner, outcome).await {
             self.continue_with(stream);
             return Ok(());
         }
-        let runner = self.stream.attempt.runner();
+        let reason = GatewayAnswer::from_outcome(outcome).as_str();
         self.call.log_truncated(reason, runner);
-        self.call
-            .log_end(reason.as_str(), runner, self.attempts.failed());
+        self.call.log_end(reason, runner, self.attempts.failed());
         Err(Aborted)
     }
 
     /// Opens the rest of the stream at another runner, if the route and the retry rules allow it.
-    async fn open_next(&mut self, outcome: AttemptOutcome) -> Option<OpenStream> {
-        let splitter = self.splitter.as_mut()?;
-        // Closing the connection stops the previous runner.
-        self.stream.body.close();
-        let runner = self.stream.attempt.runner();
+    async fn open_next(&mut self, runner: &str, outcome: AttemptOutcome) -> Option<OpenStream> {
+        let splitter = self.splitter.as_ref()?;
         let decision = self
             .call
             .on_failed_attempt(&mut self.attempts, outcome, runner);
         decision.ok()?;
-        let last_id = splitter.last_id().map(str::to_owned);
+        let last_id = splitter.last_id();
         let next = self
             .call
-            .open_stream(&self.engine, &mut self.attempts, last_id.as_deref());
+            .open_stream(&self.engine, &mut self.attempts, last_id);
         let stream = next.await.ok()?;
         stream.head.status.is_success().then_some(stream)
     }
--- a/crates/tealsaddle-gateway/src/silence.rs
+++ b/crates/tealsaddle-gateway/src/silence.rs
@@ -1,24 +1,29 @@
 //! Replacement of a decode runner that is silent.
 //!
 //! A runner that sends nothing may have died without a sign, or may go on a moment later. Its connection
-//! therefore stays open, and another runner is asked beside it if the request may run twice. Whichever is
-//! heard first serves the caller and the other one is closed, so that both work on the stream for a short
-//! time at most. If no other runner goes on, the wait for the silent one lasts until the deadline.
+//! therefore stays open while another runner is prepared to go on with the stream, if the request may run
+//! twice. Only a runner that answers right now is asked: a whole service may be silent. The request is sent to
+//! it beside the silent one, which is closed when the other one has begun, or has not refused for some time.
+//! As long as no other runner goes on, the silent one is awaited.
 
+use std::pin::Pin;
 use std::time::Duration;
 
+use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
-use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::stages::{OpenStream, StreamOpener};
+use crate::upstream::Reuse;
 
 /// Time without data from a decode runner after which another one is asked to go on with its stream.
 pub const STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
-/// Time that another runner gets for the head of the stream. Both runners may work on the stream meanwhile,
-/// for which the platform allows 400 ms.
+/// Time in which a runner that is to replace a silent one has to report its state.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which the silent runner is closed unless the other one has refused the request. The platform
+/// allows two runners to work on a stream for 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Where another runner would go on with a stream.
@@ -37,13 +42,15 @@
 pub enum Waited<T> {
     /// The runner was heard.
     Heard(T),
-    /// The runner was silent, and another one has begun to go on with the stream.
+    /// The runner was silent and is closed; another one has begun to go on with the stream.
     Replaced(Box<OpenStream>),
+    /// The runner was silent and is closed; another one took its place and failed.
+    Failed(Name, AttemptOutcome),
 }
 
 impl Call {
-    /// Waits for the runner that has the request, of which `hearing` returns the next sign. When it has been
-    /// silent for some time, another runner may replace it.
+    /// Waits for the runner that has the request, of which `hearing` returns the next sign; dropping `hearing`
+    /// closes its connection. When it has been silent for some time, another runner may replace it.
     pub async fn wait_or_replace<F>(
         &self,
         hearing: F,
@@ -56,57 +63,88 @@
         if !self.route.repeat.may_repeat() {
             return Waited::Heard(hearing.await);
         }
-        tokio::pin!(hearing);
-        if let Ok(heard) = tokio::time::timeout(STREAM_SILENCE_LIMIT, hearing.as_mut()).await {
-            return Waited::Heard(heard);
-        }
-        let has_begun = self.progress.has_begun();
-        let scheduler = &self.gateway.scheduler;
-        scheduler.on_silent_runner(resumption.runner, has_begun);
-        let replacement = tokio::select! {
-            // The runner that has the request goes first, so that no event is lost if both are ready.
-            biased;
-            heard = hearing.as_mut() => return Waited::Heard(heard),
-            replacement = self.open_beside(resumption, attempts) => replacement,
-        };
-        match replacement {
-            Some(stream) => Waited::Replaced(Box::new(stream)),
-            None => Waited::Heard(hearing.await),
+        let mut hearing = Box::pin(hearing);
+        match tokio::time::timeout(STREAM_SILENCE_LIMIT, hearing.as_mut()).await {
+            Ok(heard) => Waited::Heard(heard),
+            Err(_elapsed) => self.replace_silent(hearing, resumption, attempts).await,
         }
     }
 
-    /// Opens the stream at another runner than the silent one. Returns `None` if no other runner goes on with
-    /// it.
-    async fn open_beside(
+    /// Sends the request to other runners until one does not refuse it or the silent one is heard.
+    async fn replace_silent<F>(
         &self,
+        mut hearing: Pin<Box<F>>,
         resumption: Resumption<'_>,
         attempts: &mut Attempts,
-    ) -> Option<OpenStream> {
-        let Resumption {
-            engine,
-            last_event_id,
-            runner: silent,
-        } = resumption;
-        let excluded = vec![Name::clone(silent)];
-        let mut opener = StreamOpener::new(self, engine, last_event_id, excluded);
+    ) -> Waited<F::Output>
+    where
+        F: Future,
+    {
+        let silent = resumption.runner;
+        let scheduler = &self.gateway.scheduler;
+        scheduler.on_silent_runner(silent, self.progress.has_begun());
+        let mut opener = StreamOpener::replacing(silent, self, &resumption);
         while self.may_run_beside(attempts, 1, silent) {
-            let ready = opener.prepare(attempts).await.ok()?;
-            self.check_ends_before_stop(Duration::ZERO).ok()?;
+            let prepared = tokio::select! {
+                biased;
+                heard = hearing.as_mut() => return Waited::Heard(heard),
+                prepared = opener.prepare(attempts) => prepared,
+            };
+            let Ok(ready) = prepared else {
+                break;
+            };
             let runner = ready.id();
-            let before = *attempts;
-            // Counted before the outcome is known, since the attempt may be dropped: it may have run then.
-            attempts.count(AttemptOutcome::Unknown(UnknownReason::Timeout));
-            let limit = self.deadline.min(Instant::now() + MAX_OVERLAP);
-            let outcome = match opener.send(ready, limit).await {
-                Ok(stream) if stream.head.status.is_success() => return Some(stream),
-                Ok(_failed) => AttemptOutcome::Unknown(UnknownReason::TargetFailed),
-                Err(outcome) => outcome,
+            let mut sent = Box::pin(opener.send(ready, self.deadline));
+            // The silent runner is not heard meanwhile: if it went on, both would work on the stream.
+            let Ok(early) = tokio::time::timeout(MAX_OVERLAP, sent.as_mut()).await else {
+                drop(hearing);
+                attempts.count(SILENT);
+                return match begun(sent.await) {
+                    Ok(stream) => Waited::Replaced(Box::new(stream)),
+                    Err(outcome) => Waited::Failed(runner, outcome),
+                };
             };
-            *attempts = before;
-            attempts.count(outcome);
-            log::info!(id:% = self.request_id, runner:%, outcome:?; "silent runner was not replaced");
+            drop(sent);
+            match begun(early) {
+                Ok(stream) => {
+                    attempts.count(SILENT);
+                    return Waited::Replaced(Box::new(stream));
+                }
+                Err(outcome) => attempts.count(outcome),
+            }
+            log::info!(id:% = self.request_id, runner:%; "silent runner was not replaced");
             opener.exclude(runner);
         }
-        None
+        Waited::Heard(hearing.await)
+    }
+
+    /// Whether a runner answers now: it has answered this node just before, or reports its state at once.
+    pub async fn is_responsive(&self, runner: &Runner) -> bool {
+        let gateway = &self.gateway;
+        let scheduler = &gateway.scheduler;
+        if scheduler.has_answered_within(&runner.id, REPORT_TIMEOUT) {
+            return true;
+        }
+        let request = gateway.dialect.report_request(&runner.id);
+        let report = gateway.upstreams.call(runner.address, request, Reuse::Any);
+        let reported = tokio::time::timeout(REPORT_TIMEOUT, report).await;
+        let is_responsive = matches!(reported, Ok(Ok((status, _body))) if status.is_success());
+        if !is_responsive {
+            log::info!(id:% = self.request_id, runner:% = runner.id; "other runner does not report its state");
+        }
+        is_responsive
+    }
+}
+
+/// Outcome of the attempt at a silent runner that is closed.
+const SILENT: AttemptOutcome = AttemptOutcome::Unknown(UnknownReason::Timeout);
+
+/// The stream, if the runner goes on with it; a failure status cannot continue what the caller has received.
+fn begun(sent: Result<OpenStream, AttemptOutcome>) -> Result<OpenStream, AttemptOutcome> {
+    let stream = sent?;
+    if stream.head.status.is_success() {
+        Ok(stream)
+    } else {
+        Err(AttemptOutcome::Unknown(UnknownReason::TargetFailed))
     }
 }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -57,28 +57,39 @@
     /// Id of the event after which the stream is resumed; `None` for a stream from its start.
     last_event_id: Option<&'a str>,
     excluded: Vec<Name>,
+    /// Whether only runners that answer right now are chosen.
+    needs_response: bool,
     kv_guard: Option<KvHandleGuard>,
     has_tried_prefill: bool,
 }
 
 impl<'a> StreamOpener<'a> {
-    /// Prepares to open a stream at any runner that is not `excluded`.
+    /// Prepares to open a stream at any runner.
     pub const fn new(
         call: &'a Call,
         engine: &'a EngineLimits,
         last_event_id: Option<&'a str>,
-        excluded: Vec<Name>,
     ) -> Self {
         Self {
             call,
             engine,
             last_event_id,
-            excluded,
+            excluded: Vec::new(),
+            needs_response: false,
             kv_guard: None,
             has_tried_prefill: false,
         }
     }
 
+    /// Prepares to open a stream at a runner that answers, in place of a silent one.
+    pub fn replacing(silent: &Name, call: &'a Call, resumption: &Resumption<'a>) -> Self {
+        Self {
+            excluded: vec![Name::clone(silent)],
+            needs_response: true,
+            ..Self::new(call, resumption.engine, resumption.last_event_id)
+        }
+    }
+
     /// Leaves a runner out from now on.
     pub fn exclude(&mut self, runner: Name) {
         self.excluded.push(runner);
@@ -96,6 +107,10 @@
             let is_prefilled = prefill.is_some() || self.kv_guard.is_some();
             let decode = call.choose_decode(engine, is_prefilled, &self.excluded)?;
             call.check_first_event_in_time(prefill.as_ref(), &decode, attempts)?;
+            if self.needs_response && !call.is_responsive(&decode.runner).await {
+                self.exclude(Name::clone(&decode.runner.id));
+                continue;
+            }
             let attempt = call.begin_decode(&decode);
             if let Some(prefill) = prefill {
                 self.kv_guard = call.prefill(engine, prefill).await;
@@ -104,6 +119,8 @@
             let runner = decode.runner;
             // The decode runner may have announced during prefill that it is draining.
             if call.gateway.snapshot.load().accepts_requests(&runner) {
+                // Prefill, or another runner's refusal, may have taken longer than expected.
+                call.check_ends_before_stop(Duration::ZERO)?;
                 return Ok(ReadyDecode { runner, attempt });
             }
             self.exclude(Name::clone(&runner.id));
@@ -149,12 +166,10 @@
         attempts: &mut Attempts,
         last_event_id: Option<&str>,
     ) -> Result<OpenStream, Refusal> {
-        let mut opener = StreamOpener::new(self, engine, last_event_id, Vec::new());
+        let mut opener = StreamOpener::new(self, engine, last_event_id);
         loop {
             let ready = opener.prepare(attempts).await?;
-            // Prefill, or another runner's refusal, may have taken longer than expected.
-            self.check_ends_before_stop(Duration::ZERO)?;
-            let runner = ready.id();
+            let mut runner = ready.id();
             let resumption = Resumption {
                 engine,
                 last_event_id,
@@ -165,6 +180,10 @@
                 Waited::Heard(Ok(stream)) => return Ok(stream),
                 Waited::Replaced(stream) => return Ok(*stream),
                 Waited::Heard(Err(outcome)) => outcome,
+                Waited::Failed(other, outcome) => {
+                    opener.exclude(std::mem::replace(&mut runner, other));
+                    outcome
+                }
             };
             if outcome == AttemptOutcome::Unknown(UnknownReason::Timeout) {
                 self.gateway.scheduler.on_silent_runner(&runner, false);
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -274,11 +274,6 @@
         }
     }
 
-    /// Closes the connection, which tells the runner to stop.
-    pub fn close(&mut self) {
-        self.connection = None;
-    }
-
     /// Closes the connection at the end of the answer instead of returning it to the pool.
     pub const fn forbid_reuse(&mut self) {
         self.usable_for = None;
