Take a further prefill of a request out of the retry budget

Cause: the platform counts a call that only has the prompt read as extra unless it is the first one that was accepted. A stream that went on at another runner read its prompt again for one retry, and sent two calls. Where many runners are silent or break at once, that is twice the calls that the budget of the node grants.

Change: a call whose prompt has been read takes a retry for the next read; without one the decode runner reads it.

Evidence: gateway::prompt_is_not_read_again_without_a_retry_budget failed before (the second decode runner got a KV source) and passes.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -88,6 +88,8 @@
 pub struct CallState {
     /// Number of runners that may run the request. A runner whose attempt has failed does not count.
     maybe_running: AtomicU32,
+    /// Whether a prefill runner has read the prompt. Reading it once more is a retry.
+    has_been_read: AtomicBool,
     has_ended: AtomicBool,
 }
 
@@ -108,6 +110,18 @@
     }
 }
 
+impl CallState {
+    /// Records that a prefill runner has read the prompt.
+    pub fn on_prompt_read(&self) {
+        self.has_been_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a prefill runner has read the prompt before.
+    pub fn has_been_read(&self) -> bool {
+        self.has_been_read.load(Ordering::Relaxed)
+    }
+}
+
 impl Call {
     /// The answer at the end of a stop, if no runner has answered by then.
     pub fn answer_at_stop(&self) -> Refusal {
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -119,6 +119,9 @@
         let mut asked: Vec<Name> = Vec::new();
         let mut running = FuturesUnordered::new();
         let mut placement = first;
+        if self.state.has_been_read() && !self.may_read_again() {
+            return None;
+        }
         loop {
             let newest = PrefillWait::new(&placement);
             asked.push(Name::clone(&newest.runner));
@@ -134,15 +137,24 @@
                 return None;
             }
             let is_budget_exempt = is_unsent && asked.len() < MAX_UNSENT_PREFILLS;
-            if !is_budget_exempt && !self.gateway.scheduler.try_consume_retry(&self.service) {
-                self.gateway.metrics.increment("read.budget_used_up");
+            if !is_budget_exempt && !self.may_read_again() {
                 return None;
             }
-            self.gateway.metrics.increment("read.again");
             placement = self.choose_prefill(engine, &asked)?;
         }
     }
 
+    /// Takes a further prefill out of the retry budget; returns `false` if nothing is left there.
+    fn may_read_again(&self) -> bool {
+        let is_granted = self.gateway.scheduler.try_consume_retry(&self.service);
+        self.gateway.metrics.increment(if is_granted {
+            "read.again"
+        } else {
+            "read.budget_used_up"
+        });
+        is_granted
+    }
+
     /// Waits until a runner has read the prompt, the last of them has failed, or the newest is silent.
     async fn wait_for_prefill<F>(
         &self,
@@ -221,6 +233,7 @@
             took_ms = attempt.elapsed_us() / 1_000, read_tokens = placement.read_tokens,
             fetched_from:% = placement.fetches_from.as_ref().map_or("-", |r| &r.id);
             "prompt read");
+        self.state.on_prompt_read();
         attempt.on_prefill_time(placement.nominal_us);
         attempt.on_prefill_end(&self.metadata.parts, engine.kv_tokens);
         attempt.on_outcome(AttemptOutcome::Answered, false);
