Take a retry for a silent runner only when another one is asked

Cause: the retry was taken before another runner was looked for. Where a whole service is silent, no runner answers and nothing is sent, yet each silent stream took a retry that broken requests need.

Change: the limits of the request are checked first; the budget is asked after a runner has been found that answers, and before its prompt is read. The case without a budget in the core's test moves to the gateway's, where it stood already (no_budget of both kinds in silence.rs): the two decisions are separate calls now.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -164,22 +164,13 @@
         }
     }
 
-    /// Decides whether another attempt may start beside `running` ones, which may all be executed. An attempt
-    /// that is allowed is taken out of `budget`.
-    pub fn on_silence(
-        &self,
-        running: u32,
-        budget: &mut RetryBudget,
-        now_us: u64,
-    ) -> Result<(), GiveUp> {
-        if !self.is_repeatable {
-            return Err(GiveUp::NotRepeatable);
-        }
-        self.check_limits(running)?;
-        if budget.try_consume(now_us) {
-            Ok(())
+    /// Returns whether another attempt may start beside `running` ones, which may all be executed, as far as
+    /// the request is concerned. A retry has to be taken out of the budget as well.
+    pub const fn allows_beside(&self, running: u32) -> Result<(), GiveUp> {
+        if self.is_repeatable {
+            self.check_limits(running)
         } else {
-            Err(GiveUp::Budget)
+            Err(GiveUp::NotRepeatable)
         }
     }
 
--- a/crates/tealsaddle-core/tests/it/retry.rs
+++ b/crates/tealsaddle-core/tests/it/retry.rs
@@ -103,27 +103,24 @@
     assert_eq!(granted.count(), 5);
 }
 
-/// Guards against a silent attempt that is replaced beyond the limits of a request: not repeatable, executed by
-/// too many targets, or without a budget.
+/// Guards against a silent attempt that is replaced although the request is not repeatable, or might be executed
+/// by too many targets.
 #[parameterized(
-    allowed = { true, 2, None, 3.0, Ok(()) },
-    not_repeatable = { false, 2, None, 3.0, Err(GiveUp::NotRepeatable) },
-    one_execution = { true, 1, None, 3.0, Err(GiveUp::Attempts) },
-    one_failed = { true, 2, Some(UNKNOWN), 3.0, Err(GiveUp::Attempts) },
-    one_not_run = { true, 2, Some(NOT_RUN), 3.0, Ok(()) },
-    no_budget = { true, 2, None, 0.0, Err(GiveUp::Budget) },
+    allowed = { true, 2, None, Ok(()) },
+    not_repeatable = { false, 2, None, Err(GiveUp::NotRepeatable) },
+    one_execution = { true, 1, None, Err(GiveUp::Attempts) },
+    one_failed = { true, 2, Some(UNKNOWN), Err(GiveUp::Attempts) },
+    one_not_run = { true, 2, Some(NOT_RUN), Ok(()) },
 )]
 fn silent_attempt_is_replaced_within_limits(
     is_repeatable: bool,
     max_executions: u32,
     earlier: Option<AttemptOutcome>,
-    retries_per_s: f64,
     expected: Result<(), GiveUp>,
 ) {
     let mut attempts = Attempts::with_max_executions(is_repeatable, max_executions);
     if let Some(earlier) = earlier {
         attempts.count(earlier);
     }
-    let mut budget = RetryBudget::new(0.0, retries_per_s);
-    assert_eq!(attempts.on_silence(1, &mut budget, SECOND_US), expected);
+    assert_eq!(attempts.allows_beside(1), expected);
 }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -176,13 +176,12 @@
         }
     }
 
-    /// Decides whether another attempt may start beside `running` ones, of which the last, at `runner`, is
-    /// silent.
-    pub fn may_run_beside(&self, attempts: &Attempts, running: u32, runner: &str) -> bool {
-        let scheduler = &self.gateway.scheduler;
-        let decision = scheduler.on_silence(&self.service, attempts, running);
+    /// Logs that the last of `running` runners is silent, and returns whether the request allows another
+    /// attempt beside them.
+    pub fn on_silence(&self, attempts: &Attempts, running: u32, runner: &str) -> bool {
+        let decision = attempts.allows_beside(running);
         let name = match decision {
-            Ok(()) => "silence.granted".to_owned(),
+            Ok(()) => "silence.replaceable".to_owned(),
             Err(give_up) => format!("silence.{}", give_up.as_str()),
         };
         self.gateway.metrics.increment(&name);
@@ -191,6 +190,18 @@
         decision.is_ok()
     }
 
+    /// Takes the attempt at another runner than a silent one out of the retry budget.
+    pub fn may_ask_other(&self) -> bool {
+        let is_granted = self.gateway.scheduler.try_consume_retry(&self.service);
+        let name = if is_granted {
+            "silence.granted"
+        } else {
+            "silence.budget_used_up"
+        };
+        self.gateway.metrics.increment(name);
+        is_granted
+    }
+
     /// Sends the request to a runner and waits until `limit` for the head of the answer.
     pub async fn exchange_until(
         &self,
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -160,7 +160,7 @@
             return false;
         };
         self.gateway.scheduler.on_silent_runner(newest, true);
-        self.may_run_beside(attempts, running as u32, newest)
+        self.on_silence(attempts, running as u32, newest) && self.may_ask_other()
     }
 
     /// Whether this answer may be replaced by that of another runner.
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -207,19 +207,6 @@
         })
     }
 
-    /// Decides whether another attempt of a request may start beside `running` ones that are silent.
-    pub fn on_silence(
-        &self,
-        service: &Name,
-        attempts: &Attempts,
-        running: u32,
-    ) -> Result<(), GiveUp> {
-        let now_us = clock::now_us();
-        self.with_budget(service, |budget| {
-            attempts.on_silence(running, budget, now_us)
-        })
-    }
-
     /// Whether a runner has answered this node within `window`.
     pub fn has_answered_within(&self, runner: &str, window: Duration) -> bool {
         let since_us = clock::now_us().saturating_sub(window.as_micros() as u64);
--- a/crates/tealsaddle-gateway/src/silence.rs
+++ b/crates/tealsaddle-gateway/src/silence.rs
@@ -84,7 +84,7 @@
         let scheduler = &self.gateway.scheduler;
         scheduler.on_silent_runner(silent, self.progress.has_begun());
         let mut opener = StreamOpener::replacing(silent, self, &resumption);
-        while self.may_run_beside(attempts, 1, silent) {
+        while self.on_silence(attempts, 1, silent) {
             let prepared = tokio::select! {
                 biased;
                 heard = hearing.as_mut() => return Waited::Heard(heard),
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -57,8 +57,9 @@
     /// Id of the event after which the stream is resumed; `None` for a stream from its start.
     last_event_id: Option<&'a str>,
     excluded: Vec<Name>,
-    /// Whether only runners that answer right now are chosen.
-    needs_response: bool,
+    /// Whether the stream has a silent runner. Only a runner that answers right now is chosen then, and the
+    /// attempt is a retry.
+    is_replacement: bool,
     kv_guard: Option<KvHandleGuard>,
     has_tried_prefill: bool,
 }
@@ -75,7 +76,7 @@
             engine,
             last_event_id,
             excluded: Vec::new(),
-            needs_response: false,
+            is_replacement: false,
             kv_guard: None,
             has_tried_prefill: false,
         }
@@ -85,7 +86,7 @@
     pub fn replacing(silent: &Name, call: &'a Call, resumption: &Resumption<'a>) -> Self {
         Self {
             excluded: vec![Name::clone(silent)],
-            needs_response: true,
+            is_replacement: true,
             ..Self::new(call, resumption.engine, resumption.last_event_id)
         }
     }
@@ -107,9 +108,14 @@
             let is_prefilled = prefill.is_some() || self.kv_guard.is_some();
             let decode = call.choose_decode(engine, is_prefilled, &self.excluded)?;
             call.check_first_event_in_time(prefill.as_ref(), &decode, attempts)?;
-            if self.needs_response && !call.is_responsive(&decode.runner).await {
-                self.exclude(Name::clone(&decode.runner.id));
-                continue;
+            if self.is_replacement {
+                if !call.is_responsive(&decode.runner).await {
+                    self.exclude(Name::clone(&decode.runner.id));
+                    continue;
+                }
+                if !call.may_ask_other() {
+                    return Err((GatewayAnswer::NoRunner, Duration::ZERO));
+                }
             }
             let attempt = call.begin_decode(&decode);
             if let Some(prefill) = prefill {
