Wake the log thread at a flush, so that a process keeps its last log lines

Cause: a process that stops waited at most 200 ms for its log lines, and the log thread spent 100 ms of them asleep to collect a batch. On a busy machine the remaining time was too short, and the operator missed the lines logged as the process ended, such as the outcome of the requests that the stop cut off.

Change: a flush has the current batch written at once. The log thread waits for its batch parked, and each turn of the flush asks for the batch and unparks it. The queue is a type of its own with its output and times as parameters. The queue stays bounded, a full queue still drops and counts lines, and the batch time stays 100 ms outside a flush.

The limit of 200 ms stays, since the platform kills the process 250 ms after its scheduled exit; lines that need longer are lost.

--- a/crates/tealsaddle-gateway/src/logging.rs
+++ b/crates/tealsaddle-gateway/src/logging.rs
@@ -5,10 +5,11 @@
 //! its log output.
 
 use std::fmt::Write as _;
-use std::io::Write as _;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, OnceLock};
+use std::thread::{self, Thread};
 use std::time::{Duration, Instant};
 
 use log::kv::{Key, Value, VisitSource};
@@ -21,11 +22,89 @@
 const BATCH_TIME: Duration = Duration::from_millis(100);
 /// Longest time that [`flush`] waits.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time between two checks of the queue by [`flush`].
+/// Time between two checks of the queue by a flush.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Number of lines that are queued or being written.
-static UNWRITTEN_LINES: AtomicU64 = AtomicU64::new(0);
+/// Queue of the process's logger.
+static PROCESS_QUEUE: OnceLock<LineQueue> = OnceLock::new();
+
+/// State that the queue and its thread share.
+#[derive(Debug, Default)]
+struct QueueState {
+    /// Number of lines that are queued or being written.
+    unwritten_lines: AtomicU64,
+    /// Lines dropped since the last batch.
+    dropped_lines: AtomicU64,
+    /// Whether the current batch is to be written at once.
+    is_flush_requested: AtomicBool,
+}
+
+/// Bounded queue of lines, which a thread of its own writes in batches.
+#[derive(Debug)]
+pub struct LineQueue {
+    sender: SyncSender<String>,
+    state: Arc<QueueState>,
+    writer: Thread,
+}
+
+impl LineQueue {
+    /// Opens a queue of `capacity_lines`. Lines are collected for `batch_time` after the first one.
+    pub fn open<W>(output: W, capacity_lines: usize, batch_time: Duration) -> Result<Self, Error>
+    where
+        W: Write + Send + 'static,
+    {
+        let state = Arc::new(QueueState::default());
+        let (sender, receiver) = sync_channel(capacity_lines);
+        let writer_state = Arc::clone(&state);
+        let handle = thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(output, &receiver, &writer_state, batch_time))
+            .map_err(Error::Thread)?;
+        Ok(Self {
+            sender,
+            state,
+            writer: handle.thread().clone(),
+        })
+    }
+
+    /// Queues a line, or drops and counts it if the queue is full.
+    pub fn push(&self, line: String) {
+        self.state.unwritten_lines.fetch_add(1, Ordering::AcqRel);
+        if self.sender.try_send(line).is_err() {
+            self.state.unwritten_lines.fetch_sub(1, Ordering::AcqRel);
+            self.state.dropped_lines.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Has all queued lines written without the batch time, and waits for it up to `limit`. Returns
+    /// whether they are written.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let started = Instant::now();
+        while self.state.unwritten_lines.load(Ordering::Acquire) > 0 {
+            if started.elapsed() >= limit {
+                return false;
+            }
+            // Repeated, since another thread may have started a new batch with its line meanwhile.
+            self.state.is_flush_requested.store(true, Ordering::Release);
+            self.writer.unpark();
+            thread::sleep(FLUSH_POLL_INTERVAL);
+        }
+        true
+    }
+}
+
+impl QueueState {
+    /// Waits for the end of a batch: until `batch_time` is over or a flush is requested.
+    fn wait_for_batch(&self, batch_time: Duration) {
+        let started = Instant::now();
+        while !self.is_flush_requested.swap(false, Ordering::AcqRel) {
+            let Some(left) = batch_time.checked_sub(started.elapsed()) else {
+                return;
+            };
+            thread::park_timeout(left);
+        }
+    }
+}
 
 /// Collects the key-value pairs of a record. Unsigned integers and booleans keep their JSON type; all
 /// other values become strings.
@@ -81,13 +160,8 @@
 /// `level` applies to the gateway, the platform adapter and the program; all other crates log warnings and
 /// errors at most.
 pub fn open(level: log::LevelFilter) -> Result<(), Error> {
-    let dropped = Arc::new(AtomicU64::new(0));
-    let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let thread_dropped = Arc::clone(&dropped);
-    std::thread::Builder::new()
-        .name("log".to_owned())
-        .spawn(move || write_lines(&receiver, &thread_dropped))
-        .map_err(Error::Thread)?;
+    let queue = LineQueue::open(std::io::stdout(), QUEUE_LINES, BATCH_TIME)?;
+    let queue = PROCESS_QUEUE.get_or_init(|| queue);
     fern::Dispatch::new()
         .level(level.min(log::LevelFilter::Warn))
         .level_for("tealsaddle_gateway", level)
@@ -96,25 +170,23 @@
         .format(|out, message, record| {
             out.finish(format_args!("{}", json_line(message, record)));
         })
-        .chain(fern::Output::call(move |record| {
-            enqueue(&sender, &dropped, record.args().to_string());
+        .chain(fern::Output::call(|record| {
+            queue.push(record.args().to_string());
         }))
         .apply()
         .map_err(|error| Error::Log(error.to_string()))
 }
 
-fn enqueue(sender: &SyncSender<String>, dropped: &AtomicU64, line: String) {
-    UNWRITTEN_LINES.fetch_add(1, Ordering::AcqRel);
-    if sender.try_send(line).is_err() {
-        UNWRITTEN_LINES.fetch_sub(1, Ordering::AcqRel);
-        dropped.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-fn write_lines(receiver: &Receiver<String>, dropped: &AtomicU64) {
-    let mut out = std::io::stdout().lock();
+fn write_lines<W>(
+    mut output: W,
+    receiver: &Receiver<String>,
+    state: &QueueState,
+    batch_time: Duration,
+) where
+    W: Write,
+{
     while let Ok(first) = receiver.recv() {
-        std::thread::sleep(BATCH_TIME);
+        state.wait_for_batch(batch_time);
         let mut text = first + "\n";
         let mut lines = 1;
         while let Ok(line) = receiver.try_recv() {
@@ -122,7 +194,7 @@
             text.push('\n');
             lines += 1;
         }
-        let left_out = dropped.swap(0, Ordering::Relaxed);
+        let left_out = state.dropped_lines.swap(0, Ordering::Relaxed);
         if left_out > 0 {
             writeln!(
                 text,
@@ -131,17 +203,18 @@
             )
             .expect("writing to a string cannot fail");
         }
-        // There is no other place to report that standard output is closed.
-        drop(out.write_all(text.as_bytes()));
-        drop(out.flush());
-        UNWRITTEN_LINES.fetch_sub(lines, Ordering::AcqRel);
+        // There is no other place to report that the output is closed.
+        drop(output.write_all(text.as_bytes()));
+        drop(output.flush());
+        state.unwritten_lines.fetch_sub(lines, Ordering::AcqRel);
     }
 }
 
-/// Waits until all queued lines are written, up to a limit. To be called before the process exits.
+/// Waits until all queued lines of the process's logger are written, up to a limit. To be called before
+/// the process exits.
 pub fn flush() {
-    let started = Instant::now();
-    while UNWRITTEN_LINES.load(Ordering::Acquire) > 0 && started.elapsed() < FLUSH_TIMEOUT {
-        std::thread::sleep(FLUSH_POLL_INTERVAL);
+    if let Some(queue) = PROCESS_QUEUE.get() {
+        // Lines left after the limit are lost; there is no other place to report them.
+        let _is_complete = queue.flush(FLUSH_TIMEOUT);
     }
 }
