Block the signals until their handlers are in place

Cause: a handler is installed by a system call, and the signal library publishes its action afterwards. A SIGTERM between the two reached a handler without an action and was gone. The process served on and, on the users' platform, was killed at the end of its grace period with its requests in flight. Seen once, in a soak that did not end.

Change: both programs block SIGTERM and SIGHUP before they start a thread and unblock them when the handlers are in place; a signal that arrives meanwhile is pending and then reaches its handler. The entry node installs its handler before it starts its servers, so that an early SIGTERM ends it by a planned stop instead of by default.

The new test traces the process and sends SIGTERM as the system call returns.

Conclusion: only the time from the start of the program to its first instruction is left, in which a signal ends the process by default. The test traces with ptrace and needs a machine that permits that for a child process.

--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod request;
 pub mod rounds;
 pub mod scheduler;
+pub mod signals;
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -15,6 +15,7 @@
 use crate::front::{CallerListener, bind_text_endpoint};
 use crate::gateway::{Gateway, GatewayConfig};
 use crate::scheduler::RetryShare;
+use crate::signals::BlockedSignals;
 use crate::snapshot::FleetSnapshot;
 
 /// Time between two checks of the open connections while the process stops.
@@ -40,6 +41,7 @@
     /// Installs the signal handlers. To be called first, since a SIGHUP terminates a process that does not
     /// handle it.
     pub fn open() -> Result<Self, Error> {
+        let blocked_signals = BlockedSignals::open().map_err(Error::Thread)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -48,6 +50,7 @@
         let terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
         let hang_up = signal(SignalKind::hangup()).map_err(Error::Thread)?;
         drop(context);
+        drop(blocked_signals);
         Ok(Self {
             runtime,
             terminate,
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tealsaddle_gateway::signals::BlockedSignals;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
 use crate::admin::AdminServer;
 use crate::caller::server::CallerServer;
 use crate::control::api::ControlHandle;
@@ -31,15 +34,20 @@
 /// Runs a node until it leaves: after SIGTERM, after a drain by an operator, or when the platform's VM
 /// list shows its VM as leaving.
 pub fn run(settings: Settings) -> Result<(), Error> {
+    let blocked_signals = BlockedSignals::open().map_err(Error::Thread)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .enable_all()
         .build()
         .map_err(Error::Thread)?;
-    runtime.block_on(serve(settings))
+    let context = runtime.enter();
+    let terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
+    drop(context);
+    drop(blocked_signals);
+    runtime.block_on(serve(settings, terminate))
 }
 
-async fn serve(settings: Settings) -> Result<(), Error> {
+async fn serve(settings: Settings, mut terminate: Signal) -> Result<(), Error> {
     let counters = Counters::open(&settings.metrics)?;
     let platform = Arc::new(HttpPlatform::open(
         settings.platform_address,
@@ -61,8 +69,6 @@
     let callers = caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
     let operators = admin::bind(admin_listen, Arc::clone(&traffic), control.clone()).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
-    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-        .map_err(Error::Thread)?;
     tokio::select! {
         _ = terminate.recv() => {
             if control.leave(CONTROL_TIMEOUT).await.is_err() {
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod completions;
 mod config;
+mod early_signal;
 mod end_to_end;
 mod faults;
 mod forward;
