Publish a changed address of a known node to the traffic threads

Cause: Peers::update stored new information about a known process, but reported a change only for its registration, its stop and its recovery. A registration that was as old as the known information was stored without a change, too.

The module is public, so that a test can state this without a deployment.

Before: both new tests fail, "assertion failed: peers.update(peer(2, NOW_US + 2), false, NOW_US + 2)" and "assertion failed: peers.update(peer(1, NOW_US), false, NOW_US)". After: both pass, with the tests named peers, forward and membership of the node.

Conclusion: a process takes its addresses from its settings at the start, so in operation this shows only with information of equal age, or from a node that reports wrongly.

--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -15,7 +15,7 @@
 mod heartbeat;
 mod loads;
 mod members;
-mod peers;
+pub mod peers;
 mod plan;
 mod state;
 mod status;
--- a/crates/tealsaddle-node/src/control/peers.rs
+++ b/crates/tealsaddle-node/src/control/peers.rs
@@ -23,7 +23,6 @@
 const MAX_LISTED_PER_OTHER_ZONE: usize = 3;
 
 /// Another node, as this node knows it.
-#[expect(clippy::struct_field_names, reason = "there are two kinds of address")]
 #[derive(Debug, Clone)]
 pub struct Peer {
     /// VM and incarnation of the node.
@@ -88,18 +87,15 @@
         let is_full = self.peers.len() >= MAX_PEERS;
         match self.peers.get_mut(&info.process) {
             Some(known) => {
+                let before = known.clone();
                 // A stopping process never takes new work again.
                 let is_leaving = known.is_leaving || info.is_leaving;
-                let has_changed = is_leaving != known.is_leaving
-                    || (is_direct && known.is_failing)
-                    || (info.last_seen_us > known.last_seen_us
-                        && info.is_registered != known.is_registered);
                 if info.last_seen_us >= known.last_seen_us {
                     let is_failing = known.is_failing && !is_direct;
                     *known = Peer { is_failing, ..info };
                 }
                 known.is_leaving = is_leaving;
-                has_changed
+                !known.is_same_in_snapshot(&before)
             }
             None if !is_full => {
                 self.peers.insert(info.process.clone(), info);
@@ -205,6 +201,15 @@
 }
 
 impl Peer {
+    /// Whether the snapshot contains the same for two states of a process.
+    fn is_same_in_snapshot(&self, other: &Self) -> bool {
+        self.zone == other.zone
+            && self.caller_address == other.caller_address
+            && self.is_registered == other.is_registered
+            && self.is_leaving == other.is_leaving
+            && self.is_failing == other.is_failing
+    }
+
     fn to_message(&self, now_us: u64) -> PeerInfo {
         PeerInfo {
             process: Some(self.process.clone()),
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod operator;
 mod orders;
+mod peer_list;
 mod peers;
 mod planner;
 mod prefix_affinity;
