Tell a peer which registrations have lapsed, and when they expire

Cause: a registration that expires during an outage of the store is kept for 2 s after the store returns, so that the runner can register again. A node that started meanwhile and took its state from a peer got this registration like any other and kept it until its own first listing of the store. While the store did not answer that node, it went on sending requests to a runner that its peer had dropped.

Change: the state for a peer says how much longer a lapsed registration is kept, at most 2 s count, and the receiving node drops it by then. The field is optional: a node of the version before ignores it, and its absence means what it meant.

Conclusion: nodes agree on lapsed registrations, also if they pass them on further.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -80,7 +80,7 @@
 
     /// The encoded state of this node, for peers.
     pub fn peer_state(&self) -> String {
-        peers::encode(&self.control.fleet())
+        peers::encode(&self.control.fleet(), clock::now_us())
     }
 }
 
@@ -254,24 +254,29 @@
     fn on_runners(self: &Arc<Self>, update: StoreUpdate) {
         let prefix = self.gateway.dialect.layout().runner_prefix;
         let now_us = clock::now_us();
-        let has_lapsed = {
+        {
             let mut fleet = self.fleet();
             let dialect = &*self.gateway.dialect;
             match update {
                 StoreUpdate::Listing(listing) => fleet.on_listing(dialect, prefix, listing, now_us),
                 StoreUpdate::Changes(changes) => fleet.on_changes(dialect, prefix, changes, now_us),
             }
-            fleet.has_lapsed_registrations()
-        };
+        }
         self.publish();
-        if has_lapsed {
-            let control = Arc::clone(self);
-            tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_micros(REREGISTRATION_WINDOW_US)).await;
-                control.fleet().expire(clock::now_us());
-                control.publish();
-            });
+        self.expire_lapsed_later();
+    }
+
+    /// Drops lapsed registrations once their time is over.
+    pub fn expire_lapsed_later(self: &Arc<Self>) {
+        if !self.fleet().has_lapsed_registrations() {
+            return;
         }
+        let control = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_micros(REREGISTRATION_WINDOW_US)).await;
+            control.fleet().expire(clock::now_us());
+            control.publish();
+        });
     }
 }
 
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -155,6 +155,18 @@
         log::info!(key, revision; "runner gone");
     }
 
+    /// Records that a registration is no longer in the store and is kept until `expires_us`.
+    pub fn on_lapsed(&mut self, key: &str, expires_us: u64) {
+        if let Some(registration) = self.registrations.get_mut(key) {
+            registration.expires_us = Some(expires_us);
+        }
+    }
+
+    /// Time until which a lapsed registration is kept; `None` while it is in the store.
+    pub fn expires_us(&self, key: &str) -> Option<u64> {
+        self.registrations.get(key)?.expires_us
+    }
+
     /// Whether any runner is kept although its registration is no longer in the store.
     pub fn has_lapsed_registrations(&self) -> bool {
         let mut registrations = self.registrations.values();
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderMap;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
+use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
 
 use crate::clock;
 use crate::clock::jittered;
@@ -42,10 +43,13 @@
     key: String,
     value: String,
     revision: u64,
+    /// Time until the runner is dropped, if its registration has lapsed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    expires_in_ms: Option<u64>,
 }
 
-/// Encodes this node's state for a peer.
-pub fn encode(fleet: &FleetState) -> String {
+/// Encodes a node's state for a peer.
+pub fn encode(fleet: &FleetState, now_us: u64) -> String {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     let listing = fleet.listing();
     let state = PeerState {
@@ -54,8 +58,11 @@
         runners: listing.map(|listing| {
             let items = listing.items.into_iter().map(|item| PeerItem {
                 value: text(&item.value),
-                key: item.key,
                 revision: item.revision,
+                expires_in_ms: fleet
+                    .expires_us(&item.key)
+                    .map(|expires_us| expires_us.saturating_sub(now_us) / 1_000),
+                key: item.key,
             });
             items.collect()
         }),
@@ -112,6 +119,15 @@
         control.apply_config(config.as_bytes());
     }
     if let Some(runners) = state.runners {
+        let now_us = clock::now_us();
+        let lapsed: Vec<(String, u64)> = runners
+            .iter()
+            .filter_map(|item| {
+                let left_us = item.expires_in_ms?.saturating_mul(1_000);
+                let expires_us = now_us + left_us.min(REREGISTRATION_WINDOW_US);
+                Some((item.key.clone(), expires_us))
+            })
+            .collect();
         let listing = Listing {
             items: runners
                 .into_iter()
@@ -129,8 +145,13 @@
         if !fleet.is_ready() {
             log::info!(runners = listing.items.len(), revision = listing.revision;
                 "runners taken from a peer");
-            fleet.on_listing(dialect, prefix, listing, clock::now_us());
+            fleet.on_listing(dialect, prefix, listing, now_us);
+            for (key, expires_us) in lapsed {
+                fleet.on_lapsed(&key, expires_us);
+            }
         }
+        drop(fleet);
+        control.expire_lapsed_later();
     }
     control.publish();
 }
