Read a listing of the nodes' keys that takes several pages

Cause: the trait of the store says that a listing limits the time of each page, since all pages of a large fleet can take longer than one call. The listing of the nodes' keys was limited to 1.5 s as a whole by its caller. On a slow store with several pages each round failed, so that the node never counted the other nodes and never got the authority to send orders.

Change: the listing has a limit of its own, 3 s, on top of the limit of each page. There is still one, because the node renews its lease of 8 s in the same loop.

Conclusion: the store returns up to 500 keys a page, so up to 360 nodes are one page and see no change.

--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{self, jittered};
-use crate::control::{CALL_TIMEOUT, Control, with_timeout};
+use crate::control::{Control, with_timeout};
 use crate::error::StoreError;
 use crate::external::Freshness;
 use crate::membership::Membership;
@@ -28,6 +28,10 @@
 /// watches from before an outage may hang.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time limit of a listing of the nodes' keys; the store limits the time of each page. The node's lease is
+/// not renewed meanwhile.
+const LIST_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The loop that does the periodic work with the store.
 #[derive(Debug)]
 pub struct ControlLoop {
@@ -99,7 +103,7 @@
     /// authority to order if no node holds it.
     async fn list_node_keys(&mut self) -> Result<(), StoreError> {
         let list = self.control.store.list(KEY_PREFIX, Freshness::Stale);
-        let items = with_timeout(CALL_TIMEOUT, list).await?.items;
+        let items = with_timeout(LIST_TIMEOUT, list).await?.items;
         self.membership.on_listed(&items).await?;
         self.orders.on_listed(&items, self.membership.lease()).await
     }
