Let the spare capacity of a silent zone expire

Cause: a node kept the spare capacity that another zone had last reported without a time. A zone that had fallen silent, or no longer served a model, still counted as having room, and late requests spilled to it on the strength of an old report.

Change: a report expires after 15 s, as the entry of a node does. The reports are a type of their own, which is told the time.

Before: with the expiry left out the new test fails (trial: "assertion failed: capacities.remove_expired(16_000_000)"). After: it passes, with the tests named forward, peers and membership of the node.

Conclusion: a request only spills to a zone with a reachable node, so this mattered while nodes of the zone were known through others and did not report to this node.

--- a/crates/tealsaddle-node/src/control/heartbeat.rs
+++ b/crates/tealsaddle-node/src/control/heartbeat.rs
@@ -437,13 +437,15 @@
             return;
         }
         let zone = Name::from(zone);
+        let now_us = clock::now_us();
         for load in loads.iter().take(MAX_ENTRIES) {
-            let key = (Name::clone(&zone), Name::from(load.model.as_str()));
-            let load = SpareCapacity {
+            let capacity = SpareCapacity {
                 spare_prefill_tokens: load.spare_prefill_tokens,
                 spare_decode_requests: load.spare_decode_requests,
             };
-            self.is_dirty |= self.zone_spare_capacity.insert(key, load) != Some(load);
+            self.is_dirty |= self
+                .zone_capacities
+                .on_report(&zone, &load.model, capacity, now_us);
         }
     }
 }
--- a/crates/tealsaddle-node/src/control/members.rs
+++ b/crates/tealsaddle-node/src/control/members.rs
@@ -44,6 +44,7 @@
         }
         self.traffic.control_watchdog.tick(now_us);
         self.remove_expired_peers(&[], now_us);
+        self.is_dirty |= self.zone_capacities.remove_expired(now_us);
         if due.heartbeat {
             self.send_heartbeats(due.wants_peers);
         }
--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod stop;
 mod timers;
 mod zone;
+pub mod zone_capacity;
 
 use std::sync::Arc;
 
--- a/crates/tealsaddle-node/src/control/state.rs
+++ b/crates/tealsaddle-node/src/control/state.rs
@@ -23,12 +23,13 @@
 use super::plan::PlannerState;
 use super::stop::Resignation;
 use super::timers::PeriodicTimers;
+use super::zone_capacity::ZoneCapacities;
 use super::{config_watch, config_write, members};
 use crate::clock;
 use crate::engine::orders::EngineReader;
 use crate::peer::client::PeerClients;
 use crate::platform::{KeyValue, VmList};
-use crate::traffic::{Snapshot, SpareCapacity, TableVersion, Traffic};
+use crate::traffic::{Snapshot, TableVersion, Traffic};
 
 /// Time between two ticks. The authority state machine expects 100 to 250 ms.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -83,8 +84,7 @@
     pub(super) members: Members,
     pub(super) rollout: Rollout,
     pub(super) loads: LoadReports,
-    /// Spare capacity that other zones last reported, by zone and model.
-    pub(super) zone_spare_capacity: HashMap<(Name, Name), SpareCapacity>,
+    pub(super) zone_capacities: ZoneCapacities,
     pub(super) timers: PeriodicTimers,
     pub(super) planner_state: PlannerState,
 
@@ -143,7 +143,7 @@
             members: Members::default(),
             rollout: Rollout::default(),
             loads: LoadReports::default(),
-            zone_spare_capacity: HashMap::default(),
+            zone_capacities: ZoneCapacities::default(),
             timers: PeriodicTimers::default(),
             planner_state: PlannerState::default(),
             is_platform_reachable: false,
@@ -316,7 +316,7 @@
             is_stale: self.rollout.is_stale(clock::now_us()),
             peers: self.peers.endpoints(&self.members),
             leaving_vms,
-            zone_spare_capacity: self.zone_spare_capacity.clone(),
+            zone_spare_capacity: self.zone_capacities.to_snapshot(),
         }));
         self.published_table_version = table_version;
     }
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -22,3 +22,4 @@
 mod stream;
 mod support;
 mod test_node;
+mod zone_capacity;
