Say so when a node leaves without the confirmation of its resignation

Cause: the control thread answered a resignation in the same way whether the holder had confirmed it or the time limit was over, and the node ignored that answer. A process that could not leave the router list ended like any other, and an operator who then saw planned changes blocked in its zone found no reason in its log.

Change: the answer tells whether the node is known to be removed from the list, and the node logs a warning if it is not. How long it waits is unchanged.

Before: the new test fails, the log of a node that stops while the platform is down lacks the warning (membership.rs:67). After: it passes.

Conclusion: the last node of a zone has no holder to confirm its resignation and logs the warning as well, which is true: its entry stays until its VM is gone.

--- a/crates/tealsaddle-node/src/control/api.rs
+++ b/crates/tealsaddle-node/src/control/api.rs
@@ -36,7 +36,7 @@
     /// Takes the node out of service. The node completes its requests in flight and exits.
     async fn leave();
     /// Hands over the zone authority and removes the node from the router list. Completes when both are
-    /// done or their time limits are over. Returns false if the control thread ends before that.
+    /// done or their time limits are over. Returns whether the node is known to be removed from the list.
     async fn resign() -> bool;
 }
 
@@ -263,7 +263,7 @@
     }
 
     async fn resign(self, _: tarpc::context::Context) -> bool {
-        self.request(Event::Resign).await.is_some()
+        self.request(Event::Resign).await.unwrap_or(false)
     }
 }
 
@@ -371,8 +371,8 @@
         answer.map_err(|_late| NoAnswer)
     }
 
-    /// Hands over the zone authority and removes the node from the router list. Returns true
-    /// when both are done or their time limits are over, and false if the control thread ends before that.
+    /// Hands over the zone authority and removes the node from the router list. Returns when both are done
+    /// or their time limits are over, and whether the node is known to be removed from the list.
     pub async fn resign(&self, timeout: Duration) -> Result<bool, NoAnswer> {
         let answer = self
             .client
--- a/crates/tealsaddle-node/src/control/event.rs
+++ b/crates/tealsaddle-node/src/control/event.rs
@@ -64,7 +64,7 @@
     /// A signal or an operator takes the node out of service.
     Leave,
     /// The node has completed its requests and is to leave the router list.
-    Resign(oneshot::Sender<()>),
+    Resign(oneshot::Sender<bool>),
     /// A peer sent a heartbeat.
     PeerHeartbeat {
         /// State of the peer.
--- a/crates/tealsaddle-node/src/control/stop.rs
+++ b/crates/tealsaddle-node/src/control/stop.rs
@@ -29,7 +29,7 @@
 /// A resignation in progress.
 #[derive(Debug)]
 pub struct Resignation {
-    reply: oneshot::Sender<()>,
+    reply: oneshot::Sender<bool>,
     started_us: u64,
     last_request_us: u64,
     is_unregistered: bool,
@@ -55,7 +55,7 @@
         self.authority_events.push_back(AuthorityEvent::Leaving);
     }
 
-    pub(super) fn on_resign(&mut self, reply: oneshot::Sender<()>) {
+    pub(super) fn on_resign(&mut self, reply: oneshot::Sender<bool>) {
         self.leave("the node resigns");
         self.resignation = Some(Resignation {
             reply,
@@ -96,7 +96,7 @@
         if is_removal_finished && is_released {
             if let Some(resignation) = self.resignation.take() {
                 log::info!(resigned = resignation.is_unregistered; "resignation ended");
-                if resignation.reply.send(()).is_err() {
+                if resignation.reply.send(resignation.is_unregistered).is_err() {
                     self.count("stop.gave_up_waiting");
                 }
             }
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -109,10 +109,14 @@
         None => callers.shutdown().await,
         Some(limit) => shutdown_within(limit, callers, traffic).await,
     }
-    if control.resign(RESIGN_TIMEOUT).await.is_err() {
-        log::warn!(
+    match control.resign(RESIGN_TIMEOUT).await {
+        Ok(true) => {}
+        Ok(false) => log::warn!(
+            "no holder confirmed the resignation; the node may still be in the router list"
+        ),
+        Err(_late) => log::warn!(
             "the control thread did not answer the request to resign; the node may still be in the router list"
-        );
+        ),
     }
     if tokio::time::timeout(ADMIN_TIMEOUT, operators.shutdown())
         .await
--- a/crates/tealsaddle-node/tests/it/membership.rs
+++ b/crates/tealsaddle-node/tests/it/membership.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use tealsaddle_core::rollout::REFRESH_TIMEOUT_US;
 use tealsaddle_testkit::client::{Client, wait_until};
-use tealsaddle_testkit::platform::faults::VmState;
+use tealsaddle_testkit::platform::faults::{Outage, VmState};
 
 use crate::cluster::{Cluster, ZONE, open_engines};
 use crate::support::admin;
@@ -47,6 +47,29 @@
     .await;
 }
 
+/// Guards against a resignation that ends at its time limit and counts as done, so that the log of the node
+/// doesn't tell why its zone waits for a process that has ended.
+#[tokio::test]
+async fn node_that_could_not_resign_says_so() {
+    let mut cluster = Cluster::start_in_service("membership-no-resign", 2, 1).await;
+    let holder = cluster.wait_for_holder().await;
+    let resigning = 1 - holder;
+    // The holder cannot write the router list.
+    cluster
+        .platform
+        .update(|faults| faults.outage = Outage::Unavailable);
+    cluster.nodes[resigning]
+        .signal(Signal::SIGTERM)
+        .expect("the node is told to stop");
+    let status = cluster.nodes[resigning].wait().expect("the node ends");
+    assert!(status.success(), "{status}");
+    let log = cluster.nodes[resigning].log().expect("a log");
+    assert!(
+        log.contains("the node may still be in the router list"),
+        "{log}"
+    );
+}
+
 /// Guards against new work on a node that was told to stop. The node must refuse requests, and its
 /// peers must list its VM as leaving.
 #[tokio::test]
