Keep a decision ring without capacity empty

Cause: the ring dropped its oldest entry if its length was equal to its capacity before a push. With capacity 0 nothing was dropped at the first push, the length was never equal again, and the ring grew with each decision.

Change: a ring without capacity keeps nothing.

Conclusion: no program opens such a ring today.

--- a/crates/tealsaddle-core/src/decision.rs
+++ b/crates/tealsaddle-core/src/decision.rs
@@ -79,6 +79,9 @@
 
     /// Adds a decision, dropping the oldest one if the ring is full.
     pub fn push(&mut self, decision: Decision) {
+        if self.capacity == 0 {
+            return;
+        }
         if self.decisions.len() == self.capacity {
             self.decisions.pop_front();
         }
--- a/crates/tealsaddle-core/tests/it/main.rs
+++ b/crates/tealsaddle-core/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod authority;
 mod claim;
+mod decision;
 mod drain;
 mod fleet;
 mod inventory;
