Give the planner the corrected load of an engine

Cause: the planner's view of an engine has a field of type CorrectedLoad, and the holder filled it with the last report alone. An engine that the holder had just loaded looked idle to the planner for the age of the report, and could come first among the engines that drain soonest.

Change: the holder takes the load from its traffic state, which adds the requests that it has sent since the report and subtracts what it has seen completed.

Conclusion: requests of other nodes since the report remain unknown to the holder, as they are to its router.

--- a/crates/tealsaddle-core/src/planner/mod.rs
+++ b/crates/tealsaddle-core/src/planner/mod.rs
@@ -49,7 +49,7 @@
     pub role_since_us: Option<u64>,
     /// Whether the engine is up and is not being withdrawn.
     pub is_available: bool,
-    /// Last reported load; the caller may have corrected it for the requests sent since.
+    /// Last reported load, corrected for the requests that the planning node has sent since.
     pub load: CorrectedLoad,
 }
 
--- a/crates/tealsaddle-node/src/control/loads.rs
+++ b/crates/tealsaddle-node/src/control/loads.rs
@@ -92,11 +92,6 @@
             .retain(|engine, _| inventory.engines.contains_key(engine));
     }
 
-    /// Returns the last report of each engine.
-    pub const fn reports(&self) -> &HashMap<Name, Report> {
-        &self.reports
-    }
-
     /// Returns the engines that this node polls.
     pub fn polled(&self) -> &[Name] {
         &self.polled
--- a/crates/tealsaddle-node/src/control/plan.rs
+++ b/crates/tealsaddle-node/src/control/plan.rs
@@ -10,7 +10,6 @@
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::decision::{Decision, DecisionKind};
 use tealsaddle_core::inventory::{Engine, Inventory, Model, PlannerKind, Policy, Role};
-use tealsaddle_core::load::CorrectedLoad;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::planner::{
     AllMixed, CostConfig, CostPlanner, Demand, EngineView, FixedSplit, Limits, Planner, PoolView,
@@ -265,7 +264,7 @@
     fn engine_view(&self, engine: &Arc<Engine>, now_us: u64) -> Option<EngineView> {
         let entry = self.recorded_engine(&engine.name)?;
         let order = entry.order.as_ref();
-        let load = self.loads.reported_load(&engine.name, now_us);
+        let load = self.traffic.engine_load(&engine.name, now_us);
         let is_fresh = load
             .report_age_us
             .is_some_and(|age_us| age_us < MAX_LOAD_REPORT_AGE_US);
@@ -284,21 +283,3 @@
         })
     }
 }
-
-impl super::loads::LoadReports {
-    /// Returns the load of an engine for the planner, as last reported and without a correction.
-    fn reported_load(&self, engine: &str, now_us: u64) -> CorrectedLoad {
-        self.report(engine)
-            .map_or_else(CorrectedLoad::default, |report| CorrectedLoad {
-                running: report.message.running,
-                waiting: report.message.waiting,
-                queued_prefill_tokens: report.message.queued_prefill_tokens,
-                kv_used_tokens: report.message.kv_used_tokens,
-                report_age_us: Some(now_us.saturating_sub(report.sampled_at_us)),
-            })
-    }
-
-    fn report(&self, engine: &str) -> Option<&super::loads::Report> {
-        self.reports().get(engine)
-    }
-}
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -18,7 +18,7 @@
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::decision::{Decision, DecisionKind, DecisionRing};
 use tealsaddle_core::inventory::{Engine, Inventory, Role};
-use tealsaddle_core::load::{Completion, EngineLoad, LoadReport, SentRequest};
+use tealsaddle_core::load::{Completion, CorrectedLoad, EngineLoad, LoadReport, SentRequest};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::prefix::PrefixCacheEstimate;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, RetryBudget};
@@ -340,6 +340,14 @@
             .on_report(report);
     }
 
+    /// Returns the load of an engine, corrected for what this node has sent and seen completed.
+    pub fn engine_load(&self, engine: &str, now_us: u64) -> CorrectedLoad {
+        let loads = self.loads.lock().expect("no holder of the lock panics");
+        loads
+            .get(engine)
+            .map_or_else(CorrectedLoad::default, |load| load.corrected(now_us))
+    }
+
     /// Records that an engine prefills a prompt. Returns the number of prompt tokens expected in the prefix
     /// cache of the engine.
     pub fn on_prefill(&self, engine: &Engine, prefix_blocks: &[u64]) -> u64 {
--- a/crates/tealsaddle-node/tests/it/planner.rs
+++ b/crates/tealsaddle-node/tests/it/planner.rs
@@ -3,12 +3,15 @@
 use std::path::Path;
 
 use tealsaddle_core::inventory::Role;
+use tealsaddle_core::load::{CorrectedLoad, SentRequest};
 use tealsaddle_schema::inventory::Policy;
 use tealsaddle_testkit::client::Client;
 use tealsaddle_testkit::deployment::{Deployment, MODEL, Plan, fast_engine_config};
 use tealsaddle_testkit::engine::sim::SimConfig;
 
+use crate::completions::start_node_with;
 use crate::support::assert_no_conflict_or_cut_off;
+use crate::test_node::ScriptedEngine;
 
 /// Sends `count` requests for `max_tokens` tokens each, `concurrency` of them at a time.
 async fn send(deployment: &Deployment, count: u64, concurrency: u64, max_tokens: u64) {
@@ -33,6 +36,29 @@
     }
 }
 
+/// Guards against a planner that takes an engine for idle which this node has loaded since its last report.
+#[tokio::test]
+async fn load_for_the_planner_includes_requests_sent_since_the_report() {
+    let engine = ScriptedEngine::healthy(0).await;
+    let node = start_node_with(&engine, "", "").await;
+    node.report_load("e0", Role::Mixed, 3, 100);
+    let now_us = tealsaddle_node::clock::now_us();
+    let send = SentRequest {
+        at_us: now_us,
+        prefill_tokens: 500,
+        decodes: true,
+        kv_tokens: 700,
+    };
+    node.traffic.on_send(&"e0".into(), send);
+    let load = node.traffic.engine_load("e0", now_us);
+    assert_eq!((load.running, load.queued_prefill_tokens), (4, 600));
+    assert!(load.report_age_us.is_some());
+    assert_eq!(
+        node.traffic.engine_load("e9", now_us),
+        CorrectedLoad::default()
+    );
+}
+
 /// Guards against a planner that misses a shift of the request mix because it averages all answers since
 /// the start.
 #[tokio::test]
