Refuse an unknown stage at the test engine with its own reason

Cause: the test engine answered a request for an unknown stage with the reason "too_long", which points a search for the fault of a node at the length of its prompts.

Change: the refusal names "unknown_stage"; the status stays 400.

Before: the new test fails (engine.rs:88: {"error":"too_long"}). After: it passes.

--- a/crates/tealsaddle-testkit/src/engine/http.rs
+++ b/crates/tealsaddle-testkit/src/engine/http.rs
@@ -96,7 +96,7 @@
     state.changed.notify_one();
     match submitted {
         Ok(accepted) => Response::new(stream_body(accepted)),
-        Err("too_long" | "unknown_stage") => refused(StatusCode::BAD_REQUEST, "too_long"),
+        Err(reason @ ("too_long" | "unknown_stage")) => refused(StatusCode::BAD_REQUEST, reason),
         Err(reason @ ("changing_role" | "unknown_model")) => refused(StatusCode::CONFLICT, reason),
         Err(reason) => refused(StatusCode::SERVICE_UNAVAILABLE, reason),
     }
--- a/crates/tealsaddle-testkit/tests/it/engine.rs
+++ b/crates/tealsaddle-testkit/tests/it/engine.rs
@@ -74,6 +74,21 @@
     assert_eq!(post(address, "/generate", decode).await.status, 503);
 }
 
+/// Guards against a wrong reason for a refusal, which misleads the search for a fault of the node.
+#[tokio::test]
+async fn refusals_name_their_reason() {
+    let engine = start(true).await;
+    let mut unknown_stage = generate("1", 1);
+    unknown_stage["stage"] = json!("both");
+    let too_long = generate("2", 1_000_000_000);
+    for (request, reason) in [(unknown_stage, "unknown_stage"), (too_long, "too_long")] {
+        let answer = post(engine.address(), "/generate", request).await;
+        assert_eq!(answer.status, 400, "{answer:?}");
+        let text = String::from_utf8_lossy(&answer.body);
+        assert!(text.contains(reason), "{text}");
+    }
+}
+
 /// Guards against a stand-in that does not record an aborted stream. With fencing enabled, it must
 /// also refuse an old order.
 #[tokio::test]
