Learn the size of a request in the KV cache from requests that occupy it

Cause: the mean size of a request in the KV cache was updated with each placement that reads a prompt. A placement at a prefill runner records the size 0 there, and a placement at the decode runner after it, which has the true size, reads nothing and was left out. With most prompts read apart, the mean sank to 0. The load of other nodes' requests on the memory of a decode runner, and with it the choice of the runner and the utilization by which prompts are read, counted as nothing.

Change: reads and sizes are recorded independently, each only if it is not 0.

Before: the new test fails (mean 4,615 tokens in place of 9,000). After: it passes.

--- a/crates/tealsaddle-core/src/fleet/placement.rs
+++ b/crates/tealsaddle-core/src/fleet/placement.rs
@@ -87,11 +87,16 @@
     }
 
     /// Records the tokens that a placed request has to read and the tokens that it occupies in the KV
-    /// cache.
+    /// cache. Either is 0 for a request that only decodes or only reads at the runner, and is not recorded
+    /// then.
     pub fn on_placed(&mut self, read_tokens: u64, kv_tokens: u64) {
-        let read_us = read_tokens as f64 * self.read_us_per_token;
-        self.read_us += MEAN_WEIGHT * (read_us - self.read_us);
-        self.kv_tokens += MEAN_WEIGHT * (kv_tokens as f64 - self.kv_tokens);
+        if read_tokens > 0 {
+            let read_us = read_tokens as f64 * self.read_us_per_token;
+            self.read_us += MEAN_WEIGHT * (read_us - self.read_us);
+        }
+        if kv_tokens > 0 {
+            self.kv_tokens += MEAN_WEIGHT * (kv_tokens as f64 - self.kv_tokens);
+        }
     }
 
     /// Records the duration of a stream that ended.
--- a/crates/tealsaddle-core/tests/it/fleet/placement.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/placement.rs
@@ -347,3 +347,22 @@
     let expected_us = stats.generation_us(1_000);
     assert!((2.2e6..2.5e6).contains(&expected_us), "{expected_us}");
 }
+
+/// Guards against a mean size of the requests in the KV cache that sinks to nothing, because a request that
+/// only reads its prompt at a runner is counted with the size 0.
+#[test]
+fn requests_that_only_read_leave_the_mean_kv_size_unchanged() {
+    let mut stats = ServiceStats::default();
+    for _ in 0..200 {
+        stats.on_placed(2_000, 0);
+        stats.on_placed(0, 9_000);
+    }
+    let kv_tokens = stats.kv_tokens;
+    assert!((8_900.0..=9_000.0).contains(&kv_tokens), "{kv_tokens}");
+    let expected_us = 2_000.0 * stats.read_us_per_token;
+    assert!(
+        (stats.read_us - expected_us).abs() < 100.0,
+        "{}",
+        stats.read_us
+    );
+}
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -171,9 +171,7 @@
             .service_stats
             .entry(Name::clone(&runner.service))
             .or_default();
-        if work.read_tokens > 0 {
-            service_stats.on_placed(work.read_tokens, work.kv_tokens);
-        }
+        service_stats.on_placed(work.read_tokens, work.kv_tokens);
         let view = state.views.entry(Name::clone(&runner.id)).or_default();
         view.on_process_start(runner.started_unix_ms);
         let is_only_prefill = view.own_read_tokens() == 0;
