--- a/crates/tealsaddle-node/src/control/mod.rs
+++ b/crates/tealsaddle-node/src/control/mod.rs
@@ -15,13 +15,14 @@
 mod heartbeat;
 mod loads;
 mod members;
-mod peers;
+pub mod peers;
 mod plan;
 mod state;
 mod status;
 mod stop;
 mod timers;
 mod zone;
+pub mod zone_capacity;
 
 use std::sync::Arc;
 
