Log what a configuration changes in limits, and count failed connections

Cause: a request that ended by a limit could not be assigned to the version whose limit it was, as no line told what a version changes. A caller's connection that failed left a debug line only.

Change: `route timeout changed` and `caller limits changed`, with the values before and after, at most 16 routes a version; `tealsaddle_connection_REASON_total` by the reason for which a caller's connection failed. No change of decisions.

--- a/crates/tealsaddle-core/src/fleet/config.rs
+++ b/crates/tealsaddle-core/src/fleet/config.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Returns all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the route for a request. `host` may contain a port and upper-case letters.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -4,13 +4,16 @@
 
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::fleet::Runner;
-use tealsaddle_core::fleet::config::FleetConfig;
+use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::store_availability::StoreAvailability;
 use tealsaddle_core::name::Name;
 
 use crate::external::{Change, Changes, Dialect, Item, Listing};
 use crate::snapshot::FleetSnapshot;
 
+/// Largest number of routes whose changed timeouts are logged for one configuration.
+const MAX_LOGGED_ROUTES: usize = 16;
+
 /// A runner's registration.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -47,6 +50,9 @@
         if current.is_some_and(|current| current >= config.version) {
             return false;
         }
+        if let Some(current) = &self.config {
+            log_changed_limits(current, &config);
+        }
         self.config = Some(Arc::new(config));
         value.clone_into(&mut self.config_value);
         true
@@ -232,3 +238,21 @@
         }
     }
 }
+
+/// Logs what a new configuration changes in the limits of callers and in the timeouts of routes. Requests in
+/// flight keep the limits of the version with which they were admitted.
+fn log_changed_limits(before: &FleetConfig, after: &FleetConfig) {
+    let version = after.version;
+    if before.limits != after.limits {
+        log::info!(version, before:? = before.limits, after:? = after.limits; "caller limits changed");
+    }
+    let earlier: HashMap<&str, &Arc<Route>> = before.routes().map(|r| (&*r.name, r)).collect();
+    let changed = after.routes().filter_map(|route| {
+        let before_ms = earlier.get(&*route.name)?.timeout_ms;
+        (before_ms != route.timeout_ms).then_some((route, before_ms))
+    });
+    for (route, before_ms) in changed.take(MAX_LOGGED_ROUTES) {
+        log::info!(version, route:% = route.name, before_ms, timeout_ms = route.timeout_ms;
+            "route timeout changed");
+    }
+}
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -156,8 +156,9 @@
     set_options(&stream);
     let limits = caller_limits(&gateway);
     let caller = CallerConnection::open();
+    let served = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
-        let gateway = Arc::clone(&gateway);
+        let gateway = Arc::clone(&served);
         let caller = Arc::clone(&caller);
         async move { Ok::<_, Infallible>(request::serve(gateway, &caller, request).await) }
     });
@@ -186,7 +187,24 @@
         }
     };
     if let Err(error) = result {
-        log::debug!(error:%; "caller connection failed");
+        let reason = failure_reason(&error);
+        gateway.metrics.increment(&format!("connection.{reason}"));
+        log::debug!(error:%, reason; "caller connection failed");
+    }
+}
+
+/// Why a caller's connection failed, as in the names of the counters.
+fn failure_reason(error: &hyper::Error) -> &'static str {
+    if error.is_timeout() {
+        "idle"
+    } else if error.is_user() {
+        "answer_aborted"
+    } else if error.is_incomplete_message() {
+        "request_cut_off"
+    } else if error.is_parse() {
+        "invalid_request"
+    } else {
+        "lost"
     }
 }
 
