Keep idle connections of callers for as long as a raised idle timeout

Seen by callers: after an operator raised the idle timeout, a kept connection was closed at the old one, and a request that the caller sent on it within the new one got no answer.

Cause: a connection took its limits when it was accepted, and kept them until its end.

Change: the timer that hyper starts for each wait for a request reads the idle timeout from the configuration in force, and again when it is due. A lowered timeout applies from the next wait on: a caller may still rely on the earlier one.

The rule on lost requests counts a request that was read; this one was not.

--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -11,8 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tealsaddle_core::fleet::config::CallerLimits;
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -20,6 +19,7 @@
 
 use crate::answer::{Body, full_body};
 use crate::gateway::Gateway;
+use crate::idle_timeout::RequestTimer;
 use crate::upstream::set_options;
 use crate::{Error, request};
 
@@ -154,7 +154,7 @@
 
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
     set_options(&stream);
-    let limits = caller_limits(&gateway);
+    let limits = gateway.caller_limits();
     let caller = CallerConnection::open();
     let served = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -163,9 +163,8 @@
         async move { Ok::<_, Infallible>(request::serve(gateway, &caller, request).await) }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This timeout also runs while a connection is idle, so it is the idle timeout and not the header
-        // timeout, which is shorter by default.
+        .timer(RequestTimer::new(Arc::clone(&gateway)))
+        // Switches the timer on, which takes the timeout from the configuration in force.
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
@@ -208,14 +207,6 @@
     }
 }
 
-fn caller_limits(gateway: &Gateway) -> CallerLimits {
-    let snapshot = gateway.snapshot.load();
-    snapshot
-        .config
-        .as_ref()
-        .map_or_else(CallerLimits::default, |config| config.limits)
-}
-
 /// Serves a text endpoint on its own address. `respond` computes the answer and must not block.
 pub fn bind_text_endpoint<F>(address: SocketAddr, respond: F) -> Result<(), Error>
 where
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use tealsaddle_core::fleet::config::CallerLimits;
 use tealsaddle_core::name::Name;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -110,6 +111,13 @@
         *self.stop.get_or_init(plan)
     }
 
+    /// Limits on callers of the configuration in force; the defaults before the first configuration.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let snapshot = self.snapshot.load();
+        let config = snapshot.config.as_ref();
+        config.map_or_else(CallerLimits::default, |config| config.limits)
+    }
+
     /// Number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet_state;
 pub mod front;
 pub mod gateway;
+pub mod idle_timeout;
 pub mod lifecycle;
 pub mod logging;
 pub mod membership;
