Give the head of a request the header timeout, also at the end of an idle time

Seen by callers: a connection closed in the middle of a request's head, with no answer. The caller had reused it within the idle timeout and sent its head within the header timeout.

Cause: one timer, the idle timeout, ran from the last answer to the end of the next head. The header timeout of the configuration was not used.

Change: the stream of a caller records when the first bytes of a request arrive. From then on the caller has the header timeout; the idle timeout still holds if it ends later, so that no head gets less time than before.

--- a/crates/tealsaddle-core/src/fleet/config.rs
+++ b/crates/tealsaddle-core/src/fleet/config.rs
@@ -113,11 +113,10 @@
     pub header_bytes: usize,
     /// Largest size of a request's body, in bytes.
     pub body_bytes: usize,
-    /// Configured time in milliseconds for sending the head of a request. The gateway does not apply it:
-    /// [`idle_timeout_ms`](Self::idle_timeout_ms) limits the head as well.
+    /// Longest time in milliseconds from the first bytes of a request's head to its end.
+    /// [`idle_timeout_ms`](Self::idle_timeout_ms) applies instead if it ends later.
     pub header_timeout_ms: u64,
-    /// Longest time in milliseconds for the next request on a connection, its head included, and between
-    /// the parts of a body.
+    /// Longest time in milliseconds for the next request on a connection, and between the parts of a body.
     pub idle_timeout_ms: u64,
 }
 
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -19,9 +19,8 @@
 
 use crate::answer::{Body, full_body};
 use crate::gateway::Gateway;
-use crate::idle_timeout::RequestTimer;
 use crate::upstream::set_options;
-use crate::{Error, request};
+use crate::{Error, idle_timeout, request};
 
 /// Length of the accept queue. If the queue is full the kernel drops SYN packets, and the caller's
 /// connection is delayed by seconds.
@@ -155,6 +154,7 @@
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
     set_options(&stream);
     let limits = gateway.caller_limits();
+    let (stream, timer) = idle_timeout::watch(stream, Arc::clone(&gateway));
     let caller = CallerConnection::open();
     let served = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -163,7 +163,7 @@
         async move { Ok::<_, Infallible>(request::serve(gateway, &caller, request).await) }
     });
     let connection = http1::Builder::new()
-        .timer(RequestTimer::new(Arc::clone(&gateway)))
+        .timer(timer)
         // Switches the timer on, which takes the timeout from the configuration in force.
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
--- a/crates/tealsaddle-gateway/src/idle_timeout.rs
+++ b/crates/tealsaddle-gateway/src/idle_timeout.rs
@@ -2,41 +2,84 @@
 //!
 //! Hyper closes a connection when the head of its next request has not arrived by the end of a timer. The
 //! timer here follows the configuration in force, so that a raised limit also holds for connections that are
-//! already idle. A lowered one takes effect with the next wait, since the caller may still rely on the
-//! earlier limit.
+//! already idle; a lowered one takes effect with the next wait, since the caller may still rely on the
+//! earlier limit. Once the first bytes of a head have arrived, the caller has the header timeout to complete
+//! it.
 
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::rt::{Sleep, Timer};
+use tealsaddle_core::fleet::config::CallerLimits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
 
+/// When the first bytes of the next request arrived on a connection.
+#[derive(Debug)]
+struct FirstRead {
+    opened: Instant,
+    /// Time since `opened`; 0 before the first bytes.
+    at_us: AtomicU64,
+}
+
+impl FirstRead {
+    fn clear(&self) {
+        self.at_us.store(0, Ordering::Relaxed);
+    }
+
+    fn on_read(&self) {
+        let now_us = (self.opened.elapsed().as_micros() as u64).max(1);
+        let order = Ordering::Relaxed;
+        // Later bytes of the same request change nothing.
+        let _is_later = self.at_us.compare_exchange(0, now_us, order, order);
+    }
+
+    fn get(&self) -> Option<Instant> {
+        let at_us = self.at_us.load(Ordering::Relaxed);
+        (at_us > 0).then(|| self.opened + Duration::from_micros(at_us))
+    }
+}
+
+/// Makes the stream and the timer of one caller connection.
+pub fn watch(stream: TcpStream, gateway: Arc<Gateway>) -> (WatchedStream, RequestTimer) {
+    let first_read = Arc::new(FirstRead {
+        opened: Instant::now(),
+        at_us: AtomicU64::new(0),
+    });
+    let timer = RequestTimer {
+        gateway,
+        first_read: Arc::clone(&first_read),
+    };
+    (WatchedStream { stream, first_read }, timer)
+}
+
 /// Timer that hyper starts when it begins to wait for a request. It computes the deadline itself and ignores
 /// the one from hyper, which is constant for a connection.
 #[derive(Debug)]
 pub struct RequestTimer {
     gateway: Arc<Gateway>,
-}
-
-impl RequestTimer {
-    /// Creates the timer of one connection.
-    pub const fn new(gateway: Arc<Gateway>) -> Self {
-        Self { gateway }
-    }
+    first_read: Arc<FirstRead>,
 }
 
 impl Timer for RequestTimer {
     fn sleep(&self, _duration: Duration) -> Pin<Box<dyn Sleep>> {
-        let idle_timeout = Duration::from_millis(self.gateway.caller_limits().idle_timeout_ms);
-        let deadline = Instant::now() + idle_timeout;
+        self.first_read.clear();
+        let limits = self.gateway.caller_limits();
+        let began = Instant::now();
+        let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
         Box::pin(RequestWait {
             gateway: Arc::clone(&self.gateway),
-            idle_timeout,
-            sleep: Box::pin(tokio::time::sleep_until(deadline)),
+            first_read: Arc::clone(&self.first_read),
+            limits,
+            began,
+            sleep: Box::pin(tokio::time::sleep_until(began + idle_timeout)),
         })
     }
 
@@ -53,30 +96,93 @@
 #[derive(Debug)]
 struct RequestWait {
     gateway: Arc<Gateway>,
-    /// Time that the wait may take: the longest idle timeout seen so far.
-    idle_timeout: Duration,
-    /// Ends at the end of `idle_timeout`.
+    first_read: Arc<FirstRead>,
+    /// Limits at the start of the wait.
+    limits: CallerLimits,
+    began: Instant,
     sleep: Pin<Box<tokio::time::Sleep>>,
 }
 
 impl Sleep for RequestWait {}
 
+impl RequestWait {
+    fn deadline(&self) -> Instant {
+        let newest = self.gateway.caller_limits();
+        let longest = |limit: fn(&CallerLimits) -> u64| {
+            Duration::from_millis(limit(&self.limits).max(limit(&newest)))
+        };
+        let idle_end = self.began + longest(|limits| limits.idle_timeout_ms);
+        let head_end = self.first_read.get().map(|first_read| {
+            let header_timeout = longest(|limits| limits.header_timeout_ms);
+            first_read + header_timeout
+        });
+        head_end.map_or(idle_end, |head_end| idle_end.max(head_end))
+    }
+}
+
 impl Future for RequestWait {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             ready!(self.sleep.as_mut().poll(cx));
-            let newest = Duration::from_millis(self.gateway.caller_limits().idle_timeout_ms);
-            let Some(raised_by) = newest.checked_sub(self.idle_timeout) else {
-                return Poll::Ready(());
-            };
-            if raised_by.is_zero() {
+            let deadline = self.deadline();
+            if deadline <= self.sleep.deadline() {
                 return Poll::Ready(());
             }
-            self.idle_timeout = newest;
-            let deadline = self.sleep.deadline() + raised_by;
             self.sleep.as_mut().reset(deadline);
         }
     }
 }
+
+/// Stream of a caller that records when the first bytes of a request arrive.
+#[derive(Debug)]
+pub struct WatchedStream {
+    stream: TcpStream,
+    first_read: Arc<FirstRead>,
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled_before {
+            self.first_read.on_read();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
