Read a body for as long as a raised idle timeout allows

Seen by callers: a caller that paused within its body for longer than an earlier idle timeout, and within the newest one, was answered 408.

Cause: the body was read by the limits of the version at the head of the request, however long it took.

Change: when the wait for a part of the body is over, the idle timeout in force is looked at again, and the wait goes on if it is longer. A lowered timeout applies to later requests.

Test: half_a_body_is_read_by_a_raised_idle_timeout. Before: "HTTP/1.1 408 Request Timeout ... body_timeout" (idle timeout raised from 1 s to 60 s, pause of 2 s).

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -47,7 +47,7 @@
         .request_id
         .clone()
         .ok_or(GatewayAnswer::NoRequestId)?;
-    let body = read_body(body, config.limits).await?;
+    let body = read_body(gateway, body, config.limits).await?;
     let left = time_left(gateway, &route, &metadata, started)?;
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
@@ -77,28 +77,56 @@
     named.or_else(|| head.uri.host())
 }
 
-async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, GatewayAnswer> {
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    limits: CallerLimits,
+) -> Result<Bytes, GatewayAnswer> {
     if hyper::body::Body::size_hint(&body).lower() > limits.body_bytes as u64 {
         return Err(GatewayAnswer::BodyTooLarge);
     }
     let mut body = Limited::new(body, limits.body_bytes);
     let mut bytes = BytesMut::new();
-    // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives.
-    let pause = Duration::from_millis(limits.idle_timeout_ms);
     loop {
-        match tokio::time::timeout(pause, body.frame()).await {
-            Ok(None) => return Ok(bytes.freeze()),
-            Ok(Some(Ok(frame))) => {
+        // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives.
+        match before_idle_timeout(gateway, limits, body.frame()).await? {
+            None => return Ok(bytes.freeze()),
+            Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     bytes.extend_from_slice(&data);
                 }
             }
-            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
+            Some(Err(error)) if error.is::<LengthLimitError>() => {
                 return Err(GatewayAnswer::BodyTooLarge);
             }
-            Ok(Some(Err(_cut_off))) => return Err(GatewayAnswer::BodyCutOff),
-            Err(_elapsed) => return Err(GatewayAnswer::BodyTimeout),
+            Some(Err(_cut_off)) => return Err(GatewayAnswer::BodyCutOff),
+        }
+    }
+}
+
+/// Waits for the next part of a body for as long as the limits of the request's version or of the newest one
+/// allow.
+async fn before_idle_timeout<F>(
+    gateway: &Gateway,
+    limits: CallerLimits,
+    next: F,
+) -> Result<F::Output, GatewayAnswer>
+where
+    F: Future,
+{
+    tokio::pin!(next);
+    let began = Instant::now();
+    let mut longest_ms = limits.idle_timeout_ms;
+    loop {
+        let limit = began + Duration::from_millis(longest_ms);
+        if let Ok(next) = tokio::time::timeout_at(limit, next.as_mut()).await {
+            return Ok(next);
+        }
+        let newest_ms = gateway.caller_limits().idle_timeout_ms;
+        if newest_ms <= longest_ms {
+            return Err(GatewayAnswer::BodyTimeout);
         }
+        longest_ms = newest_ms;
     }
 }
 
