Route a request by the configuration in force when its body has arrived

Seen by operators: a request whose body took long was run by the service to which its route belonged when its head arrived, at any time after the route was moved.

Cause: the configuration was loaded once, before the body was read.

Change: it is loaded again after the body, and the route is looked up in it. The first lookup still refuses a request without a route before its body is read.

Test: request_whose_body_arrives_late_is_routed_by_the_newest_version. Before: the answer is that of the runner "earlier".

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -1,8 +1,9 @@
 //! Admission of a request: turns its head and body into a [`Call`].
 //!
-//! The route is looked up first. The whole body is then read before anything is sent to a runner, so that
-//! the request can be sent again and no runner receives a request whose caller disconnects halfway. Last,
-//! the deadline is set and, while the node stops, a request that can no longer be answered is refused.
+//! The route is looked up first, and again after the body. The whole body is read before anything is sent to
+//! a runner, so that the request can be sent again and no runner receives a request whose caller disconnects
+//! halfway. Last, the deadline is set and, while the node stops, a request that can no longer be answered is
+//! refused.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Version, header, http};
-use tealsaddle_core::fleet::config::{CallerLimits, Route};
+use tealsaddle_core::fleet::config::{CallerLimits, FleetConfig, Route};
 use tealsaddle_core::name::Name;
 use tokio::time::Instant;
 
@@ -31,23 +32,26 @@
 ) -> Result<Arc<Call>, GatewayAnswer> {
     let started = Instant::now();
     let in_flight = gateway.begin_request();
-    let snapshot = gateway.snapshot.load_full();
-    let config = snapshot
-        .config
-        .clone()
-        .ok_or(GatewayAnswer::NoConfiguration)?;
+    let config = current_config(gateway)?;
     let (head, body) = request.into_parts();
     if head.version < Version::HTTP_11 {
         return Err(GatewayAnswer::OldProtocol);
     }
     let host = host(&head).ok_or(GatewayAnswer::NoHost)?;
-    let route = config.route(host, head.uri.path());
-    let route = Arc::clone(route.ok_or(GatewayAnswer::NoRoute)?);
+    let find_route = |config: &FleetConfig| {
+        let route = config.route(host, head.uri.path());
+        route.cloned().ok_or(GatewayAnswer::NoRoute)
+    };
+    // A request without a route is refused before its body is read.
+    find_route(&config)?;
     let request_id = metadata
         .request_id
         .clone()
         .ok_or(GatewayAnswer::NoRequestId)?;
     let body = read_body(gateway, body, config.limits).await?;
+    // The body may have taken long, and a newer version may have come into force meanwhile.
+    let config = current_config(gateway)?;
+    let route = find_route(&config)?;
     let left = time_left(gateway, &route, &metadata, started)?;
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
@@ -71,6 +75,12 @@
     }))
 }
 
+fn current_config(gateway: &Gateway) -> Result<Arc<FleetConfig>, GatewayAnswer> {
+    let snapshot = gateway.snapshot.load();
+    let config = snapshot.config.as_ref();
+    config.cloned().ok_or(GatewayAnswer::NoConfiguration)
+}
+
 fn host(head: &http::request::Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST);
     let named = named.and_then(|value| value.to_str().ok());
