Take what arrived at a paused node before a timeout counts

Seen by callers: every stream that may be resumed was cut when its node had been paused for longer than 1.4 s, although its events had reached the node; a body that had arrived was answered 408.

Cause: the signal that continues a process interrupts the poll of its sockets, and the runtime runs the timers that are due before it polls again. A wait for a runner, or for a caller's body, was over before its bytes were seen. The node took its own pause for the silence of all runners at once, which also uses up the retry budget.

Change: `timeout::timeout_at` gives a future 20 ms more if the process notices the limit late. The next bytes of a runner's answer and the parts of a body are awaited with it. A timer that fires in time ends the wait at once, as before.

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -23,6 +23,7 @@
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
 use crate::stop::Stop;
+use crate::timeout::timeout_at;
 
 /// Looks up the route, reads the body and creates the call, or returns why the request is refused.
 pub async fn admit(
@@ -129,7 +130,7 @@
     let mut longest_ms = limits.idle_timeout_ms;
     loop {
         let limit = began + Duration::from_millis(longest_ms);
-        if let Ok(next) = tokio::time::timeout_at(limit, next.as_mut()).await {
+        if let Ok(next) = timeout_at(limit, next.as_mut()).await {
             return Ok(next);
         }
         let newest_ms = gateway.caller_limits().idle_timeout_ms;
--- a/crates/tealsaddle-gateway/src/idle_timeout.rs
+++ b/crates/tealsaddle-gateway/src/idle_timeout.rs
@@ -21,10 +21,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
-
-/// Time after the deadline in which the runtime polls the sockets again. It takes several turns of the runtime
-/// to poll many of them.
-const READ_GRACE: Duration = Duration::from_millis(20);
+use crate::timeout::READ_GRACE;
 
 /// When the first bytes of the next request arrived on a connection.
 #[derive(Debug)]
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
+pub mod timeout;
 pub mod upstream;
 
 pub use error::Error;
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::external::OutgoingCall;
+use crate::timeout::timeout_at;
 
 /// Timeout of connecting. Within a region connecting takes milliseconds, and waiting longer does not help
 /// after a lost SYN, which is retransmitted only after a second.
@@ -266,7 +267,7 @@
 
     /// The next bytes, if they arrive before `limit`; `Ok(None)` after the end of the body.
     pub async fn next_until(&mut self, limit: Instant) -> Result<Option<Bytes>, UnknownReason> {
-        match tokio::time::timeout_at(limit, self.next()).await {
+        match timeout_at(limit, self.next()).await {
             Ok(None) => Ok(None),
             Ok(Some(Ok(data))) => Ok(Some(data)),
             Ok(Some(Err(_broken))) => Err(UnknownReason::ConnectionLost),
