Take the head of an answer that arrived at a paused node before its timeout counts

Seen by callers: 504 for a stream whose head had reached its node while the node was paused for longer than 1.4 s.

Change: it waits with `timeout::timeout_at`.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -21,6 +21,7 @@
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
+use crate::timeout::timeout_at;
 use crate::upstream::{Answer, Reuse};
 
 /// A request is refused if its first event is expected after this share of the remaining time. While the
@@ -158,7 +159,7 @@
         let sent = upstreams.send(runner.address, request, reuse);
         let is_run = !metadata.is_prefill_only;
         self.state.may_be_running.store(is_run, Ordering::Relaxed);
-        let result = match tokio::time::timeout_at(limit, sent).await {
+        let result = match timeout_at(limit, sent).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(failure)) => failure.outcome,
             Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
