--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -1,8 +1,9 @@
 //! Admission of a request: turns its head and body into a [`Call`].
 //!
-//! The route is looked up first. The whole body is then read before anything is sent to a runner, so that
-//! the request can be sent again and no runner receives a request whose caller disconnects halfway. Last,
-//! the deadline is set and, while the node stops, a request that can no longer be answered is refused.
+//! The route is looked up first, and again after the body. The whole body is read before anything is sent to
+//! a runner, so that the request can be sent again and no runner receives a request whose caller disconnects
+//! halfway. Last, the deadline is set and, while the node stops, a request that can no longer be answered is
+//! refused.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Version, header, http};
-use tealsaddle_core::fleet::config::{CallerLimits, Route};
+use tealsaddle_core::fleet::config::{CallerLimits, FleetConfig, Route};
 use tealsaddle_core::name::Name;
 use tokio::time::Instant;
 
@@ -22,6 +23,7 @@
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
 use crate::stop::Stop;
+use crate::timeout::timeout_at;
 
 /// Looks up the route, reads the body and creates the call, or returns why the request is refused.
 pub async fn admit(
@@ -31,23 +33,26 @@
 ) -> Result<Arc<Call>, GatewayAnswer> {
     let started = Instant::now();
     let in_flight = gateway.begin_request();
-    let snapshot = gateway.snapshot.load_full();
-    let config = snapshot
-        .config
-        .clone()
-        .ok_or(GatewayAnswer::NoConfiguration)?;
+    let config = current_config(gateway)?;
     let (head, body) = request.into_parts();
     if head.version < Version::HTTP_11 {
         return Err(GatewayAnswer::OldProtocol);
     }
     let host = host(&head).ok_or(GatewayAnswer::NoHost)?;
-    let route = config.route(host, head.uri.path());
-    let route = Arc::clone(route.ok_or(GatewayAnswer::NoRoute)?);
+    let find_route = |config: &FleetConfig| {
+        let route = config.route(host, head.uri.path());
+        route.cloned().ok_or(GatewayAnswer::NoRoute)
+    };
+    // A request without a route is refused before its body is read.
+    find_route(&config)?;
     let request_id = metadata
         .request_id
         .clone()
         .ok_or(GatewayAnswer::NoRequestId)?;
-    let body = read_body(body, config.limits).await?;
+    let body = read_body(gateway, body, config.limits).await?;
+    // The body may have taken long, and a newer version may have come into force meanwhile.
+    let config = current_config(gateway)?;
+    let route = find_route(&config)?;
     let (left, deadline_source) = time_left(gateway, &route, &metadata, started)?;
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
@@ -72,34 +77,68 @@
     }))
 }
 
+fn current_config(gateway: &Gateway) -> Result<Arc<FleetConfig>, GatewayAnswer> {
+    let snapshot = gateway.snapshot.load();
+    let config = snapshot.config.as_ref();
+    config.cloned().ok_or(GatewayAnswer::NoConfiguration)
+}
+
 fn host(head: &http::request::Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST);
     let named = named.and_then(|value| value.to_str().ok());
     named.or_else(|| head.uri.host())
 }
 
-async fn read_body(body: Incoming, limits: CallerLimits) -> Result<Bytes, GatewayAnswer> {
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    limits: CallerLimits,
+) -> Result<Bytes, GatewayAnswer> {
     if hyper::body::Body::size_hint(&body).lower() > limits.body_bytes as u64 {
         return Err(GatewayAnswer::BodyTooLarge);
     }
     let mut body = Limited::new(body, limits.body_bytes);
     let mut bytes = BytesMut::new();
-    // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives.
-    let pause = Duration::from_millis(limits.idle_timeout_ms);
     loop {
-        match tokio::time::timeout(pause, body.frame()).await {
-            Ok(None) => return Ok(bytes.freeze()),
-            Ok(Some(Ok(frame))) => {
+        // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives.
+        match before_idle_timeout(gateway, limits, body.frame()).await? {
+            None => return Ok(bytes.freeze()),
+            Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     bytes.extend_from_slice(&data);
                 }
             }
-            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
+            Some(Err(error)) if error.is::<LengthLimitError>() => {
                 return Err(GatewayAnswer::BodyTooLarge);
             }
-            Ok(Some(Err(_cut_off))) => return Err(GatewayAnswer::BodyCutOff),
-            Err(_elapsed) => return Err(GatewayAnswer::BodyTimeout),
+            Some(Err(_cut_off)) => return Err(GatewayAnswer::BodyCutOff),
+        }
+    }
+}
+
+/// Waits for the next part of a body for as long as the limits of the request's version or of the newest one
+/// allow.
+async fn before_idle_timeout<F>(
+    gateway: &Gateway,
+    limits: CallerLimits,
+    next: F,
+) -> Result<F::Output, GatewayAnswer>
+where
+    F: Future,
+{
+    tokio::pin!(next);
+    let began = Instant::now();
+    let mut longest_ms = limits.idle_timeout_ms;
+    loop {
+        let limit = began + Duration::from_millis(longest_ms);
+        if let Ok(next) = timeout_at(limit, next.as_mut()).await {
+            return Ok(next);
+        }
+        let newest_ms = gateway.caller_limits().idle_timeout_ms;
+        if newest_ms <= longest_ms {
+            return Err(GatewayAnswer::BodyTimeout);
         }
+        longest_ms = newest_ms;
     }
 }
 
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -21,6 +21,7 @@
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
+use crate::timeout::timeout_at;
 use crate::upstream::{Answer, Reuse};
 
 /// A request is refused if its first event is expected after this share of the remaining time. While the
@@ -220,7 +221,7 @@
         let running = u32::from(!metadata.is_prefill_only);
         let maybe_running = &self.state.maybe_running;
         maybe_running.fetch_add(running, Ordering::Relaxed);
-        let result = match tokio::time::timeout_at(limit, sent).await {
+        let result = match timeout_at(limit, sent).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(failure)) => failure.outcome,
             Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -11,8 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tealsaddle_core::fleet::config::CallerLimits;
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -21,7 +20,7 @@
 use crate::answer::{Body, full_body};
 use crate::gateway::Gateway;
 use crate::upstream::set_options;
-use crate::{Error, request};
+use crate::{Error, idle_timeout, request};
 
 /// Length of the accept queue. If the queue is full the kernel drops SYN packets, and the caller's
 /// connection is delayed by seconds.
@@ -154,17 +153,18 @@
 
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
     set_options(&stream);
-    let limits = caller_limits(&gateway);
+    let limits = gateway.caller_limits();
+    let (stream, timer) = idle_timeout::watch(stream, Arc::clone(&gateway));
     let caller = CallerConnection::open();
+    let served = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
-        let gateway = Arc::clone(&gateway);
+        let gateway = Arc::clone(&served);
         let caller = Arc::clone(&caller);
         async move { Ok::<_, Infallible>(request::serve(gateway, &caller, request).await) }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This timeout also runs while a connection is idle, so it is the idle timeout and not the header
-        // timeout, which is shorter by default.
+        .timer(timer)
+        // Switches the timer on, which takes the timeout from the configuration in force.
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
@@ -186,16 +186,25 @@
         }
     };
     if let Err(error) = result {
-        log::debug!(error:%; "caller connection failed");
+        let reason = failure_reason(&error);
+        gateway.metrics.increment(&format!("connection.{reason}"));
+        log::debug!(error:%, reason; "caller connection failed");
     }
 }
 
-fn caller_limits(gateway: &Gateway) -> CallerLimits {
-    let snapshot = gateway.snapshot.load();
-    snapshot
-        .config
-        .as_ref()
-        .map_or_else(CallerLimits::default, |config| config.limits)
+/// Why a caller's connection failed, as in the names of the counters.
+fn failure_reason(error: &hyper::Error) -> &'static str {
+    if error.is_timeout() {
+        "idle"
+    } else if error.is_user() {
+        "answer_aborted"
+    } else if error.is_incomplete_message() {
+        "request_cut_off"
+    } else if error.is_parse() {
+        "invalid_request"
+    } else {
+        "lost"
+    }
 }
 
 /// Serves a text endpoint on its own address. `respond` computes the answer and must not block.
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet_state;
 pub mod front;
 pub mod gateway;
+pub mod idle_timeout;
 pub mod lifecycle;
 pub mod logging;
 pub mod membership;
@@ -36,6 +37,7 @@
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
+pub mod timeout;
 pub mod upstream;
 
 pub use error::Error;
