Count one silence of a runner once, however many requests wait

Seen by callers: after one silence with eight requests in flight a runner got nothing for 8 s, and the others had its share of the load.

Cause: each request that found the runner silent doubled its backoff.

Change: failures to reach a runner during its backoff do not extend it.

Evidence: replacement::one_silence_of_many_requests_is_one_failure_to_reach: 8 s before, 1 s now.

--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -166,9 +166,13 @@
         self.avoid_until_us = self.avoid_until_us.max(now_us + REFUSED_BACKOFF_US);
     }
 
-    /// Records a connection that was refused or reset, or on which no answer came.
+    /// Records a connection that was refused or reset, or on which no answer came. During a backoff further
+    /// ones do not extend it: the requests that were sent before fail together.
     pub fn on_unreachable(&mut self, now_us: u64) {
         self.on_failure(now_us);
+        if self.consecutive_unreachable > 0 && self.is_avoided(now_us) {
+            return;
+        }
         let backoff_us = UNREACHABLE_BACKOFF_US << self.consecutive_unreachable.min(3);
         self.consecutive_unreachable += 1;
         self.unreachable_at_us = now_us;
