Do not resume a stream whose events have no ids

Cause: a runner's events without ids leave no point at which another runner could go on, and the stream was resumed from its start: the caller got its first events twice.

Change: once an event without an id has been passed on, the stream stays at its runner.

Evidence: replacement::stream_without_event_ids_is_not_resumed failed before and passes.

--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -47,6 +47,7 @@
         attempt: stream.attempt,
         attempts,
         splitter: may_resume.then(EventSplitter::default),
+        has_passed_events: false,
     };
     let frames = stream::unfold(Some(relay), |relay| async move { relay?.next().await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -64,6 +65,8 @@
     attempts: Attempts,
     /// Splits the stream after complete events; `None` if the stream must not be resumed.
     splitter: Option<EventSplitter>,
+    /// Whether the caller has got any event.
+    has_passed_events: bool,
 }
 
 type NextFrame = Option<(Result<Frame<Bytes>, Aborted>, Option<Relay>)>;
@@ -111,7 +114,7 @@
             let read = body.next_until(limit).await;
             (body, read)
         };
-        let waited = match &self.splitter {
+        let waited = match resumable(self.splitter.as_ref(), self.has_passed_events) {
             None => Waited::Heard(hearing.await),
             Some(splitter) => {
                 let resumption = Resumption {
@@ -172,6 +175,7 @@
             return Some(data);
         };
         let events = splitter.push(&data);
+        self.has_passed_events |= !events.is_empty();
         (!events.is_empty()).then(|| Bytes::from(events))
     }
 
@@ -202,16 +206,21 @@
 
     /// Opens the rest of the stream at another runner, if the route and the retry rules allow it.
     async fn open_next(&mut self, runner: &str, outcome: AttemptOutcome) -> Option<OpenStream> {
-        let splitter = self.splitter.as_ref()?;
+        let splitter = resumable(self.splitter.as_ref(), self.has_passed_events)?;
+        let last_event_id = splitter.last_id();
         let decision = self
             .call
             .on_failed_attempt(&mut self.attempts, outcome, runner);
         decision.ok()?;
-        let last_id = splitter.last_id();
         let next = self
             .call
-            .open_stream(&self.engine, &mut self.attempts, last_id);
+            .open_stream(&self.engine, &mut self.attempts, last_event_id);
         let stream = next.await.ok()?;
         stream.head.status.is_success().then_some(stream)
     }
 }
+
+/// The splitter of a stream that may be resumed now: not if events without an id were passed on.
+fn resumable(splitter: Option<&EventSplitter>, has_passed_events: bool) -> Option<&EventSplitter> {
+    splitter.filter(|splitter| splitter.last_id().is_some() || !has_passed_events)
+}
