Let a silent runner be asked again after another one refused late

Seen by callers: 504 although two runners were there.

Cause: when another runner got the request in place of a silent one and refused it more than 200 ms later, both were left out, and no runner remained.

Change: only the one that refused is left out; the silent one is avoided for a while, as any runner that was out of reach, but may be asked.

Evidence: replacement::late_refusal...::before_the_head: 504 before, 200 now. Keeping the silent runner open would let two runners work on the stream for longer than the platform allows.

--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -187,7 +187,8 @@
                 Waited::Replaced(stream) => return Ok(*stream),
                 Waited::Heard(Err(outcome)) => outcome,
                 Waited::Failed(other, outcome) => {
-                    opener.exclude(std::mem::replace(&mut runner, other));
+                    // The silent runner is not excluded: it may be the only one left.
+                    runner = other;
                     outcome
                 }
             };
