Give a KV handle up with each send that is not refused

Seen by callers: 502 and 504 where another decode runner was ready.

Cause: a handle can be fetched once, but it stayed in place where the answer was invalid, and where the send to a silent runner was dropped for another runner. Each further runner refused the request then.

Change: a send takes the handle and puts it back only after a refusal. The prompt is read again for a further runner.

--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -134,13 +134,31 @@
     }
 
     /// Sends the request to the decode runner and waits until `limit` for the head of the stream.
+    ///
+    /// The KV handle is given up unless the runner refuses: it can be fetched only once. The prompt is read
+    /// again for a further runner then.
     pub async fn send(
         &mut self,
         ready: ReadyDecode,
         limit: Instant,
+    ) -> Result<OpenStream, AttemptOutcome> {
+        let mut kv_guard = self.kv_guard.take();
+        let has_tried_prefill = std::mem::take(&mut self.has_tried_prefill);
+        let sent = self.send_with(ready, kv_guard.as_mut(), limit).await;
+        if let Err(AttemptOutcome::NotRun(_)) = sent {
+            self.kv_guard = kv_guard;
+            self.has_tried_prefill = has_tried_prefill;
+        }
+        sent
+    }
+
+    async fn send_with(
+        &self,
+        ready: ReadyDecode,
+        kv_guard: Option<&mut KvHandleGuard>,
+        limit: Instant,
     ) -> Result<OpenStream, AttemptOutcome> {
         let ReadyDecode { runner, attempt } = ready;
-        let kv_guard = self.kv_guard.as_mut();
         let metadata =
             self.call
                 .stream_metadata(&runner.id, kv_guard.as_deref(), self.last_event_id);
@@ -152,11 +170,6 @@
                 if outcome != AttemptOutcome::Unknown(UnknownReason::Timeout) {
                     attempt.on_outcome(outcome, false);
                 }
-                if matches!(outcome, AttemptOutcome::Unknown(_)) {
-                    // The runner may have fetched the KV cache, which is possible only once.
-                    self.kv_guard = None;
-                    self.has_tried_prefill = false;
-                }
                 Err(outcome)
             }
         }
