Take a retry beside a silent plain call only when another runner is there

Cause: as for streams: the retry was taken before a runner was chosen, so that a service with a single silent runner used up the budget without sending anything.

Change: the runner is chosen first. The wait for silence allows for a pause of the process, as the other timeouts do: what arrived meanwhile is read first.

--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -18,10 +18,12 @@
 use tealsaddle_core::fleet::placement::Placement;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tokio::time::Instant;
 
 use crate::answer::{Aborted, Body, GatewayAnswer, classify_answer, full_body, strip_hop_headers};
 use crate::call::{Call, MIN_RETRY_AFTER, Refusal};
 use crate::scheduler::RunnerAttempt;
+use crate::timeout::timeout_at;
 use crate::upstream::{Answer, AnswerBody};
 
 /// Answers up to this size are read completely before they are passed on, so that a truncated one can be
@@ -77,14 +79,15 @@
         let mut running = FuturesUnordered::new();
         let refused = loop {
             let has_started = match self.place_plain(&run.asked) {
-                Ok(placement) => {
+                // Beside silent runners the attempt is a retry; after a failure it has been taken already.
+                Ok(placement) if running.is_empty() || self.may_ask_other() => {
                     run.asked.push(Name::clone(&placement.runner.id));
                     running.push(self.attempt_plain(placement.runner));
                     true
                 }
                 Err(refused) if running.is_empty() => break refused,
                 // The silent runners may still answer.
-                Err(_refused) => false,
+                Ok(_) | Err(_) => false,
             };
             let step = self.wait_plain(&mut run, &mut running, has_started, attempts);
             match step.await {
@@ -150,8 +153,8 @@
             return running.next().await;
         }
         let objective = Duration::from_millis(self.route.objective_ms);
-        let ended = tokio::time::timeout(objective * SILENCE_FACTOR, running.next());
-        ended.await.ok().flatten()
+        let limit = Instant::now() + objective * SILENCE_FACTOR;
+        timeout_at(limit, running.next()).await.ok().flatten()
     }
 
     /// Decides whether another runner may be asked beside `running` silent ones.
@@ -160,7 +163,7 @@
             return false;
         };
         self.gateway.scheduler.on_silent_runner(newest, true);
-        self.on_silence(attempts, running as u32, newest) && self.may_ask_other()
+        self.on_silence(attempts, running as u32, newest)
     }
 
     /// Whether this answer may be replaced by that of another runner.
