Wait for a silent prefill runner while there is time to read elsewhere

A retry was taken before it was known whether another runner is there.

Change: the silent one is awaited as long as the decode runner can still read the prompt in time. The runner is chosen before the retry is taken. The wait for silence allows for a pause of the process.

--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -14,6 +14,7 @@
 use tealsaddle_core::fleet::placement::Placement;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tokio::time::Instant;
 
 use crate::answer::classify_answer;
 use crate::call::Call;
@@ -21,6 +22,7 @@
 use crate::gateway::Gateway;
 use crate::scheduler::RunnerAttempt;
 use crate::stages::micros;
+use crate::timeout::timeout_at;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
 /// Another runner is asked to read the prompt after this many times the expected duration, but not before the
@@ -118,6 +120,8 @@
     pub async fn prefill(&self, engine: &EngineLimits, first: Placement) -> Option<KvHandleGuard> {
         let mut asked: Vec<Name> = Vec::new();
         let mut running = FuturesUnordered::new();
+        // A decode runner reads at half the speed.
+        let own_read = micros(first.read_us * 2.0);
         let mut placement = first;
         if self.state.has_been_read() && !self.may_read_again() {
             return None;
@@ -137,10 +141,12 @@
                 return None;
             }
             let is_budget_exempt = is_unsent && asked.len() < MAX_UNSENT_PREFILLS;
-            if !is_budget_exempt && !self.may_read_again() {
-                return None;
-            }
-            placement = self.choose_prefill(engine, &asked)?;
+            let other = self.choose_prefill(engine, &asked);
+            let other = other.filter(|_other| is_budget_exempt || self.may_read_again());
+            let Some(other) = other else {
+                return self.wait_for_silent_prefill(&mut running, own_read).await;
+            };
+            placement = other;
         }
     }
 
@@ -166,7 +172,8 @@
     {
         let scheduler = &self.gateway.scheduler;
         loop {
-            match tokio::time::timeout(newest.timeout, running.next()).await {
+            let limit = Instant::now() + newest.timeout;
+            match timeout_at(limit, running.next()).await {
                 Ok(Some(Ok(kv_guard))) => return PrefillStep::Done(kv_guard),
                 Ok(Some(Err(outcome))) if running.is_empty() => {
                     return PrefillStep::Failed(outcome);
@@ -184,6 +191,25 @@
         }
     }
 
+    /// Waits for silent prefill runners for as long as the decode runner can still read the prompt in time.
+    async fn wait_for_silent_prefill<F>(
+        &self,
+        running: &mut FuturesUnordered<F>,
+        own_read: Duration,
+    ) -> Option<KvHandleGuard>
+    where
+        F: Future<Output = Result<KvHandleGuard, AttemptOutcome>>,
+    {
+        let left = self.first_event_remaining().saturating_sub(own_read);
+        let limit = Instant::now() + left;
+        while let Ok(Some(ended)) = timeout_at(limit, running.next()).await {
+            if let Ok(kv_guard) = ended {
+                return Some(kv_guard);
+            }
+        }
+        None
+    }
+
     async fn prefill_at(
         &self,
         engine: &EngineLimits,
