Read what arrived at a paused node before its runners count as silent

Cause: after a pause of the process due timers run before its sockets are polled, so that every stream seemed silent and another runner was asked for each.

Change: the wait for silence reads once more if it notices the limit late.

--- a/crates/tealsaddle-gateway/src/silence.rs
+++ b/crates/tealsaddle-gateway/src/silence.rs
@@ -13,9 +13,11 @@
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::stages::{OpenStream, StreamOpener};
+use crate::timeout::timeout_at;
 use crate::upstream::Reuse;
 
 /// Time without data from a decode runner after which another one is asked to go on with its stream.
@@ -65,7 +67,8 @@
             return Waited::Heard(hearing.await);
         }
         let mut hearing = Box::pin(hearing);
-        match tokio::time::timeout(STREAM_SILENCE_LIMIT, hearing.as_mut()).await {
+        let limit = Instant::now() + STREAM_SILENCE_LIMIT;
+        match timeout_at(limit, hearing.as_mut()).await {
             Ok(heard) => Waited::Heard(heard),
             Err(_elapsed) => self.replace_silent(hearing, resumption, attempts).await,
         }
