Keep a silent engine's attempt open until another one goes on

What callers got: a completion whose engine was silent for longer than 50 times the target between tokens (20 times that of the first token; at least 1 s) lost its answer if no other attempt could take over. A stream that had begun ended with an error event, any other request with 504, although the engine went on a moment later.

Cause: the timeout ended the attempt, and only then did the node ask whether another one was allowed. A refusal for the retry budget, the attempts, a request that may not run twice or the lack of an open engine therefore ended the answer. Where another attempt started and was silent as well, the first engine had been cancelled already.

Change: the silence of an engine is no outcome. `Generation` keeps the silent attempt open and starts another one beside it if that is allowed. The attempt that delivers the next token goes on alone, and dropping the others cancels their work at the engines and ends their counts. A refusal changes nothing but that a used-up budget is asked again each second. An attempt that never goes on ends 45 s after it was found silent; a completion has no deadline of its own. `Attempts::on_silence` counts the silent attempt as failed only if another one starts, so refusals do not use up the attempts. Attempts overlap now, so the end of one is checked against the index at which it resumed itself; the joiner kept only that of the latest one. Two tests of the joiner pass that index now instead of calling `begin_attempt`; what they check is the same.

New counters `silent.repeat` and `silent.REASON` tell what was decided for each silence, as do the recorded decisions (`repeat` or `wait`).

Conclusion: a silence ends an answer only if it lasts 45 s longer than the node waits before it looks for another engine.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -161,6 +161,16 @@
         }
     }
 
+    /// Decides whether another attempt may start beside one that has fallen silent and stays open. The silent
+    /// attempt counts as failed only if so.
+    pub fn on_silence(&mut self, budget: &mut RetryBudget, now_us: u64) -> Result<(), GiveUp> {
+        let mut counted = *self;
+        let outcome = AttemptOutcome::Unknown(UnknownReason::Timeout);
+        counted.on_failure(outcome, budget, now_us)?;
+        *self = counted;
+        Ok(())
+    }
+
     /// Returns the outcome of the whole request if its last attempt ended with `last`.
     pub const fn outcome(&self, last: AttemptOutcome) -> AttemptOutcome {
         match (last, self.unknown) {
--- a/crates/tealsaddle-core/src/stream.rs
+++ b/crates/tealsaddle-core/src/stream.rs
@@ -1,9 +1,10 @@
 //! Joins the token streams of several attempts into one answer.
 //!
-//! Each token has an index. When an engine fails during a stream, the next attempt resumes at
-//! [`StreamJoiner::next_index`]. A token that was already delivered is dropped, and a gap ends the
+//! Each token has an index. When an engine fails or falls silent during a stream, the next attempt resumes
+//! at [`StreamJoiner::next_index`]. A token that was already delivered is dropped, and a gap ends the
 //! attempt, so that the caller never receives a token twice and never misses one. The end of an attempt is
-//! checked as well: if the engine counts more tokens than have arrived, tokens were lost.
+//! checked as well: if the engine counts more tokens than have arrived, tokens were lost. Attempts may
+//! overlap, so each keeps the index at which it resumed.
 
 /// Action for a received token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,7 +37,6 @@
 pub struct StreamJoiner {
     next_index: u64,
     max_tokens: u64,
-    resumed_at: u64,
 }
 
 impl StreamJoiner {
@@ -45,21 +45,14 @@
         Self {
             next_index: 0,
             max_tokens,
-            resumed_at: 0,
         }
     }
 
-    /// Returns the index of the next token to be delivered.
+    /// Returns the index of the next token to be delivered, at which a new attempt resumes.
     pub const fn next_index(&self) -> u64 {
         self.next_index
     }
 
-    /// Starts an attempt and returns the index at which the attempt resumes.
-    pub const fn begin_attempt(&mut self) -> u64 {
-        self.resumed_at = self.next_index;
-        self.resumed_at
-    }
-
     /// Handles a token that arrived with the attempt id `actual` while the attempt `expected` is running.
     pub fn on_token(&mut self, expected: &str, actual: &str, index: u64) -> TokenAction {
         if expected != actual {
@@ -78,13 +71,19 @@
         TokenAction::Deliver
     }
 
-    /// Handles the end of an attempt. `output_tokens` is the engine's own count for this attempt, if it
-    /// reports one.
-    pub fn on_end(&self, expected: &str, actual: &str, output_tokens: Option<u64>) -> EndAction {
+    /// Handles the end of an attempt that resumed at `resumed_at`. `output_tokens` is the engine's own count
+    /// for this attempt, if it reports one.
+    pub fn on_end(
+        &self,
+        expected: &str,
+        actual: &str,
+        resumed_at: u64,
+        output_tokens: Option<u64>,
+    ) -> EndAction {
         if expected != actual {
             return EndAction::DropForeign;
         }
-        let received = self.next_index - self.resumed_at;
+        let received = self.next_index - resumed_at;
         if output_tokens.is_some_and(|counted| counted > received)
             && self.next_index < self.max_tokens
         {
--- a/crates/tealsaddle-core/tests/it/retry.rs
+++ b/crates/tealsaddle-core/tests/it/retry.rs
@@ -102,3 +102,30 @@
     let granted = (0..100).filter(|i| budget.try_consume((100 + i / 10) * SECOND_US));
     assert_eq!(granted.count(), 5);
 }
+
+/// Guards against a silent attempt that uses up the attempts of a request although no other one started, and
+/// against a second execution of a request that may be executed only once.
+#[parameterized(
+    repeatable = { true, GiveUp::Budget },
+    not_repeatable = { false, GiveUp::NotRepeatable },
+)]
+fn refused_silence_leaves_no_trace(is_repeatable: bool, refused: GiveUp) {
+    let mut attempts = Attempts::new(is_repeatable);
+    let mut budget = RetryBudget::default();
+    while budget.try_consume(0) {}
+    for _ in 0..5 {
+        assert_eq!(attempts.on_silence(&mut budget, 0), Err(refused));
+    }
+    assert_eq!(attempts.failed(), 0);
+    assert_eq!(attempts.outcome(NOT_RUN), NOT_RUN);
+}
+
+/// Guards against an unlimited number of attempts beside silent ones.
+#[test]
+fn attempts_beside_silent_ones_are_limited() {
+    let mut attempts = Attempts::new(true);
+    let mut budget = RetryBudget::default();
+    let started = (0..10).filter(|_| attempts.on_silence(&mut budget, 0).is_ok());
+    assert_eq!(started.count(), 2);
+    assert_eq!(attempts.outcome(NOT_RUN), UNKNOWN);
+}
--- a/crates/tealsaddle-core/tests/it/stream.rs
+++ b/crates/tealsaddle-core/tests/it/stream.rs
@@ -25,7 +25,7 @@
         let mut joiner = StreamJoiner::new(30);
         let mut delivered = Vec::new();
         for tokens in attempts {
-            prop_assert_eq!(joiner.begin_attempt(), delivered.len() as u64);
+            prop_assert_eq!(joiner.next_index(), delivered.len() as u64);
             for token in tokens {
                 let actual = if token.has_expected_id { "own" } else { "other" };
                 match joiner.on_token("own", actual, token.index) {
@@ -49,9 +49,24 @@
 fn end_with_missing_tokens_is_a_gap() {
     let mut joiner = StreamJoiner::new(10);
     assert_eq!(joiner.on_token("a", "a", 0), TokenAction::Deliver);
-    assert_eq!(joiner.on_end("a", "a", Some(2)), EndAction::Gap);
-    assert_eq!(joiner.begin_attempt(), 1);
+    assert_eq!(joiner.on_end("a", "a", 0, Some(2)), EndAction::Gap);
+    assert_eq!(joiner.next_index(), 1);
     assert_eq!(joiner.on_token("b", "b", 1), TokenAction::Deliver);
-    assert_eq!(joiner.on_end("b", "a", Some(1)), EndAction::DropForeign);
-    assert_eq!(joiner.on_end("b", "b", Some(1)), EndAction::Finish);
+    assert_eq!(joiner.on_end("b", "a", 1, Some(1)), EndAction::DropForeign);
+    assert_eq!(joiner.on_end("b", "b", 1, Some(1)), EndAction::Finish);
+}
+
+/// Guards against a complete answer that counts as truncated because another attempt has started beside the
+/// one that delivers it.
+#[test]
+fn end_is_checked_against_the_start_of_its_own_attempt() {
+    let mut joiner = StreamJoiner::new(10);
+    assert_eq!(joiner.on_token("a", "a", 0), TokenAction::Deliver);
+    let second_resumed_at = joiner.next_index();
+    assert_eq!(joiner.on_token("a", "a", 1), TokenAction::Deliver);
+    assert_eq!(joiner.on_end("a", "a", 0, Some(2)), EndAction::Finish);
+    assert_eq!(
+        joiner.on_end("b", "b", second_resumed_at, Some(2)),
+        EndAction::Gap
+    );
 }
--- a/crates/tealsaddle-node/src/caller/completion.rs
+++ b/crates/tealsaddle-node/src/caller/completion.rs
@@ -1,16 +1,15 @@
-//! Runs a completion as a sequence of attempts and joins their output into one stream.
+//! A completion request, its output and its result.
 
 use std::sync::Arc;
 
 use hyper::StatusCode;
 use tealsaddle_core::inventory::Model;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
-use tealsaddle_core::stream::StreamJoiner;
+use tealsaddle_core::retry::{AttemptOutcome, UnknownReason};
 use tokio::sync::mpsc;
 
-use super::attempt::{Attempt, AttemptEnd};
+use super::generation::Generation;
 use super::response::Refusal;
-use super::select::{self, AttemptPlan};
+use super::select::AttemptPlan;
 use crate::traffic::Traffic;
 
 /// Output tokens buffered for a slow reader. Most completions are shorter, so that a slow reader
@@ -73,7 +72,8 @@
     let tasks = traffic.tasks.clone();
     // A stop waits for this task, so that cancellations reach the engines before the process exits.
     tasks.spawn(async move {
-        let last = match run(&traffic, &completion, plan, &sender).await {
+        let generation = Generation::new(&traffic, &completion, &sender);
+        let last = match generation.run(plan).await {
             Ok(Some(done)) => Output::Done(done),
             Ok(None) => {
                 traffic.counters.increment("caller.gone");
@@ -95,51 +95,6 @@
     receiver
 }
 
-/// Runs attempts until one completes. `None` means that the caller disconnected.
-async fn run(
-    traffic: &Arc<Traffic>,
-    completion: &Completion,
-    plan: AttemptPlan,
-    sender: &mpsc::Sender<Output>,
-) -> Result<Option<Done>, Refusal> {
-    let mut joiner = StreamJoiner::new(completion.max_tokens);
-    let mut attempts = Attempts::new(completion.is_repeatable);
-    let mut failed = Vec::new();
-    let mut may_split = true;
-    let mut plan = plan;
-    traffic.on_first_attempt(&completion.model.name);
-    loop {
-        let is_split = matches!(plan, AttemptPlan::Split { .. });
-        let attempt = Attempt {
-            traffic,
-            completion,
-            sender,
-            joiner: &mut joiner,
-        };
-        let (engine, outcome) = match attempt.run(plan).await {
-            AttemptEnd::Done(done) => return Ok(Some(done)),
-            AttemptEnd::CallerDisconnected => return Ok(None),
-            AttemptEnd::Failed(engine, outcome) => (engine, outcome),
-        };
-        traffic.recent_failures.on_failure(&engine, outcome);
-        failed.push(engine);
-        may_split &= !is_split;
-        let model = &completion.model.name;
-        let id = &completion.request_id;
-        if traffic
-            .on_failure(model, id, &mut attempts, outcome)
-            .is_err()
-        {
-            return Err(refusal(attempts.outcome(outcome)));
-        }
-        let Some(next) = select::for_retry(traffic, completion, &failed, may_split) else {
-            let last = AttemptOutcome::NotRun(NotRunReason::NoTarget);
-            return Err(refusal(attempts.outcome(last)));
-        };
-        plan = next;
-    }
-}
-
 /// Returns the refusal for a response that was cut off before its end.
 pub fn connection_lost() -> Refusal {
     Refusal::unknown(
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -1,8 +1,8 @@
 //! The caller interface: an OpenAI-compatible HTTP API for language models, and plain services.
 //!
 //! `server` accepts connections and serves requests on them. `dispatch` applies the limits common to
-//! all requests and selects the handler. `chat` and `service` handle requests, `completion` and
-//! `attempt` run a completion on engines, and `forward` relays a request to another node.
+//! all requests and selects the handler. `chat` and `service` handle requests, `completion`,
+//! `generation` and `attempt` run a completion on engines, and `forward` relays a request to another node.
 
 pub mod admit;
 pub mod attempt;
@@ -13,6 +13,7 @@
 pub mod dispatch;
 pub mod engine_work;
 pub mod forward;
+pub mod generation;
 pub mod liveness;
 pub mod openai;
 pub mod proxy;
--- a/crates/tealsaddle-node/src/traffic/mod.rs
+++ b/crates/tealsaddle-node/src/traffic/mod.rs
@@ -300,8 +300,41 @@
                 give_up.as_str()
             }
         };
+        self.record_retry(subject, choice, reason, *attempts);
+        next
+    }
+
+    /// Decides whether another attempt may start beside one that has fallen silent and stays open. `subject`
+    /// is the id of the request.
+    pub fn on_silence(
+        &self,
+        service: &Name,
+        subject: &str,
+        attempts: &mut Attempts,
+    ) -> Result<(), GiveUp> {
+        let next = {
+            let mut budgets = self.budgets();
+            let budget = budgets.entry(Name::clone(service)).or_default();
+            attempts.on_silence(budget, clock::now_us())
+        };
+        match next {
+            Ok(()) => {
+                self.counters.increment("silent.repeat");
+                self.record_retry(subject, "repeat", "silent", *attempts);
+            }
+            Err(refused) => {
+                let refused = refused.as_str();
+                self.counters.increment(&format!("silent.{refused}"));
+                let reason = format!("silent, {refused}");
+                self.record_retry(subject, "wait", &reason, *attempts);
+            }
+        }
+        next
+    }
+
+    fn record_retry(&self, subject: &str, choice: &str, reason: &str, attempts: Attempts) {
         self.record(Decision {
-            at_us: now_us,
+            at_us: clock::now_us(),
             kind: DecisionKind::Retry,
             subject: subject.to_owned(),
             choice: choice.to_owned(),
@@ -309,7 +342,6 @@
             inputs: vec![("attempts".to_owned(), attempts.failed().to_string())],
             alternatives: Vec::new(),
         });
-        next
     }
 
     /// Takes a retry from the budget of a model or service, for a request that waits for one. Returns
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -16,6 +16,7 @@
 mod planner;
 mod prefix_affinity;
 mod service;
+mod silence;
 mod stop;
 mod stream;
 mod support;
--- /dev/null
+++ b/crates/tealsaddle-node/tests/it/silence.rs
@@ -0,0 +1,209 @@
+//! Engines that fall silent and go on.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use tealsaddle_testkit::client::wait_until;
+use tealsaddle_testkit::engine::wire::GenerateRequest;
+use tokio_util::sync::CancellationToken;
+use yare::parameterized;
+
+use crate::test_node::{
+    ScriptedEngine, Step, TestNode, answer_text, body, config, end_event, token, tokens,
+};
+
+/// Length of the answers.
+const TOKENS: u64 = 10;
+
+/// Returns the steps of a complete response with a silence before the token at `index`.
+fn silent_before(request: &GenerateRequest, index: u64, silence: Step) -> Vec<Step> {
+    let index = index.max(request.resume_at);
+    let rest = (index..request.max_tokens).map(|index| token(request, index));
+    let steps = tokens(request, index).into_iter();
+    let steps = steps.chain([silence]).chain(rest);
+    let count = request.max_tokens - request.resume_at;
+    steps.chain([end_event(request, count)]).collect()
+}
+
+/// Starts two engines. Their attempts are numbered in common from 0, and number `n` is silent before the
+/// token at `index` until `silences[n]` is cancelled.
+async fn silent_engines(index: u64, silences: &[CancellationToken]) -> [ScriptedEngine; 2] {
+    let silences: Arc<[CancellationToken]> = silences.into();
+    let started = Arc::<AtomicUsize>::default();
+    let script = || {
+        let (silences, started) = (Arc::clone(&silences), Arc::clone(&started));
+        move |_: usize, request: &GenerateRequest| {
+            let number = started.fetch_add(1, Ordering::Relaxed);
+            let silence = Step::WaitFor(silences[number].clone());
+            Ok(silent_before(request, index, silence))
+        }
+    };
+    [
+        ScriptedEngine::start(script()).await,
+        ScriptedEngine::start(script()).await,
+    ]
+}
+
+async fn start_node(engines: &[ScriptedEngine]) -> TestNode {
+    let roles = engines.iter().map(|engine| (engine.address(), "mixed"));
+    TestNode::start(&config(&roles.collect::<Vec<_>>())).await
+}
+
+fn count(engines: &[ScriptedEngine], path: &str) -> usize {
+    engines.iter().map(|e| e.received(path).len()).sum()
+}
+
+async fn until_nothing_is_in_flight(node: &TestNode) {
+    wait_until(|| async { node.traffic.in_flight.nonzero_counts().is_empty() }).await;
+}
+
+/// What keeps the node from starting another attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Obstacle {
+    /// The caller marked the request as not repeatable.
+    Marked,
+    /// The retry budget is used up.
+    Budget,
+    /// No engine takes new work.
+    ClosedEngines,
+}
+
+impl Obstacle {
+    /// Counter of the silences after which this obstacle was met.
+    const fn counter(self) -> &'static str {
+        match self {
+            Self::Marked => "silent.not_repeatable",
+            Self::Budget => "silent.budget_used_up",
+            Self::ClosedEngines => "silent.repeat",
+        }
+    }
+}
+
+/// Guards against an answer that is cut off or refused because its engine fell silent, although no other
+/// attempt may take over and the engine goes on.
+#[parameterized(
+    marked_stream = { Obstacle::Marked, 5, true },
+    marked_before_the_first_token = { Obstacle::Marked, 0, true },
+    budget_stream = { Obstacle::Budget, 5, true },
+    budget_before_the_first_token = { Obstacle::Budget, 0, false },
+    closed_engines_stream = { Obstacle::ClosedEngines, 5, false },
+    closed_engines_before_the_first_token = { Obstacle::ClosedEngines, 0, true },
+)]
+#[test_macro(tokio::test)]
+async fn silent_engine_goes_on_without_another_attempt(
+    obstacle: Obstacle,
+    silent_at: u64,
+    is_streamed: bool,
+) {
+    let silence = CancellationToken::new();
+    let engine = ScriptedEngine::start({
+        let silence = silence.clone();
+        move |_, request| {
+            let silence = Step::WaitFor(silence.clone());
+            Ok(silent_before(request, silent_at, silence))
+        }
+    });
+    let engines = [engine.await];
+    let node = start_node(&engines).await;
+    let headers: &[(&str, &str)] = match obstacle {
+        Obstacle::Marked => &[("x-non-repeatable", "true")],
+        Obstacle::Budget | Obstacle::ClosedEngines => &[],
+    };
+    let obstruct = async {
+        wait_until(|| async { count(&engines, "/generate") == 1 }).await;
+        if obstacle == Obstacle::ClosedEngines {
+            node.publish(|snapshot| snapshot.open_engines.clear());
+        }
+        while node.count(obstacle.counter()) == 0 {
+            while obstacle == Obstacle::Budget && node.traffic.take_retry(&"m".into()) {}
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        silence.cancel();
+        std::future::pending::<()>().await;
+    };
+    let body = body(TOKENS, is_streamed);
+    let answer = tokio::select! {
+        answer = node.post("/v1/completions", headers, &body) => answer,
+        () = obstruct => unreachable!("the obstacle stays until the answer is there"),
+    };
+    assert_eq!(answer.status, 200, "{answer:?}");
+    if is_streamed {
+        assert_eq!(answer.streamed_text(), (answer_text(TOKENS), true));
+    } else {
+        assert_eq!(answer.json()["choices"][0]["text"], answer_text(TOKENS));
+    }
+    assert_eq!(count(&engines, "/generate"), 1);
+    assert_eq!(count(&engines, "/cancel"), 0);
+    until_nothing_is_in_flight(&node).await;
+}
+
+/// Guards against an answer that ends because the attempt started beside a silent engine is silent as well,
+/// although the first engine goes on.
+#[parameterized(
+    stream = { 5 },
+    before_the_first_token = { 0 },
+)]
+#[test_macro(tokio::test)]
+async fn silent_engine_goes_on_before_the_other(silent_at: u64) {
+    let silences: [CancellationToken; 3] = std::array::from_fn(|_| CancellationToken::new());
+    let engines = silent_engines(silent_at, &silences).await;
+    let node = start_node(&engines).await;
+    let release = async {
+        wait_until(|| async { count(&engines, "/generate") >= 2 }).await;
+        silences[0].cancel();
+    };
+    let (answer, ()) = tokio::join!(node.complete(TOKENS, true), release);
+    assert_eq!(answer.streamed_text(), (answer_text(TOKENS), true));
+    // Every attempt but the first is cancelled.
+    let others = count(&engines, "/generate") - 1;
+    wait_until(|| async { count(&engines, "/cancel") == others }).await;
+    until_nothing_is_in_flight(&node).await;
+}
+
+/// Guards against a silent attempt that is closed before another engine goes on, and against two engines that
+/// generate the same stream to its end.
+#[parameterized(
+    stream = { 5 },
+    before_the_first_token = { 0 },
+)]
+#[test_macro(tokio::test)]
+async fn silent_engine_is_cancelled_once_another_goes_on(silent_at: u64) {
+    let silences: [CancellationToken; 3] = std::array::from_fn(|_| CancellationToken::new());
+    let engines = silent_engines(silent_at, &silences).await;
+    let node = start_node(&engines).await;
+    let observe = async {
+        wait_until(|| async { count(&engines, "/generate") >= 2 }).await;
+        let cancelled = count(&engines, "/cancel");
+        let in_flight = ["e0", "e1"].map(|name| node.traffic.in_flight.count(name));
+        silences[1].cancel();
+        (cancelled, in_flight)
+    };
+    let (answer, (cancelled, in_flight)) = tokio::join!(node.complete(TOKENS, true), observe);
+    assert_eq!(answer.streamed_text(), (answer_text(TOKENS), true));
+    assert_eq!(cancelled, 0);
+    assert!(!in_flight.contains(&0), "{in_flight:?}");
+    // Every attempt but the second is cancelled.
+    let others = count(&engines, "/generate") - 1;
+    wait_until(|| async { count(&engines, "/cancel") == others }).await;
+    until_nothing_is_in_flight(&node).await;
+}
+
+/// Guards against a request that waits without a limit for an engine that never goes on.
+#[tokio::test]
+async fn endless_silence_is_given_up() {
+    let engine = ScriptedEngine::start(|_, request| {
+        let silence = Step::WaitFor(CancellationToken::new());
+        Ok(silent_before(request, 0, silence))
+    });
+    let engines = [engine.await];
+    let node = start_node(&engines).await;
+    let marked = [("x-non-repeatable", "true")];
+    let answer = node
+        .post("/v1/completions", &marked, &body(TOKENS, true))
+        .await;
+    let headers = (answer.header("x-outcome"), answer.header("x-reason"));
+    assert_eq!((answer.status, headers), (504, ("unknown", "timeout")));
+    wait_until(|| async { count(&engines, "/cancel") == 1 }).await;
+    until_nothing_is_in_flight(&node).await;
+}
--- a/crates/tealsaddle-node/tests/it/test_node.rs
+++ b/crates/tealsaddle-node/tests/it/test_node.rs
@@ -27,6 +27,7 @@
 use tealsaddle_testkit::engine::wire::{GenerateEvent, GenerateRequest};
 use tealsaddle_testkit::http::{self, Server};
 use tealsaddle_testkit::process::{NodeConfig, free_address};
+use tokio_util::sync::CancellationToken;
 
 /// Loopback address with a port that the system chooses.
 pub const ANY_PORT: SocketAddr =
@@ -172,6 +173,8 @@
     Line(String),
     /// Waits before the next step.
     Wait(Duration),
+    /// Is silent until the token is cancelled.
+    WaitFor(CancellationToken),
     /// Breaks the connection.
     Break,
 }
@@ -251,6 +254,10 @@
                 tokio::time::sleep(time).await;
                 None
             }
+            Step::WaitFor(token) => {
+                token.cancelled().await;
+                None
+            }
             // The pause lets the server send buffered frames, which the error would discard.
             Step::Break => {
                 tokio::time::sleep(Duration::from_millis(30)).await;
