Keep a forwarded request open at a silent peer until another answers

What callers got: a request that a node had forwarded was answered with 504 when its peer left two probes unanswered (after about 4 s) and no other peer or no retry was to be had, or the next peer was silent as well, although the first one went on and had the answer.

Two unanswered probes ended the attempt, and only then were the next peer and the retry budget asked.

Change: the attempts of a forwarded request are a module of their own, `peer_attempts`. A silent peer's attempt stays open, and another one starts beside it if a peer and the budget allow it; both are asked again each second while the silence lasts. The first response is relayed and the other attempts are dropped, which closes their connections, so that the peers cancel their work. If the silent peer answers probes again first, its attempt goes on and the later ones are dropped: an answer that is sent as a whole may take minutes, and both peers would run it to its end. A request that may not run twice is not probed and waits, as before.

Figures: the five tests of silence.rs on peers, on the code before, 0 of 5 pass: three end with 504 `unknown`, `timeout`; in silent_peer_is_dropped_once_another_answers the first request is dropped early (1 instead of 0); in later_attempt_is_dropped_when_a_silent_peer_goes_on both peers keep the request (the condition does not hold within 180 s). With the change 5 of 5 pass, and so do the tests of forwarding, partitions and stops (28 of 28, beside a machine load of about 20 on 8 cores).

--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -3,7 +3,6 @@
 //! A peer is called like a target, with one difference: its refusals say whether the request was
 //! run. After a refusal with the outcome "not run" another peer is tried.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,36 +11,26 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response};
 use rand::seq::SliceRandom;
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, UnknownReason};
+use tealsaddle_core::retry::AttemptOutcome;
 use tealsaddle_gateway::answer::strip_hop_headers;
 use tokio::time::Instant;
 
 use super::chat::error_event;
 use super::completion;
 use super::dispatch::{HOPS, MAX_HOPS, RequestContext};
-use super::liveness;
+use super::peer_attempts;
 use super::proxy::Payload;
-use super::response::{Body, BodyError, OUTCOME, REASON, REQUEST_ID, Refusal, RunState};
+use super::response::{Body, BodyError, REQUEST_ID, Refusal};
 use crate::clock;
 use crate::traffic::{PeerEndpoint, Snapshot, StopSignals, Traffic};
 
-/// Timeout for the head of a streamed response; the peer may need all its attempts before its first
-/// token.
-const STREAM_HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// Timeout for the head of an unstreamed response, which is sent after the last token.
-const UNSTREAMED_HEAD_TIMEOUT: Duration = Duration::from_secs(600);
 /// Timeout between two frames of a response body; the peer may change engines in between.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Interval at which a request checks a used-up retry budget again, equal to the period of the budget.
-const BUDGET_POLL_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of checks of a used-up retry budget before the request fails.
-const MAX_BUDGET_POLLS: u32 = 5;
-
 /// A request to be forwarded.
 #[derive(Debug)]
 pub struct ForwardedRequest {
@@ -138,145 +127,12 @@
         ));
     }
     traffic.counters.increment(&format!("forward.{reason}"));
-    // All forwarded requests share one retry budget.
-    let budget = Name::from("peers");
-    let mut attempts = Attempts::new(forward.is_repeatable);
-    traffic.on_first_attempt(&budget);
-    let mut queue = PeerQueue::new(peers);
-    loop {
-        let Some(peer) = queue.next(traffic) else {
-            let outcome = attempts.outcome(AttemptOutcome::NotRun(NotRunReason::NoTarget));
-            return Err(completion::refusal(outcome));
-        };
-        let (outcome, refused) = match send_to_peer(traffic, context, &forward, &peer).await {
-            Ok(response) if was_aborted(&response) => {
-                (AttemptOutcome::Unknown(UnknownReason::NodeStopped), None)
-            }
-            Ok(response) if !allows_other_peer(&response) => {
-                return Ok(relay_response(traffic, context, response));
-            }
-            Ok(response) => {
-                let outcome = AttemptOutcome::NotRun(NotRunReason::TargetRefused);
-                (outcome, Some(response))
-            }
-            Err(outcome) => (outcome, None),
-        };
-        traffic.recent_failures.on_failure(&peer.vm, outcome);
-        let id = &context.request_id;
-        let next = traffic.on_failure(&budget, id, &mut attempts, outcome);
-        let may_retry = match next {
-            Ok(()) => true,
-            Err(GiveUp::Budget) => refused.is_none() && wait_for_budget(traffic, &budget).await,
-            Err(GiveUp::Attempts | GiveUp::NotRepeatable | GiveUp::NodeStopping) => false,
-        };
-        if !may_retry || !queue.has_next(traffic) {
-            let outcome = attempts.outcome(outcome);
-            return match refused {
-                Some(response) if matches!(outcome, AttemptOutcome::NotRun(_)) => {
-                    Ok(relay_response(traffic, context, response))
-                }
-                _ => Err(completion::refusal(outcome)),
-            };
-        }
-    }
-}
-
-/// Waits until the retry budget grants a retry, and returns whether it did.
-///
-/// All requests in flight at a peer that becomes unresponsive fail at once, while the budget limits
-/// the mean rate. Requests that exceed the budget wait a few periods for a retry instead of failing.
-async fn wait_for_budget(traffic: &Traffic, budget: &Name) -> bool {
-    let aborting = &traffic.stop_signals.aborting;
-    for _ in 0..MAX_BUDGET_POLLS {
-        let wait = tokio::time::sleep(BUDGET_POLL_INTERVAL);
-        if aborting.run_until_cancelled(wait).await.is_none() {
-            return false;
-        }
-        if traffic.take_retry(budget) {
-            return true;
-        }
-    }
-    false
-}
-
-/// Peers that a request has not tried yet, in order.
-#[derive(Debug)]
-struct PeerQueue {
-    untried: VecDeque<PeerEndpoint>,
-    tried: Vec<Name>,
-}
-
-impl PeerQueue {
-    fn new(peers: &[PeerEndpoint]) -> Self {
-        Self {
-            untried: peers.iter().cloned().collect(),
-            tried: Vec::new(),
-        }
-    }
-
-    fn next(&mut self, traffic: &Traffic) -> Option<PeerEndpoint> {
-        self.has_next(traffic);
-        let peer = self.untried.pop_front()?;
-        self.tried.push(Name::clone(&peer.vm));
-        Some(peer)
-    }
-
-    /// Returns whether an untried peer is left. An empty list is filled again from the current
-    /// snapshot, since peers may have joined in the minutes since the list was made.
-    fn has_next(&mut self, traffic: &Traffic) -> bool {
-        if self.untried.is_empty() {
-            let peers = ranked_peers(traffic, &traffic.snapshot.load_full());
-            let untried = peers.into_iter().filter(|p| !self.tried.contains(&p.vm));
-            self.untried.extend(untried);
-        }
-        !self.untried.is_empty()
-    }
-}
-
-/// Sends a request to one peer and waits for the head of the response.
-async fn send_to_peer(
-    traffic: &Traffic,
-    context: &RequestContext,
-    forward: &ForwardedRequest,
-    peer: &PeerEndpoint,
-) -> Result<Response<Incoming>, AttemptOutcome> {
-    let request = request(context, forward, peer);
-    let head_timeout = if forward.is_streamed {
-        STREAM_HEAD_TIMEOUT
-    } else {
-        UNSTREAMED_HEAD_TIMEOUT
-    };
-    let deadline = Instant::now() + head_timeout;
-    let is_repeatable = forward.is_repeatable;
-    tokio::select! {
-        sent = traffic.targets.send(request, is_repeatable, deadline) => sent,
-        // A repeatable request does not have to wait for an unresponsive peer.
-        () = liveness::wait_until_unresponsive(traffic, peer.caller_address), if is_repeatable => {
-            traffic.counters.increment("forward.peer_silent");
-            Err(AttemptOutcome::Unknown(UnknownReason::Timeout))
-        }
-    }
-}
-
-/// Whether a stopping peer aborted the request, so that another node may still serve it.
-fn was_aborted(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::GATEWAY_TIMEOUT
-        && has_header(response, OUTCOME, RunState::Unknown.as_str())
-        && has_header(response, REASON, UnknownReason::NodeStopped.as_str())
-}
-
-/// Whether a peer refused the request as not run for a reason that may not apply to another node.
-fn allows_other_peer(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && has_header(response, OUTCOME, RunState::NotRun.as_str())
-}
-
-fn has_header(response: &Response<Incoming>, name: &str, value: &str) -> bool {
-    let given = response.headers().get(name);
-    given.is_some_and(|given| given.as_bytes() == value.as_bytes())
+    let response = peer_attempts::run(traffic, context, &forward, peers).await?;
+    Ok(relay_response(traffic, context, response))
 }
 
-fn request(
+/// Returns the request that is sent to a peer.
+pub fn request(
     context: &RequestContext,
     forward: &ForwardedRequest,
     peer: &PeerEndpoint,
--- a/crates/tealsaddle-node/src/caller/liveness.rs
+++ b/crates/tealsaddle-node/src/caller/liveness.rs
@@ -33,21 +33,29 @@
     let mut unanswered = 0;
     while unanswered < MAX_UNANSWERED_PROBES {
         tokio::time::sleep(PROBE_INTERVAL).await;
-        let deadline = Instant::now() + PROBE_TIMEOUT;
-        // A new connection for each probe; a response with any status shows that the process runs.
-        let is_alive = match traffic
-            .targets
-            .send(probe_request(peer), false, deadline)
-            .await
-        {
-            Ok(_any) => true,
-            Err(AttemptOutcome::NotRun(NotRunReason::ConnectFailed)) => is_refused(peer).await,
-            Err(_none) => false,
-        };
+        let is_alive = answers_probe(traffic, peer).await;
         unanswered = if is_alive { 0 } else { unanswered + 1 };
     }
 }
 
+/// Returns when the peer answers a probe. The first one is sent at once.
+pub async fn wait_until_responsive(traffic: &Traffic, peer: SocketAddr) {
+    while !answers_probe(traffic, peer).await {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+async fn answers_probe(traffic: &Traffic, peer: SocketAddr) -> bool {
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    // A new connection for each probe; a response with any status shows that the process runs.
+    let probe = traffic.targets.send(probe_request(peer), false, deadline);
+    match probe.await {
+        Ok(_any) => true,
+        Err(AttemptOutcome::NotRun(NotRunReason::ConnectFailed)) => is_refused(peer).await,
+        Err(_none) => false,
+    }
+}
+
 /// Whether the peer's VM is reachable and refuses connections to the address.
 async fn is_refused(peer: SocketAddr) -> bool {
     let attempt = TcpStream::connect(peer);
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -16,6 +16,7 @@
 pub mod generation;
 pub mod liveness;
 pub mod openai;
+pub mod peer_attempts;
 pub mod proxy;
 pub mod response;
 pub mod select;
--- a/crates/tealsaddle-node/tests/it/silence.rs
+++ b/crates/tealsaddle-node/tests/it/silence.rs
@@ -1,16 +1,20 @@
-//! Engines that fall silent and go on.
+//! Engines and peers that fall silent and go on.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use hyper::StatusCode;
+use tealsaddle_node::traffic::PeerEndpoint;
 use tealsaddle_testkit::client::wait_until;
 use tealsaddle_testkit::engine::wire::GenerateRequest;
+use tealsaddle_testkit::http::{self, Server};
+use tealsaddle_testkit::process::free_address;
 use tokio_util::sync::CancellationToken;
 use yare::parameterized;
 
 use crate::test_node::{
-    ScriptedEngine, Step, TestNode, answer_text, body, config, end_event, token, tokens,
+    ANY_PORT, ScriptedEngine, Step, TestNode, answer_text, body, config, end_event, token, tokens,
 };
 
 /// Length of the answers.
@@ -207,3 +211,206 @@
     wait_until(|| async { count(&engines, "/cancel") == 1 }).await;
     until_nothing_is_in_flight(&node).await;
 }
+
+/// A peer that receives requests but is silent until it is woken, as a paused process is.
+struct SilentPeer {
+    server: Server,
+    /// Cancelled when the peer goes on.
+    awake: CancellationToken,
+    /// Cancelled when the peer has a response to forwarded requests.
+    response: CancellationToken,
+    received: Arc<AtomicUsize>,
+    /// Number of forwarded requests whose connection was closed before the response.
+    dropped: Arc<AtomicUsize>,
+}
+
+/// Counts a request that is dropped before it has a response.
+struct DropCounter(Arc<AtomicUsize>);
+
+impl Drop for DropCounter {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl SilentPeer {
+    /// Starts a peer whose responses contain its name.
+    async fn start(name: &'static str) -> Self {
+        let [awake, response] = [CancellationToken::new(), CancellationToken::new()];
+        let [received, dropped] = <[Arc<AtomicUsize>; 2]>::default();
+        let server = http::bind(ANY_PORT, {
+            let (awake, response) = (awake.clone(), response.clone());
+            let (received, dropped) = (Arc::clone(&received), Arc::clone(&dropped));
+            move |request| {
+                let (awake, response) = (awake.clone(), response.clone());
+                let (received, dropped) = (Arc::clone(&received), Arc::clone(&dropped));
+                async move {
+                    if request.uri().path() == "/readyz" {
+                        awake.cancelled().await;
+                        return http::json(StatusCode::OK, &"ready");
+                    }
+                    received.fetch_add(1, Ordering::Relaxed);
+                    let drop_counter = DropCounter(dropped);
+                    awake.cancelled().await;
+                    response.cancelled().await;
+                    std::mem::forget(drop_counter);
+                    http::json(StatusCode::OK, &name)
+                }
+            }
+        });
+        Self {
+            server: server.await.expect("the peer starts"),
+            awake,
+            response,
+            received,
+            dropped,
+        }
+    }
+
+    fn endpoint(&self, vm: &str, zone: &str) -> PeerEndpoint {
+        PeerEndpoint {
+            vm: vm.into(),
+            zone: zone.into(),
+            caller_address: self.server.address(),
+            is_registered: true,
+        }
+    }
+
+    /// Makes the peer go on and answer.
+    fn release(&self) {
+        self.response.cancel();
+        self.awake.cancel();
+    }
+
+    fn received(&self) -> usize {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    fn dropped(&self) -> usize {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts a node that forwards all requests, first to the first peer and then to the second.
+async fn start_forwarder(peers: &[&SilentPeer]) -> TestNode {
+    let node = TestNode::start(&config(&[(free_address(), "mixed")])).await;
+    let zones = [("vm-a", "a"), ("vm-b", "b")];
+    node.publish(|snapshot| {
+        snapshot.is_registered = false;
+        let peers = peers.iter().zip(zones);
+        snapshot.peers = peers
+            .map(|(peer, (vm, zone))| peer.endpoint(vm, zone))
+            .collect();
+    });
+    node
+}
+
+/// Guards against an answer that is lost because its peer fell silent, although no other attempt may take
+/// over and the peer goes on.
+#[parameterized(
+    no_other_peer = { false, "forward.peer_silent" },
+    budget = { true, "silent.budget_used_up" },
+)]
+#[test_macro(tokio::test)]
+async fn silent_peer_goes_on_without_another_attempt(has_other: bool, counter: &str) {
+    let (first, second) = (
+        SilentPeer::start("first").await,
+        SilentPeer::start("second").await,
+    );
+    let peers = if has_other {
+        vec![&first, &second]
+    } else {
+        vec![&first]
+    };
+    let node = start_forwarder(&peers).await;
+    let obstruct = async {
+        while node.count(counter) == 0 {
+            while has_other && node.traffic.take_retry(&"peers".into()) {}
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        first.release();
+        std::future::pending::<()>().await;
+    };
+    let answer = tokio::select! {
+        answer = node.complete(TOKENS, false) => answer,
+        () = obstruct => unreachable!("the obstacle stays until the answer is there"),
+    };
+    assert_eq!(
+        (answer.status, answer.json()),
+        (200, "first".into()),
+        "{answer:?}"
+    );
+    assert_eq!((first.dropped(), second.received()), (0, 0));
+}
+
+/// Guards against an answer that is lost because the peer tried next is silent as well, although the first
+/// one goes on.
+#[tokio::test]
+async fn silent_peer_goes_on_before_the_other() {
+    let (first, second) = (
+        SilentPeer::start("first").await,
+        SilentPeer::start("second").await,
+    );
+    let node = start_forwarder(&[&first, &second]).await;
+    let release = async {
+        wait_until(|| async { second.received() == 1 }).await;
+        first.release();
+    };
+    let (answer, ()) = tokio::join!(node.complete(TOKENS, false), release);
+    assert_eq!(
+        (answer.status, answer.json()),
+        (200, "first".into()),
+        "{answer:?}"
+    );
+    wait_until(|| async { second.dropped() == 1 }).await;
+}
+
+/// Guards against a silent peer whose request is dropped before another peer has answered, or kept after that.
+#[tokio::test]
+async fn silent_peer_is_dropped_once_another_answers() {
+    let (first, second) = (
+        SilentPeer::start("first").await,
+        SilentPeer::start("second").await,
+    );
+    second.awake.cancel();
+    let node = start_forwarder(&[&first, &second]).await;
+    let observe = async {
+        wait_until(|| async { second.received() == 1 }).await;
+        // A connection that the node has closed is closed at the peer as well by then.
+        node.get("/readyz").await;
+        let dropped = first.dropped();
+        second.release();
+        dropped
+    };
+    let (answer, dropped) = tokio::join!(node.complete(TOKENS, false), observe);
+    assert_eq!(
+        (answer.status, answer.json()),
+        (200, "second".into()),
+        "{answer:?}"
+    );
+    assert_eq!(dropped, 0);
+    wait_until(|| async { first.dropped() == 1 }).await;
+}
+
+/// Guards against two peers that run the same request to its end after the first one goes on.
+#[tokio::test]
+async fn later_attempt_is_dropped_when_a_silent_peer_goes_on() {
+    let (first, second) = (
+        SilentPeer::start("first").await,
+        SilentPeer::start("second").await,
+    );
+    second.awake.cancel();
+    let node = start_forwarder(&[&first, &second]).await;
+    let observe = async {
+        wait_until(|| async { second.received() == 1 }).await;
+        first.awake.cancel();
+        wait_until(|| async { second.dropped() == 1 }).await;
+        first.release();
+    };
+    let (answer, ()) = tokio::join!(node.complete(TOKENS, false), observe);
+    assert_eq!(
+        (answer.status, answer.json()),
+        (200, "first".into()),
+        "{answer:?}"
+    );
+}
