Resolve a service after the body of its call has arrived

What callers and targets saw: a call whose body was still arriving when a configuration came into force ran by the one before: it was sent to a target that had been withdrawn, and was repeated although a rule said by then that it must run once. A body may take minutes; a configuration is to be in force within seconds.

Cause: `service::call` took the service from the configuration, then read the body, and chose targets and repeatability from the service that it had taken.

Change: the service is looked up again once the body is there.

Figures: the two new tests fail on the code before: the withdrawn target gets the call (calls at the old and new target (1, 0) instead of (0, 1)), and the call that the new rule marks is executed 3 times instead of once.

--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -12,7 +12,7 @@
 use rand::seq::SliceRandom;
 use tealsaddle_core::claim::{MAX_STORED_BODY_BYTES, StoredAnswer};
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
-use tealsaddle_core::inventory::{Service, Target};
+use tealsaddle_core::inventory::{Inventory, Service, Target};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tealsaddle_gateway::answer::strip_hop_headers;
@@ -52,14 +52,7 @@
         .split_once(['/', '?'])
         .unwrap_or((service_path, ""));
     let rest = &service_path[name.len()..];
-    let Some(service) = inventory.services.get(name) else {
-        let message = format!("service {name:?} does not exist");
-        return Err(Refusal::not_run(
-            StatusCode::NOT_FOUND,
-            "service_not_found",
-            message,
-        ));
-    };
+    find_service(inventory, name)?;
     admit::check_rate(traffic, &context)?;
     // A safe method may run any number of times and needs no claim.
     let key = if head.method.is_safe() {
@@ -67,10 +60,6 @@
     } else {
         claim::idempotency_key(&head.headers)?
     };
-    let is_repeatable = key.is_none()
-        && head.method.is_idempotent()
-        && !context.is_non_repeatable
-        && !is_non_repeatable(service, &head.method, rest);
     let (payload, body_permit) = if key.is_some() {
         // The claim includes a digest of the whole body, so the body is read before the call is sent.
         let (bytes, permit) = read_body(traffic, body).await?;
@@ -78,6 +67,14 @@
     } else {
         payload(traffic, body).await?
     };
+    // The configuration may have changed while the body arrived.
+    let snapshot = traffic.snapshot.load_full();
+    let inventory = snapshot.inventory.as_ref().unwrap_or(inventory);
+    let service = find_service(inventory, name)?;
+    let is_repeatable = key.is_none()
+        && head.method.is_idempotent()
+        && !context.is_non_repeatable
+        && !is_non_repeatable(service, &head.method, rest);
     let mut headers = head.headers;
     rewrite_headers(&mut headers, &context);
     let call = ServiceCall {
@@ -106,6 +103,13 @@
         .unwrap_or_else(|_panicked| Err(completion::connection_lost()))
 }
 
+fn find_service<'a>(inventory: &'a Inventory, name: &str) -> Result<&'a Arc<Service>, Refusal> {
+    inventory.services.get(name).ok_or_else(|| {
+        let message = format!("service {name:?} does not exist");
+        Refusal::not_run(StatusCode::NOT_FOUND, "service_not_found", message)
+    })
+}
+
 /// Forwards a call to another node, since a node without a configuration knows no services.
 async fn forward_call(
     traffic: &Arc<Traffic>,
--- a/crates/tealsaddle-node/tests/it/service.rs
+++ b/crates/tealsaddle-node/tests/it/service.rs
@@ -1,16 +1,20 @@
 //! Calls to plain services.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::{Method, Response};
+use tealsaddle_core::inventory::Inventory;
 use tealsaddle_testkit::client::{Answer, wait_until};
 use tealsaddle_testkit::http::{self, Server};
 use tealsaddle_testkit::platform::{self, Outage, Platform};
 use tealsaddle_testkit::process::free_address;
 use tealsaddle_testkit::service::Service;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use yare::parameterized;
 
 use crate::test_node::{ANY_PORT, TestNode};
@@ -404,3 +408,48 @@
     assert_eq!((again.status, again.body.len()), (200, 0));
     assert_eq!(again.header("x-outcome"), "answered-before");
 }
+
+/// Sends the head and half of the body of a call, and publishes a configuration before the rest.
+async fn call_across_a_change(node: &TestNode, path: &str, yaml: &str) -> String {
+    let mut caller = TcpStream::connect(node.address)
+        .await
+        .expect("a connection");
+    let head = format!(
+        "PUT {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\nconnection: close\r\n\r\nx"
+    );
+    caller
+        .write_all(head.as_bytes())
+        .await
+        .expect("the node reads");
+    wait_until(|| async { node.count("caller.requests") == 1 }).await;
+    let inventory = Inventory::from_yaml(yaml, 2).expect("a valid configuration");
+    node.publish(|snapshot| snapshot.inventory = Some(Arc::new(inventory)));
+    caller.write_all(b"y").await.expect("the node reads");
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+/// Guards against a call to a target that was withdrawn while the body of the call arrived.
+#[tokio::test]
+async fn body_that_arrives_during_a_change_goes_to_the_new_target() {
+    let [old, new] = [start_target().await, start_target().await];
+    let node = TestNode::start(&services(&[("old", "a", old.address())])).await;
+    let yaml = services(&[("new", "a", new.address())]);
+    let answer = call_across_a_change(&node, "/services/ladder/x", &yaml).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!((old.calls().len(), new.executions("xy")), (0, 1));
+}
+
+/// Guards against a second run of a call that a rule marked as not repeatable while its body arrived.
+#[tokio::test]
+async fn body_that_arrives_during_a_change_follows_the_new_rule() {
+    let target = start_target().await;
+    target.update(|faults| faults.crash_after_execution = 10);
+    let old = services(&[("t", "a", target.address())]);
+    let new = old.replace("/scores", "/x");
+    let node = TestNode::start(&old).await;
+    let answer = call_across_a_change(&node, "/services/ladder/x", &new).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(target.executions("xy"), 1);
+}
