Choose the target of a retry by the configuration in force

What callers and targets saw: a retry of a call to a plain service went to a target that had been withdrawn, or whose VM was leaving, since the first attempt, and was made although a rule had marked the call as not repeatable since. A first attempt may take as long as the timeout of the service, and a leaving VM is to receive no new work after a few seconds.

After an unknown outcome the current rules are asked, too.

--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -205,10 +205,14 @@
     headers.insert(REQUEST_ID, id);
 }
 
-/// Returns the targets that accept work in random order, those without recent failures first, and
-/// among them those of the node's own zone.
-fn targets(traffic: &Traffic, service: &Service) -> Vec<Arc<Target>> {
+/// Returns the targets of a service that accept work now, in the order in which to try them: those tried
+/// least often first, then those without recent failures, then those of the node's own zone.
+fn targets(traffic: &Traffic, service: &str, tried: &[Name]) -> Vec<Arc<Target>> {
     let snapshot = traffic.snapshot.load();
+    let inventory = snapshot.inventory.as_ref();
+    let Some(service) = inventory.and_then(|inventory| inventory.services.get(service)) else {
+        return Vec::new();
+    };
     let is_leaving = |target: &Target| {
         let vm = target.vm.as_ref();
         vm.is_some_and(|vm| snapshot.leaving_vms.contains(vm))
@@ -221,8 +225,10 @@
         .collect();
     targets.shuffle(&mut rand::rng());
     targets.sort_by_key(|target| {
+        let attempt_count = tried.iter().filter(|name| **name == target.name).count();
         let has_failed_recently = traffic.recent_failures.contains(&target.name);
-        (has_failed_recently, target.zone != traffic.settings.zone)
+        let is_far = target.zone != traffic.settings.zone;
+        (attempt_count, has_failed_recently, is_far)
     });
     targets
 }
@@ -340,17 +346,27 @@
     }
 
     async fn run(&self) -> Result<Response<Body>, Refusal> {
-        let targets = &targets(&self.traffic, &self.service);
-        self.record(targets);
         let service = &self.service.name;
         let mut attempts = Attempts::new(self.is_repeatable);
         self.traffic.on_first_attempt(service);
-        let mut next_target = targets.iter().cycle();
+        let mut tried = Vec::new();
         loop {
-            let Some(target) = next_target.next() else {
-                let message = "no target of the service takes work now";
-                return Err(Refusal::unavailable("no_target", message));
+            // The configuration may have changed since the attempt before.
+            let targets = targets(&self.traffic, service, &tried);
+            if tried.is_empty() {
+                self.record(&targets);
+            }
+            let Some(target) = targets.first() else {
+                let outcome = attempts.outcome(AttemptOutcome::NotRun(NotRunReason::NoTarget));
+                return Err(match outcome {
+                    AttemptOutcome::NotRun(_) => {
+                        let message = "no target of the service takes work now";
+                        Refusal::unavailable("no_target", message)
+                    }
+                    outcome => completion::refusal(outcome),
+                });
             };
+            tried.push(Name::clone(&target.name));
             let (outcome, refused) = match self.send(target).await {
                 Ok(response) => match self.failure_outcome(&response) {
                     None => return Ok(self.relay_response(response)),
@@ -363,7 +379,9 @@
                 .on_failure(&target.name, outcome);
             let id = &self.context.request_id;
             let next = self.traffic.on_failure(service, id, &mut attempts, outcome);
-            let is_final = Instant::now() >= self.deadline || !self.payload.is_unread();
+            let is_final = Instant::now() >= self.deadline
+                || !self.payload.is_unread()
+                || (matches!(outcome, AttemptOutcome::Unknown(_)) && self.is_marked());
             if next.is_ok() && !is_final {
                 continue;
             }
@@ -383,6 +401,14 @@
         }
     }
 
+    /// Whether a rule of the configuration now in force marks the call as not repeatable.
+    fn is_marked(&self) -> bool {
+        let snapshot = self.traffic.snapshot.load();
+        let inventory = snapshot.inventory.as_ref();
+        let service = inventory.and_then(|inventory| inventory.services.get(&self.service.name));
+        service.is_some_and(|service| is_non_repeatable(service, &self.method, &self.path))
+    }
+
     async fn send(&self, target: &Target) -> Result<Response<Incoming>, AttemptOutcome> {
         let mut request = Request::new(self.payload.body());
         *request.method_mut() = self.method.clone();
--- a/crates/tealsaddle-node/tests/it/service.rs
+++ b/crates/tealsaddle-node/tests/it/service.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http_body_util::{BodyExt, StreamBody};
@@ -15,6 +16,7 @@
 use tealsaddle_testkit::service::Service;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 use yare::parameterized;
 
 use crate::test_node::{ANY_PORT, TestNode};
@@ -453,3 +455,57 @@
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
     assert_eq!(target.executions("xy"), 1);
 }
+
+/// Starts a target that breaks the connection of a call once the token is cancelled, and returns the
+/// counter of its calls.
+async fn start_breaking_target(token: &CancellationToken) -> (Server, Arc<AtomicUsize>) {
+    let calls = Arc::<AtomicUsize>::default();
+    let server = http::bind_with_drops(ANY_PORT, {
+        let (calls, token) = (Arc::clone(&calls), token.clone());
+        move |_| {
+            calls.fetch_add(1, Ordering::Relaxed);
+            let token = token.clone();
+            async move {
+                token.cancelled().await;
+                None
+            }
+        }
+    });
+    (server.await.expect("the target starts"), calls)
+}
+
+/// Guards against a retry that follows the configuration in force at the first attempt: at a target that was
+/// withdrawn since, or of a call that a rule has marked as not repeatable since.
+#[parameterized(
+    withdrawn_target = { "name: far,", "name: far, withdrawn: true,", 200, 1 },
+    new_rule = { "/scores", "/x", 502, 0 },
+)]
+#[test_macro(tokio::test)]
+async fn retry_follows_a_change(from: &str, to: &str, status: u16, expected_calls: usize) {
+    let break_off = CancellationToken::new();
+    let (broken, broken_calls) = start_breaking_target(&break_off).await;
+    let [far, farther] = [start_target().await, start_target().await];
+    let old = services(&[
+        ("broken", "a", broken.address()),
+        ("far", "b", far.address()),
+    ]);
+    // The third target takes the retry whenever the second is withdrawn.
+    let new = services(&[
+        ("broken", "a", broken.address()),
+        ("far", "b", far.address()),
+        ("farther", "b", farther.address()),
+    ]);
+    let node = TestNode::start(&old).await;
+    let change = async {
+        wait_until(|| async { broken_calls.load(Ordering::Relaxed) == 1 }).await;
+        let inventory = Inventory::from_yaml(&new.replace(from, to), 2);
+        let inventory = Arc::new(inventory.expect("a valid configuration"));
+        node.publish(|snapshot| snapshot.inventory = Some(inventory));
+        break_off.cancel();
+    };
+    let call = call(&node, Method::PUT, "/services/ladder/x", &[], "x");
+    let (answer, ()) = tokio::join!(call, change);
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(far.calls().len(), 0);
+    assert_eq!(farther.calls().len(), expected_calls);
+}
