Tell a pause of the node from the silence of its engines

What went wrong: after a pause of its process a node found the times of all its streams over before it had read what the engines had sent meanwhile. It asked for another attempt for each, which used up the retry budget and made other engines process prompts for streams that went on at once.

Change: a time that is handled more than 100 ms late is put off by the delay, so that the attempt has the time that it was not given.

--- a/crates/tealsaddle-node/src/caller/generation.rs
+++ b/crates/tealsaddle-node/src/caller/generation.rs
@@ -28,6 +28,8 @@
 const SILENT_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(45);
 /// Interval at which a request with a silent attempt asks the retry budget again, equal to its period.
 const BUDGET_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay of a timer from which on this node is taken to have been paused, and its engines not to be silent.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a request is aborted if its caller leaves the output buffer full.
 const READER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -65,6 +67,11 @@
         self.is_replaced = false;
     }
 
+    fn postpone(&mut self, delay: Duration) {
+        self.ask_at = self.ask_at.map(|at| at + delay);
+        self.give_up_at += delay;
+    }
+
     fn next_time(&self) -> Instant {
         self.ask_at
             .map_or(self.give_up_at, |at| at.min(self.give_up_at))
@@ -211,7 +218,14 @@
     }
 
     fn on_time(&mut self, index: usize) -> Result<Step, Refusal> {
-        if Instant::now() >= self.running[index].give_up_at {
+        let running = &mut self.running[index];
+        let delay = running.next_time().elapsed();
+        if delay > MAX_TIMER_DELAY {
+            // What the engine has sent during the pause is yet to be read.
+            running.postpone(delay);
+            return Ok(Step::Continue);
+        }
+        if Instant::now() >= running.give_up_at {
             return self.on_failure(index, AttemptOutcome::Unknown(UnknownReason::Timeout));
         }
         self.on_silence(index);
--- a/crates/tealsaddle-node/tests/it/silence.rs
+++ b/crates/tealsaddle-node/tests/it/silence.rs
@@ -4,7 +4,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use hyper::StatusCode;
+use http_body_util::BodyExt;
+use hyper::{Method, StatusCode};
 use tealsaddle_node::traffic::PeerEndpoint;
 use tealsaddle_testkit::client::wait_until;
 use tealsaddle_testkit::engine::wire::GenerateRequest;
@@ -17,6 +18,10 @@
     ANY_PORT, ScriptedEngine, Step, TestNode, answer_text, body, config, end_event, token, tokens,
 };
 
+/// Pause of a node, longer than it waits for the next token of an engine.
+const NODE_PAUSE: Duration = Duration::from_secs(3);
+/// Number of streams at a node that is paused.
+const STREAMS: usize = 16;
 /// Length of the answers.
 const TOKENS: u64 = 10;
 
@@ -212,6 +217,52 @@
     until_nothing_is_in_flight(&node).await;
 }
 
+/// Guards against a pause of the node that counts as a silence of its engines and uses up the retry budget.
+#[tokio::test]
+async fn pause_of_the_node_is_no_silence_of_an_engine() {
+    let silence = CancellationToken::new();
+    // The engine runs in a thread of its own, since the pause blocks this one.
+    let (address_sender, address) = tokio::sync::oneshot::channel();
+    std::thread::spawn({
+        let silence = silence.clone();
+        move || {
+            let mut runtime = tokio::runtime::Builder::new_current_thread();
+            let runtime = runtime.enable_all().build().expect("a runtime");
+            runtime.block_on(async {
+                let engine = ScriptedEngine::start(move |_, request| {
+                    let silence = Step::WaitFor(silence.clone());
+                    Ok(silent_before(request, 5, silence))
+                });
+                let engine = engine.await;
+                address_sender.send(engine.address()).expect("a test");
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    let address = address.await.expect("the engine starts");
+    let node = TestNode::start(&config(&[(address, "mixed")])).await;
+    let (path, request) = ("/v1/completions", body(TOKENS, true));
+    let calls = (0..STREAMS).map(|_| {
+        let client = &node.client;
+        client.start(Method::POST, node.address, path, &[], request.clone())
+    });
+    // The head of a response shows that the first token has arrived.
+    let responses = futures::future::join_all(calls).await;
+    silence.cancel();
+    std::thread::sleep(NODE_PAUSE);
+    for response in responses {
+        let body = response.expect("an answer").into_body().collect().await;
+        let text = body.expect("a whole answer").to_bytes();
+        assert!(text.ends_with(b"data: [DONE]\n\n"), "{text:?}");
+    }
+    let counters = node.traffic.counters.snapshot();
+    let silences: Vec<_> = counters
+        .keys()
+        .filter(|name| name.starts_with("silent."))
+        .collect();
+    assert!(silences.is_empty(), "{silences:?}");
+}
+
 /// A peer that receives requests but is silent until it is woken, as a paused process is.
 struct SilentPeer {
     server: Server,
