Let a SIGHUP cut off no request

What callers saw: a SIGHUP ended a node at once, and its callers' connections broke in the middle of their answers. The gateway role reads its settings again on that signal, so an operator has reason to send it.

Cause: the node did not handle the signal, whose default action ends the process. SIGTERM was handled only once the listeners were open.

Change: both handlers are installed before anything else. The node logs a SIGHUP and goes on; its settings are read at the start only.

--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
 use crate::admin::AdminServer;
 use crate::caller::server::CallerServer;
 use crate::control::api::ControlHandle;
@@ -40,6 +42,9 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
+    // Installed first, since each of these signals ends a process that does not handle it.
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
+    let hang_up = signal(SignalKind::hangup()).map_err(Error::Thread)?;
     let counters = Counters::open(&settings.metrics)?;
     let platform = Arc::new(HttpPlatform::open(
         settings.platform_address,
@@ -61,8 +66,7 @@
     let callers = caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
     let operators = admin::bind(admin_listen, Arc::clone(&traffic), control.clone()).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
-    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-        .map_err(Error::Thread)?;
+    tokio::spawn(ignore(hang_up));
     tokio::select! {
         _ = terminate.recv() => {
             if control.leave(CONTROL_TIMEOUT).await.is_err() {
@@ -75,6 +79,13 @@
     Ok(())
 }
 
+/// Logs each SIGHUP. The settings are read at the start only, so there is nothing to reload.
+async fn ignore(mut hang_up: Signal) {
+    while hang_up.recv().await.is_some() {
+        log::info!("SIGHUP ignored; the settings are read at the start only");
+    }
+}
+
 /// Shuts the caller server down. Requests still in flight after `limit` are aborted and answered with
 /// the outcome known at that time.
 async fn shutdown_within(limit: Duration, callers: CallerServer, traffic: &Traffic) {
--- a/crates/tealsaddle-node/tests/it/faults/stopping.rs
+++ b/crates/tealsaddle-node/tests/it/faults/stopping.rs
@@ -113,6 +113,20 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against a SIGHUP that ends the process and cuts off its requests in flight.
+#[tokio::test]
+async fn hang_up_signal_cuts_off_no_request() {
+    let mut deployment = start("stopping-hang-up", "").await;
+    let stream = deployment.spawn_completion("vm-1", "stream", 1_000);
+    wait_until(|| async { deployment.engine("e1").attempts_running() == 1 }).await;
+    deployment.signal("vm-1", Signal::SIGHUP);
+    let stream = stream.await.expect("no panic").expect("an answer");
+    assert_complete(&stream, "stream", 1_000);
+    deployment.signal("vm-1", Signal::SIGTERM);
+    let status = deployment.wait_for_exit("vm-1").await;
+    assert!(status.success(), "{status}");
+}
+
 /// Guards against a configuration change whose outcome the operator never gets, because the node exits
 /// while the change is in progress.
 #[tokio::test]
