Test silences in a split, at a stop and before a peer joins

The tests of silent engines covered requests on one engine. These guard the two stages of a split, the end of a stop while an engine is silent, and a request whose only peer is silent until another one joins.

--- a/crates/tealsaddle-node/tests/it/silence.rs
+++ b/crates/tealsaddle-node/tests/it/silence.rs
@@ -6,6 +6,7 @@
 
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
+use tealsaddle_core::inventory::Role;
 use tealsaddle_node::traffic::PeerEndpoint;
 use tealsaddle_testkit::client::wait_until;
 use tealsaddle_testkit::engine::wire::GenerateRequest;
@@ -15,7 +16,8 @@
 use yare::parameterized;
 
 use crate::test_node::{
-    ANY_PORT, ScriptedEngine, Step, TestNode, answer_text, body, config, end_event, token, tokens,
+    ANY_PORT, ScriptedEngine, Step, TestNode, answer_text, body, config, end_event, full_answer,
+    token, tokens,
 };
 
 /// Pause of a node, longer than it waits for the next token of an engine.
@@ -217,6 +219,71 @@
     until_nothing_is_in_flight(&node).await;
 }
 
+/// Guards against a split attempt that ends because one of its two engines fell silent.
+#[parameterized(
+    prefill = { "prefill" },
+    decode = { "decode" },
+)]
+#[test_macro(tokio::test)]
+async fn silent_stage_of_a_split_goes_on(silent_stage: &'static str) {
+    let silence = CancellationToken::new();
+    let script = || {
+        let silence = silence.clone();
+        move |_: usize, request: &GenerateRequest| {
+            let mut steps = full_answer(request, 0);
+            if request.stage == silent_stage {
+                steps.insert(0, Step::WaitFor(silence.clone()));
+            }
+            Ok(steps)
+        }
+    };
+    let engines = [
+        ScriptedEngine::start(script()).await,
+        ScriptedEngine::start(script()).await,
+    ];
+    let roles = [
+        (engines[0].address(), "prefill"),
+        (engines[1].address(), "decode"),
+    ];
+    let yaml = config(&roles).replace("decode_tokens_per_s: 10000", "decode_tokens_per_s: 2000");
+    let node = TestNode::start(&yaml).await;
+    // The batch is so large that the decode engine has no capacity for prefill.
+    node.report_load("e1", Role::Decode, 60, 0);
+    let release = async {
+        wait_until(|| async { node.count("silent.not_repeatable") == 1 }).await;
+        silence.cancel();
+    };
+    let marked = [("x-non-repeatable", "true")];
+    let request = body(TOKENS, true);
+    let call = node.post("/v1/completions", &marked, &request);
+    let (answer, ()) = tokio::join!(call, release);
+    assert_eq!(answer.streamed_text(), (answer_text(TOKENS), true));
+    let stages = engines
+        .each_ref()
+        .map(|engine| engine.received("/generate")[0]["stage"].clone());
+    assert_eq!(stages, ["prefill", "decode"]);
+    assert_eq!(count(&engines, "/cancel"), 0);
+    until_nothing_is_in_flight(&node).await;
+}
+
+/// Guards against a stop that waits for a silent engine after its time limit.
+#[tokio::test]
+async fn stop_aborts_a_silent_attempt() {
+    let silences: [CancellationToken; 3] = std::array::from_fn(|_| CancellationToken::new());
+    let engines = silent_engines(0, &silences).await;
+    let node = start_node(&engines).await;
+    let stop = async {
+        wait_until(|| async { count(&engines, "/generate") >= 2 }).await;
+        node.traffic.stop_signals.aborting.cancel();
+    };
+    let (answer, ()) = tokio::join!(node.complete(TOKENS, true), stop);
+    let headers = (answer.header("x-outcome"), answer.header("x-reason"));
+    assert_eq!((answer.status, headers), (504, ("unknown", "node_stopped")));
+    let started = count(&engines, "/generate");
+    wait_until(|| async { count(&engines, "/cancel") == started }).await;
+    until_nothing_is_in_flight(&node).await;
+}
+
 /// Guards against a pause of the node that counts as a silence of its engines and uses up the retry budget.
 #[tokio::test]
 async fn pause_of_the_node_is_no_silence_of_an_engine() {
@@ -465,3 +532,26 @@
         "{answer:?}"
     );
 }
+
+/// Guards against a request that waits for its silent peer alone although another peer has joined.
+#[tokio::test]
+async fn peer_that_joins_later_answers_for_a_silent_one() {
+    let (first, second) = (
+        SilentPeer::start("first").await,
+        SilentPeer::start("second").await,
+    );
+    second.release();
+    let node = start_forwarder(&[&first]).await;
+    let join = async {
+        wait_until(|| async { node.count("forward.peer_silent") == 1 }).await;
+        let joining = second.endpoint("vm-b", "b");
+        node.publish(|snapshot| snapshot.peers.push(joining));
+    };
+    let (answer, ()) = tokio::join!(node.complete(TOKENS, false), join);
+    assert_eq!(
+        (answer.status, answer.json()),
+        (200, "second".into()),
+        "{answer:?}"
+    );
+    wait_until(|| async { first.dropped() == 1 }).await;
+}
