State what the time limit of a silent attempt allows for

The comment claimed that the limit is shorter than the wait of a forwarding node, which holds only while the time to the first token is short.

--- a/crates/tealsaddle-node/src/caller/generation.rs
+++ b/crates/tealsaddle-node/src/caller/generation.rs
@@ -23,8 +23,8 @@
 use crate::engine::GenerateEvent;
 use crate::traffic::Traffic;
 
-/// Time for which a silent attempt stays open. It is longer than the pause of any engine that goes on, and
-/// shorter than the time for which another node waits for a request that it has forwarded.
+/// Time for which an attempt stays open after it was found silent. A sound engine pauses for a second or
+/// so; the rest allows for one that is overloaded.
 const SILENT_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(45);
 /// Interval at which a request with a silent attempt asks the retry budget again, equal to its period.
 const BUDGET_POLL_INTERVAL: Duration = Duration::from_secs(1);
