--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -12,7 +12,7 @@
 use rand::seq::SliceRandom;
 use tealsaddle_core::claim::{MAX_STORED_BODY_BYTES, StoredAnswer};
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
-use tealsaddle_core::inventory::{Service, Target};
+use tealsaddle_core::inventory::{Inventory, Service, Target};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tealsaddle_gateway::answer::strip_hop_headers;
@@ -52,14 +52,7 @@
         .split_once(['/', '?'])
         .unwrap_or((service_path, ""));
     let rest = &service_path[name.len()..];
-    let Some(service) = inventory.services.get(name) else {
-        let message = format!("service {name:?} does not exist");
-        return Err(Refusal::not_run(
-            StatusCode::NOT_FOUND,
-            "service_not_found",
-            message,
-        ));
-    };
+    find_service(inventory, name)?;
     admit::check_rate(traffic, &context)?;
     // A safe method may run any number of times and needs no claim.
     let key = if head.method.is_safe() {
@@ -67,10 +60,6 @@
     } else {
         claim::idempotency_key(&head.headers)?
     };
-    let is_repeatable = key.is_none()
-        && head.method.is_idempotent()
-        && !context.is_non_repeatable
-        && !is_non_repeatable(service, &head.method, rest);
     let (payload, body_permit) = if key.is_some() {
         // The claim includes a digest of the whole body, so the body is read before the call is sent.
         let (bytes, permit) = read_body(traffic, body).await?;
@@ -78,6 +67,14 @@
     } else {
         payload(traffic, body).await?
     };
+    // The configuration may have changed while the body arrived.
+    let snapshot = traffic.snapshot.load_full();
+    let inventory = snapshot.inventory.as_ref().unwrap_or(inventory);
+    let service = find_service(inventory, name)?;
+    let is_repeatable = key.is_none()
+        && head.method.is_idempotent()
+        && !context.is_non_repeatable
+        && !is_non_repeatable(service, &head.method, rest);
     let mut headers = head.headers;
     rewrite_headers(&mut headers, &context);
     let call = ServiceCall {
@@ -106,6 +103,13 @@
         .unwrap_or_else(|_panicked| Err(completion::connection_lost()))
 }
 
+fn find_service<'a>(inventory: &'a Inventory, name: &str) -> Result<&'a Arc<Service>, Refusal> {
+    inventory.services.get(name).ok_or_else(|| {
+        let message = format!("service {name:?} does not exist");
+        Refusal::not_run(StatusCode::NOT_FOUND, "service_not_found", message)
+    })
+}
+
 /// Forwards a call to another node, since a node without a configuration knows no services.
 async fn forward_call(
     traffic: &Arc<Traffic>,
@@ -201,10 +205,14 @@
     headers.insert(REQUEST_ID, id);
 }
 
-/// Returns the targets that accept work in random order, those without recent failures first, and
-/// among them those of the node's own zone.
-fn targets(traffic: &Traffic, service: &Service) -> Vec<Arc<Target>> {
+/// Returns the targets of a service that accept work now, in the order in which to try them: those tried
+/// least often first, then those without recent failures, then those of the node's own zone.
+fn targets(traffic: &Traffic, service: &str, tried: &[Name]) -> Vec<Arc<Target>> {
     let snapshot = traffic.snapshot.load();
+    let inventory = snapshot.inventory.as_ref();
+    let Some(service) = inventory.and_then(|inventory| inventory.services.get(service)) else {
+        return Vec::new();
+    };
     let is_leaving = |target: &Target| {
         let vm = target.vm.as_ref();
         vm.is_some_and(|vm| snapshot.leaving_vms.contains(vm))
@@ -217,8 +225,10 @@
         .collect();
     targets.shuffle(&mut rand::rng());
     targets.sort_by_key(|target| {
+        let attempt_count = tried.iter().filter(|name| **name == target.name).count();
         let has_failed_recently = traffic.recent_failures.contains(&target.name);
-        (has_failed_recently, target.zone != traffic.settings.zone)
+        let is_far = target.zone != traffic.settings.zone;
+        (attempt_count, has_failed_recently, is_far)
     });
     targets
 }
@@ -336,17 +346,27 @@
     }
 
     async fn run(&self) -> Result<Response<Body>, Refusal> {
-        let targets = &targets(&self.traffic, &self.service);
-        self.record(targets);
         let service = &self.service.name;
         let mut attempts = Attempts::new(self.is_repeatable);
         self.traffic.on_first_attempt(service);
-        let mut next_target = targets.iter().cycle();
+        let mut tried = Vec::new();
         loop {
-            let Some(target) = next_target.next() else {
-                let message = "no target of the service takes work now";
-                return Err(Refusal::unavailable("no_target", message));
+            // The configuration may have changed since the attempt before.
+            let targets = targets(&self.traffic, service, &tried);
+            if tried.is_empty() {
+                self.record(&targets);
+            }
+            let Some(target) = targets.first() else {
+                let outcome = attempts.outcome(AttemptOutcome::NotRun(NotRunReason::NoTarget));
+                return Err(match outcome {
+                    AttemptOutcome::NotRun(_) => {
+                        let message = "no target of the service takes work now";
+                        Refusal::unavailable("no_target", message)
+                    }
+                    outcome => completion::refusal(outcome),
+                });
             };
+            tried.push(Name::clone(&target.name));
             let (outcome, refused) = match self.send(target).await {
                 Ok(response) => match self.failure_outcome(&response) {
                     None => return Ok(self.relay_response(response)),
@@ -359,7 +379,9 @@
                 .on_failure(&target.name, outcome);
             let id = &self.context.request_id;
             let next = self.traffic.on_failure(service, id, &mut attempts, outcome);
-            let is_final = Instant::now() >= self.deadline || !self.payload.is_unread();
+            let is_final = Instant::now() >= self.deadline
+                || !self.payload.is_unread()
+                || (matches!(outcome, AttemptOutcome::Unknown(_)) && self.is_marked());
             if next.is_ok() && !is_final {
                 continue;
             }
@@ -379,6 +401,14 @@
         }
     }
 
+    /// Whether a rule of the configuration now in force marks the call as not repeatable.
+    fn is_marked(&self) -> bool {
+        let snapshot = self.traffic.snapshot.load();
+        let inventory = snapshot.inventory.as_ref();
+        let service = inventory.and_then(|inventory| inventory.services.get(&self.service.name));
+        service.is_some_and(|service| is_non_repeatable(service, &self.method, &self.path))
+    }
+
     async fn send(&self, target: &Target) -> Result<Response<Incoming>, AttemptOutcome> {
         let mut request = Request::new(self.payload.body());
         *request.method_mut() = self.method.clone();
--- a/crates/tealsaddle-node/src/node.rs
+++ b/crates/tealsaddle-node/src/node.rs
@@ -42,12 +42,13 @@
         .map_err(Error::Thread)?;
     let context = runtime.enter();
     let terminate = signal(SignalKind::terminate()).map_err(Error::Thread)?;
+    let hang_up = signal(SignalKind::hangup()).map_err(Error::Thread)?;
     drop(context);
     drop(blocked_signals);
-    runtime.block_on(serve(settings, terminate))
+    runtime.block_on(serve(settings, terminate, hang_up))
 }
 
-async fn serve(settings: Settings, mut terminate: Signal) -> Result<(), Error> {
+async fn serve(settings: Settings, mut terminate: Signal, hang_up: Signal) -> Result<(), Error> {
     let counters = Counters::open(&settings.metrics)?;
     let platform = Arc::new(HttpPlatform::open(
         settings.platform_address,
@@ -69,6 +70,7 @@
     let callers = caller::server::bind(caller_listen, Arc::clone(&traffic)).await?;
     let operators = admin::bind(admin_listen, Arc::clone(&traffic), control.clone()).await?;
     log::info!(caller:% = caller_listen, admin:% = admin_listen; "node started");
+    tokio::spawn(ignore(hang_up));
     tokio::select! {
         _ = terminate.recv() => {
             if control.leave(CONTROL_TIMEOUT).await.is_err() {
@@ -81,6 +83,13 @@
     Ok(())
 }
 
+/// Logs each SIGHUP. The settings are read at the start only, so there is nothing to reload.
+async fn ignore(mut hang_up: Signal) {
+    while hang_up.recv().await.is_some() {
+        log::info!("SIGHUP ignored; the settings are read at the start only");
+    }
+}
+
 /// Shuts the caller server down. Requests still in flight after `limit` are aborted and answered with
 /// the outcome known at that time.
 async fn shutdown_within(limit: Duration, callers: CallerServer, traffic: &Traffic) {
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod planner;
 mod prefix_affinity;
 mod service;
+mod silence;
 mod stop;
 mod stream;
 mod support;
