Log how many attempts failed before the gateway answered itself

Cause: the last line of a request that the gateway answered itself always had failed_attempts 0, so an operator saw no reason for the answer.

Change: the count of the attempts.

Evidence: log::own_answer_is_logged_with_its_failed_attempts: "failed_attempts":0 before, 1 now.

--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -83,7 +83,7 @@
             Ok(response) => response,
             Err((answer, wait)) => {
                 let answer = answer.given_attempts(&attempts);
-                self.log_end(answer.as_str(), "-", 0);
+                self.log_end(answer.as_str(), "-", attempts.failed());
                 let retry_after = answer.is_retryable().then(|| self.retry_after(wait));
                 gateway_response(&self.gateway, answer, &self.request_id, retry_after)
             }
