Check the size of a head by the limit in force

Seen by callers: 431 for a head within the limit, on a connection that was open when the operator raised it.

Cause: the limit was the size of hyper's buffer, which is fixed when a connection is accepted.

Change: the buffer may grow to 256 KiB, and the gateway compares the size of the head with the larger of the limit at the accept, on which the caller may still rely, and the one in force. A limit above the buffer still holds for new connections only.

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -19,6 +19,7 @@
 use crate::answer::GatewayAnswer;
 use crate::call::{Call, CallState, DeadlineSource};
 use crate::external::RequestMetadata;
+use crate::front::CallerConnection;
 use crate::gateway::Gateway;
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
@@ -28,6 +29,7 @@
 /// Looks up the route, reads the body and creates the call, or returns why the request is refused.
 pub async fn admit(
     gateway: &Arc<Gateway>,
+    caller: &CallerConnection,
     request: Request<Incoming>,
     metadata: RequestMetadata,
 ) -> Result<Arc<Call>, GatewayAnswer> {
@@ -38,6 +40,9 @@
     if head.version < Version::HTTP_11 {
         return Err(GatewayAnswer::OldProtocol);
     }
+    if head_bytes(&head) > caller.header_bytes(&config.limits) {
+        return Err(GatewayAnswer::HeadTooLarge);
+    }
     let host = host(&head).ok_or(GatewayAnswer::NoHost)?;
     let find_route = |config: &FleetConfig| {
         let route = config.route(host, head.uri.path());
@@ -83,6 +88,17 @@
     config.cloned().ok_or(GatewayAnswer::NoConfiguration)
 }
 
+/// Size of a head as it is sent: request line, header lines and the empty line.
+fn head_bytes(head: &http::request::Parts) -> usize {
+    const LINE_END: usize = 2;
+    let target = head.uri.path_and_query().map_or(1, |t| t.as_str().len());
+    let request_line = head.method.as_str().len() + target + "  HTTP/1.1".len() + LINE_END;
+    let lines = head.headers.iter();
+    let lines =
+        lines.map(|(name, value)| name.as_str().len() + ": ".len() + value.len() + LINE_END);
+    request_line + lines.sum::<usize>() + LINE_END
+}
+
 fn host(head: &http::request::Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST);
     let named = named.and_then(|value| value.to_str().ok());
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -46,6 +46,8 @@
     NoRequestId,
     /// The caller speaks HTTP/1.0, in which an answer that is cut off cannot be told from a complete one.
     OldProtocol,
+    /// The head exceeds the configured size limit.
+    HeadTooLarge,
     /// The body exceeds the configured size limit.
     BodyTooLarge,
     /// The caller sent no part of the body for longer than the idle timeout.
@@ -73,6 +75,7 @@
             Self::NoHost => "no_host",
             Self::NoRequestId => "no_request_id",
             Self::OldProtocol => "old_protocol",
+            Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_timeout",
             Self::BodyCutOff => "body_cut_off",
@@ -114,6 +117,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::OldProtocol => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Unknown(UnknownReason::Timeout | UnknownReason::NodeStopped) => {
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tealsaddle_core::fleet::config::CallerLimits;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -27,8 +28,9 @@
 const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Smallest read buffer that hyper accepts; a smaller value panics.
-const MIN_BUFFER_BYTES: usize = 8_192;
+/// Read buffer of a connection, which hyper fixes when the connection is accepted; it grows up to this size as
+/// needed. It bounds the heads that a raised limit may allow on connections that are open.
+const BUFFER_BYTES: usize = 256 << 10;
 
 /// Listener for callers, which accepts connections until it is closed.
 #[derive(Debug)]
@@ -39,21 +41,30 @@
     accepting: JoinHandle<()>,
 }
 
-/// Age and request count of a caller's connection, for the log of a stop.
+/// Age, request count and limit of a caller's connection.
 #[derive(Debug)]
 pub struct CallerConnection {
     opened: Instant,
     requests: AtomicU32,
+    /// Largest size of a request's head when the connection was accepted.
+    header_bytes: usize,
 }
 
 impl CallerConnection {
-    fn open() -> Arc<Self> {
+    fn open(limits: &CallerLimits) -> Arc<Self> {
         Arc::new(Self {
             opened: Instant::now(),
             requests: AtomicU32::new(0),
+            header_bytes: limits.header_bytes,
         })
     }
 
+    /// Largest size of a request's head: the limit in force, or the earlier one on which the caller may still
+    /// rely if that is larger.
+    pub fn header_bytes(&self, newest: &CallerLimits) -> usize {
+        self.header_bytes.max(newest.header_bytes)
+    }
+
     /// Counts a request and returns the number of earlier ones on the connection.
     pub fn on_request(&self) -> u32 {
         self.requests.fetch_add(1, Ordering::Relaxed)
@@ -155,7 +166,7 @@
     set_options(&stream);
     let limits = gateway.caller_limits();
     let (stream, timer) = idle_timeout::watch(stream, Arc::clone(&gateway));
-    let caller = CallerConnection::open();
+    let caller = CallerConnection::open(&limits);
     let served = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&served);
@@ -166,7 +177,7 @@
         .timer(timer)
         // Switches the timer on, which takes the timeout from the configuration in force.
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(limits.header_bytes.max(BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let close_signal = async move {
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -30,7 +30,7 @@
     let metadata = gateway.dialect.request_metadata(request.headers());
     let request_id = metadata.request_id.clone().unwrap_or_default();
     log_if_stopping(&gateway, caller, &request_id);
-    let admitted = admit(&gateway, request, metadata);
+    let admitted = admit(&gateway, caller, request, metadata);
     let admitted = gateway.answer_cutoff.run_until_cancelled(admitted).await;
     let mut response = match admitted.unwrap_or(Err(GatewayAnswer::Stopping)) {
         Ok(call) => call.run().await,
