Bound the retries in a test by the seconds that the run touches

Cause: the test's bound, not the budget. The budget grants a minimum of 3 retries in each whole second of its clock, and the test counted the length of the run. A run of 0.6 s that crosses the boundary of a second touches two of them. With 10 of the 200 requests before the boundary the budget gives exactly 25: 3 carried over and 3 in the first second, 19 in the second one (retry::each_second_grants_its_minimum in the core).

Change: the test reads the node's own clock before and after the run and counts the whole seconds that it touches. The bound is the definition's: 23 for a run within one second, where it was 24.9 to 26, and 3 more for each further one.

Evidence: the core's test gives 25 across a boundary and 23 within a second.

--- a/crates/tealsaddle-core/tests/it/retry.rs
+++ b/crates/tealsaddle-core/tests/it/retry.rs
@@ -41,6 +41,27 @@
     assert_eq!((0..100).filter(|_| budget.try_consume(later)).count(), 6);
 }
 
+/// Guards against a bound on the retries of a run that counts its length instead of the whole seconds that it
+/// touches: each of those grants its minimum.
+#[parameterized(
+    one_second = { &[200], 23 },
+    across_a_boundary = { &[10, 190], 25 },
+    mostly_before_a_boundary = { &[190, 10], 25 },
+)]
+fn each_second_grants_its_minimum(requests_by_second: &[u64], expected: usize) {
+    let mut budget = RetryBudget::default();
+    let mut granted = 0;
+    for (second, requests) in requests_by_second.iter().enumerate() {
+        let now_us = (1_000 + second as u64) * SECOND_US;
+        for _ in 0..*requests {
+            budget.on_first_attempt(now_us);
+            // Each request fails and asks for up to two retries.
+            granted += (0..2).filter(|_| budget.try_consume(now_us)).count();
+        }
+    }
+    assert_eq!(granted, expected);
+}
+
 /// Guards against executing a request twice that may be executed only once.
 #[parameterized(
     unknown_not_repeatable = { false, UNKNOWN, Err(GiveUp::NotRepeatable) },
--- a/crates/tealsaddle-node/tests/it/faults/calls.rs
+++ b/crates/tealsaddle-node/tests/it/faults/calls.rs
@@ -1,14 +1,15 @@
 //! G5 and G6: a call reported as not run was not run, and a non-repeatable call runs at most once.
 
-use std::time::Instant;
-
 use hyper::Method;
 use rand::{RngExt, SeedableRng};
+use tealsaddle_node::clock;
 use tealsaddle_testkit::client::Client;
 use tealsaddle_testkit::deployment::Deployment;
 
 use super::{plan, submit};
 
+/// Period of the retry budget.
+const SECOND_US: u64 = 1_000_000;
 const ZONES: [&str; 2] = ["buda-hall", "pest-hall"];
 
 /// Starts one node in each of two zones, and the service `ladder` in the first zone.
@@ -69,16 +70,16 @@
     let deployment = start("calls-retries").await;
     let service = deployment.service("ladder");
     service.update(|faults| faults.is_down = true);
-    let begin = Instant::now();
+    let begin_us = clock::now_us();
     let address = deployment.config("vm-1").caller;
-    let requests = 200;
+    let requests = 200_u32;
     let client = Client::open();
     for i in 0..requests {
         let path = format!("/services/ladder/table?request={i}");
         let answer = client.call(Method::GET, address, &path, &[], "").await;
         assert_ne!(answer.expect("an answer").status, 200);
     }
-    let elapsed_s = begin.elapsed().as_secs_f64();
+    let end_us = clock::now_us();
     let calls = service.calls();
     let most = (0..requests)
         .map(|i| {
@@ -90,9 +91,10 @@
         })
         .max();
     assert!(most <= Some(3), "{most:?} attempts for one request");
-    // Each second grants 3 retries or 10% of its requests, whichever is larger, and the unused part of
-    // one earlier second. The sum of both over all seconds is an upper bound.
-    let retries = calls.len() as f64 - f64::from(requests);
-    let allowed = 0.1 * f64::from(requests) + 3.0 * (elapsed_s + 1.0);
-    assert!(retries <= allowed, "{retries} retries in {elapsed_s} s");
+    // Each whole second of the node's clock grants 3 retries or 10% of its requests, whichever is larger, and
+    // the unused part of one earlier second. With all requests in one of the seconds, the others grant 3 each.
+    let retries = calls.len() as u64 - u64::from(requests);
+    let seconds = end_us / SECOND_US - begin_us / SECOND_US + 1;
+    let allowed = u64::from(requests) / 10 + 3 * (seconds - 1) + 3;
+    assert!(retries <= allowed, "{retries} retries in {seconds} seconds");
 }
