Log the shared parts of a prompt whose stream was lost

Cause: "attempt failed" and "answer truncated" named the runner and the request only.

Change: both also name the shared parts and whether events had been passed on. The function that returns the shared parts of a prompt moves to a place where both packages use it.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -66,3 +66,9 @@
 pub fn prompt_tokens(parts: &[PromptPart]) -> u64 {
     parts.iter().map(|part| part.tokens).sum()
 }
+
+/// Returns the parts of a prompt that may be shared with other requests: all but the last one, which belongs to
+/// the request or its session alone.
+pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    &parts[..parts.len().saturating_sub(1)]
+}
--- a/crates/tealsaddle-core/src/fleet/prefill.rs
+++ b/crates/tealsaddle-core/src/fleet/prefill.rs
@@ -19,7 +19,7 @@
     view_of,
 };
 use super::rendezvous::rendezvous_weight;
-use super::{PromptPart, Runner, Stage, prompt_tokens};
+use super::{PromptPart, Runner, Stage, prompt_tokens, shared_parts};
 use crate::name::Name;
 
 /// Fixed part of the time to read a prompt.
@@ -62,10 +62,8 @@
 }
 
 impl PrefillQuery<'_> {
-    /// Returns the shared parts of the prompt: all but the last one, which belongs to the request alone.
     fn shared(&self) -> &[PromptPart] {
-        let parts = self.request.parts;
-        &parts[..parts.len().saturating_sub(1)]
+        shared_parts(self.request.parts)
     }
 
     fn read_us(&self, tokens: u64) -> f64 {
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -10,7 +10,7 @@
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::placement::PlacementRequest;
-use tealsaddle_core::fleet::prompt_tokens;
+use tealsaddle_core::fleet::{prompt_tokens, shared_parts};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 use tokio::time::Instant;
@@ -170,7 +170,8 @@
         };
         self.gateway.metrics.increment(&name);
         log::info!(id:% = self.request_id, runner:%, outcome:? = outcome, decision:% = name,
-            made = attempts.failed(); "attempt failed");
+            made = attempts.failed(), has_begun = self.progress.has_begun(),
+            shared_parts = self.shared_parts_text(); "attempt failed");
         match decision {
             Ok(()) if !self.remaining().is_zero() => Ok(()),
             Ok(()) | Err(_) => Err(attempts.outcome(outcome)),
@@ -295,8 +296,15 @@
         log::info!(id:% = self.request_id, runner:%, reason, deadline_source = self.deadline_source.as_str(),
             config_version = self.config.version, current_config_version,
             silent_ms = self.progress.since_last(self.started.elapsed()).as_millis() as u64,
-            left_ms = self.remaining().as_millis() as u64;
-            "answer truncated");
+            left_ms = self.remaining().as_millis() as u64, has_begun = self.progress.has_begun(),
+            shared_parts = self.shared_parts_text(); "answer truncated");
+    }
+
+    /// Ids of the shared parts of the prompt, as in the caller's headers, for log records.
+    fn shared_parts_text(&self) -> String {
+        let shared = shared_parts(&self.metadata.parts);
+        let ids: Vec<String> = shared.iter().map(|p| format!("{:x}", p.id)).collect();
+        ids.join(",")
     }
 
     /// Logs the end of the request and counts its outcome and latency. `runner` is the id of the runner
