Decide which part of a prompt crashes runners, and keep the list of such parts

The decisions of docs/quarantine.md, without I/O: losses of requests with their runners by shared part, the choice of the cause among parts that are lost together, when parts survived, and the records with their trials. Not used by the gateway yet.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod placement;
 pub mod prefill;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod split;
 pub mod store_availability;
--- /dev/null
+++ b/crates/tealsaddle-core/src/fleet/quarantine/list.rs
@@ -0,0 +1,308 @@
+//! The quarantined parts, as one node knows them.
+//!
+//! Each part has a record in the store, which outlives all processes. A decision may be known before its record
+//! is stored, from this node or from a peer; it applies at once, and the record is written later if no other node
+//! has done so. A record that the store has lost is written again.
+//!
+//! While a part is quarantined its requests are refused. From time to time one request of the whole fleet is
+//! tried: the node that stores the record with a higher number of trials may do so. Every node counts the time to
+//! the next trial from the moment at which it learned of the last change of the record.
+
+use super::PartKey;
+use super::accounts::SUSPECT_LOSSES;
+use crate::collections::HashMap;
+use crate::fleet::{PromptPart, shared_parts};
+use crate::name::Name;
+
+/// Largest number of parts that this node quarantines. Further decisions are dropped.
+pub const MAX_DECIDED: usize = 32;
+/// Largest number of parts that the list takes, also from the store and from peers.
+const MAX_ENTRIES: usize = 128;
+/// Number of released decisions that are remembered, so that a late message does not bring one back.
+const MAX_RELEASED: usize = 64;
+/// Time to the first trial of a part with few losses, which may be sound.
+const EARLY_TRIAL_US: u64 = 2_000_000;
+/// Time to the first trial of a part that is certainly deadly; it doubles with each trial.
+const TRIAL_US: u64 = 60_000_000;
+/// Longest time between two trials.
+const MAX_TRIAL_US: u64 = 3_600_000_000;
+
+/// What all nodes know of a quarantined part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The part.
+    pub key: PartKey,
+    /// Unique id of the decision.
+    pub decision: Name,
+    /// Number of losses in a row.
+    pub losses: u32,
+    /// Number of requests that were tried since the decision.
+    pub trials: u32,
+    /// Time from the first loss to the last change of the record. A part that has survived since then is sound.
+    pub first_loss_age_us: u64,
+}
+
+impl Record {
+    /// Time from a change of the record to the next trial.
+    fn trial_delay_us(&self) -> u64 {
+        let is_early = (self.losses as usize) < SUSPECT_LOSSES;
+        match (is_early, self.trials) {
+            (true, 0) => EARLY_TRIAL_US,
+            (true, trials) => doubled(trials - 1),
+            (false, trials) => doubled(trials),
+        }
+    }
+}
+
+fn doubled(times: u32) -> u64 {
+    (TRIAL_US << times.min(16)).min(MAX_TRIAL_US)
+}
+
+/// A quarantined part.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// What all nodes know of it.
+    pub record: Record,
+    /// Store revision of the record; `None` while it is not known to be stored.
+    pub revision: Option<u64>,
+    /// Time of the first loss.
+    pub first_lost_us: u64,
+    /// Time from which a request may be tried.
+    pub trial_due_us: u64,
+    /// Time from which this node stores the record; `None` if it is stored in its present state.
+    write_due_us: Option<u64>,
+}
+
+/// The quarantined parts.
+#[derive(Debug, Clone, Default)]
+pub struct QuarantineList {
+    entries: HashMap<PartKey, Entry>,
+    /// The latest released decisions, oldest first.
+    released: Vec<Name>,
+    /// Newest era of the store that was seen.
+    era: u64,
+}
+
+impl QuarantineList {
+    /// Whether no part is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Number of quarantined parts.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The entry of a part, if it is quarantined.
+    pub fn entry(&self, key: &PartKey) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// All quarantined parts.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns the quarantined part of a prompt, if it has one; of several the one that is tried last.
+    pub fn find(&self, service: &Name, parts: &[PromptPart]) -> Option<&Entry> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        let of_prompt = shared_parts(parts).iter();
+        let found = of_prompt.filter_map(|part| self.entry(&PartKey::new(service, part.id)));
+        found.max_by_key(|entry| entry.trial_due_us)
+    }
+
+    /// Adds a decision that is not in the store as far as this node knows, or a change of one. Returns whether
+    /// it is new. This node stores it `write_delay_us` from now, unless another one does.
+    pub fn on_told(&mut self, record: Record, now_us: u64, write_delay_us: u64) -> bool {
+        if self.released.contains(&record.decision) {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&record.key) {
+            // Of two decisions on a part the one in the store applies.
+            let is_newer = entry.record.decision == record.decision
+                && progress(&record) > progress(&entry.record);
+            if is_newer {
+                entry.learn(record, now_us);
+                entry.write_due_us = Some(now_us + write_delay_us);
+            }
+            return is_newer;
+        }
+        self.insert(record, None, now_us, Some(now_us + write_delay_us))
+    }
+
+    /// Adds or updates a record of the store. If this node knows a later state of the decision, it stores that
+    /// `write_delay_us` from now. Returns `false` if the decision was released, so that the record has to be
+    /// removed.
+    pub fn on_stored(
+        &mut self,
+        record: Record,
+        revision: u64,
+        now_us: u64,
+        write_delay_us: u64,
+    ) -> bool {
+        if self.released.contains(&record.decision) {
+            return false;
+        }
+        let Some(entry) = self.entries.get_mut(&record.key) else {
+            self.insert(record, Some(revision), now_us, None);
+            return true;
+        };
+        entry.revision = Some(revision);
+        let is_behind =
+            entry.record.decision == record.decision && progress(&record) < progress(&entry.record);
+        if is_behind {
+            entry.write_due_us = Some(now_us + write_delay_us);
+            return true;
+        }
+        entry.write_due_us = None;
+        if entry.record != record {
+            entry.learn(record, now_us);
+        }
+        true
+    }
+
+    /// Drops a part whose record was removed from the store. A record that this node knows to be newer stays.
+    pub fn on_removed(&mut self, key: &PartKey, revision: u64) -> bool {
+        let Some(entry) = self.entries.get(key) else {
+            return false;
+        };
+        if entry.revision.is_none_or(|known| known > revision) {
+            return false;
+        }
+        self.remove(key)
+    }
+
+    /// Takes the records that the store has, at a revision and in an era, both as far as it tells. A record that
+    /// it had before was removed, unless the store has come back from an older copy: then it is stored again
+    /// after `write_delay_us`. Returns the records that have to be removed, since their decisions were released.
+    pub fn on_listing(
+        &mut self,
+        stored: Vec<(Record, u64)>,
+        store: StoreState,
+        now_us: u64,
+        write_delay_us: u64,
+    ) -> Vec<(PartKey, u64)> {
+        let is_older_copy = store.era > self.era && self.era > 0;
+        self.era = self.era.max(store.era);
+        let listed: Vec<PartKey> = stored
+            .iter()
+            .map(|(record, _)| record.key.clone())
+            .collect();
+        let missing = self.entries.keys().filter(|key| !listed.contains(key));
+        let missing: Vec<PartKey> = missing.cloned().collect();
+        for key in missing {
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            let Some(known) = entry.revision else {
+                continue;
+            };
+            if is_older_copy || store.revision < known {
+                entry.revision = None;
+                entry.write_due_us = Some(now_us + write_delay_us);
+            } else {
+                self.remove(&key);
+            }
+        }
+        let mut released = Vec::new();
+        for (record, revision) in stored {
+            let key = record.key.clone();
+            if !self.on_stored(record, revision, now_us, write_delay_us) {
+                released.push((key, revision));
+            }
+        }
+        released
+    }
+
+    /// Ends the quarantine of a part, if it is still that of this decision. Returns its last entry.
+    pub fn release(&mut self, decision: &Name) -> Option<Entry> {
+        let mut entries = self.entries.values();
+        let key = entries.find(|entry| entry.record.decision == *decision);
+        let entry = key.cloned();
+        self.remember_released(decision);
+        if let Some(entry) = &entry {
+            self.entries.remove(&entry.record.key);
+        }
+        entry
+    }
+
+    /// The entries that this node has to store now.
+    pub fn unwritten(&self, now_us: u64) -> Vec<Entry> {
+        let is_due = |entry: &&Entry| entry.write_due_us.is_some_and(|due_us| due_us <= now_us);
+        self.entries.values().filter(is_due).cloned().collect()
+    }
+
+    /// Puts the next attempt to store a record off.
+    pub fn retry_write_at(&mut self, key: &PartKey, retry_us: u64) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.write_due_us = entry.write_due_us.map(|_due_us| retry_us);
+        }
+    }
+
+    fn insert(
+        &mut self,
+        record: Record,
+        revision: Option<u64>,
+        now_us: u64,
+        write_due_us: Option<u64>,
+    ) -> bool {
+        if self.entries.len() >= MAX_ENTRIES {
+            return false;
+        }
+        let entry = Entry {
+            revision,
+            first_lost_us: now_us.saturating_sub(record.first_loss_age_us),
+            trial_due_us: now_us + record.trial_delay_us(),
+            write_due_us,
+            record,
+        };
+        self.entries.insert(entry.record.key.clone(), entry);
+        true
+    }
+
+    fn remove(&mut self, key: &PartKey) -> bool {
+        let removed = self.entries.remove(key);
+        if let Some(entry) = &removed {
+            self.remember_released(&entry.record.decision);
+        }
+        removed.is_some()
+    }
+
+    fn remember_released(&mut self, decision: &Name) {
+        if self.released.contains(decision) {
+            return;
+        }
+        if self.released.len() == MAX_RELEASED {
+            self.released.remove(0);
+        }
+        self.released.push(Name::clone(decision));
+    }
+}
+
+/// State of the store at a listing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreState {
+    /// Revision of the store.
+    pub revision: u64,
+    /// Number of times that the store has come back from an older copy; 0 if it does not tell.
+    pub era: u64,
+}
+
+impl Entry {
+    /// Takes a change of the record. A first loss that was known before stays.
+    fn learn(&mut self, record: Record, now_us: u64) {
+        if self.record.decision != record.decision {
+            self.first_lost_us = now_us.saturating_sub(record.first_loss_age_us);
+        }
+        self.trial_due_us = now_us + record.trial_delay_us();
+        self.record = record;
+    }
+}
+
+/// Orders the states of one decision.
+const fn progress(record: &Record) -> (u32, u32) {
+    (record.trials, record.losses)
+}
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod placement;
 mod pool_sim;
+mod quarantine;
 mod split;
 mod store_availability;
 
--- /dev/null
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
@@ -0,0 +1,186 @@
+//! Tests of the losses that are counted against a part.
+
+use proptest::prelude::*;
+use tealsaddle_core::fleet::quarantine::PartKey;
+use tealsaddle_core::fleet::quarantine::accounts::{CrashAccounts, Loss, RunnerProcess, Suspicion};
+use tealsaddle_core::name::Name;
+use yare::parameterized;
+
+const MS: u64 = 1_000;
+const DEADLY: u64 = 0xdead;
+
+fn service() -> Name {
+    Name::from("readers")
+}
+
+/// A loss 100 ms after the request was sent, of a process and a prompt of its own.
+fn loss(number: u64, lost_us: u64, shared_parts: &[u64]) -> Loss {
+    Loss {
+        process: RunnerProcess {
+            runner: Name::from(format!("r{number}")),
+            started_unix_ms: 1,
+        },
+        shared_parts: shared_parts.to_vec(),
+        own_part: 1_000 + number,
+        sent_us: lost_us - 100 * MS,
+        lost_us,
+        has_begun: false,
+    }
+}
+
+/// Counts losses and returns the suspicions after the last one.
+fn suspicions(losses: Vec<Loss>) -> Vec<Suspicion> {
+    let mut accounts = CrashAccounts::default();
+    let mut found = Vec::new();
+    for loss in losses {
+        found = accounts.on_loss(&service(), loss);
+    }
+    found
+}
+
+/// Guards against a deadly part that is suspected too late: two losses one after the other are enough if no
+/// answer had begun, else three.
+#[parameterized(
+    one = { 1, false, 0 },
+    two = { 2, false, 1 },
+    two_begun = { 2, true, 0 },
+    three_begun = { 3, true, 1 },
+)]
+fn losses_in_a_row_lead_to_a_suspicion(count: u64, has_begun: bool, expected: usize) {
+    let losses = (1..=count).map(|i| Loss {
+        has_begun,
+        ..loss(i, i * 1_000 * MS, &[DEADLY])
+    });
+    assert_eq!(suspicions(losses.collect()).len(), expected);
+}
+
+/// Guards against suspicion by losses that say nothing: of runners that failed at the same moment, of one
+/// process that several nodes saw end, of one request that was sent again, or of long ago.
+#[test]
+fn unrelated_losses_lead_to_no_suspicion() {
+    let second = 1_000 * MS;
+    let at_once = (1..=8).map(|i| loss(i, second + i * MS, &[DEADLY]));
+    assert_eq!(suspicions(at_once.collect()), []);
+    let one_process = (1..=8).map(|i| Loss {
+        process: loss(0, second, &[]).process,
+        ..loss(i, i * second, &[DEADLY])
+    });
+    assert_eq!(suspicions(one_process.collect()), []);
+    let one_prompt = (1..=8).map(|i| Loss {
+        own_part: 7,
+        ..loss(i, i * second, &[DEADLY])
+    });
+    assert_eq!(suspicions(one_prompt.collect()), []);
+    let apart = (1..=2).map(|i| loss(i, i * 700 * second, &[DEADLY]));
+    assert_eq!(suspicions(apart.collect()), []);
+}
+
+/// Guards against a restarted process under the same id whose second end is not counted.
+#[test]
+fn each_start_of_a_runner_counts() {
+    let restarted = |i: u64| Loss {
+        process: RunnerProcess {
+            runner: Name::from("r"),
+            started_unix_ms: i,
+        },
+        ..loss(i, i * 1_000 * MS, &[DEADLY])
+    };
+    assert_eq!(suspicions((1..=2).map(restarted).collect()).len(), 1);
+}
+
+/// Guards against losses that still count after the part has survived.
+#[test]
+fn survival_clears_the_losses_before_it() {
+    let mut accounts = CrashAccounts::default();
+    let second = 1_000 * MS;
+    let _first = accounts.on_loss(&service(), loss(1, second, &[DEADLY]));
+    accounts.on_survived(&PartKey::new(&service(), DEADLY), 2 * second);
+    assert_eq!(
+        accounts.on_loss(&service(), loss(2, 3 * second, &[DEADLY])),
+        []
+    );
+    assert_eq!(
+        accounts
+            .on_loss(&service(), loss(3, 4 * second, &[DEADLY]))
+            .len(),
+        1
+    );
+}
+
+/// Guards against blaming a sound part that is always lost together with the deadly one.
+#[parameterized(
+    sound_first_part_survived_since = { 2, &[(0xa, Some(9_000)), (DEADLY, None)], Some(DEADLY) },
+    deadly_part_comes_first = { 2, &[(DEADLY, None), (0xa, Some(500)), (0xb, Some(9_000))], Some(DEADLY) },
+    none_ever_survived = { 2, &[(0xa, None), (DEADLY, None)], Some(DEADLY) },
+    all_survived_since = { 4, &[(0xa, Some(2_000)), (0xb, Some(3_000))], None },
+    turned_deadly = { 4, &[(0xa, Some(900)), (DEADLY, Some(100))], Some(DEADLY) },
+    perhaps_turned_deadly = { 3, &[(0xa, Some(900)), (DEADLY, Some(100))], None },
+)]
+fn cause_is_the_part_that_survived_longest_ago(
+    losses: usize,
+    survivals: &[(u64, Option<u64>)],
+    expected: Option<u64>,
+) {
+    let suspicion = Suspicion {
+        service: service(),
+        parts: survivals.iter().map(|(part, _)| *part).collect(),
+        losses,
+        first_lost_us: 1_000,
+    };
+    let survived_us = |part| survivals.iter().find(|(p, _)| *p == part)?.1;
+    assert_eq!(suspicion.cause(survived_us), expected);
+}
+
+/// Guards against a suspicion that compares the part with others that only some of the lost requests had.
+#[test]
+fn suspicion_names_the_parts_in_common() {
+    let losses = vec![
+        loss(1, 1_000 * MS, &[0xa, 0xb, DEADLY]),
+        loss(2, 2_000 * MS, &[0xa, 0xc, DEADLY]),
+    ];
+    let found = suspicions(losses);
+    let parts: Vec<&[u64]> = found.iter().map(|s| s.parts.as_slice()).collect();
+    assert_eq!(parts, [&[0xa, DEADLY][..]]);
+}
+
+/// Guards against sound parts that are suspected for the runners that a deadly part has ended.
+#[test]
+fn losses_with_a_known_cause_are_forgotten() {
+    let mut accounts = CrashAccounts::default();
+    let second = 1_000 * MS;
+    for i in 1..=2 {
+        let _found = accounts.on_loss(&service(), loss(i, i * second, &[DEADLY]));
+        let _found = accounts.on_loss(&service(), loss(i, i * second, &[0xa]));
+    }
+    assert!(accounts.on_decided(&PartKey::new(&service(), DEADLY), 2 * second));
+    assert_eq!(
+        accounts.on_loss(&service(), loss(3, 3 * second, &[0xa])),
+        []
+    );
+}
+
+/// Guards against refusing all requests of a service whose runners crash for another reason.
+#[test]
+fn number_of_decisions_is_limited() {
+    let mut accounts = CrashAccounts::default();
+    let decide = |accounts: &mut CrashAccounts, part, second: u64| {
+        accounts.on_decided(&PartKey::new(&service(), part), second * 1_000 * MS)
+    };
+    let decided = (0..10)
+        .filter(|part| decide(&mut accounts, *part, 100))
+        .count();
+    assert_eq!(decided, 4);
+    assert!(decide(&mut accounts, 11, 131));
+}
+
+proptest! {
+    /// Guards against a wrong count when reports of several nodes arrive in another order than the losses.
+    #[test]
+    fn order_of_arrival_does_not_matter(order in Just((1..=6_u64).collect::<Vec<_>>()).prop_shuffle()) {
+        let losses = order.into_iter().map(|i| loss(i, i * 1_000 * MS, &[DEADLY]));
+        let found = suspicions(losses.collect());
+        prop_assert_eq!(found.len(), 1);
+        prop_assert_eq!(found[0].losses, 6);
+        prop_assert_eq!(found[0].first_lost_us, 1_000 * MS);
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/list.rs
@@ -0,0 +1,149 @@
+//! Tests of the list of quarantined parts.
+
+use tealsaddle_core::fleet::quarantine::PartKey;
+use tealsaddle_core::fleet::quarantine::list::{QuarantineList, Record, StoreState};
+use tealsaddle_core::name::Name;
+use yare::parameterized;
+
+use crate::fleet::{SECOND_US, prompt};
+
+const LOSSES: u32 = 3;
+/// Time after which a node stores a record that it was told.
+const WRITE_DELAY_US: u64 = SECOND_US;
+/// Limit on the trials that are counted.
+const MANY_TRIALS: u32 = 20;
+
+fn key() -> PartKey {
+    PartKey::new(&Name::from("readers"), 0xdead)
+}
+
+fn record(decision: &str, losses: u32, trials: u32) -> Record {
+    Record {
+        key: key(),
+        decision: Name::from(decision),
+        losses,
+        trials,
+        first_loss_age_us: SECOND_US,
+    }
+}
+
+const fn store(revision: u64, era: u64) -> StoreState {
+    StoreState { revision, era }
+}
+
+/// A list with one part, stored at revision 10.
+fn stored() -> QuarantineList {
+    let mut list = QuarantineList::default();
+    assert!(list.on_stored(record("q1", LOSSES, 0), 10, 0, 0));
+    list
+}
+
+/// Guards against refusing requests in which the part is the last one, or those of another service.
+#[test]
+fn shared_parts_of_a_service_are_quarantined() {
+    let list = stored();
+    let readers = Name::from("readers");
+    assert!(list.find(&readers, &prompt(0xdead, 9, 1, 9)).is_some());
+    assert!(list.find(&readers, &prompt(1, 9, 0xdead, 9)).is_none());
+    let writers = Name::from("writers");
+    assert!(list.find(&writers, &prompt(0xdead, 9, 1, 9)).is_none());
+}
+
+/// Guards against a deadly part that is tried too often, and against a sound part that is refused for long
+/// after few losses.
+#[test]
+fn trials_become_rare() {
+    let delay_s = |losses, trials| {
+        let mut list = QuarantineList::default();
+        assert!(list.on_told(record("q1", losses, trials), 0, 0));
+        list.entry(&key()).expect("it was added").trial_due_us / SECOND_US
+    };
+    let few: Vec<u64> = (0..4).map(|trials| delay_s(2, trials)).collect();
+    assert_eq!(few, [2, 60, 120, 240]);
+    let many: Vec<u64> = (0..4).map(|trials| delay_s(LOSSES, trials)).collect();
+    assert_eq!(many, [60, 120, 240, 480]);
+    assert_eq!(delay_s(LOSSES, MANY_TRIALS), 3_600);
+}
+
+/// Guards against a decision that is lost when the store comes back from an older copy, and against one that
+/// stays after it was removed while the node was not watching.
+#[parameterized(
+    removed = { store(12, 1), true },
+    older_copy_by_revision = { store(8, 1), false },
+    older_copy_by_era = { store(12, 2), false },
+)]
+fn unlisted_record_is_removed_or_stored_again(state: StoreState, is_removed: bool) {
+    let mut list = QuarantineList::default();
+    let listed = vec![(record("q1", LOSSES, 0), 10)];
+    assert_eq!(list.on_listing(listed, store(11, 1), 0, 0), []);
+    assert_eq!(
+        list.on_listing(Vec::new(), state, SECOND_US, WRITE_DELAY_US),
+        []
+    );
+    assert_eq!(list.is_empty(), is_removed);
+    assert_eq!(list.unwritten(SECOND_US).len(), 0);
+    let unwritten = list.unwritten(SECOND_US + WRITE_DELAY_US);
+    let revisions: Vec<Option<u64>> = unwritten.iter().map(|entry| entry.revision).collect();
+    assert_eq!(revisions, if is_removed { vec![] } else { vec![None] });
+}
+
+/// Guards against a trial that is forgotten, and so repeated, when the store comes back from an older copy.
+#[test]
+fn later_state_is_stored_over_an_older_one() {
+    let mut list = stored();
+    assert!(list.on_stored(record("q1", LOSSES, 2), 11, 0, 0));
+    assert!(list.on_stored(record("q1", LOSSES, 1), 9, 0, WRITE_DELAY_US));
+    let unwritten = list.unwritten(WRITE_DELAY_US);
+    assert_eq!(unwritten.len(), 1);
+    assert_eq!(unwritten[0].record.trials, 2);
+    assert_eq!(unwritten[0].revision, Some(9));
+}
+
+/// Guards against a released part that is quarantined again by a late message, by a write that was on its way,
+/// or by an older copy of the store.
+#[test]
+fn released_decision_does_not_come_back() {
+    let mut list = stored();
+    let entry = list.release(&Name::from("q1")).expect("it was quarantined");
+    assert_eq!(entry.revision, Some(10));
+    assert!(!list.on_told(record("q1", LOSSES, 1), 0, 0));
+    assert!(!list.on_stored(record("q1", LOSSES, 1), 12, 0, 0));
+    let listed = vec![(record("q1", LOSSES, 1), 12)];
+    assert_eq!(list.on_listing(listed, store(12, 1), 0, 0), [(key(), 12)]);
+    assert!(list.is_empty());
+    assert!(list.on_told(record("q2", LOSSES, 0), 0, 0));
+}
+
+/// Guards against a decision known from a peer that is never stored, since the node that took it was killed.
+#[test]
+fn told_decision_is_stored_unless_another_node_does() {
+    let mut list = QuarantineList::default();
+    assert!(list.on_told(record("q1", LOSSES, 0), 0, WRITE_DELAY_US));
+    assert_eq!(list.unwritten(WRITE_DELAY_US - 1).len(), 0);
+    assert_eq!(list.unwritten(WRITE_DELAY_US).len(), 1);
+    list.retry_write_at(&key(), 3 * SECOND_US);
+    assert_eq!(list.unwritten(WRITE_DELAY_US).len(), 0);
+    assert!(list.on_stored(record("q1", LOSSES, 0), 10, 0, 0));
+    assert_eq!(list.unwritten(9 * SECOND_US).len(), 0);
+}
+
+/// Guards against a record that is dropped by the removal of an earlier one, as when watches overlap.
+#[test]
+fn earlier_removal_does_not_end_the_quarantine() {
+    let mut list = stored();
+    assert!(!list.on_removed(&key(), 9));
+    assert!(list.on_removed(&key(), 11));
+    assert!(list.is_empty());
+}
+
+/// Guards against memory that grows with the number of records that others write.
+#[test]
+fn number_of_parts_is_bounded() {
+    let mut list = QuarantineList::default();
+    for part in 0..1_000 {
+        let mut record = record(&format!("q{part}"), LOSSES, 0);
+        record.key.part = part;
+        list.on_stored(record, part, 0, 0);
+    }
+    assert_eq!(list.len(), 128);
+}
