Repeat a test run in which the retry budget was granted before the test took it

Cause: the test's. It uses the retry budget up every 5 ms, while the budget is granted anew with each second. A request that asks in between gets its retry, the second peer is as silent as the first, and the counter for which the test waits never comes.

Change: a run in which the second peer was asked is repeated with new peers and a new node. The checks are the same.

--- a/crates/tealsaddle-node/tests/it/silence.rs
+++ b/crates/tealsaddle-node/tests/it/silence.rs
@@ -330,6 +330,9 @@
     assert!(silences.is_empty(), "{silences:?}");
 }
 
+/// Pause between two looks at a retry budget that a test uses up.
+const BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A peer that receives requests but is silent until it is woken, as a paused process is.
 struct SilentPeer {
     server: Server,
@@ -431,6 +434,14 @@
 )]
 #[test_macro(tokio::test)]
 async fn silent_peer_goes_on_without_another_attempt(has_other: bool, counter: &str) {
+    // The budget is granted anew with each second, so that the request may get a retry before the test has taken
+    // it. The peers and the node are started again then.
+    while !goes_on_without_another_attempt(has_other, counter).await {}
+}
+
+/// Sends a request to a silent peer that goes on once `counter` shows that no other attempt may start. Returns
+/// `false` if one has started.
+async fn goes_on_without_another_attempt(has_other: bool, counter: &str) -> bool {
     let (first, second) = (
         SilentPeer::start("first").await,
         SilentPeer::start("second").await,
@@ -444,14 +455,17 @@
     let obstruct = async {
         while node.count(counter) == 0 {
             while has_other && node.traffic.take_retry(&"peers".into()) {}
-            tokio::time::sleep(Duration::from_millis(5)).await;
+            if second.received() > 0 {
+                return;
+            }
+            tokio::time::sleep(BUDGET_POLL_INTERVAL).await;
         }
         first.release();
         std::future::pending::<()>().await;
     };
     let answer = tokio::select! {
         answer = node.complete(TOKENS, false) => answer,
-        () = obstruct => unreachable!("the obstacle stays until the answer is there"),
+        () = obstruct => return false,
     };
     assert_eq!(
         (answer.status, answer.json()),
@@ -459,6 +473,7 @@
         "{answer:?}"
     );
     assert_eq!((first.dropped(), second.received()), (0, 0));
+    true
 }
 
 /// Guards against an answer that is lost because the peer tried next is silent as well, although the first
