Quarantine parts of prompts that crash runners

Seen by callers: requests of one kind crash runners one after the other; with 5% of rulebook-verdict holding such a part 25 runners end in 23 s, and of 4,500 requests 2,000 have no answer.

Cause: nothing in the system remembers, across requests and nodes, what a request held and what became of its runner. Each new request with the part ends a runner, and one that may be resumed ends several. The class of the fault is a poison message: work that ends each worker that takes it, and comes back.

Nodes report requests that were lost with their runners before their answers had survived to two collectors for each service. A collector that finds a part with several losses in a row asks the nodes when it last survived, and has it quarantined: published at once, told to all peers, and stored without a lease under tealsaddle/quarantine/, which all nodes watch. Requests with the part get 503 quarantined_part, with the time until the next trial. One request of all nodes tries it after a minute, then less and less often. Nodes register with the address at which they serve their peers, and are ready only when they know the list.

--- a/crates/tealsaddle-core/src/fleet/placement.rs
+++ b/crates/tealsaddle-core/src/fleet/placement.rs
@@ -134,6 +134,8 @@
     pub zone: &'a str,
     /// Size of the request's body, in bytes.
     pub body_bytes: usize,
+    /// Whether the request may crash its decode runner. It is placed where the fewest requests would be lost.
+    pub is_doubtful: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -334,6 +336,9 @@
         let mut cost = wait_us + queued_us + read_us + batch_us;
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         cost += request.zone_penalty_us(runner);
+        if request.is_doubtful {
+            cost = active;
+        }
         let placement = Placement {
             runner: Arc::clone(runner),
             wait_us: wait_us + if is_prefilled { 0.0 } else { queued_us },
--- a/crates/tealsaddle-core/src/fleet/quarantine/list.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/list.rs
@@ -27,6 +27,15 @@
 /// Longest time between two trials.
 const MAX_TRIAL_US: u64 = 3_600_000_000;
 
+/// A record in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredKey {
+    /// The part.
+    pub key: PartKey,
+    /// Store revision of the record.
+    pub revision: u64,
+}
+
 /// What all nodes know of a quarantined part.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
@@ -40,6 +49,8 @@
     pub trials: u32,
     /// Time from the first loss to the last change of the record. A part that has survived since then is sound.
     pub first_loss_age_us: u64,
+    /// Unix time of the decision in milliseconds, for operators.
+    pub decided_at_unix_ms: u64,
 }
 
 impl Record {
@@ -79,6 +90,8 @@
     entries: HashMap<PartKey, Entry>,
     /// The latest released decisions, oldest first.
     released: Vec<Name>,
+    /// Records of released decisions that are still in the store.
+    removals: Vec<StoredKey>,
     /// Newest era of the store that was seen.
     era: u64,
 }
@@ -134,8 +147,7 @@
     }
 
     /// Adds or updates a record of the store. If this node knows a later state of the decision, it stores that
-    /// `write_delay_us` from now. Returns `false` if the decision was released, so that the record has to be
-    /// removed.
+    /// `write_delay_us` from now. Returns `false` if the decision was released; the record has to be removed then.
     pub fn on_stored(
         &mut self,
         record: Record,
@@ -144,6 +156,8 @@
         write_delay_us: u64,
     ) -> bool {
         if self.released.contains(&record.decision) {
+            let key = record.key;
+            self.removals.push(StoredKey { key, revision });
             return false;
         }
         let Some(entry) = self.entries.get_mut(&record.key) else {
@@ -158,7 +172,8 @@
             return true;
         }
         entry.write_due_us = None;
-        if entry.record != record {
+        if progress(&entry.record) != progress(&record) || entry.record.decision != record.decision
+        {
             entry.learn(record, now_us);
         }
         true
@@ -177,14 +192,14 @@
 
     /// Takes the records that the store has, at a revision and in an era, both as far as it tells. A record that
     /// it had before was removed, unless the store has come back from an older copy: then it is stored again
-    /// after `write_delay_us`. Returns the records that have to be removed, since their decisions were released.
+    /// after `write_delay_us`.
     pub fn on_listing(
         &mut self,
         stored: Vec<(Record, u64)>,
         store: StoreState,
         now_us: u64,
         write_delay_us: u64,
-    ) -> Vec<(PartKey, u64)> {
+    ) {
         let is_older_copy = store.era > self.era && self.era > 0;
         self.era = self.era.max(store.era);
         let listed: Vec<PartKey> = stored
@@ -207,17 +222,13 @@
                 self.remove(&key);
             }
         }
-        let mut released = Vec::new();
         for (record, revision) in stored {
-            let key = record.key.clone();
-            if !self.on_stored(record, revision, now_us, write_delay_us) {
-                released.push((key, revision));
-            }
+            self.on_stored(record, revision, now_us, write_delay_us);
         }
-        released
     }
 
-    /// Ends the quarantine of a part, if it is still that of this decision. Returns its last entry.
+    /// Ends the quarantine of a part, if it is still that of this decision. Its record has to be removed. Returns
+    /// its last entry.
     pub fn release(&mut self, decision: &Name) -> Option<Entry> {
         let mut entries = self.entries.values();
         let key = entries.find(|entry| entry.record.decision == *decision);
@@ -225,10 +236,28 @@
         self.remember_released(decision);
         if let Some(entry) = &entry {
             self.entries.remove(&entry.record.key);
+            self.removals.extend(entry.stored_key());
         }
         entry
     }
 
+    /// Records that have to be removed from the store.
+    pub fn removals(&self) -> &[StoredKey] {
+        &self.removals
+    }
+
+    /// Records that the store has removed a record, or that the record has changed meanwhile.
+    pub fn on_removal_done(&mut self, stored: &StoredKey) {
+        self.removals.retain(|other| other != stored);
+    }
+
+    /// Puts the trial of a part off.
+    pub fn delay_trial(&mut self, key: &PartKey, until_us: u64) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.trial_due_us = entry.trial_due_us.max(until_us);
+        }
+    }
+
     /// The entries that this node has to store now.
     pub fn unwritten(&self, now_us: u64) -> Vec<Entry> {
         let is_due = |entry: &&Entry| entry.write_due_us.is_some_and(|due_us| due_us <= now_us);
@@ -292,6 +321,22 @@
 }
 
 impl Entry {
+    /// The record as it would be written now.
+    #[must_use]
+    pub fn record_at(&self, now_us: u64) -> Record {
+        Record {
+            first_loss_age_us: now_us.saturating_sub(self.first_lost_us),
+            ..self.record.clone()
+        }
+    }
+
+    fn stored_key(&self) -> Option<StoredKey> {
+        Some(StoredKey {
+            key: self.record.key.clone(),
+            revision: self.revision?,
+        })
+    }
+
     /// Takes a change of the record. A first loss that was known before stays.
     fn learn(&mut self, record: Record, now_us: u64) {
         if self.record.decision != record.decision {
--- a/crates/tealsaddle-core/tests/it/fleet/placement.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/placement.rs
@@ -31,6 +31,7 @@
         kv_tokens: 1_000,
         zone,
         body_bytes: 1_000,
+        is_doubtful: false,
     }
 }
 
--- a/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
@@ -88,6 +88,7 @@
             kv_tokens: 0,
             zone: "a",
             body_bytes: 0,
+            is_doubtful: false,
         };
         let choice = choose(&mut views[node], &runners, &request, now_us);
         let runner = choice.runner;
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -58,6 +58,8 @@
     NoRunner,
     /// The request is not expected to be answered by its deadline.
     DeadlineInfeasible,
+    /// A part of the prompt crashes the runners.
+    QuarantinedPart,
     /// The node stops before the request could be answered.
     Stopping,
     /// The attempts failed, and none of them ran the request.
@@ -81,6 +83,7 @@
             Self::BodyCutOff => "body_cut_off",
             Self::NoRunner => "no_runner",
             Self::DeadlineInfeasible => "deadline_infeasible",
+            Self::QuarantinedPart => "quarantined_part",
             Self::Stopping => "stopping",
             Self::Refused(reason) => reason.as_str(),
             Self::Unknown(reason) => reason.as_str(),
@@ -112,6 +115,7 @@
             Self::NoConfiguration
             | Self::NoRunner
             | Self::DeadlineInfeasible
+            | Self::QuarantinedPart
             | Self::Stopping
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -3,8 +3,8 @@
 //! A call is dropped when its caller disconnects, which also cancels its requests to runners. The end of a
 //! request is logged once, by [`Call::log_end`] or when the call is dropped.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use tealsaddle_core::fleet::Runner;
@@ -12,7 +12,7 @@
 use tealsaddle_core::fleet::placement::PlacementRequest;
 use tealsaddle_core::fleet::{prompt_tokens, shared_parts};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, UnknownReason};
 use tokio::time::Instant;
 
 use crate::answer::GatewayAnswer;
@@ -91,6 +91,8 @@
     maybe_running: AtomicU32,
     /// Whether a prefill runner has read the prompt. Reading it once more is a retry.
     has_been_read: AtomicBool,
+    /// The decision whose quarantined part this request tries; empty for all other requests.
+    trial: OnceLock<Name>,
     has_ended: AtomicBool,
 }
 
@@ -117,6 +119,16 @@
         self.has_been_read.store(true, Ordering::Relaxed);
     }
 
+    /// Records that this request tries the quarantined part of a decision.
+    pub fn begin_trial(&self, decision: Name) {
+        self.trial.get_or_init(|| decision);
+    }
+
+    /// The decision whose quarantined part this request tries.
+    pub fn trial(&self) -> Option<&Name> {
+        self.trial.get()
+    }
+
     /// Whether a prefill runner has read the prompt before.
     pub fn has_been_read(&self) -> bool {
         self.has_been_read.load(Ordering::Relaxed)
@@ -163,7 +175,10 @@
         runner: &str,
     ) -> Result<(), AttemptOutcome> {
         let scheduler = &self.gateway.scheduler;
-        let decision = scheduler.on_failure(&self.service, attempts, outcome);
+        let mut decision = scheduler.on_failure(&self.service, attempts, outcome);
+        if self.state.trial().is_some() {
+            decision = Err(GiveUp::Attempts);
+        }
         let name = match decision {
             Ok(()) => "retry.granted".to_owned(),
             Err(give_up) => format!("retry.{}", give_up.as_str()),
@@ -181,7 +196,10 @@
     /// Logs that the last of `running` runners is silent, and returns whether the request allows another
     /// attempt beside them.
     pub fn on_silence(&self, attempts: &Attempts, running: u32, runner: &str) -> bool {
-        let decision = attempts.allows_beside(running);
+        let mut decision = attempts.allows_beside(running);
+        if self.state.trial().is_some() {
+            decision = Err(GiveUp::Attempts);
+        }
         let name = match decision {
             Ok(()) => "silence.replaceable".to_owned(),
             Err(give_up) => format!("silence.{}", give_up.as_str()),
@@ -252,6 +270,7 @@
             kv_tokens: prompt_tokens(&self.metadata.parts) + self.metadata.output_tokens,
             zone: &self.gateway.config.zone,
             body_bytes: self.request.body_bytes(),
+            is_doubtful: self.state.trial().is_some(),
         }
     }
 
@@ -280,8 +299,12 @@
     }
 
     /// `Retry-After` of a refusal: the expected wait `wait` for a runner, within limits, and jittered so that
-    /// callers do not return at the same time.
-    pub fn retry_after(&self, wait: Duration) -> Duration {
+    /// callers do not return at the same time. A caller with a quarantined part is told the whole time, since it
+    /// would be refused again before.
+    pub fn retry_after(&self, answer: GatewayAnswer, wait: Duration) -> Duration {
+        if answer == GatewayAnswer::QuarantinedPart {
+            return wait + jittered(MIN_RETRY_AFTER);
+        }
         let longest = self.remaining().mul_f64(RETRY_AFTER_SHARE);
         jittered(wait.max(MIN_RETRY_AFTER).min(longest))
     }
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -1,6 +1,6 @@
 //! The control thread: follows the store and publishes snapshots of the fleet.
 //!
-//! One watch follows the configuration and another one the runners' registrations. A failed call is
+//! Watches follow the configuration, the runners' registrations and the quarantined parts. A failed call is
 //! repeated after a growing pause. After any failure, also if the store no longer has the history after a
 //! revision, the keys are listed again. A configuration is never replaced by one with a lower version.
 
@@ -15,12 +15,15 @@
 use crate::external::{Change, Changes, Freshness, Listing, Store};
 use crate::fleet_state::FleetState;
 use crate::gateway::Gateway;
+use crate::quarantine::keeper::{self, QUARANTINE_PREFIX};
 use crate::rounds::ControlLoop;
 use crate::{Error, clock, peers};
 
 /// Time for which a watch waits for a change. After an outage the store may have lost a watch that it
 /// accepted before, which shows only when this time is over.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The same for the quarantined parts, which change rarely: each call has its price.
+const QUARANTINE_WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after changes, so that the next watch returns further changes together. With many nodes and
@@ -86,25 +89,51 @@
 
 async fn run(control: Arc<Control>, leaving: tokio::sync::watch::Receiver<bool>) {
     let layout = control.gateway.dialect.layout();
-    let config = follow(Arc::clone(&control), layout.config_key, Control::on_config);
-    let runners = follow(
-        Arc::clone(&control),
-        layout.runner_prefix,
-        Control::on_runners,
-    );
+    let followed = [
+        Followed {
+            prefix: layout.config_key,
+            wait: WATCH_WAIT,
+            apply: Control::on_config,
+        },
+        Followed {
+            prefix: layout.runner_prefix,
+            wait: WATCH_WAIT,
+            apply: Control::on_runners,
+        },
+        Followed {
+            prefix: QUARANTINE_PREFIX,
+            wait: QUARANTINE_WATCH_WAIT,
+            apply: Control::on_quarantine,
+        },
+    ];
+    for followed in followed {
+        tokio::spawn(follow(Arc::clone(&control), followed));
+    }
     tokio::spawn(peers::fetch_until_ready(Arc::clone(&control)));
-    tokio::spawn(config);
-    tokio::spawn(runners);
+    if let Some(commands) = control.gateway.quarantine.take_commands() {
+        tokio::spawn(keeper::run(Arc::clone(&control), commands));
+    }
     ControlLoop::open(Arc::clone(&control)).run(leaving).await;
 }
 
 /// Result of a call for the keys under a prefix.
 #[derive(Debug)]
-enum StoreUpdate {
+pub enum StoreUpdate {
+    /// All keys.
     Listing(Listing),
+    /// The keys that have changed since the last update.
     Changes(Changes),
 }
 
+/// A prefix whose keys the control thread follows.
+#[derive(Debug, Clone, Copy)]
+struct Followed {
+    prefix: &'static str,
+    /// Time for which a watch waits.
+    wait: Duration,
+    apply: fn(&Arc<Control>, StoreUpdate),
+}
+
 impl StoreUpdate {
     fn has_changes(&self) -> bool {
         match self {
@@ -115,16 +144,13 @@
 }
 
 /// Follows the keys under a prefix: lists them once, then watches them. Never returns.
-async fn follow(
-    control: Arc<Control>,
-    prefix: &'static str,
-    apply: fn(&Arc<Control>, StoreUpdate),
-) {
+async fn follow(control: Arc<Control>, followed: Followed) {
+    let Followed { prefix, apply, .. } = followed;
     let mut revision = None;
     let mut pause = MIN_RETRY_PAUSE;
     loop {
         let result = tokio::select! {
-            result = list_or_watch(&control, prefix, revision) => result,
+            result = list_or_watch(&control, &followed, revision) => result,
             () = control.store_recovered.notified() => {
                 revision = None;
                 continue;
@@ -162,12 +188,13 @@
 
 async fn list_or_watch(
     control: &Control,
-    prefix: &str,
+    followed: &Followed,
     revision: Option<u64>,
 ) -> Result<StoreUpdate, StoreError> {
+    let Followed { prefix, wait, .. } = *followed;
     if let Some(after) = revision {
-        let watch = control.store.watch(prefix, after, WATCH_WAIT);
-        let changes = with_timeout(WATCH_WAIT + CALL_TIMEOUT, watch).await?;
+        let watch = control.store.watch(prefix, after, wait);
+        let changes = with_timeout(wait + CALL_TIMEOUT, watch).await?;
         return Ok(StoreUpdate::Changes(changes));
     }
     let list = control.store.list(prefix, Freshness::Latest);
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -49,6 +49,8 @@
     pub items: Vec<Item>,
     /// Revision after which a watch has to continue to miss no change.
     pub revision: u64,
+    /// Number of times that the store has come back from an older copy; 0 if it does not tell.
+    pub era: u64,
 }
 
 /// Result of [`Store::watch`].
@@ -221,6 +223,8 @@
     pub orders_accepted: u64,
     /// Whether the runner is executing an order.
     pub is_busy: bool,
+    /// Start of the runner's process, in milliseconds since the Unix epoch; `None` if it does not tell.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// A request of the gateway itself to a runner, to the store or to a peer.
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -1,10 +1,12 @@
-//! Configuration and registrations, as last read from the store or a peer.
+//! Configuration, registrations and quarantined parts, as last read from the store or a peer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
+use tealsaddle_core::fleet::quarantine::list::QuarantineList;
 use tealsaddle_core::fleet::store_availability::StoreAvailability;
 use tealsaddle_core::name::Name;
 
@@ -33,6 +35,11 @@
     pub store_availability: StoreAvailability,
     /// Number of registered nodes, including this one; 0 before the first listing.
     pub nodes: u32,
+    /// Addresses at which the other registered nodes serve their peers.
+    pub peers: Arc<[SocketAddr]>,
+    /// Whether the quarantined parts are known, from the store or a peer.
+    pub has_quarantine_list: bool,
+    quarantine: Arc<QuarantineList>,
     config: Option<Arc<FleetConfig>>,
     config_value: Vec<u8>,
     /// Registrations by their full key in the store.
@@ -219,12 +226,23 @@
                 })
                 .collect(),
             revision: self.revision,
+            era: 0,
         })
     }
 
-    /// Whether both configuration and registrations are known.
+    /// The quarantined parts.
+    pub fn quarantine(&self) -> &QuarantineList {
+        &self.quarantine
+    }
+
+    /// The quarantined parts, to be changed. Published snapshots keep what they have.
+    pub fn quarantine_mut(&mut self) -> &mut QuarantineList {
+        Arc::make_mut(&mut self.quarantine)
+    }
+
+    /// Whether configuration, registrations and quarantined parts are known.
     pub const fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_runner_list
+        self.config.is_some() && self.has_runner_list && self.has_quarantine_list
     }
 
     /// Creates the snapshot from which requests are served.
@@ -247,6 +265,9 @@
             has_runner_list: self.has_runner_list,
             runners_revision: self.revision,
             nodes: self.nodes,
+            peers: Arc::clone(&self.peers),
+            has_quarantine_list: self.has_quarantine_list,
+            quarantine: Arc::clone(&self.quarantine),
         }
     }
 }
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -27,7 +27,7 @@
 /// connection is delayed by seconds.
 const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, which usually means that file descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Read buffer of a connection, which hyper fixes when the connection is accepted; it grows up to this size as
 /// needed. It bounds the heads that a raised limit may allow on connections that are open.
 const BUFFER_BYTES: usize = 256 << 10;
@@ -245,7 +245,7 @@
     Ok(())
 }
 
-fn text_response(status: StatusCode, text: String) -> Response<Body> {
+pub(crate) fn text_response(status: StatusCode, text: String) -> Response<Body> {
     let mut response = Response::new(full_body(Bytes::from(text)));
     *response.status_mut() = status;
     response
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::external::Dialect;
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
 use crate::scheduler::{RetryShare, Scheduler};
 use crate::snapshot::FleetSnapshot;
 use crate::stop::Stop;
@@ -57,6 +58,8 @@
     pub upstreams: Arc<Upstreams>,
     /// Runner selection, and the load and retry budgets behind it.
     pub scheduler: Arc<Scheduler>,
+    /// What this node knows of crashes of runners.
+    pub quarantine: Quarantine,
     /// Counters and latencies of this node.
     pub metrics: Arc<Metrics>,
     /// Cancelled when a stop leaves no more time to wait for runners; requests without an answer then get
@@ -80,6 +83,7 @@
         Arc::new(Self {
             scheduler: Scheduler::open(config.retry),
             upstreams: Upstreams::open(),
+            quarantine: Quarantine::open(config.peer_listen),
             metrics: Metrics::open(),
             answer_cutoff: CancellationToken::new(),
             config,
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -14,6 +14,7 @@
 use crate::external::{Dialect, Store};
 use crate::front::{CallerListener, bind_text_endpoint};
 use crate::gateway::{Gateway, GatewayConfig};
+use crate::peer_server;
 use crate::scheduler::RetryShare;
 use crate::signals::BlockedSignals;
 use crate::snapshot::FleetSnapshot;
@@ -100,7 +101,7 @@
     let control = Arc::new(ControlHandle::spawn(Arc::clone(&gateway), store)?);
     let listener = CallerListener::bind(&gateway)?;
     bind_ready(&gateway)?;
-    bind_peers(&gateway, &control)?;
+    peer_server::bind(&gateway, &control)?;
     bind_metrics(&gateway);
     Ok((gateway, control, listener))
 }
@@ -116,20 +117,6 @@
     })
 }
 
-fn bind_peers(gateway: &Arc<Gateway>, control: &Arc<ControlHandle>) -> Result<(), Error> {
-    let Some(address) = gateway.config.peer_listen else {
-        return Ok(());
-    };
-    let control = Arc::clone(control);
-    bind_text_endpoint(address, move |request| {
-        if request.uri().path() == crate::peers::STATE_PATH {
-            (StatusCode::OK, control.peer_state())
-        } else {
-            (StatusCode::NOT_FOUND, String::new())
-        }
-    })
-}
-
 /// Serves the metrics. A failure is only logged, since a node without metrics can still serve callers.
 fn bind_metrics(gateway: &Arc<Gateway>) {
     let Some(address) = gateway.config.metrics_listen else {
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -4,9 +4,12 @@
 //! The store may end the lease, and it may lose the registration without ending the lease; the node then
 //! creates them again.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tealsaddle_schema::fleet::NodeRecord;
+
 use crate::clock;
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
@@ -106,11 +109,17 @@
     }
 
     async fn register(&self, lease: u64) -> Result<(), StoreError> {
-        let node = &self.control.gateway.config.node;
+        let config = &self.control.gateway.config;
+        let node = &config.node;
+        let peer_address = config.peer_listen.map(|address| address.to_string());
+        let record = NodeRecord {
+            node: node.to_string(),
+            peer_address: peer_address.unwrap_or_default(),
+        };
         let transaction = Transaction {
             puts: vec![Put {
                 key: format!("{NODES}{node}"),
-                value: node.as_bytes().to_vec(),
+                value: serde_json::to_vec(&record).expect("a record has a JSON form"),
                 lease: Some(lease),
             }],
             ..Transaction::default()
@@ -133,14 +142,17 @@
         }
     }
 
+    /// Counts the nodes, and takes the addresses of those other than this one.
     fn count_nodes(&mut self, items: &[Item]) {
         let nodes = items.iter().filter(|item| item.key.starts_with(NODES));
         let listed = nodes.count().max(1) as u32;
         let nodes = self.nodes.on_listed(listed, clock::now_us());
+        let peers = peer_addresses(items, self.control.gateway.config.peer_listen);
         let is_changed = {
             let mut fleet = self.control.fleet();
-            let is_changed = fleet.nodes != nodes;
+            let is_changed = fleet.nodes != nodes || *fleet.peers != *peers;
             fleet.nodes = nodes;
+            fleet.peers = peers;
             is_changed
         };
         if is_changed {
@@ -155,3 +167,17 @@
         Some(with_timeout(CALL_TIMEOUT, ended).await)
     }
 }
+
+/// Addresses at which nodes other than that at `own` serve their peers. Nodes of an earlier release do not tell.
+fn peer_addresses(items: &[Item], own: Option<SocketAddr>) -> Arc<[SocketAddr]> {
+    let nodes = items.iter().filter(|item| item.key.starts_with(NODES));
+    let address = |item: &Item| {
+        let record: NodeRecord = serde_json::from_slice(&item.value).ok()?;
+        record.peer_address.parse().ok()
+    };
+    let mut addresses: Vec<SocketAddr> = nodes.filter_map(address).collect();
+    addresses.retain(|address| Some(*address) != own);
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.into()
+}
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -13,12 +13,14 @@
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
+use tealsaddle_schema::fleet::QuarantineRecord;
 
 use crate::clock;
 use crate::clock::jittered;
 use crate::control::Control;
 use crate::external::{Item, Listing, OutgoingCall};
 use crate::fleet_state::FleetState;
+use crate::quarantine::messages;
 use crate::upstream::{Reuse, Upstreams};
 
 /// Path at which a node serves its state to peers.
@@ -36,6 +38,9 @@
     config: Option<String>,
     runners: Option<Vec<PeerItem>>,
     revision: u64,
+    /// Quarantined parts; a node of an earlier release knows none.
+    #[serde(default)]
+    quarantined: Vec<QuarantineRecord>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -52,7 +57,10 @@
 pub fn encode(fleet: &FleetState, now_us: u64) -> String {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     let listing = fleet.listing();
+    let quarantined = fleet.quarantine().entries();
+    let quarantined = quarantined.map(|entry| messages::encode_record(&entry.record_at(now_us)));
     let state = PeerState {
+        quarantined: quarantined.collect(),
         config: fleet.config_value().map(text),
         revision: listing.as_ref().map_or(0, |listing| listing.revision),
         runners: listing.map(|listing| {
@@ -115,6 +123,7 @@
 }
 
 fn apply(control: &Arc<Control>, state: PeerState) {
+    control.take_quarantine(&state.quarantined);
     if let Some(config) = &state.config {
         control.apply_config(config.as_bytes());
     }
@@ -138,6 +147,7 @@
                 })
                 .collect(),
             revision: state.revision,
+            era: 0,
         };
         let dialect = &*control.gateway.dialect;
         let prefix = dialect.layout().runner_prefix;
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -18,10 +18,12 @@
 
 use crate::answer::classify_answer;
 use crate::call::Call;
+use crate::clock;
 use crate::external::{KvSource, SendMetadata};
 use crate::gateway::Gateway;
+use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
-use crate::stages::micros;
+use crate::stages::{LOST, micros};
 use crate::timeout::timeout_at;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
@@ -222,6 +224,7 @@
         let runner = &placement.runner;
         let mut attempt = self.gateway.scheduler.begin_attempt(runner, work);
         let metadata = self.prefill_metadata(&placement);
+        let sent_us = clock::now_us();
         let exchange = self.exchange_until(runner, &metadata, self.event_deadline());
         let result = match exchange.await {
             Ok(answer) => self.parse_prefill_answer(answer, &attempt, runner).await,
@@ -231,6 +234,13 @@
             Ok(_kv_guard) => self.record_prefill(engine, &placement, &mut attempt),
             Err(outcome) => {
                 attempt.on_outcome(*outcome, false);
+                if *outcome == LOST {
+                    let lost = LostAttempt {
+                        sent_us,
+                        has_begun: false,
+                    };
+                    self.on_lost_attempt(runner, lost);
+                }
                 log::info!(id:% = self.request_id, runner:% = runner.id, outcome:?; "prompt was not read");
             }
         }
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -0,0 +1,223 @@
+//! Requests that were lost with their runners, and answers that have survived.
+//!
+//! A crash ends all streams of a runner at once. The losses of one process are gathered for a moment. Then the
+//! runner is asked for its report: a broken connection of one request is no crash, and says nothing of its prompt.
+//! The losses of a process that has ended are reported to the collectors of the service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use hyper::StatusCode;
+use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
+use tealsaddle_core::fleet::{PromptPart, Runner, shared_parts};
+use tealsaddle_core::name::Name;
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
+use tealsaddle_schema::fleet::{CrashReport, LostRequest};
+
+use crate::call::Call;
+use crate::clock;
+use crate::gateway::Gateway;
+use crate::quarantine::{collector, messages};
+use crate::upstream::Reuse;
+
+/// Time for which the losses of one process are gathered.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+/// Time for the runner's report, which tells whether its process has ended.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How often the runner is asked, if it closes the connection without an answer.
+const CHECKS: usize = 2;
+/// Largest number of losses in one report.
+const MAX_REPORTED: usize = 64;
+/// Number of collectors that get each report.
+const COLLECTORS: usize = 2;
+/// Largest number of nodes that are tried as collectors.
+const MAX_TRIED: usize = 6;
+/// Time for a collector to answer.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// An attempt at a runner whose connection was lost.
+#[derive(Debug, Clone, Copy)]
+pub struct LostAttempt {
+    /// When the request was sent to the runner, on the clock of [`clock::now_us`].
+    pub sent_us: u64,
+    /// Whether a part of the body had arrived.
+    pub has_begun: bool,
+}
+
+/// A loss that is not reported yet.
+#[derive(Debug)]
+struct PendingLoss {
+    request_id: String,
+    parts: Vec<PromptPart>,
+    attempt: LostAttempt,
+    lost_us: u64,
+}
+
+/// A runner's process: its id and its start.
+type ProcessKey = (Name, u64);
+
+/// Losses that are being gathered, by process.
+#[derive(Debug, Default)]
+pub struct PendingLosses(Mutex<HashMap<ProcessKey, Vec<PendingLoss>>>);
+
+impl PendingLosses {
+    fn lock(&self) -> MutexGuard<'_, HashMap<ProcessKey, Vec<PendingLoss>>> {
+        self.0.lock().expect("no holder of the lock panics")
+    }
+
+    /// Adds a loss; returns whether it is the first one of its process.
+    fn add(&self, process: &ProcessKey, loss: PendingLoss) -> bool {
+        let mut pending = self.lock();
+        let losses = pending.entry(process.clone()).or_default();
+        if losses.len() < MAX_REPORTED {
+            losses.push(loss);
+        }
+        losses.len() == 1
+    }
+
+    fn take(&self, process: &ProcessKey) -> Vec<PendingLoss> {
+        self.lock().remove(process).unwrap_or_default()
+    }
+}
+
+impl Call {
+    /// Records that the connection of an attempt was lost before its answer had survived.
+    pub fn on_lost_attempt(&self, runner: &Arc<Runner>, attempt: LostAttempt) {
+        let parts = &self.metadata.parts;
+        if shared_parts(parts).is_empty() {
+            return;
+        }
+        let loss = PendingLoss {
+            request_id: self.request_id.clone(),
+            parts: parts.clone(),
+            attempt,
+            lost_us: clock::now_us(),
+        };
+        let process = (Name::clone(&runner.id), runner.started_unix_ms);
+        let gateway = &self.gateway;
+        if gateway.quarantine.losses.add(&process, loss) {
+            tokio::spawn(report(Arc::clone(gateway), Arc::clone(runner), process));
+        }
+    }
+
+    /// Records that an answer has survived whose first event came at `first_event_us`.
+    pub fn on_survived(&self, first_event_us: u64) {
+        let parts = &self.metadata.parts;
+        let quarantine = &self.gateway.quarantine;
+        quarantine.on_survived(&self.service, parts, first_event_us);
+        self.object(first_event_us);
+    }
+}
+
+/// Gathers the losses of a process and reports them if it has ended.
+async fn report(gateway: Arc<Gateway>, runner: Arc<Runner>, process: ProcessKey) {
+    tokio::time::sleep(GATHER_TIME).await;
+    let lost = gateway.quarantine.losses.take(&process);
+    if !has_ended(&gateway, &runner).await {
+        log::info!(runner:% = runner.id, lost = lost.len(); "runner has not crashed; its lost requests do not count");
+        return;
+    }
+    gateway.metrics.increment("quarantine.crash_seen");
+    log::info!(runner:% = runner.id, started_unix_ms = runner.started_unix_ms, lost = lost.len();
+        "runner crashed with requests that had just begun");
+    let now_us = clock::now_us();
+    let report = CrashReport {
+        service: runner.service.to_string(),
+        runner: runner.id.to_string(),
+        started_unix_ms: runner.started_unix_ms,
+        lost: lost.iter().map(|loss| encode(loss, now_us)).collect(),
+    };
+    send(&gateway, &runner.service, &report).await;
+}
+
+fn encode(loss: &PendingLoss, now_us: u64) -> LostRequest {
+    let age_ms = |at_us: u64| now_us.saturating_sub(at_us) / 1_000;
+    let shared = shared_parts(&loss.parts).iter();
+    LostRequest {
+        request_id: loss.request_id.clone(),
+        shared_parts: shared.map(|part| part.id).collect(),
+        own_part: loss.parts.last().map_or(0, |part| part.id),
+        sent_age_ms: age_ms(loss.attempt.sent_us),
+        lost_age_ms: age_ms(loss.lost_us),
+        has_begun: loss.attempt.has_begun,
+    }
+}
+
+/// Whether the process of a runner has ended: nothing accepts a connection, or it is another process.
+async fn has_ended(gateway: &Gateway, runner: &Runner) -> bool {
+    for _check in 0..CHECKS {
+        let request = gateway.dialect.report_request(&runner.id);
+        let report = gateway.upstreams.call(runner.address, request, Reuse::Any);
+        let Ok(answer) = tokio::time::timeout(CHECK_TIMEOUT, report).await else {
+            return false;
+        };
+        match answer {
+            Ok((status, _body)) if status == StatusCode::MISDIRECTED_REQUEST => return true,
+            Ok((_status, body)) => {
+                let report = gateway.dialect.runner_report(&body).ok();
+                let started_unix_ms = report.and_then(|report| report.started_unix_ms);
+                return started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
+            }
+            Err(failure) => match failure.outcome {
+                AttemptOutcome::NotRun(NotRunReason::ConnectFailed) => return true,
+                AttemptOutcome::Unknown(UnknownReason::ConnectionLost) => {}
+                AttemptOutcome::NotRun(_)
+                | AttemptOutcome::Unknown(_)
+                | AttemptOutcome::Answered => return false,
+            },
+        }
+    }
+    false
+}
+
+/// Sends a report to the first collectors of the service that can be reached.
+async fn send(gateway: &Arc<Gateway>, service: &Name, report: &CrashReport) {
+    let mut candidates = collectors(gateway, service).into_iter().take(MAX_TRIED);
+    let mut told = 0;
+    while told < COLLECTORS {
+        let batch: Vec<SocketAddr> = candidates.by_ref().take(COLLECTORS - told).collect();
+        if batch.is_empty() {
+            break;
+        }
+        let sent = batch.iter().map(|node| send_to(gateway, *node, report));
+        let sent = futures::future::join_all(sent).await;
+        told += sent.into_iter().filter(|is_told| *is_told).count();
+    }
+    if told == 0 {
+        // Without any peer this node is its own collector.
+        collector::on_report(gateway, report);
+    }
+}
+
+async fn send_to(gateway: &Arc<Gateway>, node: SocketAddr, report: &CrashReport) -> bool {
+    let quarantine = &gateway.quarantine;
+    if quarantine.own_address == Some(node) {
+        collector::on_report(gateway, report);
+        return true;
+    }
+    let sent = messages::call(
+        &quarantine.upstreams,
+        node,
+        messages::CRASH_PATH,
+        report,
+        REPORT_TIMEOUT,
+    );
+    let answer: Option<serde_json::Value> = sent.await;
+    if answer.is_none() {
+        gateway.metrics.increment("quarantine.report_lost");
+    }
+    answer.is_some()
+}
+
+/// The nodes in the order in which they collect the losses of a service.
+fn collectors(gateway: &Gateway, service: &Name) -> Vec<SocketAddr> {
+    let snapshot = gateway.snapshot.load();
+    let mut nodes: Vec<SocketAddr> = snapshot.peers.to_vec();
+    nodes.extend(gateway.quarantine.own_address);
+    nodes.sort_by_cached_key(|node| {
+        std::cmp::Reverse(rendezvous_weight(0, &format!("{service} {node}")))
+    });
+    nodes
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -0,0 +1,159 @@
+//! Messages between nodes about crashes and quarantined parts: JSON over HTTP, on the address for peers.
+//!
+//! A connection is closed after its message, since messages are rare and nodes are many.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tealsaddle_core::fleet::quarantine::PartKey;
+use tealsaddle_core::fleet::quarantine::list::Record;
+use tealsaddle_core::name::Name;
+use tealsaddle_schema::fleet::{CrashReport, PartSurvival};
+use tealsaddle_schema::fleet::{QuarantineNotice, QuarantineRecord, SurvivalQuery, SurvivalReply};
+
+use crate::clock;
+use crate::external::OutgoingCall;
+use crate::gateway::Gateway;
+use crate::quarantine::collector;
+use crate::quarantine::keeper::Command;
+use crate::upstream::{Reuse, Upstreams};
+
+/// Path of a [`CrashReport`].
+pub const CRASH_PATH: &str = "/crashes";
+/// Path of a [`SurvivalQuery`].
+pub const SURVIVAL_PATH: &str = "/survivals";
+/// Path of a [`QuarantineNotice`].
+pub const NOTICE_PATH: &str = "/quarantine";
+
+/// Sends a message to a peer and parses its answer; `None` if the peer does not answer in time.
+pub async fn call<M, A>(
+    upstreams: &Arc<Upstreams>,
+    peer: SocketAddr,
+    path: &str,
+    message: &M,
+    limit: Duration,
+) -> Option<A>
+where
+    M: Serialize,
+    A: DeserializeOwned,
+{
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    let call = OutgoingCall {
+        method: Method::POST,
+        path: path.to_owned(),
+        headers,
+        body: Bytes::from(serde_json::to_vec(message).expect("a message has a JSON form")),
+    };
+    let answer = tokio::time::timeout(limit, upstreams.call(peer, call, Reuse::Any));
+    let (status, body) = answer.await.ok()?.ok()?;
+    if status != StatusCode::OK {
+        log::warn!(peer:%, path, status = status.as_u16(); "peer refused a message");
+        return None;
+    }
+    serde_json::from_slice(&body)
+        .inspect_err(|error| log::warn!(peer:%, path, error:%; "peer answer cannot be parsed"))
+        .ok()
+}
+
+/// Answers a message of a peer.
+pub fn answer(gateway: &Arc<Gateway>, path: &str, body: &[u8]) -> (StatusCode, String) {
+    let answered = match path {
+        CRASH_PATH => parse(body).map(|report: CrashReport| {
+            collector::on_report(gateway, &report);
+            "{}".to_owned()
+        }),
+        SURVIVAL_PATH => parse(body).map(|query| {
+            let reply = survivals(gateway, &query);
+            serde_json::to_string(&reply).expect("a message has a JSON form")
+        }),
+        NOTICE_PATH => parse(body).map(|notice| {
+            gateway.quarantine.send(Command::Told(notice));
+            "{}".to_owned()
+        }),
+        _ => return (StatusCode::NOT_FOUND, String::new()),
+    };
+    match answered {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => {
+            log::warn!(path, error:%; "message of a peer cannot be parsed");
+            (StatusCode::BAD_REQUEST, String::new())
+        }
+    }
+}
+
+fn parse<M>(body: &[u8]) -> Result<M, serde_json::Error>
+where
+    M: DeserializeOwned,
+{
+    serde_json::from_slice(body)
+}
+
+/// When the parts of a query last survived at this node.
+pub fn survivals(gateway: &Gateway, query: &SurvivalQuery) -> SurvivalReply {
+    let service = Name::from(query.service.as_str());
+    let now_us = clock::now_us();
+    let survived = |part: &u64| {
+        let at_us = gateway
+            .quarantine
+            .survived_us(&PartKey::new(&service, *part))?;
+        Some(PartSurvival {
+            part: *part,
+            age_ms: now_us.saturating_sub(at_us) / 1_000,
+        })
+    };
+    SurvivalReply {
+        survivals: query.parts.iter().filter_map(survived).collect(),
+    }
+}
+
+/// Converts a record to the form in which it is stored and sent.
+pub fn encode_record(record: &Record) -> QuarantineRecord {
+    QuarantineRecord {
+        service: record.key.service.to_string(),
+        part: record.key.part,
+        decision: record.decision.to_string(),
+        losses: record.losses,
+        trials: record.trials,
+        first_loss_age_ms: record.first_loss_age_us / 1_000,
+        decided_at_unix_ms: record.decided_at_unix_ms,
+    }
+}
+
+/// Converts a record from the form in which it is stored and sent; `None` if a name is missing.
+pub fn decode_record(record: &QuarantineRecord) -> Option<Record> {
+    if record.service.is_empty() || record.decision.is_empty() {
+        return None;
+    }
+    Some(Record {
+        key: PartKey::new(&Name::from(record.service.as_str()), record.part),
+        decision: Name::from(record.decision.as_str()),
+        losses: record.losses,
+        trials: record.trials,
+        first_loss_age_us: record.first_loss_age_ms.saturating_mul(1_000),
+        decided_at_unix_ms: record.decided_at_unix_ms,
+    })
+}
+
+/// A notice of one record.
+pub fn quarantined(record: &Record) -> QuarantineNotice {
+    QuarantineNotice {
+        quarantined: vec![encode_record(record)],
+        released: Vec::new(),
+    }
+}
+
+/// A notice of one released decision.
+pub fn released(decision: &Name) -> QuarantineNotice {
+    QuarantineNotice {
+        quarantined: Vec::new(),
+        released: vec![decision.to_string()],
+    }
+}
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -13,16 +13,20 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::header;
+use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::events::EventSplitter;
+use tealsaddle_core::fleet::quarantine::SURVIVAL_US;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 
 use crate::answer::{Aborted, Body, GatewayAnswer, strip_hop_headers};
 use crate::call::Call;
+use crate::clock;
+use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, STREAM_SILENCE_LIMIT, Waited};
-use crate::stages::OpenStream;
+use crate::stages::{LOST, OpenStream};
 use crate::upstream::AnswerBody;
 
 /// Makes the response to the caller from an open stream.
@@ -45,6 +49,7 @@
         engine,
         body: Some(stream.body),
         attempt: stream.attempt,
+        run: Run::begin(stream.runner, stream.sent_us),
         attempts,
         splitter: may_resume.then(EventSplitter::default),
         has_passed_events: false,
@@ -53,15 +58,13 @@
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
 
-/// Outcome of an attempt whose connection is closed.
-const LOST: AttemptOutcome = AttemptOutcome::Unknown(UnknownReason::ConnectionLost);
-
 struct Relay {
     call: Arc<Call>,
     engine: EngineLimits,
     /// Body of the runner's answer; `None` once it is closed, which tells the runner to stop.
     body: Option<AnswerBody>,
     attempt: RunnerAttempt,
+    run: Run,
     attempts: Attempts,
     /// Splits the stream after complete events; `None` if the stream must not be resumed.
     splitter: Option<EventSplitter>,
@@ -69,6 +72,56 @@
     has_passed_events: bool,
 }
 
+/// What tells whether the runner of the attempt survives the start of the answer.
+struct Run {
+    runner: Arc<Runner>,
+    sent_us: u64,
+    /// When the first bytes of the body arrived.
+    first_data_us: Option<u64>,
+    has_survived: bool,
+}
+
+impl Run {
+    const fn begin(runner: Arc<Runner>, sent_us: u64) -> Self {
+        Self {
+            runner,
+            sent_us,
+            first_data_us: None,
+            has_survived: false,
+        }
+    }
+
+    /// Records that data has arrived, and that the answer survives if it has lasted for long enough.
+    fn on_data(&mut self, call: &Call) {
+        let now_us = clock::now_us();
+        let first_us = *self.first_data_us.get_or_insert(now_us);
+        if now_us.saturating_sub(first_us) >= SURVIVAL_US {
+            self.on_survived(call);
+        }
+    }
+
+    /// Records that the answer has survived, if it has begun.
+    fn on_survived(&mut self, call: &Call) {
+        if let Some(first_us) = self.first_data_us
+            && !self.has_survived
+        {
+            self.has_survived = true;
+            call.on_survived(first_us);
+        }
+    }
+
+    /// Records that the connection was lost.
+    fn on_lost(&self, call: &Call) {
+        if !self.has_survived {
+            let lost = LostAttempt {
+                sent_us: self.sent_us,
+                has_begun: self.first_data_us.is_some(),
+            };
+            call.on_lost_attempt(&self.runner, lost);
+        }
+    }
+}
+
 type NextFrame = Option<(Result<Frame<Bytes>, Aborted>, Option<Relay>)>;
 
 /// What the relay does after a wait for its runner.
@@ -141,12 +194,21 @@
         }
     }
 
-    fn on_read(&self, runner: Name, read: Result<Option<Bytes>, UnknownReason>) -> Step {
+    fn on_read(&mut self, runner: Name, read: Result<Option<Bytes>, UnknownReason>) -> Step {
         match read {
-            Ok(Some(data)) => Step::Data(data),
-            Ok(None) => Step::End,
+            Ok(Some(data)) => {
+                self.run.on_data(&self.call);
+                Step::Data(data)
+            }
+            Ok(None) => {
+                self.run.on_survived(&self.call);
+                Step::End
+            }
             Err(reason) => {
                 let outcome = AttemptOutcome::Unknown(reason);
+                if outcome == LOST {
+                    self.run.on_lost(&self.call);
+                }
                 self.attempt.on_outcome(outcome, false);
                 Step::Broken(runner, outcome)
             }
@@ -161,6 +223,7 @@
         self.call.gateway.metrics.increment("stream.resumed");
         self.body = Some(stream.body);
         self.attempt = stream.attempt;
+        self.run = Run::begin(stream.runner, stream.sent_us);
     }
 
     /// Bytes to pass on now; `None` if there is no complete event yet.
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -84,7 +84,9 @@
             Err((answer, wait)) => {
                 let answer = answer.given_attempts(&attempts);
                 self.log_end(answer.as_str(), "-", attempts.failed());
-                let retry_after = answer.is_retryable().then(|| self.retry_after(wait));
+                let retry_after = answer
+                    .is_retryable()
+                    .then(|| self.retry_after(answer, wait));
                 gateway_response(&self.gateway, answer, &self.request_id, retry_after)
             }
         }
@@ -104,6 +106,7 @@
         engine: EngineLimits,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Refusal> {
+        self.pass_quarantine().await?;
         let stream = self.open_stream(&engine, attempts, None).await?;
         Ok(relay::respond(Arc::clone(self), engine, stream, *attempts))
     }
--- a/crates/tealsaddle-gateway/src/snapshot.rs
+++ b/crates/tealsaddle-gateway/src/snapshot.rs
@@ -1,10 +1,12 @@
 //! Snapshot of the fleet, published by the control thread.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::FleetConfig;
+use tealsaddle_core::fleet::quarantine::list::QuarantineList;
 use tealsaddle_core::name::Name;
 
 /// An immutable snapshot of the fleet, from which requests are served.
@@ -20,12 +22,18 @@
     pub runners_revision: u64,
     /// Number of nodes that share the retry budgets, including this one; 0 while unknown.
     pub nodes: u32,
+    /// Addresses at which the other registered nodes serve their peers.
+    pub peers: Arc<[SocketAddr]>,
+    /// Whether the quarantined parts are known.
+    pub has_quarantine_list: bool,
+    /// Prompt parts whose requests are refused, since they crash runners.
+    pub quarantine: Arc<QuarantineList>,
 }
 
 impl FleetSnapshot {
     /// Whether requests can be routed.
     pub const fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_runner_list
+        self.config.is_some() && self.has_runner_list && self.has_quarantine_list
     }
 
     /// Runners of a service, including draining ones.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -18,8 +18,10 @@
 
 use crate::answer::{GatewayAnswer, classify_answer};
 use crate::call::{Call, FEASIBLE_SHARE, Refusal};
+use crate::clock;
 use crate::external::SendMetadata;
 use crate::prefill::KvHandleGuard;
+use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, Waited};
 use crate::upstream::{Answer, AnswerBody};
@@ -33,6 +35,10 @@
     pub body: AnswerBody,
     /// The attempt at the decode runner.
     pub attempt: RunnerAttempt,
+    /// The decode runner.
+    pub runner: Arc<Runner>,
+    /// When the request was sent to it, on the clock of [`clock::now_us`].
+    pub sent_us: u64,
 }
 
 /// A decode runner that was chosen for a request, whose prompt has been read if a prefill runner is to.
@@ -49,6 +55,17 @@
     }
 }
 
+/// An attempt at a decode runner to which the request has been sent.
+#[derive(Debug)]
+struct SentAttempt {
+    attempt: RunnerAttempt,
+    runner: Arc<Runner>,
+    sent_us: u64,
+}
+
+/// Outcome of an attempt whose connection was lost.
+pub const LOST: AttemptOutcome = AttemptOutcome::Unknown(UnknownReason::ConnectionLost);
+
 /// Opens the stream of a model request, at one decode runner after another.
 #[derive(Debug)]
 pub struct StreamOpener<'a> {
@@ -100,6 +117,7 @@
     pub async fn prepare(&mut self, attempts: &Attempts) -> Result<ReadyDecode, Refusal> {
         let (call, engine) = (self.call, self.engine);
         loop {
+            call.check_quarantine()?;
             let prefill = if self.has_tried_prefill {
                 None
             } else {
@@ -122,6 +140,8 @@
                 self.kv_guard = call.prefill(engine, prefill).await;
                 self.has_tried_prefill = true;
             }
+            // The prompt may have been read for long.
+            call.check_quarantine()?;
             let runner = decode.runner;
             // The decode runner may have announced during prefill that it is draining.
             if call.gateway.snapshot.load().accepts_requests(&runner) {
@@ -162,11 +182,25 @@
         let metadata =
             self.call
                 .stream_metadata(&runner.id, kv_guard.as_deref(), self.last_event_id);
+        let sent_us = clock::now_us();
         match self.call.exchange_until(&runner, &metadata, limit).await {
-            Ok(answer) => self
-                .call
-                .check_stream_answer(self.engine, answer, attempt, kv_guard),
+            Ok(answer) => {
+                let sent = SentAttempt {
+                    attempt,
+                    runner,
+                    sent_us,
+                };
+                self.call
+                    .check_stream_answer(self.engine, answer, sent, kv_guard)
+            }
             Err(outcome) => {
+                if outcome == LOST {
+                    let lost = LostAttempt {
+                        sent_us,
+                        has_begun: false,
+                    };
+                    self.call.on_lost_attempt(&runner, lost);
+                }
                 if outcome != AttemptOutcome::Unknown(UnknownReason::Timeout) {
                     attempt.on_outcome(outcome, false);
                 }
@@ -300,9 +334,14 @@
         &self,
         engine: &EngineLimits,
         answer: Answer,
-        mut attempt: RunnerAttempt,
+        sent: SentAttempt,
         kv_guard: Option<&mut KvHandleGuard>,
     ) -> Result<OpenStream, AttemptOutcome> {
+        let SentAttempt {
+            mut attempt,
+            runner,
+            sent_us,
+        } = sent;
         let Answer { head, mut body } = answer;
         let metadata = self.gateway.dialect.answer_metadata(&head.headers);
         if let Some(load) = metadata.load {
@@ -322,6 +361,8 @@
             head,
             body,
             attempt,
+            runner,
+            sent_us,
         })
     }
 }
--- a/crates/tealsaddle-schema/src/lib.rs
+++ b/crates/tealsaddle-schema/src/lib.rs
@@ -32,3 +32,8 @@
 #[rustfmt::skip]
 #[path = "generated/tealsaddle.peer.v1.rs"]
 pub mod peer;
+
+/// Records and messages of the nodes of a fleet whose runners register themselves.
+#[rustfmt::skip]
+#[path = "generated/tealsaddle.fleet.v1.rs"]
+pub mod fleet;
