Count a lost prompt that is sent again as a further loss

The second attempt had been sent 1 ms after the first loss, less than the 10 ms between losses of different nodes, and both had the same prompt, of which one loss counted.

Change: a prompt that is sent again follows its own loss, whatever the times say. Several losses of one prompt are enough for a part that has never survived; a part that has survived before still needs two prompts. Losses are gathered for 10 ms instead of 20, and a watch of the quarantined parts waits for 15 s, less than the store's history.

--- a/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
@@ -28,8 +28,8 @@
 /// Number of losses in a row from which a part is taken for deadly that has survived before the first one:
 /// most parts are sound, and one that was sound rarely turns deadly.
 const TURNED_LOSSES: usize = 4;
-/// Number of different prompts among the losses: a request that is sent again says nothing of its shared parts.
-const SUSPECT_PROMPTS: usize = 2;
+/// Number of different prompts among these losses: the last part of one prompt may be what ends the runners.
+const TURNED_PROMPTS: usize = 2;
 /// Time after which a loss no longer counts.
 const LOSS_WINDOW_US: u64 = 600_000_000;
 /// Time from a loss to the sending of a request whose own loss counts as a further one. The times of losses at
@@ -76,6 +76,8 @@
     pub parts: Vec<u64>,
     /// Number of losses in a row.
     pub losses: usize,
+    /// Number of different prompts among the lost requests.
+    pub prompts: usize,
     /// Time of the first of these losses.
     pub first_lost_us: u64,
 }
@@ -96,7 +98,8 @@
         // `None` orders before every time. The first of several minima is chosen, here the deepest part.
         let possible = survivals.rev().filter(is_possible);
         let (part, survived_us) = possible.min_by_key(|(_part, at_us)| *at_us)?;
-        let is_certain = survived_us.is_none() || self.losses >= TURNED_LOSSES;
+        let is_certain =
+            survived_us.is_none() || self.losses >= TURNED_LOSSES && self.prompts >= TURNED_PROMPTS;
         is_certain.then_some(part)
     }
 }
@@ -186,19 +189,24 @@
     }
 }
 
-/// The losses that count: each of another process, and of a request that was sent after the loss before.
+/// The losses that count: each of another process, and one after the other.
 fn succession(losses: &[Arc<Loss>]) -> Vec<&Loss> {
     let mut counted: Vec<&Loss> = Vec::new();
     for loss in losses {
-        let is_after = |last: &&Loss| loss.sent_us >= last.lost_us + SUCCESSION_US;
         let is_known = counted.iter().any(|other| other.process == loss.process);
-        if counted.last().is_none_or(is_after) && !is_known {
+        if counted.last().is_none_or(|last| follows(loss, last)) && !is_known {
             counted.push(loss);
         }
     }
     counted
 }
 
+/// Whether a lost request was sent after an earlier loss. A prompt is sent again only after its loss.
+fn follows(loss: &Loss, earlier: &Loss) -> bool {
+    let is_repeated = loss.own_part == earlier.own_part && loss.sent_us > earlier.sent_us;
+    is_repeated || loss.sent_us >= earlier.lost_us + SUCCESSION_US
+}
+
 fn suspect(service: &Name, losses: &[Arc<Loss>]) -> Option<Suspicion> {
     let counted = succession(losses);
     let needed = if counted.iter().any(|loss| loss.has_begun) {
@@ -210,7 +218,7 @@
     let mut prompts: Vec<u64> = counted.iter().map(|loss| loss.own_part).collect();
     prompts.sort_unstable();
     prompts.dedup();
-    if counted.len() < needed || prompts.len() < SUSPECT_PROMPTS {
+    if counted.len() < needed {
         return None;
     }
     let is_common = |part: &&u64| counted.iter().all(|loss| loss.shared_parts.contains(*part));
@@ -223,6 +231,7 @@
             .copied()
             .collect(),
         losses: counted.len(),
+        prompts: prompts.len(),
         first_lost_us: counted[0].lost_us,
     })
 }
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -22,8 +22,9 @@
 /// Time for which a watch waits for a change. After an outage the store may have lost a watch that it
 /// accepted before, which shows only when this time is over.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// The same for the quarantined parts, which change rarely: each call has its price.
-const QUARANTINE_WATCH_WAIT: Duration = Duration::from_secs(25);
+/// The same for the quarantined parts, which change rarely: each call has its price. It is below the time for
+/// which the platform's stores keep their history, after which a watch has to begin with a listing.
+const QUARANTINE_WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after changes, so that the next watch returns further changes together. With many nodes and
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -23,7 +23,7 @@
 use crate::upstream::Reuse;
 
 /// Time for which the losses of one process are gathered.
-const GATHER_TIME: Duration = Duration::from_millis(20);
+const GATHER_TIME: Duration = Duration::from_millis(10);
 /// Time for the runner's report, which tells whether its process has ended.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// How often the runner is asked, if it closes the connection without an answer.
