Let the losses of a quarantined part decide when it is tried again

Cause: each trial put the next one off as if it had been lost, and a trial had one attempt even if nothing had run.

Change: the time to the next trial follows from the number of losses; a trial without an outcome is repeated after 5, 10, 20 s and so on. A trial may go to another runner if the first one certainly did not run it.

--- a/crates/tealsaddle-core/src/fleet/quarantine/list.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/list.rs
@@ -5,8 +5,9 @@
 //! has done so. A record that the store has lost is written again.
 //!
 //! While a part is quarantined its requests are refused. From time to time one request of the whole fleet is
-//! tried: the node that stores the record with a higher number of trials may do so. Every node counts the time to
-//! the next trial from the moment at which it learned of the last change of the record.
+//! tried: the node that stores the record with a higher number of trials may do so. A trial that is lost with its
+//! runner adds a loss to the record, and the more losses it has, the later is the next trial. Every node counts the
+//! time to the next trial from the moment at which it learned of the last change of the record.
 
 use super::PartKey;
 use super::accounts::SUSPECT_LOSSES;
@@ -22,8 +23,11 @@
 const MAX_RELEASED: usize = 64;
 /// Time to the first trial of a part with few losses, which may be sound.
 const EARLY_TRIAL_US: u64 = 2_000_000;
-/// Time to the first trial of a part that is certainly deadly; it doubles with each trial.
+/// Time to the first trial of a part that is certainly deadly; it doubles with each further loss.
 const TRIAL_US: u64 = 60_000_000;
+/// Time after a trial in which its outcome becomes known. Without one the part is tried again; the time doubles
+/// with each trial.
+const OUTCOME_US: u64 = 5_000_000;
 /// Longest time between two trials.
 const MAX_TRIAL_US: u64 = 3_600_000_000;
 
@@ -56,17 +60,16 @@
 impl Record {
     /// Time from a change of the record to the next trial.
     fn trial_delay_us(&self) -> u64 {
-        let is_early = (self.losses as usize) < SUSPECT_LOSSES;
-        match (is_early, self.trials) {
-            (true, 0) => EARLY_TRIAL_US,
-            (true, trials) => doubled(trials - 1),
-            (false, trials) => doubled(trials),
-        }
+        let certain_losses = self.losses.checked_sub(SUSPECT_LOSSES as u32);
+        let by_losses = certain_losses.map_or(EARLY_TRIAL_US, |more| doubled(TRIAL_US, more));
+        let earlier_trials = self.trials.checked_sub(1);
+        let by_trials = earlier_trials.map_or(0, |trials| doubled(OUTCOME_US, trials));
+        by_losses.max(by_trials)
     }
 }
 
-fn doubled(times: u32) -> u64 {
-    (TRIAL_US << times.min(16)).min(MAX_TRIAL_US)
+fn doubled(delay_us: u64, times: u32) -> u64 {
+    (delay_us << times.min(16)).min(MAX_TRIAL_US)
 }
 
 /// A quarantined part.
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -176,7 +176,8 @@
     ) -> Result<(), AttemptOutcome> {
         let scheduler = &self.gateway.scheduler;
         let mut decision = scheduler.on_failure(&self.service, attempts, outcome);
-        if self.state.trial().is_some() {
+        let is_unknown = matches!(outcome, AttemptOutcome::Unknown(_));
+        if is_unknown && self.state.trial().is_some() {
             decision = Err(GiveUp::Attempts);
         }
         let name = match decision {
