Count losses within 50 ms of each other as one

Cause: a request that is sent again in the moment of its loss reaches the next runner just before that one fails too, and a repeat of a prompt counted whatever the times.

Change: a further loss has to come 50 ms after the one before it; a deadly part needs longer to be read and begun.

--- a/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
@@ -35,6 +35,8 @@
 /// Time from a loss to the sending of a request whose own loss counts as a further one. The times of losses at
 /// different nodes are known to about this much.
 const SUCCESSION_US: u64 = 10_000;
+/// Time between two losses that both count. Runners that fail together do so within less.
+const MIN_GAP_US: u64 = 50_000;
 /// Largest number of parts of a service that are found to be deadly within [`DECISION_WINDOW_US`]. If more look
 /// deadly, the runners crash for another reason.
 const MAX_DECISIONS: usize = 4;
@@ -204,7 +206,8 @@
 /// Whether a lost request was sent after an earlier loss. A prompt is sent again only after its loss.
 fn follows(loss: &Loss, earlier: &Loss) -> bool {
     let is_repeated = loss.own_part == earlier.own_part && loss.sent_us > earlier.sent_us;
-    is_repeated || loss.sent_us >= earlier.lost_us + SUCCESSION_US
+    let is_sent_after = is_repeated || loss.sent_us >= earlier.lost_us + SUCCESSION_US;
+    is_sent_after && loss.lost_us >= earlier.lost_us + MIN_GAP_US
 }
 
 fn suspect(service: &Name, losses: &[Arc<Loss>]) -> Option<Suspicion> {
--- a/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
@@ -79,7 +79,13 @@
         sent_us: first.lost_us - MS,
         ..loss(2, 1_100 * MS, &[DEADLY])
     };
-    assert_eq!(suspicions(vec![first, repeat]).len(), 1);
+    assert_eq!(suspicions(vec![first.clone(), repeat.clone()]).len(), 1);
+    // The second runner fails together with the first one.
+    let together = Loss {
+        lost_us: first.lost_us + 20 * MS,
+        ..repeat
+    };
+    assert_eq!(suspicions(vec![first, together]), []);
 }
 
 /// Guards against a restarted process under the same id whose second end is not counted.
