Follow all keys of the store by one watch

Cause: each waiting watch counts as a call, and the watches of the configuration and of the quarantined parts almost always end without a change.

Change: one watch of all keys in place of three. The keys of each prefix are listed as before, at once, and each listing is applied as it arrives. Since the watch then repeats changes that a listing had, an earlier state of a record is ignored; an older copy of the store is told by its era, which the store client now reads from its answers, and not by the revision alone (quarantine::record_that_the_store_has_lost_is_stored_again failed now and then with the revision alone, as others had written meanwhile).

--- a/crates/tealsaddle-core/src/fleet/quarantine/list.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/list.rs
@@ -96,7 +96,7 @@
     /// Records of released decisions that are still in the store.
     removals: Vec<StoredKey>,
     /// Newest era of the store that was seen.
-    era: u64,
+    era: Option<u64>,
 }
 
 impl QuarantineList {
@@ -167,6 +167,10 @@
             self.insert(record, Some(revision), now_us, None);
             return true;
         };
+        if entry.revision.is_some_and(|known| known > revision) {
+            // The watch repeats what a listing had.
+            return true;
+        }
         entry.revision = Some(revision);
         let is_behind =
             entry.record.decision == record.decision && progress(&record) < progress(&entry.record);
@@ -203,28 +207,27 @@
         now_us: u64,
         write_delay_us: u64,
     ) {
-        let is_older_copy = store.era > self.era && self.era > 0;
+        let is_later_era = self.era.is_some() && store.era > self.era;
         self.era = self.era.max(store.era);
         let listed: Vec<PartKey> = stored
             .iter()
             .map(|(record, _)| record.key.clone())
             .collect();
-        let missing = self.entries.keys().filter(|key| !listed.contains(key));
-        let missing: Vec<PartKey> = missing.cloned().collect();
-        for key in missing {
-            let Some(entry) = self.entries.get_mut(&key) else {
-                continue;
-            };
+        let mut removed = Vec::new();
+        for (key, entry) in &mut self.entries {
             let Some(known) = entry.revision else {
                 continue;
             };
-            if is_older_copy || store.revision < known {
+            if is_later_era || store.revision < known {
                 entry.revision = None;
                 entry.write_due_us = Some(now_us + write_delay_us);
-            } else {
-                self.remove(&key);
+            } else if !listed.contains(key) {
+                removed.push(key.clone());
             }
         }
+        for key in removed {
+            self.remove(&key);
+        }
         for (record, revision) in stored {
             self.on_stored(record, revision, now_us, write_delay_us);
         }
@@ -319,8 +322,9 @@
 pub struct StoreState {
     /// Revision of the store.
     pub revision: u64,
-    /// Number of times that the store has come back from an older copy; 0 if it does not tell.
-    pub era: u64,
+    /// Era of the store: a number that rises each time it comes back from an older copy. `None` if the store
+    /// does not tell.
+    pub era: Option<u64>,
 }
 
 impl Entry {
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -1,8 +1,7 @@
 //! The control thread: follows the store and publishes snapshots of the fleet.
 //!
-//! Watches follow the configuration, the runners' registrations and the quarantined parts. A failed call is
-//! repeated after a growing pause. After any failure, also if the store no longer has the history after a
-//! revision, the keys are listed again. A configuration is never replaced by one with a lower version.
+//! [`follow`](crate::follow) reads the keys; this module applies them. A configuration is never replaced by one
+//! with a lower version.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -10,31 +9,17 @@
 use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
 use tokio::sync::Notify;
 
-use crate::clock::jittered;
 use crate::error::StoreError;
-use crate::external::{Change, Changes, Freshness, Listing, Store};
+use crate::external::{Change, Store};
 use crate::fleet_state::FleetState;
+use crate::follow::{self, StoreUpdate};
 use crate::gateway::Gateway;
-use crate::quarantine::keeper::{self, QUARANTINE_PREFIX};
+use crate::quarantine::keeper;
 use crate::rounds::ControlLoop;
 use crate::{Error, clock, peers};
 
-/// Time for which a watch waits for a change. After an outage the store may have lost a watch that it
-/// accepted before, which shows only when this time is over.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// The same for the quarantined parts, which change rarely: each call has its price. It is below the time for
-/// which the platform's stores keep their history, after which a watch has to begin with a listing.
-const QUARANTINE_WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Pause after changes, so that the next watch returns further changes together. With many nodes and
-/// runners, this limits the number of calls to the store.
-const BATCH_PAUSE: Duration = Duration::from_millis(900);
-/// Pause after the first failed call; it doubles with each further failure.
-const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a failed call.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
-
 /// State shared by the tasks of the control thread.
 #[derive(Debug)]
 pub struct Control {
@@ -43,8 +28,8 @@
     /// The platform's store.
     pub store: Arc<dyn Store>,
     fleet: Mutex<FleetState>,
-    /// Signals that the store has recovered, so that watches from before the outage are restarted.
-    store_recovered: Notify,
+    /// Signals that the store has recovered, so that a watch from before the outage is restarted.
+    pub store_recovered: Notify,
 }
 
 /// Handle of the running control thread.
@@ -89,27 +74,7 @@
 }
 
 async fn run(control: Arc<Control>, leaving: tokio::sync::watch::Receiver<bool>) {
-    let layout = control.gateway.dialect.layout();
-    let followed = [
-        Followed {
-            prefix: layout.config_key,
-            wait: WATCH_WAIT,
-            apply: Control::on_config,
-        },
-        Followed {
-            prefix: layout.runner_prefix,
-            wait: WATCH_WAIT,
-            apply: Control::on_runners,
-        },
-        Followed {
-            prefix: QUARANTINE_PREFIX,
-            wait: QUARANTINE_WATCH_WAIT,
-            apply: Control::on_quarantine,
-        },
-    ];
-    for followed in followed {
-        tokio::spawn(follow(Arc::clone(&control), followed));
-    }
+    tokio::spawn(follow::follow(Arc::clone(&control)));
     tokio::spawn(peers::fetch_until_ready(Arc::clone(&control)));
     if let Some(commands) = control.gateway.quarantine.take_commands() {
         tokio::spawn(keeper::run(Arc::clone(&control), commands));
@@ -117,91 +82,6 @@
     ControlLoop::open(Arc::clone(&control)).run(leaving).await;
 }
 
-/// Result of a call for the keys under a prefix.
-#[derive(Debug)]
-pub enum StoreUpdate {
-    /// All keys.
-    Listing(Listing),
-    /// The keys that have changed since the last update.
-    Changes(Changes),
-}
-
-/// A prefix whose keys the control thread follows.
-#[derive(Debug, Clone, Copy)]
-struct Followed {
-    prefix: &'static str,
-    /// Time for which a watch waits.
-    wait: Duration,
-    apply: fn(&Arc<Control>, StoreUpdate),
-}
-
-impl StoreUpdate {
-    fn has_changes(&self) -> bool {
-        match self {
-            Self::Listing(_) => false,
-            Self::Changes(changes) => !changes.changes.is_empty(),
-        }
-    }
-}
-
-/// Follows the keys under a prefix: lists them once, then watches them. Never returns.
-async fn follow(control: Arc<Control>, followed: Followed) {
-    let Followed { prefix, apply, .. } = followed;
-    let mut revision = None;
-    let mut pause = MIN_RETRY_PAUSE;
-    loop {
-        let result = tokio::select! {
-            result = list_or_watch(&control, &followed, revision) => result,
-            () = control.store_recovered.notified() => {
-                revision = None;
-                continue;
-            }
-        };
-        match result {
-            Ok(update) => {
-                revision = Some(match &update {
-                    StoreUpdate::Listing(listing) => listing.revision,
-                    StoreUpdate::Changes(changes) => changes.revision,
-                });
-                let has_changes = update.has_changes();
-                control.on_store_call(None);
-                apply(&control, update);
-                pause = MIN_RETRY_PAUSE;
-                if has_changes {
-                    tokio::time::sleep(BATCH_PAUSE).await;
-                }
-            }
-            Err(error) => {
-                if error == StoreError::HistoryGone {
-                    log::warn!(prefix; "store history is no longer available; listing the keys again");
-                } else {
-                    control.on_store_call(Some(&error));
-                }
-                // After a failure, list again: a watch from an old revision may wait although the store
-                // has later changes.
-                revision = None;
-                tokio::time::sleep(jittered(pause)).await;
-                pause = (pause * 2).min(MAX_RETRY_PAUSE);
-            }
-        }
-    }
-}
-
-async fn list_or_watch(
-    control: &Control,
-    followed: &Followed,
-    revision: Option<u64>,
-) -> Result<StoreUpdate, StoreError> {
-    let Followed { prefix, wait, .. } = *followed;
-    if let Some(after) = revision {
-        let watch = control.store.watch(prefix, after, wait);
-        let changes = with_timeout(wait + CALL_TIMEOUT, watch).await?;
-        return Ok(StoreUpdate::Changes(changes));
-    }
-    let list = control.store.list(prefix, Freshness::Latest);
-    list.await.map(StoreUpdate::Listing)
-}
-
 /// Limits the time of a call to the store; a timeout counts as an unreachable store.
 pub async fn with_timeout<F, T>(limit: Duration, call: F) -> Result<T, StoreError>
 where
@@ -245,7 +125,8 @@
         }
     }
 
-    fn on_config(self: &Arc<Self>, update: StoreUpdate) {
+    /// Applies the operator's configuration.
+    pub fn on_config(self: &Arc<Self>, update: StoreUpdate) {
         let items = match update {
             StoreUpdate::Listing(listing) => listing.items,
             StoreUpdate::Changes(changes) => {
@@ -279,7 +160,8 @@
         }
     }
 
-    fn on_runners(self: &Arc<Self>, update: StoreUpdate) {
+    /// Applies the runners' registrations.
+    pub fn on_runners(self: &Arc<Self>, update: StoreUpdate) {
         let prefix = self.gateway.dialect.layout().runner_prefix;
         let now_us = clock::now_us();
         {
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -42,6 +42,16 @@
     },
 }
 
+impl Change {
+    /// Full key, prefix included.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+}
+
 /// Result of [`Store::list`].
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
@@ -49,8 +59,9 @@
     pub items: Vec<Item>,
     /// Revision after which a watch has to continue to miss no change.
     pub revision: u64,
-    /// Number of times that the store has come back from an older copy; 0 if it does not tell.
-    pub era: u64,
+    /// Era of the store: a number that rises each time it comes back from an older copy. `None` if the store
+    /// does not tell.
+    pub era: Option<u64>,
 }
 
 /// Result of [`Store::watch`].
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -226,7 +226,7 @@
                 })
                 .collect(),
             revision: self.revision,
-            era: 0,
+            era: None,
         })
     }
 
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod external;
 pub mod fleet_state;
+pub mod follow;
 pub mod front;
 pub mod gateway;
 pub mod idle_timeout;
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -283,15 +283,13 @@
         let dialect = &self.control.gateway.dialect;
         let call = dialect.report_request(&step.runner.id);
         let answer = self.upstreams.call(step.runner.address, call, Reuse::Any);
-        let (status, body) = tokio::time::timeout(ORDER_TIMEOUT, answer)
-            .await
-            .ok()?
-            .ok()?;
-        if !status.is_success() {
+        let answer = tokio::time::timeout(ORDER_TIMEOUT, answer).await;
+        let answer = answer.ok()?.ok()?;
+        if !answer.status.is_success() {
             return None;
         }
         let report = dialect
-            .runner_report(&body)
+            .runner_report(&answer.body)
             .inspect_err(|error| {
                 log::warn!(runner:% = step.runner.id, error:%; "runner report cannot be parsed");
             })
@@ -359,7 +357,7 @@
             .upstreams
             .call(step.runner.address, call, Reuse::Recent);
         let outcome = match tokio::time::timeout(ORDER_TIMEOUT, answer).await {
-            Ok(Ok((status, _body))) => status.to_string(),
+            Ok(Ok(answer)) => answer.status.to_string(),
             Ok(Err(failure)) => format!("{:?}", failure.outcome),
             Err(_elapsed) => "no answer".to_owned(),
         };
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -113,11 +113,11 @@
         body: Bytes::new(),
     };
     let answer = tokio::time::timeout(PEER_TIMEOUT, upstreams.call(seed, call, Reuse::Any));
-    let (status, body) = answer.await.ok()?.ok()?;
-    if !status.is_success() {
+    let answer = answer.await.ok()?.ok()?;
+    if !answer.status.is_success() {
         return None;
     }
-    serde_json::from_slice(&body)
+    serde_json::from_slice(&answer.body)
         .inspect_err(|error| log::warn!(seed:%, error:%; "peer answer cannot be parsed"))
         .ok()
 }
@@ -147,7 +147,7 @@
                 })
                 .collect(),
             revision: state.revision,
-            era: 0,
+            era: None,
         };
         let dialect = &*control.gateway.dialect;
         let prefix = dialect.layout().runner_prefix;
--- a/crates/tealsaddle-gateway/src/quarantine/keeper.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/keeper.rs
@@ -17,9 +17,10 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock;
-use crate::control::{CALL_TIMEOUT, Control, StoreUpdate, with_timeout};
+use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
 use crate::external::{Change, Item, KeyRevision, Put, Transaction};
+use crate::follow::StoreUpdate;
 use crate::quarantine::messages;
 use crate::upstream::Upstreams;
 
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -154,9 +154,9 @@
             return false;
         };
         match answer {
-            Ok((status, _body)) if status == StatusCode::MISDIRECTED_REQUEST => return true,
-            Ok((_status, body)) => {
-                let report = gateway.dialect.runner_report(&body).ok();
+            Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => return true,
+            Ok(answer) => {
+                let report = gateway.dialect.runner_report(&answer.body).ok();
                 let started_unix_ms = report.and_then(|report| report.started_unix_ms);
                 return started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
             }
--- a/crates/tealsaddle-gateway/src/quarantine/messages.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -53,12 +53,12 @@
         body: Bytes::from(serde_json::to_vec(message).expect("a message has a JSON form")),
     };
     let answer = tokio::time::timeout(limit, upstreams.call(peer, call, Reuse::Any));
-    let (status, body) = answer.await.ok()?.ok()?;
-    if status != StatusCode::OK {
-        log::warn!(peer:%, path, status = status.as_u16(); "peer refused a message");
+    let answer = answer.await.ok()?.ok()?;
+    if answer.status != StatusCode::OK {
+        log::warn!(peer:%, path, status = answer.status.as_u16(); "peer refused a message");
         return None;
     }
-    serde_json::from_slice(&body)
+    serde_json::from_slice(&answer.body)
         .inspect_err(|error| log::warn!(peer:%, path, error:%; "peer answer cannot be parsed"))
         .ok()
 }
--- a/crates/tealsaddle-gateway/src/silence.rs
+++ b/crates/tealsaddle-gateway/src/silence.rs
@@ -132,7 +132,7 @@
         let request = gateway.dialect.report_request(&runner.id);
         let report = gateway.upstreams.call(runner.address, request, Reuse::Any);
         let reported = tokio::time::timeout(REPORT_TIMEOUT, report).await;
-        let is_responsive = matches!(reported, Ok(Ok((status, _body))) if status.is_success());
+        let is_responsive = matches!(reported, Ok(Ok(answer)) if answer.status.is_success());
         if !is_responsive {
             log::info!(id:% = self.request_id, runner:% = runner.id; "other runner does not report its state");
         }
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -95,6 +95,17 @@
     pub body: AnswerBody,
 }
 
+/// The whole answer to a call of the gateway itself.
+#[derive(Debug)]
+pub struct CallAnswer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
 /// Body of an answer. Dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct AnswerBody {
@@ -151,7 +162,7 @@
         address: SocketAddr,
         call: OutgoingCall,
         reuse: Reuse,
-    ) -> Result<(StatusCode, Bytes), SendFailure> {
+    ) -> Result<CallAnswer, SendFailure> {
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
         *request.uri_mut() = call.path.parse().map_err(|_error| not_run())?;
@@ -168,7 +179,11 @@
                 Err(error) => return Err(unknown(&error)),
             }
         }
-        Ok((head.status, bytes.freeze()))
+        Ok(CallAnswer {
+            status: head.status,
+            headers: head.headers,
+            body: bytes.freeze(),
+        })
     }
 
     fn answer(
