Take a stream that ends inside an event for broken off

Cause: only the framing of the body told the relay whether a stream was complete; without a length there is none. Change: the relay follows the boundaries of the events; an end inside one is a lost connection, and another runner resumes the stream where the route allows it. An event above 1 MiB is an invalid answer, so that it does not grow in memory.

--- a/crates/tealsaddle-core/tests/it/fleet/events.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/events.rs
@@ -1,6 +1,7 @@
 //! Tests of splitting a stream at event boundaries.
 
-use tealsaddle_core::fleet::events::EventSplitter;
+use proptest::prelude::*;
+use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter};
 use yare::parameterized;
 
 /// Guards against passing on an incomplete event, after which another runner would resume in the middle of
@@ -31,3 +32,38 @@
     assert_eq!(splitter.take_incomplete(), b"data: b");
     assert_eq!(splitter.take_incomplete(), b"");
 }
+
+/// Guards against taking a stream for complete that was broken off inside an event, and the other way round.
+#[parameterized(
+    nothing = { "", 0 },
+    one = { "id: 1\ndata: a\n\n", 0 },
+    without_empty_line = { "id: 1\ndata: a\n", 14 },
+    half_a_line = { "id: 1\ndata: a\n\nid", 2 },
+    carriage_returns = { "id: 4\r\ndata: a\r\n\r\n", 0 },
+    half_an_empty_line = { "id: 4\r\ndata: a\r\n\r", 17 },
+    more_empty_lines = { "\n\nid: 1\n\n\n", 0 },
+)]
+fn incomplete_bytes_are_counted(text: &str, expected: usize) {
+    let mut boundary = EventBoundary::default();
+    boundary.push(text.as_bytes());
+    assert_eq!(boundary.incomplete_bytes(), expected);
+}
+
+proptest! {
+    /// Guards against a boundary that depends on how the bytes arrive, or differs from that of resumed streams.
+    #[test]
+    fn boundary_agrees_with_the_splitter(text in "[a\r\n]{0,40}", cut in 0_usize..40) {
+        let cut = cut.min(text.len());
+        let mut boundary = EventBoundary::default();
+        boundary.push(&text.as_bytes()[..cut]);
+        boundary.push(&text.as_bytes()[cut..]);
+        let mut whole = EventBoundary::default();
+        whole.push(text.as_bytes());
+        prop_assert_eq!(boundary.incomplete_bytes(), whole.incomplete_bytes());
+        let mut splitter = EventSplitter::default();
+        splitter.push(text.as_bytes());
+        if !text.starts_with(['\r', '\n']) && !text.contains("\r\r") && !text.contains("a\ra") {
+            prop_assert_eq!(splitter.incomplete_bytes(), whole.incomplete_bytes());
+        }
+    }
+}
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -1,6 +1,6 @@
 //! The control thread: follows the store and publishes snapshots of the fleet.
 //!
-//! [`follow`](crate::follow) reads the keys; this module applies them. A configuration is never replaced by one
+//! [`crate::follow`] reads the keys; this module applies them. A configuration is never replaced by one
 //! with a lower version.
 
 use std::sync::{Arc, Mutex, MutexGuard};
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -0,0 +1,94 @@
+//! The events of one answer, on their way from its runners to the caller.
+//!
+//! A stream that may be resumed is passed on in whole events; another one as it arrives. If the runner states no
+//! length, the stream is complete only if it ends between two events. A limit on the size of an event keeps one
+//! without end out of memory.
+
+use bytes::Bytes;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
+use tealsaddle_core::fleet::config::RepeatPolicy;
+use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter};
+use tealsaddle_core::retry::UnknownReason;
+
+/// Largest event. A runner that sends more bytes without the end of an event has failed.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Bytes of a stream, by the route's policy.
+#[derive(Debug)]
+pub struct EventStream {
+    /// Splits the stream after complete events; `None` if the stream must not be resumed.
+    splitter: Option<EventSplitter>,
+    boundary: EventBoundary,
+    /// Whether the answer consists of events, so that its end inside of one means that it was broken off.
+    has_events: bool,
+    /// Whether the caller has got any event.
+    has_passed_events: bool,
+}
+
+impl EventStream {
+    /// Begins the stream of an answer with this head.
+    pub fn begin(repeat: RepeatPolicy, head: &Parts) -> Self {
+        let is_success = head.status.is_success();
+        // A body of known length is complete by its length.
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
+        Self {
+            splitter: (repeat.may_repeat() && is_success).then(EventSplitter::default),
+            boundary: EventBoundary::default(),
+            has_events: repeat.is_stream() && is_success && !has_length,
+            has_passed_events: false,
+        }
+    }
+
+    /// Takes bytes of the runner and returns those to pass on now; `None` if there is no complete event yet.
+    pub fn push(&mut self, data: Bytes) -> Result<Option<Bytes>, UnknownReason> {
+        let Some(splitter) = &mut self.splitter else {
+            if self.has_events {
+                self.boundary.push(&data);
+                self.check_size()?;
+            }
+            return Ok(Some(data));
+        };
+        let events = splitter.push(&data);
+        self.has_passed_events |= !events.is_empty();
+        self.check_size()?;
+        Ok((!events.is_empty()).then(|| Bytes::from(events)))
+    }
+
+    fn check_size(&self) -> Result<(), UnknownReason> {
+        if self.incomplete_bytes() > MAX_EVENT_BYTES {
+            return Err(UnknownReason::InvalidAnswer);
+        }
+        Ok(())
+    }
+
+    fn incomplete_bytes(&self) -> usize {
+        let splitter = self.splitter.as_ref();
+        splitter.map_or(
+            self.boundary.incomplete_bytes(),
+            EventSplitter::incomplete_bytes,
+        )
+    }
+
+    /// Whether the stream is complete if it ends here.
+    pub fn may_end(&self) -> bool {
+        !self.has_events || self.incomplete_bytes() == 0
+    }
+
+    /// Removes and returns the bytes that were held back.
+    pub fn take_rest(&mut self) -> Option<Bytes> {
+        let rest = self.splitter.as_mut()?.take_incomplete();
+        (!rest.is_empty()).then(|| Bytes::from(rest))
+    }
+
+    /// Whether another runner may go on with the stream: not if events without an id were passed on.
+    pub fn may_resume(&self) -> bool {
+        let splitter = self.splitter.as_ref();
+        splitter.is_some_and(|s| s.last_id().is_some() || !self.has_passed_events)
+    }
+
+    /// Id of the last complete event that had one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.splitter.as_ref()?.last_id()
+    }
+}
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod control;
 pub mod error;
+pub mod event_stream;
 pub mod external;
 pub mod fleet_state;
 pub mod follow;
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -1,9 +1,9 @@
 //! Relaying a stream of events to the caller.
 //!
-//! Events are passed on as they arrive. If the stream breaks, and the route allows it, another runner
-//! resumes it after the last complete event. Otherwise the caller's connection is aborted, so that a broken
-//! stream never looks complete. A runner that is only silent keeps the stream until another one has begun to
-//! resume it.
+//! Events are passed on as they arrive. If the stream breaks, also by an end inside an event, and the route allows
+//! it, another runner resumes it after the last complete event. Otherwise the caller's connection is aborted, so
+//! that a broken stream never looks complete. A runner that is only silent keeps the stream until another one has
+//! begun to resume it.
 
 use std::sync::Arc;
 
@@ -15,7 +15,6 @@
 use hyper::header;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
-use tealsaddle_core::fleet::events::EventSplitter;
 use tealsaddle_core::fleet::quarantine::SURVIVAL_US;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
@@ -23,6 +22,7 @@
 use crate::answer::{Aborted, Body, GatewayAnswer, strip_hop_headers};
 use crate::call::Call;
 use crate::clock;
+use crate::event_stream::EventStream;
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, STREAM_SILENCE_LIMIT, Waited};
@@ -39,8 +39,8 @@
     let mut head = stream.head.clone();
     strip_hop_headers(&mut head.headers, |_name| false);
     call.gateway.dialect.clean_answer(&mut head.headers);
-    let may_resume = call.route.repeat.may_repeat() && head.status.is_success();
-    if may_resume {
+    let events = EventStream::begin(call.route.repeat, &head);
+    if events.may_resume() {
         // A resumed stream may differ in length from the one that this header describes.
         head.headers.remove(header::CONTENT_LENGTH);
     }
@@ -51,8 +51,7 @@
         attempt: stream.attempt,
         run: Run::begin(stream.runner, stream.sent_us),
         attempts,
-        splitter: may_resume.then(EventSplitter::default),
-        has_passed_events: false,
+        events,
     };
     let frames = stream::unfold(Some(relay), |relay| async move { relay?.next().await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -66,10 +65,7 @@
     attempt: RunnerAttempt,
     run: Run,
     attempts: Attempts,
-    /// Splits the stream after complete events; `None` if the stream must not be resumed.
-    splitter: Option<EventSplitter>,
-    /// Whether the caller has got any event.
-    has_passed_events: bool,
+    events: EventStream,
 }
 
 /// What tells whether the runner of the attempt survives the start of the answer.
@@ -126,8 +122,10 @@
 
 /// What the relay does after a wait for its runner.
 enum Step {
-    /// Bytes have arrived.
+    /// Bytes are to be passed on.
     Data(Bytes),
+    /// Bytes have arrived, but no complete event.
+    Incomplete,
     /// The stream is complete.
     End,
     /// Another runner goes on with the stream.
@@ -140,13 +138,9 @@
     async fn next(mut self) -> NextFrame {
         loop {
             match self.step().await {
-                Step::Data(data) => {
-                    if let Some(events) = self.complete_events(data) {
-                        return Some((Ok(Frame::data(events)), Some(self)));
-                    }
-                }
+                Step::Data(data) => return Some((Ok(Frame::data(data)), Some(self))),
+                Step::Incomplete | Step::Resumed => {}
                 Step::End => return self.finish(),
-                Step::Resumed => {}
                 Step::Broken(runner, outcome) => {
                     if let Err(aborted) = self.resume(&runner, outcome).await {
                         return Some((Err(aborted), None));
@@ -167,19 +161,17 @@
             let read = body.next_until(limit).await;
             (body, read)
         };
-        let waited = match resumable(self.splitter.as_ref(), self.has_passed_events) {
-            None => Waited::Heard(hearing.await),
-            Some(splitter) => {
-                let resumption = Resumption {
-                    engine: &self.engine,
-                    last_event_id: splitter.last_id(),
-                    runner: &runner,
-                };
-                let attempts = &mut self.attempts;
-                self.call
-                    .wait_or_replace(hearing, resumption, attempts)
-                    .await
-            }
+        let waited = if self.events.may_resume() {
+            let resumption = Resumption {
+                engine: &self.engine,
+                last_event_id: self.events.last_id(),
+                runner: &runner,
+            };
+            let attempts = &mut self.attempts;
+            let waited = self.call.wait_or_replace(hearing, resumption, attempts);
+            waited.await
+        } else {
+            Waited::Heard(hearing.await)
         };
         match waited {
             Waited::Heard((body, read)) => {
@@ -195,62 +187,54 @@
     }
 
     fn on_read(&mut self, runner: Name, read: Result<Option<Bytes>, UnknownReason>) -> Step {
-        match read {
-            Ok(Some(data)) => {
-                self.run.on_data(&self.call);
-                Step::Data(data)
-            }
-            Ok(None) => {
-                self.run.on_survived(&self.call);
-                Step::End
-            }
-            Err(reason) => {
-                let outcome = AttemptOutcome::Unknown(reason);
-                if outcome == LOST {
-                    self.run.on_lost(&self.call);
-                }
-                self.attempt.on_outcome(outcome, false);
-                Step::Broken(runner, outcome)
+        let read = match read {
+            Ok(Some(data)) => self.on_data(data),
+            Ok(None) if self.events.may_end() => Ok(Step::End),
+            // The runner has broken the stream off inside an event.
+            Ok(None) => Err(UnknownReason::ConnectionLost),
+            Err(reason) => Err(reason),
+        };
+        read.unwrap_or_else(|reason| {
+            let outcome = AttemptOutcome::Unknown(reason);
+            if outcome == LOST {
+                self.run.on_lost(&self.call);
             }
+            self.attempt.on_outcome(outcome, false);
+            Step::Broken(runner, outcome)
+        })
+    }
+
+    fn on_data(&mut self, data: Bytes) -> Result<Step, UnknownReason> {
+        self.run.on_data(&self.call);
+        let since_last = self.call.progress.since_last(self.call.started.elapsed());
+        if since_last >= STREAM_SILENCE_LIMIT {
+            // Ends the avoidance of a runner that was silent.
+            self.attempt.on_outcome(AttemptOutcome::Answered, false);
         }
+        self.call.on_events();
+        let events = self.events.push(data)?;
+        Ok(events.map_or(Step::Incomplete, Step::Data))
     }
 
     /// Goes on with the stream of another runner. Closing the connection stops the previous one.
     fn continue_with(&mut self, stream: OpenStream) {
-        if let Some(splitter) = &mut self.splitter {
-            drop(splitter.take_incomplete());
-        }
+        drop(self.events.take_rest());
         self.call.gateway.metrics.increment("stream.resumed");
         self.body = Some(stream.body);
         self.attempt = stream.attempt;
         self.run = Run::begin(stream.runner, stream.sent_us);
     }
 
-    /// Bytes to pass on now; `None` if there is no complete event yet.
-    fn complete_events(&mut self, data: Bytes) -> Option<Bytes> {
-        let since_last = self.call.progress.since_last(self.call.started.elapsed());
-        if since_last >= STREAM_SILENCE_LIMIT {
-            // Ends the avoidance of a runner that was silent.
-            self.attempt.on_outcome(AttemptOutcome::Answered, false);
-        }
-        self.call.on_events();
-        let Some(splitter) = &mut self.splitter else {
-            return Some(data);
-        };
-        let events = splitter.push(&data);
-        self.has_passed_events |= !events.is_empty();
-        (!events.is_empty()).then(|| Bytes::from(events))
-    }
-
     fn finish(mut self) -> NextFrame {
+        self.run.on_survived(&self.call);
         let call = &self.call;
         let events_time = call.progress.events_time();
         self.attempt
             .on_stream_end(call.metadata.output_tokens, events_time);
         let runner = self.attempt.runner();
         call.log_end("answered", runner, self.attempts.failed());
-        let rest = self.splitter.as_mut().map(EventSplitter::take_incomplete)?;
-        (!rest.is_empty()).then(|| (Ok(Frame::data(Bytes::from(rest))), None))
+        let rest = self.events.take_rest()?;
+        Some((Ok(Frame::data(rest)), None))
     }
 
     /// Resumes the stream at another runner after the last complete event, or fails.
@@ -269,12 +253,14 @@
 
     /// Opens the rest of the stream at another runner, if the route and the retry rules allow it.
     async fn open_next(&mut self, runner: &str, outcome: AttemptOutcome) -> Option<OpenStream> {
-        let splitter = resumable(self.splitter.as_ref(), self.has_passed_events)?;
-        let last_event_id = splitter.last_id();
+        if !self.events.may_resume() {
+            return None;
+        }
         let decision = self
             .call
             .on_failed_attempt(&mut self.attempts, outcome, runner);
         decision.ok()?;
+        let last_event_id = self.events.last_id();
         let next = self
             .call
             .open_stream(&self.engine, &mut self.attempts, last_event_id);
@@ -282,8 +268,3 @@
         stream.head.status.is_success().then_some(stream)
     }
 }
-
-/// The splitter of a stream that may be resumed now: not if events without an id were passed on.
-fn resumable(splitter: Option<&EventSplitter>, has_passed_events: bool) -> Option<&EventSplitter> {
-    splitter.filter(|splitter| splitter.last_id().is_some() || !has_passed_events)
-}
