Take no answer of another request for one to this request

Answers with the id of another request were refused before; their connection went back to the pool if they were empty. The node's own calls, whose answers bear no id, shared connections with requests. Cause: a refusal was classified before its id was compared. Change: the id is compared when the head arrives, before anything else is taken from the answer; a foreign answer closes its connection and leaves the outcome of this request unknown. Own calls to runners have their own pool.

--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -164,7 +164,7 @@
     )
 }
 
-/// Classifies a runner's answer as the outcome of the attempt.
+/// Classifies a runner's answer as the outcome of the attempt. The answer names this request, or none.
 pub fn classify_answer(
     status: StatusCode,
     metadata: &AnswerMetadata,
@@ -174,10 +174,9 @@
         return AttemptOutcome::NotRun(NotRunReason::TargetRefused);
     }
     let is_own = metadata.request_id.as_deref() == Some(request_id);
-    let is_foreign = metadata.request_id.is_some() && !is_own;
     // A success must carry the id of the request and the signature. A failure without an id is still
     // passed on as the runner's answer.
-    if is_foreign || status.is_success() && !(is_own && metadata.is_signed) {
+    if status.is_success() && !(is_own && metadata.is_signed) {
         return AttemptOutcome::Unknown(UnknownReason::InvalidAnswer);
     }
     // The caller would take this status as a statement, "not run", that the runner has not made.
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -242,7 +242,12 @@
         let maybe_running = &self.state.maybe_running;
         maybe_running.fetch_add(running, Ordering::Relaxed);
         let result = match timeout_at(limit, sent).await {
-            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Ok(mut answer)) if self.owns(&answer) => {
+                answer.body.release_if_empty();
+                return Ok(answer);
+            }
+            // The connection is closed: the answer to this request may still follow.
+            Ok(Ok(_foreign)) => AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
             Ok(Err(failure)) => failure.outcome,
             Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
         };
@@ -251,6 +256,13 @@
         Err(result)
     }
 
+    /// Whether an answer belongs to this request. One that names no request is taken for one that does.
+    fn owns(&self, answer: &Answer) -> bool {
+        let metadata = self.gateway.dialect.answer_metadata(&answer.head.headers);
+        let answered_id = metadata.request_id.as_deref();
+        answered_id.is_none_or(|id| id == self.request_id)
+    }
+
     /// Metadata of a request to a runner, without those of prefill and streams.
     pub fn send_metadata<'a>(&self, runner_id: &'a str) -> SendMetadata<'a> {
         SendMetadata {
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -56,6 +56,8 @@
     pub snapshot: Arc<ArcSwap<FleetSnapshot>>,
     /// Connection pool for requests to runners.
     pub upstreams: Arc<Upstreams>,
+    /// Connection pool for the node's own calls to runners, whose answers name no request.
+    pub own_calls: Arc<Upstreams>,
     /// Runner selection, and the load and retry budgets behind it.
     pub scheduler: Arc<Scheduler>,
     /// What this node knows of crashes of runners.
@@ -83,6 +85,7 @@
         Arc::new(Self {
             scheduler: Scheduler::open(config.retry),
             upstreams: Upstreams::open(),
+            own_calls: Upstreams::open(),
             quarantine: Quarantine::open(config.peer_listen),
             metrics: Metrics::open(),
             answer_cutoff: CancellationToken::new(),
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -143,9 +143,9 @@
         }
         let snapshot = gateway.snapshot.load();
         let runners = || snapshot.runners.values().flatten();
-        gateway
-            .upstreams
-            .retain(|address| runners().any(|runner| runner.address == *address));
+        for pool in [&gateway.upstreams, &gateway.own_calls] {
+            pool.retain(|address| runners().any(|runner| runner.address == *address));
+        }
     }
 }
 
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -98,7 +98,7 @@
             return;
         }
         let call = self.gateway.dialect.free_handle(&self.source.handle);
-        let upstreams = Arc::clone(&self.gateway.upstreams);
+        let upstreams = Arc::clone(&self.gateway.own_calls);
         let address = self.source.runner.address;
         tokio::spawn(async move {
             let free = upstreams.call(address, call, Reuse::Any);
@@ -288,9 +288,7 @@
             attempt.on_load(load);
         }
         let invalid = AttemptOutcome::Unknown(UnknownReason::InvalidAnswer);
-        let answered_id = metadata.request_id.as_ref();
-        let is_foreign = answered_id.is_some_and(|id| *id != self.request_id);
-        if !head.status.is_success() || is_foreign {
+        if !head.status.is_success() {
             body.forbid_reuse();
             let outcome = classify_answer(head.status, &metadata, &self.request_id);
             return Err(if outcome == AttemptOutcome::Answered {
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -149,7 +149,7 @@
 async fn has_ended(gateway: &Gateway, runner: &Runner) -> bool {
     for _check in 0..CHECKS {
         let request = gateway.dialect.report_request(&runner.id);
-        let report = gateway.upstreams.call(runner.address, request, Reuse::Any);
+        let report = gateway.own_calls.call(runner.address, request, Reuse::Any);
         let Ok(answer) = tokio::time::timeout(CHECK_TIMEOUT, report).await else {
             return false;
         };
--- a/crates/tealsaddle-gateway/src/silence.rs
+++ b/crates/tealsaddle-gateway/src/silence.rs
@@ -130,7 +130,7 @@
             return true;
         }
         let request = gateway.dialect.report_request(&runner.id);
-        let report = gateway.upstreams.call(runner.address, request, Reuse::Any);
+        let report = gateway.own_calls.call(runner.address, request, Reuse::Any);
         let reported = tokio::time::timeout(REPORT_TIMEOUT, report).await;
         let is_responsive = matches!(reported, Ok(Ok(answer)) if answer.status.is_success());
         if !is_responsive {
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection carries one request at a time and returns to the pool only after a complete answer.
 //! Dropping a request closes its connection: the runner sees that it can stop, and a late answer cannot be
-//! taken for that of the next request. Every connection has short TCP keep-alive probes, since a network
+//! taken for that of the next request. A runner may also send a second copy of an answer, at a time at which the
+//! next request is on the connection: who sends requests compares their ids. Every connection has short TCP keep-alive probes, since a network
 //! path may stop delivering packets without a reset.
 
 use std::net::SocketAddr;
@@ -193,16 +194,13 @@
         response: Response<Incoming>,
     ) -> Answer {
         let (head, incoming) = response.into_parts();
-        let mut body = AnswerBody {
+        let body = AnswerBody {
             usable_for: usable_for(&head.headers),
             incoming,
             connection: Some(connection),
             upstreams: Arc::clone(self),
             address,
         };
-        if body.incoming.is_end_stream() {
-            body.return_to_pool();
-        }
         Answer { head, body }
     }
 
@@ -290,6 +288,13 @@
         }
     }
 
+    /// Returns the connection to the pool if the answer has no body. For an answer that belongs to the request.
+    pub fn release_if_empty(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.return_to_pool();
+        }
+    }
+
     /// Closes the connection at the end of the answer instead of returning it to the pool.
     pub const fn forbid_reuse(&mut self) {
         self.usable_for = None;
