Give the times of losses by the clock of their collector

Seen: beside a machine load of 12, after one failure of all runners at once, a sound part was quarantined in 6 of 12 runs of rack_failure_brings_no_part_under_suspicion, for up to 32 minutes, although all nodes had seen the losses within the 50 ms in which they count as one. Cause: a report gave ages, which the collector counted back from the report's arrival; a report that was under way for long, or that went to a second collector after a timeout, made its losses later, so one failure looked like several in a row. Change: a reporter first reads the collector's clock, up to three times, and gives the times by it with the error of the reading; losses whose order is not certain count as one. Losses of a quarantined part count from its first trial on, once for a process.

--- a/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
@@ -65,6 +65,8 @@
     pub sent_us: u64,
     /// When the connection to the runner was lost.
     pub lost_us: u64,
+    /// Largest error of these times against those of other nodes.
+    pub error_us: u64,
     /// Whether an event had arrived.
     pub has_begun: bool,
 }
@@ -206,8 +208,14 @@
 /// Whether a lost request was sent after an earlier loss. A prompt is sent again only after its loss.
 fn follows(loss: &Loss, earlier: &Loss) -> bool {
     let is_repeated = loss.own_part == earlier.own_part && loss.sent_us > earlier.sent_us;
-    let is_sent_after = is_repeated || loss.sent_us >= earlier.lost_us + SUCCESSION_US;
-    is_sent_after && loss.lost_us >= earlier.lost_us + MIN_GAP_US
+    let error_us = loss.error_us.saturating_add(earlier.error_us);
+    let is_past = |time_us: u64, after_us: u64| {
+        time_us
+            >= after_us
+                .saturating_add(error_us)
+                .saturating_add(earlier.lost_us)
+    };
+    (is_repeated || is_past(loss.sent_us, SUCCESSION_US)) && is_past(loss.lost_us, MIN_GAP_US)
 }
 
 fn suspect(service: &Name, losses: &[Arc<Loss>]) -> Option<Suspicion> {
--- a/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
@@ -24,6 +24,7 @@
         own_part: 1_000 + number,
         sent_us: lost_us - 100 * MS,
         lost_us,
+        error_us: 0,
         has_begun: false,
     }
 }
@@ -54,6 +55,31 @@
     assert_eq!(suspicions(losses.collect()).len(), expected);
 }
 
+/// Guards against losses of runners that failed together and that count as several since the nodes' reports were
+/// under way for long.
+#[parameterized(
+    exact = { 0, 100, 1 },
+    error_of_one = { 60, 100, 0 },
+    error_of_both = { 30, 100, 0 },
+    longer_gap = { 60, 200, 1 },
+)]
+fn losses_whose_order_is_uncertain_count_as_one(error_ms: u64, gap_ms: u64, expected: usize) {
+    let errors = if error_ms == 60 {
+        [0, 60]
+    } else {
+        [error_ms; 2]
+    };
+    let losses = [0, 1].map(|i| {
+        let lost_us = (1_000 + i * gap_ms) * MS;
+        Loss {
+            sent_us: lost_us - MS,
+            error_us: errors[i as usize] * MS,
+            ..loss(i, lost_us, &[DEADLY])
+        }
+    });
+    assert_eq!(suspicions(losses.to_vec()).len(), expected);
+}
+
 /// Guards against suspicion by losses that say nothing: of runners that failed at the same moment, of one
 /// process that several nodes saw end, or of long ago.
 #[test]
--- a/crates/tealsaddle-core/tests/it/fleet/quarantine/history_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/history_sim.rs
@@ -354,6 +354,7 @@
                 own_part: request.own_part,
                 sent_us: request.sent_us,
                 lost_us: self.now_us,
+                error_us: MS,
                 has_begun: request.begun_us.is_some(),
             });
             self.resend(request);
--- a/crates/tealsaddle-gateway/src/quarantine/collector.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/collector.rs
@@ -11,7 +11,7 @@
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::quarantine::PartKey;
 use tealsaddle_core::fleet::quarantine::accounts::{CrashAccounts, Loss, RunnerProcess, Suspicion};
-use tealsaddle_core::fleet::quarantine::list::{MAX_DECIDED, Record};
+use tealsaddle_core::fleet::quarantine::list::{Entry, MAX_DECIDED, Record};
 use tealsaddle_core::name::Name;
 use tealsaddle_schema::fleet::{CrashReport, LostRequest, SurvivalQuery, SurvivalReply};
 use tokio::sync::Semaphore;
@@ -59,30 +59,20 @@
 /// Counts the losses of a report.
 pub fn on_report(gateway: &Arc<Gateway>, report: &CrashReport) {
     let service = Name::from(report.service.as_str());
-    let now_us = clock::now_us();
-    let snapshot = gateway.snapshot.load();
-    let quarantined = |lost: &LostRequest| {
-        let keys = lost
-            .shared_parts
-            .iter()
-            .map(|part| PartKey::new(&service, *part));
-        keys.into_iter()
-            .find(|key| snapshot.quarantine.entry(key).is_some())
-    };
-    let mut is_explained = false;
     for lost in &report.lost {
         log::info!(id:% = lost.request_id, runner:% = report.runner, shared_parts:? = lost.shared_parts,
             has_begun = lost.has_begun, sent_age_ms = lost.sent_age_ms; "loss reported");
-        if let Some(key) = quarantined(lost) {
-            is_explained = true;
+    }
+    if let Some(explained) = quarantined(gateway, &service, report) {
+        // Before the first trial these are requests that were on their way when the part was found.
+        if explained.record.trials > 0 {
+            let key = explained.record.key;
             gateway.quarantine.send(Command::Lost(key));
         }
-    }
-    if is_explained {
         return;
     }
     for lost in &report.lost {
-        let loss = decode(report, lost, now_us);
+        let loss = decode(report, lost);
         let suspicions = gateway
             .quarantine
             .collector
@@ -95,8 +85,20 @@
     }
 }
 
-fn decode(report: &CrashReport, lost: &LostRequest, now_us: u64) -> Loss {
-    let before = |age_ms: u64| now_us.saturating_sub(age_ms.saturating_mul(1_000));
+/// The quarantined part that explains the end of a process, if a lost request has one.
+fn quarantined(gateway: &Gateway, service: &Name, report: &CrashReport) -> Option<Entry> {
+    let snapshot = gateway.snapshot.load();
+    let mut parts = report.lost.iter().flat_map(|lost| &lost.shared_parts);
+    parts.find_map(|part| {
+        let key = PartKey::new(service, *part);
+        snapshot.quarantine.entry(&key).cloned()
+    })
+}
+
+fn decode(report: &CrashReport, lost: &LostRequest) -> Loss {
+    // A report from the future would make all later losses part of the past.
+    let sent_us = report.collector_us.min(clock::now_us());
+    let before = |age_ms: u64| sent_us.saturating_sub(age_ms.saturating_mul(1_000));
     Loss {
         process: RunnerProcess {
             runner: Name::from(report.runner.as_str()),
@@ -106,6 +108,7 @@
         own_part: lost.own_part,
         sent_us: before(lost.sent_age_ms),
         lost_us: before(lost.lost_age_ms),
+        error_us: report.error_us,
         has_begun: lost.has_begun,
     }
 }
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -19,6 +19,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::quarantine::peer_clock::{self, ClockReading};
 use crate::quarantine::{collector, messages};
 use crate::upstream::Reuse;
 
@@ -97,6 +98,7 @@
         };
         let process = (Name::clone(&runner.id), runner.started_unix_ms);
         let gateway = &self.gateway;
+        gateway.metrics.increment("quarantine.request_lost");
         if gateway.quarantine.losses.add(&process, loss) {
             tokio::spawn(report(Arc::clone(gateway), Arc::clone(runner), process));
         }
@@ -122,14 +124,30 @@
     gateway.metrics.increment("quarantine.crash_seen");
     log::info!(runner:% = runner.id, started_unix_ms = runner.started_unix_ms, lost = lost.len();
         "runner crashed with requests that had just begun");
-    let now_us = clock::now_us();
-    let report = CrashReport {
-        service: runner.service.to_string(),
-        runner: runner.id.to_string(),
-        started_unix_ms: runner.started_unix_ms,
-        lost: lost.iter().map(|loss| encode(loss, now_us)).collect(),
-    };
-    send(&gateway, &runner.service, &report).await;
+    let crash = Crash { runner, lost };
+    send(&gateway, &crash).await;
+}
+
+/// The end of a process and the requests that were lost with it.
+#[derive(Debug)]
+struct Crash {
+    runner: Arc<Runner>,
+    lost: Vec<PendingLoss>,
+}
+
+impl Crash {
+    /// The report as it is sent now to a node with this clock.
+    fn report(&self, clock: ClockReading) -> CrashReport {
+        let now_us = clock::now_us();
+        CrashReport {
+            service: self.runner.service.to_string(),
+            runner: self.runner.id.to_string(),
+            started_unix_ms: self.runner.started_unix_ms,
+            lost: self.lost.iter().map(|loss| encode(loss, now_us)).collect(),
+            collector_us: now_us.saturating_add_signed(clock.ahead_us),
+            error_us: clock.error_us,
+        }
+    }
 }
 
 fn encode(loss: &PendingLoss, now_us: u64) -> LostRequest {
@@ -173,42 +191,47 @@
 }
 
 /// Sends a report to the first collectors of the service that can be reached.
-async fn send(gateway: &Arc<Gateway>, service: &Name, report: &CrashReport) {
-    let mut candidates = collectors(gateway, service).into_iter().take(MAX_TRIED);
+async fn send(gateway: &Arc<Gateway>, crash: &Crash) {
+    let mut candidates = collectors(gateway, &crash.runner.service)
+        .into_iter()
+        .take(MAX_TRIED);
     let mut told = 0;
     while told < COLLECTORS {
         let batch: Vec<SocketAddr> = candidates.by_ref().take(COLLECTORS - told).collect();
         if batch.is_empty() {
             break;
         }
-        let sent = batch.iter().map(|node| send_to(gateway, *node, report));
+        let sent = batch.iter().map(|node| send_to(gateway, *node, crash));
         let sent = futures::future::join_all(sent).await;
         told += sent.into_iter().filter(|is_told| *is_told).count();
     }
     if told == 0 {
         // Without any peer this node is its own collector.
-        collector::on_report(gateway, report);
+        collector::on_report(gateway, &crash.report(ClockReading::default()));
     }
 }
 
-async fn send_to(gateway: &Arc<Gateway>, node: SocketAddr, report: &CrashReport) -> bool {
+async fn send_to(gateway: &Arc<Gateway>, node: SocketAddr, crash: &Crash) -> bool {
     let quarantine = &gateway.quarantine;
     if quarantine.own_address == Some(node) {
-        collector::on_report(gateway, report);
+        collector::on_report(gateway, &crash.report(ClockReading::default()));
         return true;
     }
-    let sent = messages::call(
-        &quarantine.upstreams,
-        node,
-        messages::CRASH_PATH,
-        report,
-        REPORT_TIMEOUT,
-    );
-    let answer: Option<serde_json::Value> = sent.await;
-    if answer.is_none() {
+    let upstreams = &quarantine.upstreams;
+    let is_told = match peer_clock::read(upstreams, node).await {
+        None => false,
+        Some(clock) => {
+            let report = crash.report(clock);
+            let path = messages::CRASH_PATH;
+            let sent = messages::call(upstreams, node, path, &report, REPORT_TIMEOUT);
+            let answer: Option<serde_json::Value> = sent.await;
+            answer.is_some()
+        }
+    };
+    if !is_told {
         gateway.metrics.increment("quarantine.report_lost");
     }
-    answer.is_some()
+    is_told
 }
 
 /// The nodes in the order in which they collect the losses of a service.
--- a/crates/tealsaddle-gateway/src/quarantine/messages.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -14,7 +14,7 @@
 use tealsaddle_core::fleet::quarantine::PartKey;
 use tealsaddle_core::fleet::quarantine::list::Record;
 use tealsaddle_core::name::Name;
-use tealsaddle_schema::fleet::{CrashReport, PartSurvival};
+use tealsaddle_schema::fleet::{ClockReply, CrashReport, PartSurvival};
 use tealsaddle_schema::fleet::{QuarantineNotice, QuarantineRecord, SurvivalQuery, SurvivalReply};
 
 use crate::clock;
@@ -26,6 +26,8 @@
 
 /// Path of a [`CrashReport`].
 pub const CRASH_PATH: &str = "/crashes";
+/// Path of the question for the time, whose answer is a [`ClockReply`].
+pub const CLOCK_PATH: &str = "/clock";
 /// Path of a [`SurvivalQuery`].
 pub const SURVIVAL_PATH: &str = "/survivals";
 /// Path of a [`QuarantineNotice`].
@@ -70,10 +72,10 @@
             collector::on_report(gateway, &report);
             "{}".to_owned()
         }),
-        SURVIVAL_PATH => parse(body).map(|query| {
-            let reply = survivals(gateway, &query);
-            serde_json::to_string(&reply).expect("a message has a JSON form")
-        }),
+        CLOCK_PATH => Ok(text_of(&ClockReply {
+            now_us: clock::now_us(),
+        })),
+        SURVIVAL_PATH => parse(body).map(|query| text_of(&survivals(gateway, &query))),
         NOTICE_PATH => parse(body).map(|notice| {
             gateway.quarantine.send(Command::Told(notice));
             "{}".to_owned()
@@ -96,6 +98,13 @@
     serde_json::from_slice(body)
 }
 
+fn text_of<M>(message: &M) -> String
+where
+    M: Serialize,
+{
+    serde_json::to_string(message).expect("a message has a JSON form")
+}
+
 /// When the parts of a query last survived at this node.
 pub fn survivals(gateway: &Gateway, query: &SurvivalQuery) -> SurvivalReply {
     let service = Name::from(query.service.as_str());
--- a/crates/tealsaddle-gateway/src/quarantine/mod.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/mod.rs
@@ -11,6 +11,7 @@
 pub mod keeper;
 pub mod losses;
 pub mod messages;
+pub mod peer_clock;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
