Refuse a request whose body is not complete by its deadline

Cause: the deadline was checked only after the whole body. Change: the body is read up to the deadline of the request, which is that of the route or the caller; then the answer is 408, since nothing has run.

--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -49,12 +49,16 @@
         route.cloned().ok_or(GatewayAnswer::NoRoute)
     };
     // A request without a route is refused before its body is read.
-    find_route(&config)?;
+    let route = find_route(&config)?;
+    let body_deadline = started + time_to_answer(&route, &metadata).0;
     let request_id = metadata
         .request_id
         .clone()
         .ok_or(GatewayAnswer::NoRequestId)?;
-    let body = read_body(gateway, body, config.limits).await?;
+    let body = read_body(gateway, body, config.limits);
+    let body = timeout_at(body_deadline, body).await;
+    // A caller who sends a little now and then would otherwise hold the request open without end.
+    let body = body.unwrap_or(Err(GatewayAnswer::BodyTimeout))?;
     // The body may have taken long, and a newer version may have come into force meanwhile.
     let config = current_config(gateway)?;
     let route = find_route(&config)?;
@@ -116,7 +120,8 @@
     let mut body = Limited::new(body, limits.body_bytes);
     let mut bytes = BytesMut::new();
     loop {
-        // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives.
+        // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives and
+        // the deadline has not passed.
         match before_idle_timeout(gateway, limits, body.frame()).await? {
             None => return Ok(bytes.freeze()),
             Some(Ok(frame)) => {
@@ -158,20 +163,25 @@
     }
 }
 
-/// Time from `started` to the deadline, and which limit sets it: the shorter of the route's and the
-/// caller's. Refuses the request if the node is stopping and does not accept one with this deadline.
+/// Time from the head of a request to its deadline, and which limit sets it: the shorter of the route's and the
+/// caller's.
+fn time_to_answer(route: &Route, metadata: &RequestMetadata) -> (Duration, DeadlineSource) {
+    let of_route = Duration::from_millis(route.timeout_ms);
+    let of_caller = metadata.deadline_ms.map(Duration::from_millis);
+    match of_caller {
+        Some(of_caller) if of_caller < of_route => (of_caller, DeadlineSource::Caller),
+        Some(_) | None => (of_route, DeadlineSource::Route),
+    }
+}
+
+/// Time from `started` to the deadline, and which limit sets it. Refuses the request if the node is stopping and does not accept one with this deadline.
 fn time_left(
     gateway: &Gateway,
     route: &Route,
     metadata: &RequestMetadata,
     started: Instant,
 ) -> Result<(Duration, DeadlineSource), GatewayAnswer> {
-    let of_route = Duration::from_millis(route.timeout_ms);
-    let of_caller = metadata.deadline_ms.map(Duration::from_millis);
-    let (left, source) = match of_caller {
-        Some(of_caller) if of_caller < of_route => (of_caller, DeadlineSource::Caller),
-        Some(_) | None => (of_route, DeadlineSource::Route),
-    };
+    let (left, source) = time_to_answer(route, metadata);
     let is_accepted = |stop: Stop| stop.accepts(Instant::now(), started + left);
     if gateway.current_stop().is_none_or(is_accepted) {
         Ok((left, source))
