Limit the answers to the node's own calls

Seen: a process that answers a call of the node, such as a request for its report, with bytes without end took 8.6 GB before the allocation failed (endless_answer_to_a_call_is_invalid with chunks; a head without end was refused at 400 KiB, an event at 1 MiB). Cause: the whole answer was read, whatever its size. Change: an answer of more than 16 MiB, or a head of more than 64 KiB, is invalid, and its connection is closed.

--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -46,6 +46,11 @@
 /// Largest number of idle connections that are kept per address.
 const MAX_IDLE: usize = 24;
 
+/// Largest head of an answer, and size of the buffer in which it arrives.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest answer to a call of the gateway itself. The largest ones are pages of the store and the state of a peer.
+pub const MAX_CALL_BYTES: usize = 16 << 20;
+
 /// Which idle connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -157,7 +162,7 @@
         }
     }
 
-    /// Sends a call of the gateway itself and reads the whole answer.
+    /// Sends a call of the gateway itself and reads the whole answer, which has at most [`MAX_CALL_BYTES`].
     pub async fn call(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -176,6 +181,11 @@
         let mut bytes = BytesMut::new();
         while let Some(data) = body.next().await {
             match data {
+                Ok(data) if bytes.len() + data.len() > MAX_CALL_BYTES => {
+                    return Err(SendFailure {
+                        outcome: AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
+                    });
+                }
                 Ok(data) => bytes.extend_from_slice(&data),
                 Err(error) => return Err(unknown(&error)),
             }
@@ -334,7 +344,10 @@
         return Err(not_run());
     };
     set_options(&stream);
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let Ok((sender, connection)) = handshake else {
         return Err(not_run());
     };
