Let registrations follow the store into a new era

Cause: states of a registration were ordered by revision alone. Change: a listing of a later era is taken as it is, and the states known before yield to it; one log line says so.

--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -48,6 +48,8 @@
     has_runner_list: bool,
     /// Store revision that the registrations reflect.
     revision: u64,
+    /// Newest era of the store that was seen, as in [`Listing::era`].
+    era: Option<u64>,
 }
 
 impl FleetState {
@@ -73,6 +75,7 @@
         listing: Listing,
         now_us: u64,
     ) {
+        self.follow_era(listing.era, listing.revision);
         let listed: HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
         let is_unlisted = |key: &&String| !listed.contains(key.as_str());
         let unlisted: Vec<String> = self
@@ -91,6 +94,22 @@
         self.revision = self.revision.max(listing.revision);
     }
 
+    /// Lets the registrations of an earlier era yield to any state of a later one: the store has come back from an
+    /// older copy and gives revisions out again.
+    fn follow_era(&mut self, era: Option<u64>, revision: u64) {
+        let has_risen = self.era.is_some() && era > self.era;
+        self.era = self.era.max(era);
+        if !has_risen {
+            return;
+        }
+        log::warn!(era, revision, earlier_revision = self.revision;
+            "store came back from an older copy; registrations are taken anew");
+        self.revision = revision;
+        for registration in self.registrations.values_mut() {
+            registration.revision = 0;
+        }
+    }
+
     /// Applies changes of registrations, in order.
     pub fn on_changes(
         &mut self,
