--- a/crates/tealsaddle-gateway/src/follow.rs
+++ b/crates/tealsaddle-gateway/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
 use crate::external::{Change, Changes, Freshness, Listing};
-use crate::quarantine::keeper::QUARANTINE_PREFIX;
+use crate::quarantine::records::QUARANTINE_PREFIX;
 
 /// Prefix of all keys.
 const ALL_KEYS: &str = "";
--- a/crates/tealsaddle-gateway/src/quarantine/keeper.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/keeper.rs
@@ -1,7 +1,7 @@
-//! The list of quarantined parts in the control thread, and its records in the store.
+//! Changes of the list of quarantined parts by this node, in the control thread.
 //!
-//! A change of the list is published and told to the peers at once, and then stored. A node that was told stores
-//! the record itself if nobody else has done so after a while.
+//! A change is published and told to the peers at once, and then stored. A node that was told stores the record
+//! itself if nobody else has done so after a while.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,25 +9,20 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use rand::RngExt;
 use tealsaddle_core::fleet::quarantine::PartKey;
-use tealsaddle_core::fleet::quarantine::list::{Entry, QuarantineList, Record, StoreState};
+use tealsaddle_core::fleet::quarantine::list::{Entry, Record};
 use tealsaddle_core::name::Name;
-use tealsaddle_schema::fleet::{QuarantineNotice, QuarantineRecord};
+use tealsaddle_schema::fleet::QuarantineNotice;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock;
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
-use crate::external::{Change, Item, KeyRevision, Put, Transaction};
-use crate::follow::StoreUpdate;
+use crate::external::{KeyRevision, Put, Transaction};
 use crate::quarantine::messages;
+use crate::quarantine::records::record_key;
 use crate::upstream::Upstreams;
 
-/// Prefix of the records in the store, which continues with the service and the part.
-pub const QUARANTINE_PREFIX: &str = "tealsaddle/quarantine/";
-/// Time after which a node stores what it was told, drawn from this range in microseconds.
-const TOLD_WRITE_DELAY_US: std::ops::Range<u64> = 1_000_000..3_000_000;
 /// Time to the next attempt to store a record.
 const WRITE_RETRY_US: u64 = 500_000;
 /// Time for which a trial is not claimed again after the store has refused it.
@@ -309,123 +304,3 @@
         log::info!(peer:%; "peer was not told of a quarantined part");
     }
 }
-
-fn told_write_delay_us() -> u64 {
-    rand::rng().random_range(TOLD_WRITE_DELAY_US)
-}
-
-fn record_key(key: &PartKey) -> String {
-    format!("{QUARANTINE_PREFIX}{}/{:x}", key.service, key.part)
-}
-
-/// Parses the key of a record.
-fn parse_key(key: &str) -> Option<PartKey> {
-    let (service, part) = key.strip_prefix(QUARANTINE_PREFIX)?.rsplit_once('/')?;
-    let part = u64::from_str_radix(part, 16).ok()?;
-    Some(PartKey::new(&Name::from(service), part))
-}
-
-/// Parses a record. `None` if it cannot be read, or does not belong to its key.
-fn parse_record(item: &Item) -> Option<Record> {
-    let parsed: Result<QuarantineRecord, _> = serde_json::from_slice(&item.value);
-    let record = parsed
-        .inspect_err(
-            |error| log::warn!(key:% = item.key, error:%; "quarantine record cannot be parsed"),
-        )
-        .ok()?;
-    let record = messages::decode_record(&record)?;
-    (parse_key(&item.key).as_ref() == Some(&record.key)).then_some(record)
-}
-
-impl Control {
-    /// Applies what the store has under [`QUARANTINE_PREFIX`].
-    pub fn on_quarantine(self: &Arc<Self>, update: StoreUpdate) {
-        let now_us = clock::now_us();
-        let delay_us = told_write_delay_us();
-        {
-            let mut fleet = self.fleet();
-            let list = fleet.quarantine_mut();
-            match update {
-                StoreUpdate::Listing(listing) => {
-                    let items = listing.items.iter();
-                    let stored =
-                        items.filter_map(|item| Some((parse_record(item)?, item.revision)));
-                    let state = StoreState {
-                        revision: listing.revision,
-                        era: listing.era,
-                    };
-                    list.on_listing(stored.collect(), state, now_us, delay_us);
-                    fleet.has_quarantine_list = true;
-                }
-                StoreUpdate::Changes(changes) => {
-                    for change in changes.changes {
-                        apply(list, change, now_us, delay_us);
-                    }
-                }
-            }
-        }
-        self.on_quarantine_changed();
-    }
-
-    /// Takes the records of a peer that was asked since the store does not answer.
-    pub fn take_quarantine(&self, records: &[QuarantineRecord]) {
-        self.on_told_records(records);
-        self.fleet().has_quarantine_list = true;
-    }
-
-    fn on_told_records(&self, records: &[QuarantineRecord]) {
-        let now_us = clock::now_us();
-        for record in records.iter().filter_map(messages::decode_record) {
-            let decision = Name::clone(&record.decision);
-            let mut fleet = self.fleet();
-            let list = fleet.quarantine_mut();
-            if list.on_told(record, now_us, told_write_delay_us()) {
-                log::info!(decision:%; "a peer tells of a quarantined part");
-            }
-        }
-    }
-
-    /// Publishes the list, and ends the quarantine of parts that have survived at this node since their losses.
-    fn on_quarantine_changed(&self) {
-        self.publish();
-        let quarantine = &self.gateway.quarantine;
-        let has_survived = |entry: &&Entry| {
-            let survived_us = quarantine.survived_us(&entry.record.key);
-            survived_us.is_some_and(|at_us| at_us > entry.first_lost_us)
-        };
-        let survived: Vec<Name> = {
-            let fleet = self.fleet();
-            let entries = fleet.quarantine().entries().filter(has_survived);
-            entries
-                .map(|entry| Name::clone(&entry.record.decision))
-                .collect()
-        };
-        for decision in survived {
-            quarantine.send(Command::Survived(decision));
-        }
-    }
-
-    /// Forgets the losses of a part whose quarantine has ended.
-    fn forget_losses(&self, key: &PartKey) {
-        self.gateway.quarantine.forget_losses(key);
-    }
-}
-
-fn apply(list: &mut QuarantineList, change: Change, now_us: u64, delay_us: u64) {
-    match change {
-        Change::Put(item) => {
-            if let Some(record) = parse_record(&item) {
-                list.on_stored(record, item.revision, now_us, delay_us);
-            }
-        }
-        Change::Removed { key, revision } => {
-            let Some(key) = parse_key(&key) else {
-                return;
-            };
-            if list.on_removed(&key, revision) {
-                log::info!(service:% = key.service, part = format!("{:x}", key.part);
-                    "quarantine record removed");
-            }
-        }
-    }
-}
--- a/crates/tealsaddle-gateway/src/quarantine/mod.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/mod.rs
@@ -12,6 +12,7 @@
 pub mod losses;
 pub mod messages;
 pub mod peer_clock;
+pub mod records;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
