--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -103,7 +103,7 @@
             return;
         }
         log::warn!(era, revision, earlier_revision = self.revision;
-            "store came back from an older copy; registrations are taken anew");
+            "store came back from an older copy; all registrations are replaced");
         self.revision = revision;
         for registration in self.registrations.values_mut() {
             registration.revision = 0;
