--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod rendezvous;
 pub mod split;
 pub mod store_availability;
+pub mod store_era;
 
 use std::net::SocketAddr;
 
--- a/crates/tealsaddle-core/src/fleet/quarantine/list.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/list.rs
@@ -12,6 +12,7 @@
 use super::PartKey;
 use super::accounts::SUSPECT_LOSSES;
 use crate::collections::HashMap;
+use crate::fleet::store_era::StoreEra;
 use crate::fleet::{PromptPart, shared_parts};
 use crate::name::Name;
 
@@ -95,8 +96,7 @@
     released: Vec<Name>,
     /// Records of released decisions that are still in the store.
     removals: Vec<StoredKey>,
-    /// Newest era of the store that was seen.
-    era: Option<u64>,
+    era: StoreEra,
 }
 
 impl QuarantineList {
@@ -207,8 +207,7 @@
         now_us: u64,
         write_delay_us: u64,
     ) {
-        let is_later_era = self.era.is_some() && store.era > self.era;
-        self.era = self.era.max(store.era);
+        let is_later_era = self.era.rises_to(store.era);
         let listed: Vec<PartKey> = stored
             .iter()
             .map(|(record, _)| record.key.clone())
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -174,7 +174,8 @@
     }
 }
 
-/// Time from `started` to the deadline, and which limit sets it. Refuses the request if the node is stopping and does not accept one with this deadline.
+/// Time from `started` to the deadline, and which limit sets it. Refuses the request if the node is stopping and
+/// does not accept one with this deadline.
 fn time_left(
     gateway: &Gateway,
     route: &Route,
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use hyper::http;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::placement::PlacementRequest;
@@ -17,12 +18,12 @@
 
 use crate::answer::GatewayAnswer;
 use crate::clock::jittered;
-use crate::external::{RequestMetadata, SendMetadata};
+use crate::external::{AnswerMetadata, RequestMetadata, SendMetadata};
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
 use crate::timeout::timeout_at;
-use crate::upstream::{Answer, Reuse};
+use crate::upstream::{Answer, AnswerBody, Reuse};
 
 /// A request is refused if its first event is expected after this share of the remaining time. While the
 /// node stops, the same holds for the end of the request.
@@ -84,6 +85,17 @@
     }
 }
 
+/// An answer of a runner to a request of this call.
+#[derive(Debug)]
+pub struct OwnAnswer {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// What the headers say.
+    pub metadata: AnswerMetadata,
+    /// Body, which is still arriving.
+    pub body: AnswerBody,
+}
+
 /// State of a call that changes while it runs.
 #[derive(Debug, Default)]
 pub struct CallState {
@@ -229,7 +241,7 @@
         runner: &Runner,
         metadata: &SendMetadata<'_>,
         limit: Instant,
-    ) -> Result<Answer, AttemptOutcome> {
+    ) -> Result<OwnAnswer, AttemptOutcome> {
         let reuse = if self.route.repeat.may_repeat() || metadata.is_prefill_only {
             Reuse::Any
         } else {
@@ -242,12 +254,11 @@
         let maybe_running = &self.state.maybe_running;
         maybe_running.fetch_add(running, Ordering::Relaxed);
         let result = match timeout_at(limit, sent).await {
-            Ok(Ok(mut answer)) if self.owns(&answer) => {
-                answer.body.release_if_empty();
-                return Ok(answer);
-            }
-            // The connection is closed: the answer to this request may still follow.
-            Ok(Ok(_foreign)) => AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
+            Ok(Ok(answer)) => match self.own_answer(answer) {
+                Some(answer) => return Ok(answer),
+                // The connection is closed: the answer to this request may still follow.
+                None => AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
+            },
             Ok(Err(failure)) => failure.outcome,
             Err(_elapsed) => AttemptOutcome::Unknown(UnknownReason::Timeout),
         };
@@ -256,11 +267,21 @@
         Err(result)
     }
 
-    /// Whether an answer belongs to this request. One that names no request is taken for one that does.
-    fn owns(&self, answer: &Answer) -> bool {
-        let metadata = self.gateway.dialect.answer_metadata(&answer.head.headers);
+    /// The answer with its metadata; `None` if it belongs to another request. One that names no request is taken
+    /// for one to this.
+    fn own_answer(&self, answer: Answer) -> Option<OwnAnswer> {
+        let Answer { head, mut body } = answer;
+        let metadata = self.gateway.dialect.answer_metadata(&head.headers);
         let answered_id = metadata.request_id.as_deref();
-        answered_id.is_none_or(|id| id == self.request_id)
+        if answered_id.is_some_and(|id| id != self.request_id) {
+            return None;
+        }
+        body.release_if_empty();
+        Some(OwnAnswer {
+            head,
+            metadata,
+            body,
+        })
     }
 
     /// Metadata of a request to a runner, without those of prefill and streams.
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -8,6 +8,7 @@
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::quarantine::list::QuarantineList;
 use tealsaddle_core::fleet::store_availability::StoreAvailability;
+use tealsaddle_core::fleet::store_era::StoreEra;
 use tealsaddle_core::name::Name;
 
 use crate::external::{Change, Changes, Dialect, Item, Listing};
@@ -48,8 +49,7 @@
     has_runner_list: bool,
     /// Store revision that the registrations reflect.
     revision: u64,
-    /// Newest era of the store that was seen, as in [`Listing::era`].
-    era: Option<u64>,
+    era: StoreEra,
 }
 
 impl FleetState {
@@ -97,9 +97,7 @@
     /// Lets the registrations of an earlier era yield to any state of a later one: the store has come back from an
     /// older copy and gives revisions out again.
     fn follow_era(&mut self, era: Option<u64>, revision: u64) {
-        let has_risen = self.era.is_some() && era > self.era;
-        self.era = self.era.max(era);
-        if !has_risen {
+        if !self.era.rises_to(era) {
             return;
         }
         log::warn!(era, revision, earlier_revision = self.revision;
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -21,10 +21,10 @@
 use tokio::time::Instant;
 
 use crate::answer::{Aborted, Body, GatewayAnswer, classify_answer, full_body, strip_hop_headers};
-use crate::call::{Call, MIN_RETRY_AFTER, Refusal};
+use crate::call::{Call, MIN_RETRY_AFTER, OwnAnswer, Refusal};
 use crate::scheduler::RunnerAttempt;
 use crate::timeout::timeout_at;
-use crate::upstream::{Answer, AnswerBody};
+use crate::upstream::AnswerBody;
 
 /// Answers up to this size are read completely before they are passed on, so that a truncated one can be
 /// replaced.
@@ -241,12 +241,14 @@
     /// Checks an answer and reads its body, or the start of a long body.
     async fn read_plain(
         &self,
-        answer: Answer,
+        answer: OwnAnswer,
         attempt: &RunnerAttempt,
     ) -> Result<Response<BufferedBody>, AttemptOutcome> {
-        let Answer { mut head, mut body } = answer;
-        let dialect = &self.gateway.dialect;
-        let metadata = dialect.answer_metadata(&head.headers);
+        let OwnAnswer {
+            mut head,
+            metadata,
+            mut body,
+        } = answer;
         let outcome = classify_answer(head.status, &metadata, &self.request_id);
         if outcome != AttemptOutcome::Answered {
             body.forbid_reuse();
@@ -254,7 +256,7 @@
         }
         let body = self.read_start(body).await?;
         strip_hop_headers(&mut head.headers, |_name| false);
-        dialect.clean_answer(&mut head.headers);
+        self.gateway.dialect.clean_answer(&mut head.headers);
         if let Some(load) = metadata.load {
             attempt.on_load(load);
         }
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use crate::answer::classify_answer;
-use crate::call::Call;
+use crate::call::{Call, OwnAnswer};
 use crate::clock;
 use crate::external::{KvSource, SendMetadata};
 use crate::gateway::Gateway;
@@ -25,7 +25,7 @@
 use crate::scheduler::RunnerAttempt;
 use crate::stages::{LOST, micros};
 use crate::timeout::timeout_at;
-use crate::upstream::{Answer, AnswerBody, Reuse};
+use crate::upstream::{AnswerBody, Reuse};
 
 /// Another runner is asked to read the prompt after this many times the expected duration, but not before the
 /// minimum, and not while the first one answers other requests: repeating a prefill costs a second one and
@@ -277,13 +277,15 @@
 
     async fn parse_prefill_answer(
         &self,
-        answer: Answer,
+        answer: OwnAnswer,
         attempt: &RunnerAttempt,
         runner: &Runner,
     ) -> Result<KvHandleGuard, AttemptOutcome> {
-        let Answer { head, mut body } = answer;
-        let dialect = &self.gateway.dialect;
-        let metadata = dialect.answer_metadata(&head.headers);
+        let OwnAnswer {
+            head,
+            metadata,
+            mut body,
+        } = answer;
         if let Some(load) = metadata.load {
             attempt.on_load(load);
         }
@@ -299,7 +301,7 @@
         }
         let bytes = self.read_handle_body(body).await;
         let bytes = bytes.map_err(AttemptOutcome::Unknown)?;
-        let handle = dialect.kv_handle(&bytes).map_err(|error| {
+        let handle = self.gateway.dialect.kv_handle(&bytes).map_err(|error| {
             log::warn!(id:% = self.request_id, runner:% = runner.id, error:%; "prefill answer has no valid KV handle");
             invalid
         })?;
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -17,14 +17,14 @@
 use tokio::time::Instant;
 
 use crate::answer::{GatewayAnswer, classify_answer};
-use crate::call::{Call, FEASIBLE_SHARE, Refusal};
+use crate::call::{Call, FEASIBLE_SHARE, OwnAnswer, Refusal};
 use crate::clock;
 use crate::external::SendMetadata;
 use crate::prefill::KvHandleGuard;
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, Waited};
-use crate::upstream::{Answer, AnswerBody};
+use crate::upstream::AnswerBody;
 
 /// A stream whose head has arrived.
 #[derive(Debug)]
@@ -333,7 +333,7 @@
     fn check_stream_answer(
         &self,
         engine: &EngineLimits,
-        answer: Answer,
+        answer: OwnAnswer,
         sent: SentAttempt,
         kv_guard: Option<&mut KvHandleGuard>,
     ) -> Result<OpenStream, AttemptOutcome> {
@@ -342,8 +342,11 @@
             runner,
             sent_us,
         } = sent;
-        let Answer { head, mut body } = answer;
-        let metadata = self.gateway.dialect.answer_metadata(&head.headers);
+        let OwnAnswer {
+            head,
+            metadata,
+            mut body,
+        } = answer;
         if let Some(load) = metadata.load {
             attempt.on_load(load);
         }
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -2,9 +2,9 @@
 //!
 //! A connection carries one request at a time and returns to the pool only after a complete answer.
 //! Dropping a request closes its connection: the runner sees that it can stop, and a late answer cannot be
-//! taken for that of the next request. A runner may also send a second copy of an answer, at a time at which the
-//! next request is on the connection: who sends requests compares their ids. Every connection has short TCP keep-alive probes, since a network
-//! path may stop delivering packets without a reset.
+//! taken for that of the next request. A runner may also send a second copy of an answer while the next request
+//! is on the connection, so who sends requests compares their ids. Every connection has short TCP keep-alive
+//! probes, since a network path may stop delivering packets without a reset.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
