Log how an answer was framed and where it ended

The lines of a request did not say whether its answer had a length, chunks or neither, nor whether it ended between two events or inside one.

One line more, `answer body ended`, and a counter by framing, for answers that were broken off or whose framing does not tell their end. Answers whose length or chunks tell it cost nothing.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -19,6 +19,7 @@
 use crate::answer::GatewayAnswer;
 use crate::clock::jittered;
 use crate::external::{AnswerMetadata, RequestMetadata, SendMetadata};
+use crate::framing::Framing;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
@@ -357,6 +358,29 @@
             shared_parts = self.shared_parts_text(); "answer truncated");
     }
 
+    /// Logs where the body of a runner's answer ended, if it was broken off or its framing does not tell.
+    /// `incomplete_bytes` is the number of bytes after the last complete event; 0 for a body without events.
+    pub fn log_body_end(
+        &self,
+        runner: &str,
+        framing: Framing,
+        incomplete_bytes: usize,
+        is_complete: bool,
+    ) {
+        if is_complete && framing != Framing::UntilClose {
+            return;
+        }
+        let end = if is_complete {
+            "complete"
+        } else {
+            "broken_off"
+        };
+        let framing = framing.as_str();
+        let metrics = &self.gateway.metrics;
+        metrics.increment(&format!("answer.{end}.{framing}"));
+        log::info!(id:% = self.request_id, runner:%, framing, incomplete_bytes, end; "answer body ended");
+    }
+
     /// Ids of the shared parts of the prompt, as in the caller's headers, for log records.
     fn shared_parts_text(&self) -> String {
         let shared = shared_parts(&self.metadata.parts);
--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -62,7 +62,8 @@
         Ok(())
     }
 
-    fn incomplete_bytes(&self) -> usize {
+    /// Number of bytes after the last complete event; 0 if the answer does not consist of events.
+    pub fn incomplete_bytes(&self) -> usize {
         let splitter = self.splitter.as_ref();
         splitter.map_or(
             self.boundary.incomplete_bytes(),
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod external;
 pub mod fleet_state;
 pub mod follow;
+pub mod framing;
 pub mod front;
 pub mod gateway;
 pub mod idle_timeout;
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -254,7 +254,7 @@
             body.forbid_reuse();
             return Err(outcome);
         }
-        let body = self.read_start(body).await?;
+        let body = self.read_start(body, attempt.runner()).await?;
         strip_hop_headers(&mut head.headers, |_name| false);
         self.gateway.dialect.clean_answer(&mut head.headers);
         if let Some(load) = metadata.load {
@@ -264,16 +264,28 @@
     }
 
     /// Reads a short body completely, and the start of a longer one.
-    async fn read_start(&self, mut body: AnswerBody) -> Result<BufferedBody, AttemptOutcome> {
+    async fn read_start(
+        &self,
+        mut body: AnswerBody,
+        runner: &str,
+    ) -> Result<BufferedBody, AttemptOutcome> {
+        let framing = body.framing();
         let mut bytes = BytesMut::new();
         let mut is_complete = false;
         while !is_complete && bytes.len() <= MAX_BUFFERED_BYTES {
             let next = body.next_until(self.deadline).await;
-            match next.map_err(AttemptOutcome::Unknown)? {
-                Some(data) => bytes.extend_from_slice(&data),
-                None => is_complete = true,
+            match next {
+                Ok(Some(data)) => bytes.extend_from_slice(&data),
+                Ok(None) => is_complete = true,
+                Err(reason) => {
+                    self.log_body_end(runner, framing, 0, false);
+                    return Err(AttemptOutcome::Unknown(reason));
+                }
             }
         }
+        if is_complete {
+            self.log_body_end(runner, framing, 0, true);
+        }
         Ok(BufferedBody {
             start: bytes.freeze(),
             rest: (!is_complete).then_some(body),
@@ -301,11 +313,17 @@
     async fn next(mut self) -> Option<(Result<Frame<Bytes>, Aborted>, Option<Self>)> {
         let (outcome, step) = match self.body.next_until(self.call.deadline).await {
             Ok(Some(data)) => return Some((Ok(Frame::data(data)), Some(self))),
-            Ok(None) => ("answered", None),
+            Ok(None) => {
+                let runner = self.attempt.runner();
+                self.call.log_body_end(runner, self.body.framing(), 0, true);
+                ("answered", None)
+            }
             Err(reason) => {
                 let outcome = AttemptOutcome::Unknown(reason);
                 self.attempt.on_outcome(outcome, false);
                 let runner = self.attempt.runner();
+                self.call
+                    .log_body_end(runner, self.body.framing(), 0, false);
                 self.call.log_truncated(reason.as_str(), runner);
                 (reason.as_str(), Some((Err(Aborted), None)))
             }
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::event_stream::EventStream;
+use crate::framing::Framing;
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, STREAM_SILENCE_LIMIT, Waited};
@@ -175,8 +176,9 @@
         };
         match waited {
             Waited::Heard((body, read)) => {
+                let framing = body.framing();
                 self.body = Some(body);
-                self.on_read(runner, read)
+                self.on_read(runner, framing, read)
             }
             Waited::Replaced(stream) => {
                 self.continue_with(*stream);
@@ -186,16 +188,29 @@
         }
     }
 
-    fn on_read(&mut self, runner: Name, read: Result<Option<Bytes>, UnknownReason>) -> Step {
+    fn on_read(
+        &mut self,
+        runner: Name,
+        framing: Framing,
+        read: Result<Option<Bytes>, UnknownReason>,
+    ) -> Step {
         let read = match read {
             Ok(Some(data)) => self.on_data(data),
-            Ok(None) if self.events.may_end() => Ok(Step::End),
+            Ok(None) if self.events.may_end() => {
+                let incomplete_bytes = self.events.incomplete_bytes();
+                self.call
+                    .log_body_end(&runner, framing, incomplete_bytes, true);
+                Ok(Step::End)
+            }
             // The runner has broken the stream off inside an event.
             Ok(None) => Err(UnknownReason::ConnectionLost),
             Err(reason) => Err(reason),
         };
         read.unwrap_or_else(|reason| {
             let outcome = AttemptOutcome::Unknown(reason);
+            let incomplete_bytes = self.events.incomplete_bytes();
+            self.call
+                .log_body_end(&runner, framing, incomplete_bytes, false);
             if outcome == LOST {
                 self.run.on_lost(&self.call);
             }
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::external::OutgoingCall;
+use crate::framing::Framing;
 use crate::timeout::timeout_at;
 
 /// Timeout of connecting. Within a region connecting takes milliseconds, and waiting longer does not help
@@ -116,6 +117,7 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     incoming: Incoming,
+    framing: Framing,
     connection: Option<Connection>,
     upstreams: Arc<Upstreams>,
     address: SocketAddr,
@@ -206,6 +208,7 @@
         let (head, incoming) = response.into_parts();
         let body = AnswerBody {
             usable_for: usable_for(&head.headers),
+            framing: Framing::of(&head, !incoming.is_end_stream()),
             incoming,
             connection: Some(connection),
             upstreams: Arc::clone(self),
@@ -262,6 +265,11 @@
 }
 
 impl AnswerBody {
+    /// What tells the end of the body.
+    pub const fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// The next bytes; `None` after the end of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
