Judge the end of a stream by its events, however it is framed

Seen in a test: a first runner states a length and breaks off after an event, a second one goes on with the stream and stops inside the next event. The caller got the half event and a regular end. The same for one runner whose stated length ends inside an event: its length was passed on, so that nothing found at the end could be told to the caller.

Cause: whether the answer consists of events, and may so end only between two, was decided by the framing of the first runner's head, and kept for the next runner. A stated length was taken for the proof that all is there, but it only says that the bytes are those that the runner wanted to send.

Now a success on a route of streams consists of events if it is marked as such, or states no length; each runner's head is looked at. The stated length of a stream of events is not passed on.

Tests: joined_streams, all nine pairs of framing with a half and a whole second answer, and unframed::*::with_its_stated_length.

--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -1,16 +1,18 @@
 //! The events of one answer, on their way from its runners to the caller.
 //!
-//! A stream that may be resumed is passed on in whole events; another one as it arrives. If the runner states no
-//! length, the stream is complete only if it ends between two events. A limit on the size of an event keeps one
-//! without end out of memory.
+//! A stream that may be resumed is passed on in whole events; another one as it arrives. A stream of events is
+//! complete only if it ends between two events, however its runner frames it. A limit on the size of an event keeps
+//! one without end out of memory.
 
 use bytes::Bytes;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use tealsaddle_core::fleet::config::RepeatPolicy;
 use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter};
 use tealsaddle_core::retry::UnknownReason;
 
+use crate::framing::Framing;
+
 /// Largest event. A runner that sends more bytes without the end of an event has failed.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -28,18 +30,22 @@
 
 impl EventStream {
     /// Begins the stream of an answer with this head.
-    pub fn begin(repeat: RepeatPolicy, head: &Parts) -> Self {
+    pub fn begin(repeat: RepeatPolicy, head: &Parts, framing: Framing) -> Self {
         let is_success = head.status.is_success();
-        // A body of known length is complete by its length.
-        let has_length = head.headers.contains_key(CONTENT_LENGTH);
         Self {
             splitter: (repeat.may_repeat() && is_success).then(EventSplitter::default),
             boundary: EventBoundary::default(),
-            has_events: repeat.is_stream() && is_success && !has_length,
+            has_events: repeat.is_stream() && is_success && has_events(head, framing),
             has_passed_events: false,
         }
     }
 
+    /// Goes on with the answer of another runner after the last complete event.
+    pub fn continue_with(&mut self, head: &Parts, framing: Framing) {
+        drop(self.take_rest());
+        self.has_events |= has_events(head, framing);
+    }
+
     /// Takes bytes of the runner and returns those to pass on now; `None` if there is no complete event yet.
     pub fn push(&mut self, data: Bytes) -> Result<Option<Bytes>, UnknownReason> {
         let Some(splitter) = &mut self.splitter else {
@@ -71,6 +77,11 @@
         )
     }
 
+    /// Whether the answer consists of events.
+    pub const fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Whether the stream is complete if it ends here.
     pub fn may_end(&self) -> bool {
         !self.has_events || self.incomplete_bytes() == 0
@@ -93,3 +104,15 @@
         self.splitter.as_ref()?.last_id()
     }
 }
+
+/// Whether a successful answer on a route of streams consists of events. One that is not marked as such and states
+/// its length may be something else.
+fn has_events(head: &Parts, framing: Framing) -> bool {
+    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    let stated = head.headers.get(CONTENT_TYPE);
+    let is_marked = stated.is_some_and(|value| {
+        let start = value.as_bytes().get(..EVENT_STREAM.len());
+        start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    is_marked || framing != Framing::Length
+}
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -40,9 +40,10 @@
     let mut head = stream.head.clone();
     strip_hop_headers(&mut head.headers, |_name| false);
     call.gateway.dialect.clean_answer(&mut head.headers);
-    let events = EventStream::begin(call.route.repeat, &head);
-    if events.may_resume() {
-        // A resumed stream may differ in length from the one that this header describes.
+    let events = EventStream::begin(call.route.repeat, &head, stream.body.framing());
+    if events.may_resume() || events.has_events() {
+        // The caller would take the stream for complete at this length, whatever is found at its end, and a resumed
+        // stream may differ in length.
         head.headers.remove(header::CONTENT_LENGTH);
     }
     let relay = Relay {
@@ -233,7 +234,8 @@
 
     /// Goes on with the stream of another runner. Closing the connection stops the previous one.
     fn continue_with(&mut self, stream: OpenStream) {
-        drop(self.events.take_rest());
+        self.events
+            .continue_with(&stream.head, stream.body.framing());
         self.call.gateway.metrics.increment("stream.resumed");
         self.body = Some(stream.body);
         self.attempt = stream.attempt;
