Find the ends of events by the definition of server-sent events

Three boundaries were seen differently than by a caller who reads events by their definition. A stream whose lines end with a bare CR never had a whole event: it was cut as broken, and held back whole where it may be resumed. One that ends with a comment between two events was cut too. After a byte order mark the id of the first event was not found, so that the stream was resumed from its start; the mark of a second runner came into the middle.

One state machine now finds the boundaries for both kinds of stream. A CR at the end of a stream that uses CR LF is half a line end, so that event is not complete. An end inside a character is inside its line. It also ends the search of the whole buffer with each piece of a large event.

--- a/crates/tealsaddle-core/src/fleet/events.rs
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -4,11 +4,18 @@
 //! complete events only, so bytes are buffered until their event is complete. A stream that is not resumed is
 //! passed on as it arrives; it is complete only if it ends between two events.
 
+/// Byte order mark, with which a stream may begin.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// Buffers the bytes of one stream and releases them at event boundaries.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffered: Vec<u8>,
+    boundary: EventBoundary,
     last_id: Option<String>,
+    has_released: bool,
+    /// Whether the next bytes are the start of another runner's stream, whose byte order mark is dropped.
+    drops_mark: bool,
 }
 
 impl EventSplitter {
@@ -25,19 +32,28 @@
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.buffered.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.buffered) else {
+        self.boundary.push(bytes);
+        let end = self.buffered.len() - self.boundary.incomplete_bytes();
+        if end == 0 {
             return Vec::new();
-        };
+        }
         let incomplete = self.buffered.split_off(end);
-        let complete = std::mem::replace(&mut self.buffered, incomplete);
+        let mut complete = std::mem::replace(&mut self.buffered, incomplete);
+        if std::mem::take(&mut self.drops_mark) && complete.starts_with(BYTE_ORDER_MARK) {
+            complete.drain(..BYTE_ORDER_MARK.len());
+        }
+        self.has_released = true;
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
         complete
     }
 
-    /// Removes and returns the bytes of the event that is not complete.
+    /// Removes and returns the bytes of the event that is not complete. What is pushed next is the start of
+    /// another stream.
     pub fn take_incomplete(&mut self) -> Vec<u8> {
+        self.boundary = EventBoundary::default();
+        self.drops_mark = self.has_released;
         std::mem::take(&mut self.buffered)
     }
 
@@ -52,13 +68,41 @@
     }
 }
 
-/// Tells whether a stream that is passed on as it arrives is between two events.
+/// Tells whether a stream is between two events: after an empty line, or after a comment that follows one.
+///
+/// Lines end with LF, CR LF or CR. While a stream has had no bare CR, a line that ends with one is still open: the
+/// second half of the line end may be missing.
 #[derive(Debug, Default)]
 pub struct EventBoundary {
+    total_bytes: usize,
     /// Number of bytes since the last complete event.
     incomplete_bytes: usize,
-    /// Number of bytes in the current line, without carriage returns.
-    line_bytes: usize,
+    line: Line,
+    /// Whether the current event has a field.
+    has_fields: bool,
+    carriage_return: CarriageReturn,
+    has_bare_carriage_return: bool,
+}
+
+/// What the current line holds so far.
+#[derive(Debug, Default, Clone, Copy)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+/// Meaning of the byte before the current one, if it was a CR.
+#[derive(Debug, Default, Clone, Copy)]
+enum CarriageReturn {
+    /// It was another byte.
+    #[default]
+    None,
+    /// The next byte tells whether the line has ended.
+    Open,
+    /// It has ended the line. An LF would belong to it.
+    Ended,
 }
 
 impl EventBoundary {
@@ -75,13 +119,7 @@
     /// ```
     pub fn push(&mut self, bytes: &[u8]) {
         for byte in bytes {
-            self.incomplete_bytes += 1;
-            match byte {
-                b'\n' if self.line_bytes == 0 => self.incomplete_bytes = 0,
-                b'\n' => self.line_bytes = 0,
-                b'\r' => {}
-                _ => self.line_bytes += 1,
-            }
+            self.push_byte(*byte);
         }
     }
 
@@ -89,19 +127,63 @@
     pub const fn incomplete_bytes(&self) -> usize {
         self.incomplete_bytes
     }
-}
 
-/// Returns the position after the last empty line, which terminates an event.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len()).rev().find_map(|at| {
-        let line_end = bytes[at] == b'\n';
-        let before = bytes[..at].strip_suffix(b"\r").unwrap_or(&bytes[..at]);
-        (line_end && before.last() == Some(&b'\n')).then_some(at + 1)
-    })
+    fn push_byte(&mut self, byte: u8) {
+        let before = std::mem::take(&mut self.carriage_return);
+        if matches!(before, CarriageReturn::Open) && byte != b'\n' {
+            self.has_bare_carriage_return = true;
+            self.end_line();
+        }
+        self.incomplete_bytes += 1;
+        match (byte, before) {
+            // The line end began with the CR. If that was the end of an event, this byte belongs to the event.
+            (b'\n', CarriageReturn::Ended) if self.incomplete_bytes == 1 => {
+                self.incomplete_bytes = 0;
+            }
+            (b'\n', CarriageReturn::Ended) => {}
+            (b'\n', _) => self.end_line(),
+            (b'\r', _) if self.has_bare_carriage_return => {
+                self.end_line();
+                self.carriage_return = CarriageReturn::Ended;
+            }
+            (b'\r', _) => self.carriage_return = CarriageReturn::Open,
+            _ => self.push_content(byte),
+        }
+        self.total_bytes += 1;
+    }
+
+    fn push_content(&mut self, byte: u8) {
+        if matches!(self.line, Line::Empty) && !self.is_byte_order_mark(byte) {
+            self.line = if byte == b':' {
+                Line::Comment
+            } else {
+                Line::Field
+            };
+        }
+    }
+
+    /// Whether a byte continues the byte order mark at the start of the stream.
+    fn is_byte_order_mark(&self, byte: u8) -> bool {
+        let is_first_line = self.incomplete_bytes == self.total_bytes + 1;
+        is_first_line && BYTE_ORDER_MARK.get(self.total_bytes) == Some(&byte)
+    }
+
+    fn end_line(&mut self) {
+        let ends_event = match std::mem::take(&mut self.line) {
+            Line::Empty => true,
+            Line::Comment => !self.has_fields,
+            Line::Field => false,
+        };
+        self.has_fields = !ends_event;
+        if ends_event {
+            self.incomplete_bytes = 0;
+        }
+    }
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
+    let events = events.strip_prefix(BYTE_ORDER_MARK).unwrap_or(events);
+    let lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = String::from_utf8_lossy(ids.next()?);
     Some(id.trim().to_owned())
