Take an unframed answer for broken off if its runner has crashed

Seen in tests: a runner that states neither a length nor chunks crashes between two events, or in the answer of a plain service. The caller got a regular end; a stream that may be resumed was not resumed.

Cause: the end of the connection was the only proof of the end of the answer, and a crash ends it in the same way. No boundary of events shows it.

What can tell is the runner's report, by which the quarantine already finds crashes: at the end of an answer that ended with its connection the runner is asked, and an answer of a process that has ended is broken off. A runner that was draining, or is no longer listed, ends after its answers and is not asked. The price is one call of some milliseconds for each unframed answer, for which only the end waits, not the bytes. Answers with a length or chunks cost nothing. Not covered: a runner that breaks off exactly between two events and lives on; nothing that it says tells it from a complete answer.

--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod plain;
 pub mod prefill;
+pub mod process_check;
 pub mod progress;
 pub mod quarantine;
 pub mod relay;
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -46,6 +46,7 @@
 struct PlainAnswer {
     response: Response<BufferedBody>,
     attempt: RunnerAttempt,
+    runner: Arc<Runner>,
 }
 
 /// What is known of a call at the runners that were asked.
@@ -174,7 +175,11 @@
     /// Turns a runner's answer into the response to the caller.
     fn respond(self: &Arc<Self>, answer: PlainAnswer, attempts: &Attempts) -> Response<Body> {
         let failed_attempts = attempts.failed();
-        let PlainAnswer { response, attempt } = answer;
+        let PlainAnswer {
+            response,
+            attempt,
+            runner,
+        } = answer;
         response.map(|BufferedBody { start, rest }| {
             let Some(body) = rest else {
                 self.log_end("answered", attempt.runner(), failed_attempts);
@@ -184,6 +189,7 @@
                 call: Arc::clone(self),
                 body,
                 attempt,
+                runner,
                 failed_attempts,
             };
             rest.into_body_after(start)
@@ -221,21 +227,26 @@
         let metadata = self.send_metadata(&runner.id);
         let sent = self.exchange_until(&runner, &metadata, self.deadline);
         let result = match sent.await {
-            Ok(answer) => self.read_plain(answer, &attempt).await,
+            Ok(answer) => self.read_plain(answer, &attempt, &runner).await,
             Err(outcome) => Err(outcome),
         };
+        let runner_id = Name::clone(&runner.id);
         let result = match result {
             Ok(response) => {
                 let has_failed = response.status().is_server_error();
                 attempt.on_outcome(AttemptOutcome::Answered, has_failed);
-                Ok(PlainAnswer { response, attempt })
+                Ok(PlainAnswer {
+                    response,
+                    attempt,
+                    runner,
+                })
             }
             Err(outcome) => {
                 attempt.on_outcome(outcome, false);
                 Err(outcome)
             }
         };
-        (Name::clone(&runner.id), result)
+        (runner_id, result)
     }
 
     /// Checks an answer and reads its body, or the start of a long body.
@@ -243,6 +254,7 @@
         &self,
         answer: OwnAnswer,
         attempt: &RunnerAttempt,
+        runner: &Runner,
     ) -> Result<Response<BufferedBody>, AttemptOutcome> {
         let OwnAnswer {
             mut head,
@@ -254,7 +266,7 @@
             body.forbid_reuse();
             return Err(outcome);
         }
-        let body = self.read_start(body, attempt.runner()).await?;
+        let body = self.read_start(body, runner).await?;
         strip_hop_headers(&mut head.headers, |_name| false);
         self.gateway.dialect.clean_answer(&mut head.headers);
         if let Some(load) = metadata.load {
@@ -267,24 +279,24 @@
     async fn read_start(
         &self,
         mut body: AnswerBody,
-        runner: &str,
+        runner: &Runner,
     ) -> Result<BufferedBody, AttemptOutcome> {
         let framing = body.framing();
         let mut bytes = BytesMut::new();
         let mut is_complete = false;
         while !is_complete && bytes.len() <= MAX_BUFFERED_BYTES {
             let next = body.next_until(self.deadline).await;
-            match next {
+            match self.check_body_end(runner, framing, next).await {
                 Ok(Some(data)) => bytes.extend_from_slice(&data),
                 Ok(None) => is_complete = true,
                 Err(reason) => {
-                    self.log_body_end(runner, framing, 0, false);
+                    self.log_body_end(&runner.id, framing, 0, false);
                     return Err(AttemptOutcome::Unknown(reason));
                 }
             }
         }
         if is_complete {
-            self.log_body_end(runner, framing, 0, true);
+            self.log_body_end(&runner.id, framing, 0, true);
         }
         Ok(BufferedBody {
             start: bytes.freeze(),
@@ -299,6 +311,7 @@
     call: Arc<Call>,
     body: AnswerBody,
     attempt: RunnerAttempt,
+    runner: Arc<Runner>,
     failed_attempts: u32,
 }
 
@@ -311,19 +324,21 @@
     }
 
     async fn next(mut self) -> Option<(Result<Frame<Bytes>, Aborted>, Option<Self>)> {
-        let (outcome, step) = match self.body.next_until(self.call.deadline).await {
+        let framing = self.body.framing();
+        let read = self.body.next_until(self.call.deadline).await;
+        let read = self.call.check_body_end(&self.runner, framing, read).await;
+        let (outcome, step) = match read {
             Ok(Some(data)) => return Some((Ok(Frame::data(data)), Some(self))),
             Ok(None) => {
                 let runner = self.attempt.runner();
-                self.call.log_body_end(runner, self.body.framing(), 0, true);
+                self.call.log_body_end(runner, framing, 0, true);
                 ("answered", None)
             }
             Err(reason) => {
                 let outcome = AttemptOutcome::Unknown(reason);
                 self.attempt.on_outcome(outcome, false);
                 let runner = self.attempt.runner();
-                self.call
-                    .log_body_end(runner, self.body.framing(), 0, false);
+                self.call.log_body_end(runner, framing, 0, false);
                 self.call.log_truncated(reason.as_str(), runner);
                 (reason.as_str(), Some((Err(Aborted), None)))
             }
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -8,27 +8,21 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use hyper::StatusCode;
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::fleet::{PromptPart, Runner, shared_parts};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
 use tealsaddle_schema::fleet::{CrashReport, LostRequest};
 
 use crate::call::Call;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::process_check::has_ended;
 use crate::quarantine::peer_clock::{self, ClockReading};
 use crate::quarantine::{collector, messages};
-use crate::upstream::Reuse;
 
 /// Time for which the losses of one process are gathered.
 const GATHER_TIME: Duration = Duration::from_millis(10);
-/// Time for the runner's report, which tells whether its process has ended.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// How often the runner is asked, if it closes the connection without an answer.
-const CHECKS: usize = 2;
 /// Largest number of losses in one report.
 const MAX_REPORTED: usize = 64;
 /// Number of collectors that get each report.
@@ -163,33 +157,6 @@
     }
 }
 
-/// Whether the process of a runner has ended: nothing accepts a connection, or it is another process.
-async fn has_ended(gateway: &Gateway, runner: &Runner) -> bool {
-    for _check in 0..CHECKS {
-        let request = gateway.dialect.report_request(&runner.id);
-        let report = gateway.own_calls.call(runner.address, request, Reuse::Any);
-        let Ok(answer) = tokio::time::timeout(CHECK_TIMEOUT, report).await else {
-            return false;
-        };
-        match answer {
-            Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => return true,
-            Ok(answer) => {
-                let report = gateway.dialect.runner_report(&answer.body).ok();
-                let started_unix_ms = report.and_then(|report| report.started_unix_ms);
-                return started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
-            }
-            Err(failure) => match failure.outcome {
-                AttemptOutcome::NotRun(NotRunReason::ConnectFailed) => return true,
-                AttemptOutcome::Unknown(UnknownReason::ConnectionLost) => {}
-                AttemptOutcome::NotRun(_)
-                | AttemptOutcome::Unknown(_)
-                | AttemptOutcome::Answered => return false,
-            },
-        }
-    }
-    false
-}
-
 /// Sends a report to the first collectors of the service that can be reached.
 async fn send(gateway: &Arc<Gateway>, crash: &Crash) {
     let mut candidates = collectors(gateway, &crash.runner.service)
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -179,6 +179,12 @@
             Waited::Heard((body, read)) => {
                 let framing = body.framing();
                 self.body = Some(body);
+                let read = if self.events.may_end() {
+                    let runner = &self.run.runner;
+                    self.call.check_body_end(runner, framing, read).await
+                } else {
+                    read
+                };
                 self.on_read(runner, framing, read)
             }
             Waited::Replaced(stream) => {
