End the control thread when its handle is dropped

A debugger showed 139 control threads, of which eight at a time ran rounds with the store; they had used 4,400 s of processor time, the test that was left 3 s.

Cause: the loop of rounds waits for its pause or for the sign to leave. When the handle is dropped, the wait for that sign fails at once, each time, and the error was ignored: the thread of each gateway that a test had dropped went on without a pause, against a store that was gone. The more tests had run, the less processor time was left, first for those that ran last. In a process `tealsaddle front` the handle lives as long as the process.

The thread now ends with its handle.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -32,7 +32,7 @@
     pub store_recovered: Notify,
 }
 
-/// Handle of the running control thread.
+/// Handle of the running control thread. Dropping it ends the thread, but not the node's lease.
 #[derive(Debug)]
 pub struct ControlHandle {
     leave: tokio::sync::watch::Sender<bool>,
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -52,7 +52,8 @@
         }
     }
 
-    /// Runs rounds until told to leave, then ends the node's lease. Never returns.
+    /// Runs rounds until told to leave, then ends the node's lease. Returns once the handle of the control thread is
+    /// dropped.
     pub async fn run(mut self, mut leaving: watch::Receiver<bool>) {
         while !*leaving.borrow() {
             let pause = match self.round().await {
@@ -68,15 +69,19 @@
             };
             tokio::select! {
                 () = tokio::time::sleep(jittered(pause)) => {}
-                _ = leaving.wait_for(|is_leaving| *is_leaving) => {}
+                told = leaving.wait_for(|is_leaving| *is_leaving) => {
+                    if told.is_err() {
+                        return;
+                    }
+                }
             }
         }
         if let Some(ended) = self.membership.leave().await {
             log::info!(was_holder = self.orders.has_authority(), ended:?;
                 "asked the store to end this node's lease");
         }
-        // Returning would end the runtime of the control thread, and with it the watches.
-        std::future::pending::<()>().await;
+        // Returning ends the runtime of the control thread, and with it the watches.
+        while leaving.changed().await.is_ok() {}
     }
 
     async fn round(&mut self) -> Result<(), StoreError> {
