Check the end of event streams on the product's own front as well

The same class of fault as in the gateway, on the second path: a target of a plain service, or a peer, whose event stream ended inside an event reached the caller as a whole stream, with its length, in chunks or until the close. A peer's stream that broke off inside an event was closed with an error event, which a reader takes for a part of the half event, so that it sees a regular end. And an answer that ended with its connection was kept under its idempotency key as if it were known to be whole, and given again with a length.

Relayed bodies now follow the events; one that ends inside an event closes the caller's connection, and the stated length of a stream is not passed on. The record of a keyed call keeps only the status of an answer that nothing proves to be whole, as it does for long ones.

--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -10,7 +10,7 @@
 use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response};
 use rand::seq::SliceRandom;
 use tealsaddle_core::decision::{Alternative, Decision, DecisionKind};
@@ -19,6 +19,7 @@
 use tealsaddle_gateway::answer::strip_hop_headers;
 use tokio::time::Instant;
 
+use super::body_end::BodyEnd;
 use super::chat::error_event;
 use super::completion;
 use super::dispatch::{HOPS, MAX_HOPS, RequestContext};
@@ -160,38 +161,49 @@
 ) -> Response<Body> {
     let (mut head, body) = response.into_parts();
     strip_hop_headers(&mut head.headers, |_name| false);
-    let is_event_stream = head
-        .headers
-        .get(CONTENT_TYPE)
-        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    let event_request_id = is_event_stream.then(|| context.request_id.clone());
-    let body = relay_body(body, event_request_id, traffic.stop_signals.clone());
-    Response::from_parts(head, body)
+    let relayed = RelayedBody {
+        end: BodyEnd::begin(&mut head.headers),
+        body,
+        request_id: context.request_id.clone(),
+        stop_signals: traffic.stop_signals.clone(),
+    };
+    Response::from_parts(head, relayed.into_body())
+}
+
+/// A response body of a peer. If it is cut off between two events, an event stream ends with an error event.
+/// Otherwise an error closes the caller's connection: an event after half of another one would be read as a part
+/// of it.
+struct RelayedBody {
+    body: Incoming,
+    end: BodyEnd,
+    request_id: String,
+    stop_signals: StopSignals,
 }
 
-/// Relays a response body. If the body is cut off, an event stream ends with an error event, and any
-/// other body with an error that closes the caller's connection. `event_request_id` is the request id
-/// for the error event, and `None` if the body is not an event stream.
-fn relay_body(body: Incoming, event_request_id: Option<String>, stop_signals: StopSignals) -> Body {
-    let first = Some((body, event_request_id, stop_signals));
-    let frames = stream::unfold(first, |state| async move {
-        let (mut body, event_request_id, stop_signals) = state?;
+impl RelayedBody {
+    fn into_body(self) -> Body {
+        let frames = stream::unfold(Some(self), |body| async move { body?.next().await });
+        StreamBody::new(frames.boxed()).boxed_unsync()
+    }
+
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, BodyError>, Option<Self>)> {
         let deadline = Instant::now() + FRAME_TIMEOUT;
-        let refusal = match stop_signals.wait(deadline, body.frame()).await {
-            Ok(None) => return None,
+        let refusal = match self.stop_signals.wait(deadline, self.body.frame()).await {
+            Ok(None) if self.end.is_between_events() => return None,
             Ok(Some(Ok(frame))) => {
-                return Some((Ok(frame), Some((body, event_request_id, stop_signals))));
+                self.end.on_frame(&frame);
+                return Some((Ok(frame), Some(self)));
             }
-            Ok(Some(Err(_broken))) => completion::connection_lost(),
+            Ok(None | Some(Err(_))) => completion::connection_lost(),
             Err(reason) => completion::refusal(AttemptOutcome::Unknown(reason)),
         };
-        let last = match event_request_id {
-            Some(request_id) => Ok(Frame::data(error_event(&refusal, &request_id))),
-            None => Err(BodyError::from(refusal.message)),
+        let last = if self.end.is_event_stream() && self.end.is_between_events() {
+            Ok(Frame::data(error_event(&refusal, &self.request_id)))
+        } else {
+            Err(BodyError::from(refusal.message))
         };
         Some((last, None))
-    });
-    StreamBody::new(frames.boxed()).boxed_unsync()
+    }
 }
 
 fn record(traffic: &Traffic, context: &RequestContext, peers: &[PeerEndpoint], reason: &str) {
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod attempt;
 pub mod auth;
+mod body_end;
 pub mod chat;
 pub mod claim;
 pub mod completion;
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -16,9 +16,11 @@
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tealsaddle_gateway::answer::strip_hop_headers;
+use tealsaddle_gateway::framing::Framing;
 use tokio::time::Instant;
 
 use super::admit;
+use super::body_end::BodyEnd;
 use super::claim::{self, Claim, KeyedCall, NotClaimed};
 use super::completion;
 use super::dispatch::{HOPS, RequestContext};
@@ -234,7 +236,7 @@
 }
 
 /// Reads a response up to the length that a claim record stores. A longer response is relayed while it
-/// arrives, and the record keeps its status without the body.
+/// arrives, and the record keeps its status without the body, as it does for a body that ends with its connection.
 ///
 /// Returns the result for the caller, the outcome of the call, and the response to store, if any.
 async fn buffer_response(
@@ -266,7 +268,9 @@
     loop {
         match body.frame().await {
             None => {
-                stored.body = Some(bytes.to_vec());
+                // Without a length or chunks nothing shows that the body is whole.
+                let is_proved = head.extensions.get() != Some(&Framing::UntilClose);
+                stored.body = is_proved.then(|| bytes.to_vec());
                 let response = Response::from_parts(head, full(bytes.freeze()));
                 return (Ok(response), AttemptOutcome::Answered, Some(stored));
             }
@@ -442,16 +446,27 @@
 
     fn relay_response(&self, response: Response<Incoming>) -> Response<Body> {
         let (mut head, body) = response.into_parts();
+        head.extensions
+            .insert(Framing::of(&head, !body.is_end_stream()));
         strip_hop_headers(&mut head.headers, |_name| false);
+        let end = BodyEnd::begin(&mut head.headers);
         let deadline = self.deadline;
         let stop_signals = self.traffic.stop_signals.clone();
         // A body that is cut off closes the caller's connection, so that the caller does not take
         // it for a whole one.
-        let frames = stream::unfold(Some((body, stop_signals)), move |state| async move {
-            let (mut body, stop_signals) = state?;
+        let first = Some((body, end, stop_signals));
+        let frames = stream::unfold(first, move |state| async move {
+            let (mut body, mut end, stop_signals) = state?;
             match stop_signals.wait(deadline, body.frame()).await {
-                Ok(None) => None,
-                Ok(Some(Ok(frame))) => Some((Ok(frame), Some((body, stop_signals)))),
+                Ok(None) if end.is_between_events() => None,
+                Ok(None) => Some((
+                    Err(BodyError::from("the stream ended inside an event")),
+                    None,
+                )),
+                Ok(Some(Ok(frame))) => {
+                    end.on_frame(&frame);
+                    Some((Ok(frame), Some((body, end, stop_signals))))
+                }
                 Ok(Some(Err(error))) => Some((Err(BodyError::from(error)), None)),
                 Err(reason) => Some((Err(BodyError::from(reason.as_str())), None)),
             }
--- a/crates/tealsaddle-node/tests/it/main.rs
+++ b/crates/tealsaddle-node/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod end_to_end;
 mod faults;
 mod forward;
+mod framing;
 mod malformed_input;
 mod membership;
 mod operator;
--- a/crates/tealsaddle-node/tests/it/service.rs
+++ b/crates/tealsaddle-node/tests/it/service.rs
@@ -22,7 +22,7 @@
 use crate::test_node::{ANY_PORT, TestNode};
 
 /// Returns a configuration with the service `ladder` and its targets, given by name, zone and address.
-fn services(targets: &[(&str, &str, SocketAddr)]) -> String {
+pub fn services(targets: &[(&str, &str, SocketAddr)]) -> String {
     let targets: Vec<String> = targets
         .iter()
         .map(|(name, zone, address)| {
@@ -45,7 +45,8 @@
     Service::bind(ANY_PORT).await.expect("the service starts")
 }
 
-async fn call(
+/// Calls a node and waits for the whole answer.
+pub async fn call(
     node: &TestNode,
     method: Method,
     path: &str,
