--- a/crates/tealsaddle-node/tests/it/framing.rs
+++ b/crates/tealsaddle-node/tests/it/framing.rs
@@ -72,7 +72,7 @@
     let sent = node
         .client
         .call(Method::GET, node.address, &path, &[], String::new());
-    assert!(sent.await.is_err());
+    sent.await.expect_err("the stream is cut");
 }
 
 /// Guards against a whole stream of a plain service that is cut.
@@ -86,7 +86,7 @@
     let text = response(framed, "text/event-stream", EVENT);
     let node = node_with_target(closing_server(text).await).await;
     let answer = call(&node, Method::GET, "/services/ladder/events", &[], "").await;
-    assert_eq!((answer.status, &answer.body[..]), (200, EVENT.as_bytes()));
+    assert_eq!((answer.status, &*answer.body), (200, EVENT.as_bytes()));
 }
 
 /// Guards against half an event of a peer that looks complete, or that swallows the event with the error.
@@ -116,7 +116,7 @@
         &[],
         body(5, true),
     );
-    assert!(sent.await.is_err());
+    sent.await.expect_err("the stream is cut");
 }
 
 /// Guards against an answer of which nothing shows that it is whole, and that is given again as a whole one.
