Count the loss of a trial that its collector does not know of yet

Cause: a loss of a quarantined part counts from the first trial on, and the collector went by its own record. If the node that had claimed the trial reported its loss before the collector had learned of the claim, the loss was dropped. The next trial then came after 5 s instead of a minute or more, and cost another runner.

--- a/crates/tealsaddle-gateway/src/quarantine/collector.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/collector.rs
@@ -66,7 +66,9 @@
             lost_age_ms = lost.lost_age_ms, trial = lost.trial; "loss reported");
     }
     if let Some(explained) = quarantined(gateway, &service, report) {
-        let trials = explained.record.trials;
+        // This node may not have learned of the trial yet.
+        let trial = report.lost.iter().map(|lost| lost.trial).max().unwrap_or(0);
+        let trials = explained.record.trials.max(trial);
         // Before the first trial these are requests that were on their way when the cause was found.
         if trials > 0 {
             let key = explained.record.key;
