Count losses of a request that several callers send at the same time

The order of two requests that are under way together says nothing, but both had been sent after the first loss.

A loss now also counts if the request was sent after the first one and lost 50 ms after it or more, which the runners of one failure are not.

Tests: request_that_is_lost_in_a_row_is_suspected::overlapping failed before, in_one_failure keeps the bound; the table of drawn histories is unchanged.

--- a/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
@@ -226,33 +226,40 @@
     }
 }
 
-/// The losses that count: each of another process, and one after the other as `follows` tells.
+/// The losses that count: each of another process, and one that `follows` those that were counted before.
 fn succession<F>(losses: &[Arc<Loss>], follows: F) -> Vec<&Loss>
 where
-    F: Fn(&Loss, &Loss) -> bool,
+    F: Fn(&Loss, &[&Loss]) -> bool,
 {
     let mut counted: Vec<&Loss> = Vec::new();
     for loss in losses {
         let is_known = counted.iter().any(|other| other.process == loss.process);
-        if counted.last().is_none_or(|last| follows(loss, last)) && !is_known {
+        if !is_known && (counted.is_empty() || follows(loss, &counted)) {
             counted.push(loss);
         }
     }
     counted
 }
 
-/// Whether a lost request was sent after an earlier loss. A prompt is sent again only after its loss.
-fn follows(loss: &Loss, earlier: &Loss) -> bool {
-    let is_repeated = loss.own_part == earlier.own_part && loss.sent_us > earlier.sent_us;
-    (is_repeated || is_past(loss, loss.sent_us, earlier, SUCCESSION_US))
-        && is_past(loss, loss.lost_us, earlier, MIN_GAP_US)
+/// Whether a lost request was sent after the last counted loss. A prompt is sent again only after its loss.
+fn follows(loss: &Loss, counted: &[&Loss]) -> bool {
+    let last = counted[counted.len() - 1];
+    let is_repeated = loss.own_part == last.own_part && loss.sent_us > last.sent_us;
+    (is_repeated || is_past(loss, loss.sent_us, last, SUCCESSION_US))
+        && is_past(loss, loss.lost_us, last, MIN_GAP_US)
 }
 
-/// Like [`follows`], for losses of the same request, which several callers may send at the same time.
-fn follows_as_request(loss: &Loss, earlier: &Loss) -> bool {
-    let is_repeated = loss.request_id == earlier.request_id && loss.sent_us > earlier.sent_us;
-    (is_repeated || is_past(loss, loss.sent_us, earlier, REQUEST_SUCCESSION_US))
-        && is_past(loss, loss.lost_us, earlier, MIN_REQUEST_GAP_US)
+/// Whether a lost request was sent after the last counted loss of the same request, or at least after the first one
+/// and not lost in the same failure. Several callers may send it at the same time.
+fn follows_as_request(loss: &Loss, counted: &[&Loss]) -> bool {
+    let (first, last) = (counted[0], counted[counted.len() - 1]);
+    let is_sent_after = |earlier: &Loss| {
+        let is_repeated = loss.request_id == earlier.request_id && loss.sent_us > earlier.sent_us;
+        is_repeated || is_past(loss, loss.sent_us, earlier, REQUEST_SUCCESSION_US)
+    };
+    let is_other_failure = is_past(loss, loss.lost_us, first, MIN_GAP_US);
+    (is_sent_after(last) || is_sent_after(first) && is_other_failure)
+        && is_past(loss, loss.lost_us, last, MIN_REQUEST_GAP_US)
 }
 
 /// Whether a time of a loss is later than an earlier loss by `gap_us`, and by the error of both.
--- a/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
@@ -258,6 +258,8 @@
     retries_at_once = { &[1_000, 1_033, 1_066], 1 },
     at_the_same_time = { &[1_000, 1_010, 1_020], 0 },
     two_at_a_time = { &[1_000, 1_001, 2_000, 2_001], 0 },
+    overlapping = { &[1_000, 1_033, 1_055], 1 },
+    in_one_failure = { &[1_000, 1_033, 1_040], 0 },
 )]
 fn request_that_is_lost_in_a_row_is_suspected(sent_ms: &[u64], expected: usize) {
     let losses = sent_ms.iter().zip(1..);
