Keep the trial of a request with the state of its call

The type of a trial stood in the quarantine, so that the call imported from the module that imports the call. The page of a private function is no longer linked from a public one, which the documentation does not allow.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -24,7 +24,6 @@
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
-use crate::quarantine::gate::Trial;
 use crate::timeout::timeout_at;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
@@ -99,6 +98,15 @@
     pub body: AnswerBody,
 }
 
+/// The one request of the fleet that tries what a decision has quarantined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Trial {
+    /// Id of the decision.
+    pub decision: Name,
+    /// Number of the trial since the decision, from 1.
+    pub number: u32,
+}
+
 /// State of a call that changes while it runs.
 #[derive(Debug, Default)]
 pub struct CallState {
--- a/crates/tealsaddle-gateway/src/quarantine/gate.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/gate.rs
@@ -11,19 +11,10 @@
 use tokio::sync::oneshot;
 
 use crate::answer::GatewayAnswer;
-use crate::call::{Call, Refusal};
+use crate::call::{Call, Refusal, Trial};
 use crate::clock;
 use crate::quarantine::keeper::Command;
 
-/// The one request of the fleet that tries what a decision has quarantined.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Trial {
-    /// Id of the decision.
-    pub decision: Name,
-    /// Number of the trial since the decision, from 1.
-    pub number: u32,
-}
-
 /// Time for the store to answer the claim of a trial.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/tealsaddle-gateway/src/quarantine/messages.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -151,7 +151,7 @@
     }
 }
 
-/// Parses what [`encode_subject`] writes.
+/// The part or request that a message or record names; `None` if the digest cannot be read.
 pub fn decode_subject(part: u64, request: &str) -> Option<Subject> {
     if request.is_empty() {
         return Some(Subject::Part(part));
