Keep the losses of a request when a part of its prompt is held in its place

Decisions on a part forget the losses of the processes that they explain. They now leave those of requests that have the part: these are held with it, and if it turns out to be sound, the next loss finds the request.

Ruled out in a trial: no suspicion of a part by the losses of one prompt.

--- a/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
@@ -188,8 +188,8 @@
         }
     }
 
-    /// Records that a part or request was found to be deadly, and forgets all losses of the processes that it ended: their
-    /// cause is known. Returns `false`, and forgets nothing, if too many of the service were found to be
+    /// Records that a part or request was found to be deadly, and forgets what it explains, as [`forget`](Self::forget)
+    /// does. Returns `false`, and forgets nothing, if too many of the service were found to be
     /// deadly before.
     pub fn on_decided(&mut self, key: &SubjectKey, now_us: u64) -> bool {
         let decided_us = self
@@ -205,14 +205,20 @@
         true
     }
 
-    /// Forgets a part or request, and all losses of the processes whose end it explains.
+    /// Forgets a part or request, and the losses of the processes whose end it explains. Of a part, those of requests
+    /// that have it stay: they are held with it, and if it turns out to be sound, one of them may be the cause.
     pub fn forget(&mut self, key: &SubjectKey) {
         let explained = self.accounts_of(key).pop(key).unwrap_or_default();
         let is_explained = |loss: &Arc<Loss>| explained.iter().any(|e| e.process == loss.process);
-        for accounts in [&mut self.of_parts, &mut self.of_requests] {
-            for (_key, losses) in accounts {
-                losses.retain(|loss| !is_explained(loss));
-            }
+        let has_part = |loss: &Arc<Loss>| match key.subject {
+            Subject::Part(part) => loss.shared_parts.contains(&part),
+            Subject::Request(_) => false,
+        };
+        for (_key, losses) in &mut self.of_parts {
+            losses.retain(|loss| !is_explained(loss));
+        }
+        for (_key, losses) in &mut self.of_requests {
+            losses.retain(|loss| !is_explained(loss) || has_part(loss));
         }
     }
 }
--- a/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/accounts.rs
@@ -305,20 +305,42 @@
     assert_eq!(cause.is_some(), is_cause);
 }
 
-/// Guards against a part and a request that are both blamed for the same crashes.
-#[test]
-fn losses_that_a_part_explains_do_not_count_against_requests() {
-    let mut accounts = CrashAccounts::default();
-    let of_request = |number: u64| Loss {
+/// A loss of a prompt with the part [`DEADLY`] that is sent again and again.
+fn loss_of_one_prompt(number: u64) -> Loss {
+    Loss {
         request: Some(digest("a")),
         own_part: 7,
         ..loss(number, number * 1_000 * MS, &[DEADLY])
-    };
+    }
+}
+
+/// Guards against a part that is blamed for the crashes of a request: its other requests would be refused.
+#[test]
+fn losses_that_a_request_explains_do_not_count_against_its_parts() {
+    let mut accounts = CrashAccounts::default();
+    for number in 1..=2 {
+        accounts.on_loss(&service(), loss_of_one_prompt(number));
+    }
+    let key = SubjectKey::request(&service(), digest("a"));
+    assert!(accounts.on_decided(&key, 2_500 * MS));
+    let other = loss(3, 3_000 * MS, &[DEADLY]);
+    assert_eq!(accounts.on_loss(&service(), other), []);
+}
+
+/// Guards against a deadly request that ends three runners more after a part of its prompt was held in its place and
+/// has turned out to be sound.
+#[test]
+fn losses_of_a_request_outlast_a_wrong_decision_on_its_part() {
+    let mut accounts = CrashAccounts::default();
     for number in 1..=2 {
-        accounts.on_loss(&service(), of_request(number));
+        accounts.on_loss(&service(), loss_of_one_prompt(number));
     }
-    assert!(accounts.on_decided(&SubjectKey::part(&service(), DEADLY), 2_500 * MS));
-    assert_eq!(accounts.on_loss(&service(), of_request(3)), []);
+    let part = SubjectKey::part(&service(), DEADLY);
+    assert!(accounts.on_decided(&part, 2_500 * MS));
+    accounts.forget(&part);
+    let found = accounts.on_loss(&service(), loss_of_one_prompt(5));
+    let subjects: Vec<&[Subject]> = found.iter().map(|s| s.subjects.as_slice()).collect();
+    assert_eq!(subjects, [&[Subject::Request(digest("a"))]]);
 }
 
 /// Guards against many deadly requests that use up the decisions on parts.
