Let tiny chunks count more than their bytes in answers to the node's calls

An answer without end in chunks of 16 bytes cost a node a core for seconds until it reached the limit of 16 MiB: a million frames, 27 MB on the wire, 7 s in a debug build. The limit was on bytes only, which is not what such a peer costs.

Each frame of an answer to one of the node's own calls counts 256 bytes beside its own, so that such an answer ends after 62,000 frames. A listing of the store in frames of 4 KiB loses a sixteenth of the limit.

--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -51,6 +51,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Largest answer to a call of the gateway itself. The largest ones are pages of the store and the state of a peer.
 pub const MAX_CALL_BYTES: usize = 16 << 20;
+/// What a frame of such an answer counts beside its bytes: tiny chunks cost the node more than their bytes do.
+const FRAME_COST_BYTES: usize = 256;
 
 /// Which idle connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -164,7 +166,8 @@
         }
     }
 
-    /// Sends a call of the gateway itself and reads the whole answer, which has at most [`MAX_CALL_BYTES`].
+    /// Sends a call of the gateway itself and reads the whole answer, which has at most [`MAX_CALL_BYTES`], less if it
+    /// comes in tiny chunks.
     pub async fn call(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -181,9 +184,11 @@
         headers.extend(call.headers);
         let Answer { head, mut body } = self.send(address, request, reuse).await?;
         let mut bytes = BytesMut::new();
+        let mut cost_bytes = 0;
         while let Some(data) = body.next().await {
+            cost_bytes += FRAME_COST_BYTES + data.as_ref().map_or(0, Bytes::len);
             match data {
-                Ok(data) if bytes.len() + data.len() > MAX_CALL_BYTES => {
+                Ok(_) if cost_bytes > MAX_CALL_BYTES => {
                     return Err(SendFailure {
                         outcome: AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
                     });
