Show digests of requests in logs as in the keys of their records

`parts or a request suspected` printed the digest as a decimal number, by which no one finds the record or the lost requests that bear it in hexadecimal. The debug form is now the text form. Module heads that had grown too wide are wrapped; no other change of behaviour.

Test: list::digest_has_one_text_form, which failed before.

--- a/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/accounts.rs
@@ -3,8 +3,8 @@
 //! A deadly part ends each runner at which an answer on it begins, so its requests are lost one after the other
 //! and none survives. The other parts of these requests are lost as often, and a crash takes sound requests with
 //! it, so a part with many losses is only suspected: the caller finds out when the suspected part and those
-//! that are always with it last survived, and [`Suspicion::cause`] chooses among them. A request that comes again may be
-//! the cause itself; its losses are those of the same request in a row.
+//! that are always with it last survived, and [`Suspicion::cause`] chooses among them. A request that comes again
+//! may be the cause itself; its losses are those of the same request in a row.
 
 use std::fmt;
 use std::num::NonZeroUsize;
--- a/crates/tealsaddle-core/src/fleet/quarantine/list.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/list.rs
@@ -4,10 +4,11 @@
 //! is stored, from this node or from a peer; it applies at once, and the record is written later if no other node
 //! has done so. A record that the store has lost is written again.
 //!
-//! While a part is quarantined its requests are refused, and so is a quarantined request. From time to time one request of the whole fleet is
-//! tried: the node that stores the record with a higher number of trials may do so. A trial that is lost with its
-//! runner adds a loss to the record, and the more losses it has, the later is the next trial. Every node counts the
-//! time to the next trial from the moment at which it learned of the last change of the record.
+//! While a part is quarantined its requests are refused, and so is a quarantined request. From time to time one
+//! request of the whole fleet is tried: the node that stores the record with a higher number of trials may do so. A
+//! trial that is lost with its runner adds a loss to the record, and the more losses it has, the later is the next
+//! trial. Every node counts the time to the next trial from the moment at which it learned of the last change of the
+//! record.
 
 use super::accounts::SUSPECT_LOSSES;
 use super::subject::{RequestDigest, SubjectKey};
--- a/crates/tealsaddle-core/src/fleet/quarantine/subject.rs
+++ b/crates/tealsaddle-core/src/fleet/quarantine/subject.rs
@@ -7,7 +7,7 @@
 use crate::name::Name;
 
 /// Digest of all that makes two requests the same for a runner. Nodes of all versions compute it alike.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestDigest(u128);
 
 impl RequestDigest {
@@ -47,6 +47,12 @@
     }
 }
 
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
 impl fmt::Display for RequestDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/tealsaddle-core/tests/it/fleet/quarantine/list.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/quarantine/list.rs
@@ -82,6 +82,19 @@
     assert!(list.find(&writers, Some(held), &[]).is_none());
 }
 
+/// Guards against a digest that reads otherwise in logs than in the key of its record.
+#[test]
+fn digest_has_one_text_form() {
+    let digest = RequestDigest::of([&b"a"[..]]);
+    let text = digest.to_string();
+    assert_eq!(Subject::parse(&text), Some(Subject::Request(digest)));
+    assert_eq!(
+        format!("{:?}", Subject::Request(digest)),
+        format!("Request({text})")
+    );
+    assert_eq!(Subject::parse("dead"), Some(Subject::Part(0xdead)));
+}
+
 /// Guards against a deadly part that is tried too often, and against a sound part that is refused for long after
 /// few losses, or after a trial whose outcome never became known.
 #[test]
--- a/crates/tealsaddle-gateway/src/quarantine/gate.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/gate.rs
@@ -52,8 +52,8 @@
         trial.is_some_and(|trial| trial.decision == entry.record.decision)
     }
 
-    /// Ends the quarantine of the request and its parts if its answer, whose first event came at `first_event_us`, shows
-    /// that they are sound.
+    /// Ends the quarantine of the request and its parts if its answer, whose first event came at `first_event_us`,
+    /// shows that they are sound.
     pub fn object(&self, first_event_us: u64) {
         if let Some(entry) = self.quarantine_entry()
             && first_event_us > entry.first_lost_us
--- a/crates/tealsaddle-gateway/src/quarantine/mod.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/mod.rs
@@ -1,10 +1,11 @@
-//! Quarantine of prompt parts and requests that crash runners: what the nodes tell each other, and what requests are told.
+//! Quarantine of prompt parts and requests that crash runners: what the nodes tell each other, and what requests are
+//! told.
 //!
 //! The request path reports answers that survive and requests that are lost with their runners ([`losses`]).
 //! Losses go to two collectors, nodes that are chosen by the service ([`collector`]). A collector that finds a
 //! deadly part or request has it quarantined: [`keeper`], in the control thread, publishes the decision, tells the
-//! peers and stores it. Quarantined requests, and those with a quarantined part, are refused by [`gate`]. The decisions are made by
-//! [`tealsaddle_core::fleet::quarantine`].
+//! peers and stores it. Quarantined requests, and those with a quarantined part, are refused by [`gate`]. The
+//! decisions are made by [`tealsaddle_core::fleet::quarantine`].
 
 pub mod collector;
 pub mod gate;
--- a/crates/tealsaddle-gateway/src/quarantine/records.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/records.rs
@@ -1,4 +1,5 @@
-//! Records of quarantined parts and requests: their keys and form in the store, and what the store and peers tell of them.
+//! Records of quarantined parts and requests: their keys and form in the store, and what the store and peers tell of
+//! them.
 
 use std::sync::Arc;
 
