Read and log what runners ask for in their answers

Server-Limit, Server-Leaving and Retry-After are decoded once, into typed fields, with a stated meaning for values that are missing, doubled, fractional, dates, huge, negative or no numbers; 'runner asks for less' logs them, 'backpressure.seen' counts them. Nothing acts on them yet.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 //! their input is a list of runners, what this node has observed of them and a time; their result is a
 //! choice.
 
+pub mod backpressure;
 pub mod cached_parts;
 pub mod config;
 pub mod events;
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -9,6 +9,7 @@
 
 use hyper::http;
 use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::backpressure::Backpressure;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::placement::PlacementRequest;
 use tealsaddle_core::fleet::quarantine::subject::RequestDigest;
@@ -273,7 +274,10 @@
         maybe_running.fetch_add(running, Ordering::Relaxed);
         let result = match timeout_at(limit, sent).await {
             Ok(Ok(answer)) => match self.own_answer(answer) {
-                Some(answer) => return Ok(answer),
+                Some(answer) => {
+                    self.log_backpressure(&runner.id, answer.metadata.backpressure);
+                    return Ok(answer);
+                }
                 // The connection is closed: the answer to this request may still follow.
                 None => AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
             },
@@ -302,6 +306,17 @@
         })
     }
 
+    /// Logs what a runner asks for in an answer.
+    fn log_backpressure(&self, runner: &str, asked: Backpressure) {
+        if !asked.is_some() {
+            return;
+        }
+        self.gateway.metrics.increment("backpressure.seen");
+        log::info!(id:% = self.request_id, runner:%, is_leaving = asked.is_leaving,
+            pause_ms = asked.pause.map_or(0, |pause| pause.as_millis() as u64), rate:? = asked.rate;
+            "runner asks for less");
+    }
+
     /// Metadata of a request to a runner, without those of prefill and streams.
     pub fn send_metadata<'a>(&self, runner_id: &'a str) -> SendMetadata<'a> {
         SendMetadata {
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use hyper::header::{HeaderMap, HeaderName};
+use tealsaddle_core::fleet::backpressure::Backpressure;
 use tealsaddle_core::fleet::config::FleetConfig;
 use tealsaddle_core::fleet::load::ReportedLoad;
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
@@ -169,7 +170,7 @@
 }
 
 /// What the headers of a runner's answer say.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerMetadata {
     /// Id of the request that the answer belongs to; `None` if the runner sent none.
     pub request_id: Option<String>,
@@ -179,6 +180,8 @@
     pub says_not_run: bool,
     /// Load of the runner; `None` if the answer does not report it.
     pub load: Option<ReportedLoad>,
+    /// What the runner asks of those who send to it.
+    pub backpressure: Backpressure,
 }
 
 /// Where a decode runner fetches the KV cache of a prompt.
