Keep to the limits of runners with one permit for each request

Callers saw nothing; runners in need got two to three times what they take. Cause: what a runner asks for in its answers was read nowhere, so it bound nobody who sends to it (hypothesis A; with the limit in the log, the same rate before and after it at each node).

A send needs a permit of core::fleet::send_gate; for a limited runner the node that counts for it, the first by rendezvous, gives one for each request (core::fleet::permit_counter), and substitutes give a part while it cannot be reached. All paths go through Call::exchange_until, which takes the permit.

--- a/crates/tealsaddle-core/src/fleet/backpressure.rs
+++ b/crates/tealsaddle-core/src/fleet/backpressure.rs
@@ -5,6 +5,10 @@
 
 use std::time::Duration;
 
+/// Time for which it is remembered what a process asked for that is no longer registered: its registration may come
+/// back.
+pub const MEMORY_US: u64 = 1_800_000_000;
+
 /// Back-pressure in the headers of one answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Backpressure {
@@ -34,3 +38,35 @@
         *self != Self::default()
     }
 }
+
+/// What an answer showed of a runner's limit, and when.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RateObservation {
+    /// Limit in requests a second; `None` if the runner takes all.
+    pub limit_per_s: Option<f64>,
+    /// When the request was sent whose answer showed it.
+    pub sent_us: u64,
+    /// When the answer arrived.
+    pub seen_us: u64,
+}
+
+impl RateObservation {
+    /// Takes over a newer observation; returns whether the limit has changed.
+    ///
+    /// Answers overtake each other. A stricter limit is newer if it arrived later; one that is less strict only
+    /// if its request was sent after the stricter one had arrived.
+    pub fn merge(&mut self, other: Self) -> bool {
+        let limit = |rate: &Self| rate.limit_per_s.unwrap_or(f64::INFINITY);
+        let is_newer = if limit(&other) > limit(self) {
+            other.sent_us >= self.seen_us
+        } else {
+            other.seen_us >= self.seen_us
+        };
+        if !is_newer {
+            return false;
+        }
+        let is_changed = other.limit_per_s != self.limit_per_s;
+        *self = other;
+        is_changed
+    }
+}
--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -15,6 +15,8 @@
     NoTarget,
     /// The node was stopping before it sent the request.
     NodeStopping,
+    /// The target had asked for no request now, before this one was sent.
+    Withheld,
 }
 
 impl NotRunReason {
@@ -25,6 +27,7 @@
             Self::TargetRefused => "target_refused",
             Self::NoTarget => "no_target",
             Self::NodeStopping => "node_stopping",
+            Self::Withheld => "withheld",
         }
     }
 }
@@ -134,7 +137,7 @@
     }
 
     /// Counts a failed attempt and decides whether another one may follow. A retry that is allowed is taken
-    /// out of `budget`, unless no connection to the target could be established.
+    /// out of `budget`, unless the request has reached no target.
     pub fn on_failure(
         &mut self,
         outcome: AttemptOutcome,
@@ -147,7 +150,10 @@
         }
         self.check_limits(0)?;
         // A request that has reached no target adds no load when it is sent to another one.
-        let is_unsent = outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed);
+        let is_unsent = matches!(
+            outcome,
+            AttemptOutcome::NotRun(NotRunReason::ConnectFailed | NotRunReason::Withheld)
+        );
         if is_unsent || budget.try_consume(now_us) {
             Ok(())
         } else {
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
+use tealsaddle_core::fleet::send_gate::HoldReason;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 
 use crate::external::AnswerMetadata;
@@ -56,6 +57,8 @@
     BodyCutOff,
     /// No runner of the service accepts new requests.
     NoRunner,
+    /// All runners of the service have asked for no request now.
+    Withheld(HoldReason),
     /// The request is not expected to be answered by its deadline.
     DeadlineInfeasible,
     /// A part of the prompt crashes the runners.
@@ -84,6 +87,7 @@
             Self::BodyTimeout => "body_timeout",
             Self::BodyCutOff => "body_cut_off",
             Self::NoRunner => "no_runner",
+            Self::Withheld(reason) => reason.as_str(),
             Self::DeadlineInfeasible => "deadline_infeasible",
             Self::QuarantinedPart => "quarantined_part",
             Self::QuarantinedRequest => "quarantined_request",
@@ -117,6 +121,7 @@
         match self {
             Self::NoConfiguration
             | Self::NoRunner
+            | Self::Withheld(_)
             | Self::DeadlineInfeasible
             | Self::QuarantinedPart
             | Self::QuarantinedRequest
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -9,22 +9,22 @@
 
 use hyper::http;
 use tealsaddle_core::fleet::Runner;
-use tealsaddle_core::fleet::backpressure::Backpressure;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::placement::PlacementRequest;
 use tealsaddle_core::fleet::quarantine::subject::RequestDigest;
 use tealsaddle_core::fleet::{prompt_tokens, shared_parts};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, UnknownReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
 use crate::answer::GatewayAnswer;
-use crate::clock::jittered;
+use crate::clock::{self, jittered};
 use crate::external::{AnswerMetadata, RequestMetadata, SendMetadata};
 use crate::framing::Framing;
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
+use crate::send_gate::SendPermit;
 use crate::timeout::timeout_at;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
@@ -254,10 +254,11 @@
         is_granted
     }
 
-    /// Sends the request to a runner and waits until `limit` for the head of the answer.
+    /// Sends the request to a runner, with the permission to do so, and waits until `limit` for the head of the answer.
     pub async fn exchange_until(
         &self,
         runner: &Runner,
+        permit: SendPermit,
         metadata: &SendMetadata<'_>,
         limit: Instant,
     ) -> Result<OwnAnswer, AttemptOutcome> {
@@ -268,6 +269,10 @@
         };
         let request = self.request.to_runner(metadata, &*self.gateway.dialect);
         let upstreams = &self.gateway.upstreams;
+        if !self.gateway.send_gate.confirm(permit, runner) {
+            return Err(AttemptOutcome::NotRun(NotRunReason::Withheld));
+        }
+        let sent_us = clock::now_us();
         let sent = upstreams.send(runner.address, request, reuse);
         let running = u32::from(!metadata.is_prefill_only);
         let maybe_running = &self.state.maybe_running;
@@ -275,7 +280,7 @@
         let result = match timeout_at(limit, sent).await {
             Ok(Ok(answer)) => match self.own_answer(answer) {
                 Some(answer) => {
-                    self.log_backpressure(&runner.id, answer.metadata.backpressure);
+                    self.on_answer_head(runner, &answer, sent_us);
                     return Ok(answer);
                 }
                 // The connection is closed: the answer to this request may still follow.
@@ -306,17 +311,6 @@
         })
     }
 
-    /// Logs what a runner asks for in an answer.
-    fn log_backpressure(&self, runner: &str, asked: Backpressure) {
-        if !asked.is_some() {
-            return;
-        }
-        self.gateway.metrics.increment("backpressure.seen");
-        log::info!(id:% = self.request_id, runner:%, is_leaving = asked.is_leaving,
-            pause_ms = asked.pause.map_or(0, |pause| pause.as_millis() as u64), rate:? = asked.rate;
-            "runner asks for less");
-    }
-
     /// Metadata of a request to a runner, without those of prefill and streams.
     pub fn send_metadata<'a>(&self, runner_id: &'a str) -> SendMetadata<'a> {
         SendMetadata {
@@ -366,8 +360,8 @@
     }
 
     /// `Retry-After` of a refusal: the expected wait `wait` for a runner, within limits, and jittered so that
-    /// callers do not return at the same time. The whole time is told for what is quarantined, since it would be
-    /// refused again before.
+    /// callers do not return at the same time. The whole time is told for what is quarantined, and while the runners
+    /// have asked for no request: it would be refused again before.
     pub fn retry_after(&self, answer: GatewayAnswer, wait: Duration) -> Duration {
         let is_quarantined = matches!(
             answer,
@@ -376,6 +370,9 @@
         if is_quarantined {
             return wait + jittered(MIN_RETRY_AFTER);
         }
+        if matches!(answer, GatewayAnswer::Withheld(_)) {
+            return wait + jittered(MIN_RETRY_AFTER.max(wait));
+        }
         let longest = self.remaining().mul_f64(RETRY_AFTER_SHARE);
         jittered(wait.max(MIN_RETRY_AFTER).min(longest))
     }
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -103,6 +103,7 @@
     pub fn publish(&self) {
         let snapshot = self.fleet().snapshot();
         self.gateway.scheduler.on_snapshot(&snapshot);
+        self.gateway.send_gate.on_snapshot(&snapshot);
         self.gateway.snapshot.store(Arc::new(snapshot));
     }
 
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
 use crate::scheduler::{RetryShare, Scheduler};
+use crate::send_gate::SendGate;
 use crate::snapshot::FleetSnapshot;
 use crate::stop::Stop;
 use crate::upstream::Upstreams;
@@ -60,6 +61,8 @@
     pub own_calls: Arc<Upstreams>,
     /// Runner selection, and the load and retry budgets behind it.
     pub scheduler: Arc<Scheduler>,
+    /// What runners ask of those who send to them.
+    pub send_gate: Arc<SendGate>,
     /// What this node knows of crashes of runners.
     pub quarantine: Quarantine,
     /// Counters and latencies of this node.
@@ -82,12 +85,15 @@
         dialect: Arc<dyn Dialect>,
         snapshot: Arc<ArcSwap<FleetSnapshot>>,
     ) -> Arc<Self> {
+        let metrics = Metrics::open();
+        let node = Name::clone(&config.node);
         Arc::new(Self {
             scheduler: Scheduler::open(config.retry),
+            send_gate: SendGate::open(node, config.peer_listen, Arc::clone(&metrics)),
             upstreams: Upstreams::open(),
             own_calls: Upstreams::open(),
             quarantine: Quarantine::open(config.peer_listen),
-            metrics: Metrics::open(),
+            metrics,
             answer_cutoff: CancellationToken::new(),
             config,
             dialect,
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -273,7 +273,10 @@
             }
             moves.extend(planned);
         }
-        moves.retain(|step| !self.pending.contains_key(&*step.runner.id));
+        moves.retain(|step| {
+            let is_pending = self.pending.contains_key(&*step.runner.id);
+            !is_pending && gateway.send_gate.allows_own_calls(&step.runner)
+        });
         moves
     }
 
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -1,4 +1,5 @@
-//! Server of the address for peers: the state of the node, and messages about crashes.
+//! Server of the address for peers: the state of the node, and messages about crashes and about runners that ask for
+//! less.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -68,10 +69,11 @@
     if request.method() != Method::POST {
         return (StatusCode::NOT_FOUND, String::new());
     }
-    match read(request).await {
-        Some(body) => messages::answer(gateway, &path, &body),
-        None => (StatusCode::BAD_REQUEST, String::new()),
-    }
+    let Some(body) = read(request).await else {
+        return (StatusCode::BAD_REQUEST, String::new());
+    };
+    let answered = gateway.send_gate.answer(&path, &body);
+    answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
 }
 
 /// The body of a message; `None` if it is too long or cut off.
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -23,8 +23,10 @@
 use crate::answer::{Aborted, Body, GatewayAnswer, classify_answer, full_body, strip_hop_headers};
 use crate::call::{Call, MIN_RETRY_AFTER, OwnAnswer, Refusal};
 use crate::clock;
+use crate::permits::{Candidates, PermittedPlacement};
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
+use crate::send_gate::SendPermit;
 use crate::stages::LOST;
 use crate::timeout::timeout_at;
 use crate::upstream::AnswerBody;
@@ -82,11 +84,13 @@
         let mut run = PlainRun::default();
         let mut running = FuturesUnordered::new();
         let refused = loop {
-            let has_started = match self.place_plain(&run.asked) {
+            let is_alone = running.is_empty();
+            let has_started = match self.place_plain(&run.asked, is_alone).await {
                 // Beside silent runners the attempt is a retry; after a failure it has been taken already.
-                Ok(placement) if running.is_empty() || self.may_ask_other() => {
-                    run.asked.push(Name::clone(&placement.runner.id));
-                    running.push(self.attempt_plain(placement.runner));
+                Ok(placed) if is_alone || self.may_ask_other() => {
+                    let runner = placed.placement.runner;
+                    run.asked.push(Name::clone(&runner.id));
+                    running.push(self.attempt_plain(runner, placed.permit));
                     true
                 }
                 Err(refused) if running.is_empty() => break refused,
@@ -199,26 +203,41 @@
         })
     }
 
-    fn place_plain(&self, excluded: &[Name]) -> Result<Placement, Refusal> {
+    /// Chooses a runner that gets a request now; waits for one if `may_wait` is set.
+    async fn place_plain(
+        &self,
+        excluded: &[Name],
+        may_wait: bool,
+    ) -> Result<PermittedPlacement, Refusal> {
         // The request may have been found to be deadly since its last attempt.
         self.check_quarantine()?;
+        let candidates = Candidates {
+            stage: None,
+            excluded,
+            may_wait,
+        };
+        let placed = self.place(candidates, |left_out| self.choose_plain(left_out));
+        let placed = placed.await?;
+        let placement = &placed.placement;
+        log::info!(id:% = self.request_id, route:% = self.route.name,
+            runner:% = placement.runner.id, wait_ms = placement.wait_us as u64 / 1_000,
+            left_ms = self.remaining().as_millis() as u64, config_version = self.config.version,
+            runners_revision = self.gateway.snapshot.load().runners_revision; "placed");
+        Ok(placed)
+    }
+
+    fn choose_plain(&self, left_out: &[Name]) -> Result<Placement, Refusal> {
         let snapshot = self.gateway.snapshot.load_full();
         let runners = snapshot.runners_of(&self.service);
-        let placement = self.gateway.scheduler.choose_plain_runner(
-            runners,
-            &self.placement_request(),
-            excluded,
-        );
+        let request = self.placement_request();
+        let scheduler = &self.gateway.scheduler;
+        let placement = scheduler.choose_plain_runner(runners, &request, left_out);
         let placement = placement.ok_or((GatewayAnswer::NoRunner, MIN_RETRY_AFTER))?;
         let wait = Duration::from_micros(placement.wait_us as u64);
         self.check_ends_before_stop(wait)?;
         if wait >= self.remaining() {
             return Err((GatewayAnswer::DeadlineInfeasible, wait));
         }
-        log::info!(id:% = self.request_id, route:% = self.route.name,
-            runner:% = placement.runner.id, wait_ms = wait.as_millis() as u64,
-            left_ms = self.remaining().as_millis() as u64, config_version = self.config.version,
-            runners_revision = snapshot.runners_revision; "placed");
         Ok(placement)
     }
 
@@ -226,12 +245,13 @@
     async fn attempt_plain(
         &self,
         runner: Arc<Runner>,
+        permit: SendPermit,
     ) -> (Name, Result<PlainAnswer, AttemptOutcome>) {
         let scheduler = &self.gateway.scheduler;
         let attempt = scheduler.begin_attempt(&runner, Work::default());
         let metadata = self.send_metadata(&runner.id);
         let sent_us = clock::now_us();
-        let sent = self.exchange_until(&runner, &metadata, self.deadline);
+        let sent = self.exchange_until(&runner, permit, &metadata, self.deadline);
         let result = match sent.await {
             Ok(answer) => self.read_plain(answer, &attempt, &runner).await,
             Err(outcome) => Err(outcome),
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -8,19 +8,20 @@
 use bytes::BytesMut;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::placement::Placement;
+use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
-use crate::answer::classify_answer;
+use crate::answer::{GatewayAnswer, classify_answer};
 use crate::call::{Call, OwnAnswer};
 use crate::clock;
 use crate::external::{KvSource, SendMetadata};
 use crate::gateway::Gateway;
+use crate::permits::{Candidates, PermittedPlacement};
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::stages::{LOST, micros};
@@ -97,6 +98,10 @@
         if self.is_transferred {
             return;
         }
+        if !self.gateway.send_gate.allows_own_calls(&self.source.runner) {
+            // The handle expires at the runner.
+            return;
+        }
         let call = self.gateway.dialect.free_handle(&self.source.handle);
         let upstreams = Arc::clone(&self.gateway.own_calls);
         let address = self.source.runner.address;
@@ -109,33 +114,79 @@
 }
 
 impl Call {
-    /// Chooses the runner that reads the prompt; `None` if the decode runner has to.
-    pub fn choose_prefill(&self, engine: &EngineLimits, excluded: &[Name]) -> Option<Placement> {
+    /// Chooses the runner that reads the prompt, among those that get a request now; `None` if the decode runner has
+    /// to read it.
+    pub async fn place_prefill(
+        &self,
+        engine: &EngineLimits,
+        excluded: &[Name],
+    ) -> Option<PermittedPlacement> {
+        let candidates = Candidates {
+            stage: Some(Stage::Prefill),
+            excluded,
+            may_wait: false,
+        };
+        let choose = |left_out: &[Name]| {
+            let placement = self.choose_prefill(engine, left_out);
+            placement.ok_or((GatewayAnswer::NoRunner, Duration::ZERO))
+        };
+        self.place(candidates, choose).await.ok()
+    }
+
+    /// Acquires the permission to have the prompt read by the chosen runner, or by another one that gets a request now.
+    pub async fn permit_prefill(
+        &self,
+        engine: &EngineLimits,
+        chosen: Placement,
+    ) -> Option<PermittedPlacement> {
+        match self.acquire(&chosen.runner, Duration::ZERO).await {
+            Ok(permit) => Some(PermittedPlacement {
+                placement: chosen,
+                permit,
+            }),
+            Err(_withheld) => {
+                self.place_prefill(engine, &[Name::clone(&chosen.runner.id)])
+                    .await
+            }
+        }
+    }
+
+    /// Chooses the runner that would read the prompt, whether or not it gets a request now.
+    pub fn choose_prefill(&self, engine: &EngineLimits, left_out: &[Name]) -> Option<Placement> {
         let snapshot = self.gateway.snapshot.load();
         let runners = snapshot.runners_of(&self.service);
         let scheduler = &self.gateway.scheduler;
-        scheduler.choose_prefill_runner(runners, &self.placement_request(), engine, excluded)
+        scheduler.choose_prefill_runner(runners, &self.placement_request(), engine, left_out)
     }
 
     /// Runs prefill, at several runners if necessary; returns `None` if the decode runner has to read the
     /// prompt itself. A runner that is silent goes on while another one reads the prompt as well.
-    pub async fn prefill(&self, engine: &EngineLimits, first: Placement) -> Option<KvHandleGuard> {
+    pub async fn prefill(
+        &self,
+        engine: &EngineLimits,
+        first: PermittedPlacement,
+    ) -> Option<KvHandleGuard> {
         let mut asked: Vec<Name> = Vec::new();
         let mut running = FuturesUnordered::new();
         // A decode runner reads at half the speed.
-        let own_read = micros(first.read_us * 2.0);
-        let mut placement = first;
+        let own_read = micros(first.placement.read_us * 2.0);
+        let mut placed = first;
         if self.state.has_been_read() && !self.may_read_again() {
             return None;
         }
         loop {
-            let newest = PrefillWait::new(&placement);
+            let newest = PrefillWait::new(&placed.placement);
             asked.push(Name::clone(&newest.runner));
-            running.push(self.prefill_at(engine, placement));
+            running.push(self.prefill_at(engine, placed));
             let is_unsent = match self.wait_for_prefill(&mut running, newest).await {
                 PrefillStep::Done(kv_guard) => return Some(kv_guard),
                 PrefillStep::Failed(outcome) => {
-                    outcome == AttemptOutcome::NotRun(NotRunReason::ConnectFailed)
+                    matches!(
+                        outcome,
+                        AttemptOutcome::NotRun(
+                            NotRunReason::ConnectFailed | NotRunReason::Withheld
+                        )
+                    )
                 }
                 PrefillStep::Silent => false,
             };
@@ -143,12 +194,12 @@
                 return None;
             }
             let is_budget_exempt = is_unsent && asked.len() < MAX_UNSENT_PREFILLS;
-            let other = self.choose_prefill(engine, &asked);
+            let other = self.place_prefill(engine, &asked).await;
             let other = other.filter(|_other| is_budget_exempt || self.may_read_again());
             let Some(other) = other else {
                 return self.wait_for_silent_prefill(&mut running, own_read).await;
             };
-            placement = other;
+            placed = other;
         }
     }
 
@@ -215,8 +266,9 @@
     async fn prefill_at(
         &self,
         engine: &EngineLimits,
-        placement: Placement,
+        placed: PermittedPlacement,
     ) -> Result<KvHandleGuard, AttemptOutcome> {
+        let PermittedPlacement { placement, permit } = placed;
         let work = Work {
             read_tokens: placement.read_tokens,
             kv_tokens: 0,
@@ -225,7 +277,7 @@
         let mut attempt = self.gateway.scheduler.begin_attempt(runner, work);
         let metadata = self.prefill_metadata(&placement);
         let sent_us = clock::now_us();
-        let exchange = self.exchange_until(runner, &metadata, self.event_deadline());
+        let exchange = self.exchange_until(runner, permit, &metadata, self.event_deadline());
         let result = match exchange.await {
             Ok(answer) => self.parse_prefill_answer(answer, &attempt, runner).await,
             Err(outcome) => Err(outcome),
--- a/crates/tealsaddle-gateway/src/quarantine/messages.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -1,14 +1,10 @@
-//! Messages between nodes about crashes and quarantined parts: JSON over HTTP, on the address for peers.
-//!
-//! A connection is closed after its message, since messages are rare and nodes are many.
+//! Messages between nodes about crashes and quarantined parts.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tealsaddle_core::fleet::quarantine::list::Record;
@@ -18,11 +14,11 @@
 use tealsaddle_schema::fleet::{QuarantineNotice, QuarantineRecord, SurvivalQuery, SurvivalReply};
 
 use crate::clock;
-use crate::external::OutgoingCall;
 use crate::gateway::Gateway;
+use crate::peer_message::{self, Connection, parse, text_of};
 use crate::quarantine::collector;
 use crate::quarantine::keeper::Command;
-use crate::upstream::{Reuse, Upstreams};
+use crate::upstream::Upstreams;
 
 /// Path of a [`CrashReport`].
 pub const CRASH_PATH: &str = "/crashes";
@@ -45,24 +41,7 @@
     M: Serialize,
     A: DeserializeOwned,
 {
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    let call = OutgoingCall {
-        method: Method::POST,
-        path: path.to_owned(),
-        headers,
-        body: Bytes::from(serde_json::to_vec(message).expect("a message has a JSON form")),
-    };
-    let answer = tokio::time::timeout(limit, upstreams.call(peer, call, Reuse::Any));
-    let answer = answer.await.ok()?.ok()?;
-    if answer.status != StatusCode::OK {
-        log::warn!(peer:%, path, status = answer.status.as_u16(); "peer refused a message");
-        return None;
-    }
-    serde_json::from_slice(&answer.body)
-        .inspect_err(|error| log::warn!(peer:%, path, error:%; "peer answer cannot be parsed"))
-        .ok()
+    peer_message::send(upstreams, peer, path, message, limit, Connection::Close).await
 }
 
 /// Answers a message of a peer.
@@ -91,20 +70,6 @@
     }
 }
 
-fn parse<M>(body: &[u8]) -> Result<M, serde_json::Error>
-where
-    M: DeserializeOwned,
-{
-    serde_json::from_slice(body)
-}
-
-fn text_of<M>(message: &M) -> String
-where
-    M: Serialize,
-{
-    serde_json::to_string(message).expect("a message has a JSON form")
-}
-
 /// The question for the survivals of subjects at a service.
 pub fn survival_query(service: &Name, subjects: &[Subject]) -> SurvivalQuery {
     let mut query = SurvivalQuery {
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -333,6 +333,7 @@
             AttemptOutcome::Answered if is_failure_status => view.on_failure(now_us),
             AttemptOutcome::Answered => view.on_success(now_us),
             AttemptOutcome::NotRun(NotRunReason::TargetRefused) => view.on_refused(now_us),
+            AttemptOutcome::NotRun(NotRunReason::Withheld) => {}
             AttemptOutcome::NotRun(_) => view.on_unreachable(now_us),
             AttemptOutcome::Unknown(_) => view.on_failure(now_us),
         });
--- a/crates/tealsaddle-gateway/src/silence.rs
+++ b/crates/tealsaddle-gateway/src/silence.rs
@@ -129,6 +129,9 @@
         if scheduler.has_answered_within(&runner.id, REPORT_TIMEOUT) {
             return true;
         }
+        if !gateway.send_gate.allows_own_calls(runner) {
+            return false;
+        }
         let request = gateway.dialect.report_request(&runner.id);
         let report = gateway.own_calls.call(runner.address, request, Reuse::Any);
         let reported = tokio::time::timeout(REPORT_TIMEOUT, report).await;
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use hyper::http;
-use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::placement::Placement;
+use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
 use tokio::time::Instant;
@@ -20,9 +20,11 @@
 use crate::call::{Call, FEASIBLE_SHARE, OwnAnswer, Refusal};
 use crate::clock;
 use crate::external::SendMetadata;
+use crate::permits::{Candidates, PermittedPlacement};
 use crate::prefill::KvHandleGuard;
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
+use crate::send_gate::SendPermit;
 use crate::silence::{Resumption, Waited};
 use crate::upstream::AnswerBody;
 
@@ -46,6 +48,7 @@
 pub struct ReadyDecode {
     runner: Arc<Runner>,
     attempt: RunnerAttempt,
+    permit: SendPermit,
 }
 
 impl ReadyDecode {
@@ -63,6 +66,9 @@
     sent_us: u64,
 }
 
+/// Longest wait for a new permit, if the first one has run out while the prompt was read.
+const RENEWAL_WAIT: Duration = Duration::from_millis(300);
+
 /// Outcome of an attempt whose connection was lost.
 pub const LOST: AttemptOutcome = AttemptOutcome::Unknown(UnknownReason::ConnectionLost);
 
@@ -114,18 +120,18 @@
     }
 
     /// Chooses the decode runner and has the prompt read, unless that has been tried before.
+    ///
+    /// The permission to send to the decode runner comes first: no prompt is read for a runner that has no place.
     pub async fn prepare(&mut self, attempts: &Attempts) -> Result<ReadyDecode, Refusal> {
         let (call, engine) = (self.call, self.engine);
         loop {
             call.check_quarantine()?;
-            let prefill = if self.has_tried_prefill {
-                None
-            } else {
-                call.choose_prefill(engine, &[])
-            };
-            let is_prefilled = prefill.is_some() || self.kv_guard.is_some();
-            let decode = call.choose_decode(engine, is_prefilled, &self.excluded)?;
-            call.check_first_event_in_time(prefill.as_ref(), &decode, attempts)?;
+            let prefill = self.choose_prefill();
+            let placed = self.place_decode(prefill.as_ref(), attempts).await?;
+            let PermittedPlacement {
+                placement: decode,
+                permit,
+            } = placed;
             if self.is_replacement {
                 if !call.is_responsive(&decode.runner).await {
                     self.exclude(Name::clone(&decode.runner.id));
@@ -136,23 +142,71 @@
                 }
             }
             let attempt = call.begin_decode(&decode);
+            let runner = decode.runner;
             if let Some(prefill) = prefill {
-                self.kv_guard = call.prefill(engine, prefill).await;
                 self.has_tried_prefill = true;
+                let Some(prefill) = call.permit_prefill(engine, prefill).await else {
+                    // The decode runner would have to read the prompt, which was not expected of it.
+                    continue;
+                };
+                self.kv_guard = call.prefill(engine, prefill).await;
             }
             // The prompt may have been read for long.
             call.check_quarantine()?;
-            let runner = decode.runner;
             // The decode runner may have announced during prefill that it is draining.
-            if call.gateway.snapshot.load().accepts_requests(&runner) {
+            if call.gateway.snapshot.load().accepts_requests(&runner)
+                && let Some(permit) = self.renewed(permit, &runner).await
+            {
                 // Prefill, or another runner's refusal, may have taken longer than expected.
                 call.check_ends_before_stop(Duration::ZERO)?;
-                return Ok(ReadyDecode { runner, attempt });
+                return Ok(ReadyDecode {
+                    runner,
+                    attempt,
+                    permit,
+                });
             }
             self.exclude(Name::clone(&runner.id));
         }
     }
 
+    /// Chooses the prefill runner, unless prefill has been tried before.
+    fn choose_prefill(&self) -> Option<Placement> {
+        if self.has_tried_prefill {
+            return None;
+        }
+        let held = self.call.held_runners(Some(Stage::Prefill));
+        self.call.choose_prefill(self.engine, &held)
+    }
+
+    /// Chooses the decode runner, if the first event is expected in time.
+    async fn place_decode(
+        &self,
+        prefill: Option<&Placement>,
+        attempts: &Attempts,
+    ) -> Result<PermittedPlacement, Refusal> {
+        let (call, engine) = (self.call, self.engine);
+        let is_prefilled = prefill.is_some() || self.kv_guard.is_some();
+        let choose = |left_out: &[Name]| {
+            let decode = call.choose_decode(engine, is_prefilled, left_out)?;
+            call.check_first_event_in_time(prefill, &decode, attempts)?;
+            Ok(decode)
+        };
+        let candidates = Candidates {
+            stage: Some(Stage::Decode),
+            excluded: &self.excluded,
+            may_wait: !self.is_replacement,
+        };
+        call.place(candidates, choose).await
+    }
+
+    /// The permit, or a new one if it no longer holds.
+    async fn renewed(&self, permit: SendPermit, runner: &Runner) -> Option<SendPermit> {
+        if self.call.gateway.send_gate.is_valid(&permit, runner) {
+            return Some(permit);
+        }
+        self.call.acquire(runner, RENEWAL_WAIT).await.ok()
+    }
+
     /// Sends the request to the decode runner and waits until `limit` for the head of the stream.
     ///
     /// The KV handle is given up unless the runner refuses: it can be fetched only once. The prompt is read
@@ -178,12 +232,17 @@
         kv_guard: Option<&mut KvHandleGuard>,
         limit: Instant,
     ) -> Result<OpenStream, AttemptOutcome> {
-        let ReadyDecode { runner, attempt } = ready;
+        let ReadyDecode {
+            runner,
+            attempt,
+            permit,
+        } = ready;
         let metadata =
             self.call
                 .stream_metadata(&runner.id, kv_guard.as_deref(), self.last_event_id);
         let sent_us = clock::now_us();
-        match self.call.exchange_until(&runner, &metadata, limit).await {
+        let exchange = self.call.exchange_until(&runner, permit, &metadata, limit);
+        match exchange.await {
             Ok(answer) => {
                 let sent = SentAttempt {
                     attempt,
