Let new nodes settle before they count, and substitutes by what they reach

Drawn histories in the core's tests (1, 7, 74, 360 nodes; restart, freeze, cuts, a join) found three faults of the first form: a node that has started sends freely until its first answer (8 requests in 4 s at a limit of 0, 5 allowed), so it asks three others what runners ask for; a node that joins or thaws counts beside the one that counted before (34 in 4 s at 4.2, 30 allowed), so it settles first and the others leave it out until all list it; and a substitute that goes by who asks it gives next to nothing at 360 nodes (0.38 of the limit used beside a freeze of 20 s), so it goes by the share of nodes that it reaches.

--- a/crates/tealsaddle-core/src/fleet/permit_counter.rs
+++ b/crates/tealsaddle-core/src/fleet/permit_counter.rs
@@ -13,8 +13,8 @@
 pub const MIN_LIMIT_PER_S: f64 = 0.1;
 /// Share of the limit that all substitutes give together, beside the whole one of the counting node.
 const SUBSTITUTE_SHARE: f64 = 0.5;
-/// Time for which a node counts among those that ask a substitute.
-const ASKER_US: u64 = 4_000_000;
+/// Smallest share of the nodes that a substitute is taken to reach, so that it gives any permit.
+const MIN_REACH: f64 = 0.001;
 /// Longest time after which a refused request is told to return.
 const MAX_RETURN_US: u64 = 10_000_000;
 
@@ -32,19 +32,20 @@
 }
 
 /// Position of the node that counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CounterRole {
-    /// Whether it is the first node by its own list; otherwise it is a substitute.
-    pub is_first: bool,
-    /// Number of registered nodes.
-    pub nodes: u32,
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum CounterRole {
+    /// It is the first node by its own list.
+    First,
+    /// It stands in for the first one.
+    Substitute {
+        /// Share of all nodes that it reaches.
+        reach: f64,
+    },
 }
 
 /// A request for a permit.
 #[derive(Debug, Clone)]
 pub struct Ask {
-    /// Name of the node that asks.
-    pub node: Name,
     /// Id of the runner.
     pub runner: Name,
     /// Longest time for which the request waits for its permit.
@@ -90,18 +91,18 @@
     updated_us: u64,
     /// When a node last told what it knows.
     told_us: u64,
-    /// When the nodes asked last.
-    askers: HashMap<Name, u64>,
 }
 
 impl Account {
+    /// The rate at which permits are given.
     fn rate_per_s(&self, role: CounterRole) -> Option<f64> {
         let limit = self.rate.limit_per_s?.max(MIN_LIMIT_PER_S);
-        if role.is_first {
-            return Some(limit);
-        }
-        let share = self.askers.len().max(1) as f64 / f64::from(role.nodes.max(1));
-        Some(limit * SUBSTITUTE_SHARE * share.min(1.0))
+        Some(match role {
+            CounterRole::First => limit,
+            CounterRole::Substitute { reach } => {
+                limit * SUBSTITUTE_SHARE * reach.clamp(MIN_REACH, 1.0)
+            }
+        })
     }
 
     /// Lets the buckets drain until now.
@@ -113,13 +114,10 @@
     }
 
     fn on_ask(&mut self, ask: &Ask, role: CounterRole, now_us: u64) -> Reply {
-        self.askers.insert(Name::clone(&ask.node), now_us);
-        self.askers
-            .retain(|_node, asked_us| *asked_us + ASKER_US > now_us);
         let Some(rate_per_s) = self.rate_per_s(role) else {
             return Reply::Granted { wait_us: 0 };
         };
-        if self.updated_us == 0 && !role.is_first {
+        if self.updated_us == 0 && role != CounterRole::First {
             // The counting node may have given all of its burst just before.
             self.level = BURST;
             self.updated_us = now_us;
@@ -173,11 +171,10 @@
 
     /// Gives or denies a permit. A runner of which this node knows nothing is not limited.
     pub fn on_ask(&mut self, ask: &Ask, role: CounterRole, now_us: u64) -> Reply {
-        self.accounts
-            .get_mut(&ask.runner)
-            .map_or(Reply::Granted { wait_us: 0 }, |account| {
-                account.on_ask(ask, role, now_us)
-            })
+        match self.accounts.get_mut(&ask.runner) {
+            Some(account) => account.on_ask(ask, role, now_us),
+            None => Reply::Granted { wait_us: 0 },
+        }
     }
 
     /// What is known of a runner.
--- a/crates/tealsaddle-core/src/fleet/send_gate.rs
+++ b/crates/tealsaddle-core/src/fleet/send_gate.rs
@@ -195,6 +195,15 @@
         }
     }
 
+    /// What is known of all runners that are about to stop or limited, for a node that has just started.
+    pub fn all_known(&self) -> Vec<RunnerTerms> {
+        let asking = self.terms.iter();
+        let asking = asking.filter(|(_id, t)| t.is_leaving || t.rate.limit_per_s.is_some());
+        asking
+            .map(|(id, terms)| self.known_of(id, terms.started_unix_ms))
+            .collect()
+    }
+
     /// Takes over what another node knows, by the clock of this node.
     pub fn on_told(&mut self, told: &RunnerTerms, now_us: u64) {
         let Some(terms) = self.terms_of(&told.runner, told.started_unix_ms) else {
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod events;
 mod lease;
 mod load;
+mod permit_histories;
 mod placement;
 mod pool_sim;
 mod quarantine;
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -86,10 +86,9 @@
         snapshot: Arc<ArcSwap<FleetSnapshot>>,
     ) -> Arc<Self> {
         let metrics = Metrics::open();
-        let node = Name::clone(&config.node);
         Arc::new(Self {
             scheduler: Scheduler::open(config.retry),
-            send_gate: SendGate::open(node, config.peer_listen, Arc::clone(&metrics)),
+            send_gate: SendGate::open(config.peer_listen, Arc::clone(&metrics)),
             upstreams: Upstreams::open(),
             own_calls: Upstreams::open(),
             quarantine: Quarantine::open(config.peer_listen),
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -105,7 +105,9 @@
             id,
             renewed_us: sent_us,
         });
-        self.register(id).await
+        self.register(id).await?;
+        self.control.gateway.send_gate.on_registered();
+        Ok(())
     }
 
     async fn register(&self, lease: u64) -> Result<(), StoreError> {
--- a/crates/tealsaddle-gateway/src/send_gate/counting.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/counting.rs
@@ -9,11 +9,12 @@
 
 use futures::StreamExt;
 use futures::stream;
+use rand::seq::SliceRandom;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::permit_counter::{Ask, CounterRole, Reply, RunnerTerms};
 use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::name::Name;
-use tealsaddle_schema::fleet::{PermitReply, PermitRequest};
+use tealsaddle_schema::fleet::{PermitReply, PermitRequest, TermsNotice};
 
 use super::messages;
 use super::{SendGate, State};
@@ -26,19 +27,38 @@
 const UNREACHABLE_US: u64 = 1_000_000;
 /// Largest number of nodes that are asked for one permit before the node stands in itself.
 const MAX_TRIED: usize = 2;
-/// Time after the start of a node in which others may not know it yet; it does not count as the first one then.
-const SETTLING_US: u64 = 9_000_000;
+/// Largest time from the registration of a node until all others have listed it, with a reserve.
+const LIST_DELAY_US: u64 = 9_000_000;
+/// Time after its registration in which a node does not count as the first one: the others list it within
+/// [`LIST_DELAY_US`], and rank it after that time again.
+const SETTLING_US: u64 = 2 * LIST_DELAY_US;
+/// Number of nodes by which a substitute estimates how many it reaches.
+const REACH_SAMPLE: usize = 12;
+/// Time for which such an estimate holds.
+const REACH_US: u64 = 5_000_000;
 /// Time for which terms are gathered before the other nodes are told.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 /// Time for a node to answer a notice.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of nodes that a node asks for their terms after its start.
+const CAUGHT_UP_WITH: usize = 3;
 /// Number of nodes that are told at the same time.
 const TOLD_AT_ONCE: usize = 16;
 
 impl State {
-    /// The other nodes and this one, if it has an address, in the order in which they count for a runner.
-    fn ranked(&self, runner: &Name, own_address: Option<SocketAddr>) -> Vec<SocketAddr> {
-        let mut nodes: Vec<SocketAddr> = self.peers.to_vec();
+    /// The other nodes and this one, if it has an address, in the order in which they count for a runner. Nodes that
+    /// have registered just now are left out, since others may not know them yet.
+    fn ranked(
+        &self,
+        runner: &Name,
+        own_address: Option<SocketAddr>,
+        now_us: u64,
+    ) -> Vec<SocketAddr> {
+        let is_settled = |peer: &&SocketAddr| {
+            let first_seen_us = self.first_seen_us.get(*peer);
+            first_seen_us.is_none_or(|seen_us| seen_us + LIST_DELAY_US <= now_us)
+        };
+        let mut nodes: Vec<SocketAddr> = self.peers.iter().filter(is_settled).copied().collect();
         nodes.extend(own_address);
         nodes.sort_by_cached_key(|node| {
             std::cmp::Reverse(rendezvous_weight(0, &format!("{runner} {node}")))
@@ -46,10 +66,29 @@
         nodes
     }
 
+    /// Whether other nodes may not ask this one yet, or no more.
+    fn is_settling(&self, now_us: u64) -> bool {
+        let registered = self.registered_us;
+        registered.is_none_or(|registered_us| now_us < registered_us + SETTLING_US)
+    }
+
     /// Number of nodes that share a limit, including this one.
     fn sharing_nodes(&self) -> u32 {
         self.nodes.max(self.peers.len() as u32 + 1)
     }
+
+    /// Takes over the addresses of the other nodes.
+    pub(super) fn on_peers(&mut self, peers: &Arc<[SocketAddr]>, now_us: u64) {
+        let is_first_list = self.peers.is_empty();
+        for peer in peers.iter().filter(|_peer| !is_first_list) {
+            if !self.peers.contains(peer) {
+                self.first_seen_us.insert(*peer, now_us);
+            }
+        }
+        self.first_seen_us
+            .retain(|peer, _seen_us| peers.contains(peer));
+        self.peers = Arc::clone(peers);
+    }
 }
 
 impl SendGate {
@@ -77,7 +116,7 @@
     /// the other one knows.
     async fn exchange(self: &Arc<Self>, runner: &Runner, max_wait: Option<Duration>) -> Reply {
         let known = self.state().terms.known(runner);
-        let request = messages::permit_request(&self.node, &known, max_wait, clock::now_us());
+        let request = messages::permit_request(&known, max_wait, clock::now_us());
         for node in self.reachable(&runner.id) {
             if Some(node) == self.own_address {
                 break;
@@ -106,8 +145,8 @@
         state
             .unreachable
             .retain(|_node, until_us| *until_us > now_us);
-        let mut ranked = state.ranked(runner, self.own_address);
-        let is_settling = self.is_settling(now_us);
+        let mut ranked = state.ranked(runner, self.own_address, now_us);
+        let is_settling = state.is_settling(now_us);
         ranked.retain(|node| {
             let may_be_unknown = is_settling && Some(*node) == self.own_address;
             !may_be_unknown && !state.unreachable.contains_key(node)
@@ -116,10 +155,6 @@
         ranked
     }
 
-    const fn is_settling(&self, now_us: u64) -> bool {
-        now_us < self.opened_us + SETTLING_US
-    }
-
     async fn send_to(&self, node: SocketAddr, request: &PermitRequest) -> Option<PermitReply> {
         let (upstreams, path) = (&self.upstreams, messages::PERMIT_PATH);
         let sent = peer_message::send(
@@ -170,9 +205,9 @@
         if by_own.has_ended || by_other.has_ended {
             log::info!(runner:% = terms.runner; "limit of a runner has ended");
         }
-        let role = self.role(&state, &terms.runner, now_us);
+        let role = self.role(&mut state, &terms.runner, now_us);
         let reply = ask.map_or(Reply::Granted { wait_us: 0 }, |ask| {
-            if !role.is_first {
+            if role != CounterRole::First {
                 self.metrics.increment("permit.substituted");
             }
             state.counter.on_ask(ask, role, now_us)
@@ -180,15 +215,60 @@
         (reply, known)
     }
 
-    fn role(&self, state: &State, runner: &Name, now_us: u64) -> CounterRole {
-        let first = state.ranked(runner, self.own_address).first().copied();
-        let is_first = first == self.own_address;
-        CounterRole {
-            is_first: is_first && !self.is_settling(now_us),
-            nodes: state.sharing_nodes(),
+    fn role(self: &Arc<Self>, state: &mut State, runner: &Name, now_us: u64) -> CounterRole {
+        let first = state
+            .ranked(runner, self.own_address, now_us)
+            .first()
+            .copied();
+        if first == self.own_address && !state.is_settling(now_us) {
+            return CounterRole::First;
+        }
+        if state.reach_estimated_us + REACH_US <= now_us {
+            state.reach_estimated_us = now_us;
+            tokio::spawn(Arc::clone(self).estimate_reach(Arc::clone(&state.peers)));
+        }
+        let alone = 1.0 / f64::from(state.sharing_nodes());
+        CounterRole::Substitute {
+            reach: state.reach.max(alone),
         }
     }
 
+    /// Estimates which share of the nodes this one reaches.
+    async fn estimate_reach(self: Arc<Self>, peers: Arc<[SocketAddr]>) {
+        let sample = sample(&peers, REACH_SAMPLE);
+        let count = sample.len();
+        let asked = sample.into_iter().map(|peer| {
+            let upstreams = &self.upstreams;
+            async move {
+                let (path, limit) = (messages::REACH_PATH, ASK_TIMEOUT);
+                let sent = peer_message::send(upstreams, peer, path, &(), limit, Connection::Close);
+                let answer: Option<serde_json::Value> = sent.await;
+                answer.is_some()
+            }
+        });
+        let answers = futures::future::join_all(asked).await;
+        let reached = answers.into_iter().filter(|is_reached| *is_reached).count();
+        let reach = reached as f64 / count.max(1) as f64;
+        log::info!(asked = count, reached; "node stands in for another one that counts for runners");
+        self.state().reach = reach;
+    }
+
+    /// Asks some of the other nodes what runners ask for: this node has just started, and runners that it sends to
+    /// before it has an answer of theirs would get too much.
+    pub(super) async fn catch_up(self: Arc<Self>, peers: Arc<[SocketAddr]>) {
+        let asked = sample(&peers, CAUGHT_UP_WITH).into_iter().map(|peer| {
+            let gate = Arc::clone(&self);
+            async move {
+                let (path, limit) = (messages::KNOWN_PATH, NOTICE_TIMEOUT);
+                let upstreams = &gate.upstreams;
+                let sent = peer_message::send(upstreams, peer, path, &(), limit, Connection::Close);
+                let known: Option<TermsNotice> = sent.await;
+                gate.on_notice(&known.unwrap_or_default());
+            }
+        });
+        futures::future::join_all(asked).await;
+    }
+
     /// Tells all nodes what runners have begun to ask for.
     async fn tell_all(self: Arc<Self>) {
         tokio::time::sleep(GATHER_TIME).await;
@@ -214,3 +294,11 @@
         log::info!(runners = terms.len(), peers = peers.len(), told; "peers told what runners ask for");
     }
 }
+
+/// Some of the nodes, drawn at random.
+fn sample(peers: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+    let mut peers = peers.to_vec();
+    peers.shuffle(&mut rand::rng());
+    peers.truncate(count);
+    peers
+}
--- a/crates/tealsaddle-gateway/src/send_gate/messages.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/messages.rs
@@ -11,6 +11,10 @@
 pub const PERMIT_PATH: &str = "/permits";
 /// Path of a [`TermsNotice`].
 pub const TERMS_PATH: &str = "/terms";
+/// Path of the question for all that a node knows, whose answer is a [`TermsNotice`].
+pub const KNOWN_PATH: &str = "/known-terms";
+/// Path of the question whether a node can be reached.
+pub const REACH_PATH: &str = "/reached";
 
 /// Converts terms to the form in which they are sent now.
 pub fn encode_terms(terms: &RunnerTerms, now_us: u64) -> SentTerms {
@@ -45,13 +49,11 @@
 
 /// The message by which a node tells what it knows, and asks for a permit if `max_wait` is given.
 pub fn permit_request(
-    node: &Name,
     terms: &RunnerTerms,
     max_wait: Option<Duration>,
     now_us: u64,
 ) -> PermitRequest {
     PermitRequest {
-        node: node.to_string(),
         terms: Some(encode_terms(terms, now_us)),
         wants_permit: max_wait.is_some(),
         max_wait_us: max_wait.unwrap_or_default().as_micros() as u64,
@@ -61,7 +63,6 @@
 /// The request for a permit in a message; `None` if it only tells.
 pub fn ask_of(request: &PermitRequest, runner: &Name) -> Option<Ask> {
     request.wants_permit.then(|| Ask {
-        node: Name::from(request.node.as_str()),
         runner: Name::clone(runner),
         max_wait_us: request.max_wait_us,
     })
--- a/crates/tealsaddle-gateway/src/send_gate/mod.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/mod.rs
@@ -71,22 +71,28 @@
     counter: PermitCounter,
     /// Addresses of the other nodes.
     peers: Arc<[SocketAddr]>,
+    /// When nodes that are new in the list were first seen there.
+    first_seen_us: HashMap<SocketAddr, u64>,
     /// Number of registered nodes; 0 while unknown.
     nodes: u32,
     /// Nodes that did not answer, with the time until which they are not asked again.
     unreachable: HashMap<SocketAddr, u64>,
     /// Terms that the other nodes are to be told.
     untold: Vec<RunnerTerms>,
+    /// Whether other nodes have been asked for their terms after the start.
+    has_caught_up: bool,
+    /// When this node registered; `None` before.
+    registered_us: Option<u64>,
+    /// Share of the other nodes that this one reaches, when it was last asked in place of another one.
+    reach: f64,
+    reach_estimated_us: u64,
 }
 
 /// What runners ask of this node and, for the runners for which it counts, of all nodes.
 #[derive(Debug)]
 pub struct SendGate {
-    /// Name of the node.
-    node: Name,
     /// Address on which peers reach this node; `None` if it serves no peers.
     own_address: Option<SocketAddr>,
-    opened_us: u64,
     metrics: Arc<Metrics>,
     /// Connections to peers.
     upstreams: Arc<Upstreams>,
@@ -95,11 +101,9 @@
 
 impl SendGate {
     /// Creates the gate of a node that has heard nothing of the runners.
-    pub fn open(node: Name, own_address: Option<SocketAddr>, metrics: Arc<Metrics>) -> Arc<Self> {
+    pub fn open(own_address: Option<SocketAddr>, metrics: Arc<Metrics>) -> Arc<Self> {
         Arc::new(Self {
-            node,
             own_address,
-            opened_us: clock::now_us(),
             metrics,
             upstreams: Upstreams::open(),
             state: Mutex::default(),
@@ -222,17 +226,26 @@
         tokio::spawn(Arc::clone(self).tell(runner.clone()));
     }
 
+    /// Records that this node has registered, at the start or after its registration had ended.
+    pub fn on_registered(&self) {
+        self.state().registered_us = Some(clock::now_us());
+    }
+
     /// Takes over the runners and nodes of a new snapshot.
-    pub fn on_snapshot(&self, snapshot: &FleetSnapshot) {
+    pub fn on_snapshot(self: &Arc<Self>, snapshot: &FleetSnapshot) {
         let now_us = clock::now_us();
         let mut state = self.state();
-        state.peers = Arc::clone(&snapshot.peers);
+        state.on_peers(&snapshot.peers, now_us);
         state.nodes = snapshot.nodes;
         let runners = snapshot.runners.values().flatten();
         let registered: HashSet<&Name> = runners.map(|runner| &runner.id).collect();
         let is_registered = |runner: &Name| registered.contains(runner);
         state.terms.forget(is_registered, now_us);
         state.counter.forget(is_registered, now_us);
+        if !state.has_caught_up && !state.peers.is_empty() {
+            state.has_caught_up = true;
+            tokio::spawn(Arc::clone(self).catch_up(Arc::clone(&state.peers)));
+        }
     }
 
     /// Answers a message of a peer; `None` if the path is not one of this module.
@@ -244,6 +257,8 @@
                 self.on_notice(&notice);
                 "{}".to_owned()
             }),
+            messages::KNOWN_PATH => Ok(peer_message::text_of(&self.known_terms())),
+            messages::REACH_PATH => Ok("{}".to_owned()),
             _ => return None,
         };
         Some(answered.map_or_else(
@@ -255,6 +270,10 @@
         ))
     }
 
+    fn known_terms(&self) -> TermsNotice {
+        messages::notice(&self.state().terms.all_known(), clock::now_us())
+    }
+
     fn on_notice(&self, notice: &TermsNotice) {
         let now_us = clock::now_us();
         let mut state = self.state();
