--- a/crates/tealsaddle-gateway/src/permits.rs
+++ b/crates/tealsaddle-gateway/src/permits.rs
@@ -25,6 +25,9 @@
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait for a turn, as a share of the time left.
 const WAIT_SHARE: f64 = 1.0 / 3.0;
+/// Longest wait for a turn, as a share of the route's objective. A longer one would make answers late while the demand
+/// is above a limit, and let no more of them through.
+const OBJECTIVE_SHARE: f64 = 0.5;
 /// Factor on the longest wait for each step of the priority: the more urgent calls take the places first.
 const URGENCY_FACTOR: f64 = 0.6;
 /// Time over which calls that have waited for the end of a pause are spread.
@@ -209,7 +212,14 @@
             self.remaining()
         };
         let urgency = URGENCY_FACTOR.powi(self.route.priority.min(9) as i32);
-        left.mul_f64(WAIT_SHARE).min(MAX_WAIT).mul_f64(urgency)
+        let longest = left.mul_f64(WAIT_SHARE).min(MAX_WAIT);
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let longest = if objective.is_zero() {
+            longest
+        } else {
+            longest.min(objective.mul_f64(OBJECTIVE_SHARE))
+        };
+        longest.mul_f64(urgency)
     }
 
     /// Records what the answer of a runner asks for. An answer by another process than the one that was meant says
