--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod pool_sim;
 mod quarantine;
+mod send_gate;
 mod split;
 mod store_availability;
 
