--- a/crates/tealsaddle-gateway/src/permits.rs
+++ b/crates/tealsaddle-gateway/src/permits.rs
@@ -42,6 +42,15 @@
     pub permit: SendPermit,
 }
 
+/// Result of a choice among the runners that get a request now.
+#[derive(Debug)]
+enum Choice {
+    /// This runner was chosen.
+    Placed(PermittedPlacement),
+    /// No candidate gets a request now; this one gets one first.
+    AllHeld(Arc<Runner>, Withheld),
+}
+
 /// The runners among which a call chooses.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidates<'a> {
@@ -67,9 +76,8 @@
         let waits_until = Instant::now() + self.longest_wait(candidates);
         loop {
             match self.place_now(candidates, &choose).await? {
-                Ok(placed) => return Ok(placed),
-                Err(None) => return Err((GatewayAnswer::NoRunner, Duration::ZERO)),
-                Err(Some((runner, withheld))) => {
+                Choice::Placed(placed) => return Ok(placed),
+                Choice::AllHeld(runner, withheld) => {
                     let left = waits_until.saturating_duration_since(Instant::now());
                     let placed = self.wait_for_turn(&runner, withheld, left, &choose);
                     if let Some(placed) = Box::pin(placed).await? {
@@ -80,12 +88,8 @@
         }
     }
 
-    /// Chooses among the runners that get a request now. If there is none, returns the one that gets one first.
-    async fn place_now<F>(
-        &self,
-        candidates: Candidates<'_>,
-        choose: &F,
-    ) -> Result<Result<PermittedPlacement, Option<(Arc<Runner>, Withheld)>>, Refusal>
+    /// Chooses among the runners that get a request now.
+    async fn place_now<F>(&self, candidates: Candidates<'_>, choose: &F) -> Result<Choice, Refusal>
     where
         F: Fn(&[Name]) -> Result<Placement, Refusal>,
     {
@@ -99,17 +103,22 @@
                 Err(refusal) => return Err(refusal),
             };
             match self.acquire(&placement.runner, Duration::ZERO).await {
-                Ok(permit) => return Ok(Ok(PermittedPlacement { placement, permit })),
+                Ok(permit) => return Ok(Choice::Placed(PermittedPlacement { placement, permit })),
                 Err(withheld) => {
                     left_out.push(Name::clone(&placement.runner.id));
                     denied.push((placement.runner, withheld));
                 }
             }
         }
-        let wait = |withheld: &Withheld| (withheld.wait.is_none(), withheld.wait, withheld.reason);
-        Ok(Err(denied
+        // A runner that never gets a request again comes last.
+        let turn = |withheld: &Withheld| (withheld.wait.is_none(), withheld.wait, withheld.reason);
+        let first = denied
             .into_iter()
-            .min_by_key(|(_runner, withheld)| wait(withheld))))
+            .min_by_key(|(_runner, withheld)| turn(withheld));
+        let none_left = (GatewayAnswer::NoRunner, Duration::ZERO);
+        first
+            .map(|(runner, withheld)| Choice::AllHeld(runner, withheld))
+            .ok_or(none_left)
     }
 
     /// The candidates that get no request at this moment.
