Log how old the knowledge of the store is with each decision

Change: a node keeps the time as of which its knowledge was complete, that of sending the call whose answer showed it; placed lines say its age, and "changes read" says for how long it had not been confirmed when changes came. The bound follows from the settings. No decision changes.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod cached_parts;
 pub mod config;
 pub mod events;
+pub mod knowledge;
 pub mod lease;
 pub mod load;
 pub mod permit_counter;
--- a/crates/tealsaddle-gateway/src/follow.rs
+++ b/crates/tealsaddle-gateway/src/follow.rs
@@ -10,7 +10,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
-use crate::clock::jittered;
+use crate::clock::{self, jittered};
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
 use crate::external::{Change, Changes, Freshness, Listing};
@@ -74,6 +74,7 @@
         };
         match result {
             Ok(read) => {
+                log_read(&control, &read);
                 revision = Some(read.revision);
                 control.on_store_call(None);
                 pause = MIN_RETRY_PAUSE;
@@ -103,6 +104,8 @@
     /// Revision after which the next watch continues.
     revision: u64,
     has_changes: bool,
+    /// When the knowledge was complete, on the clock of [`clock::now_us`].
+    as_of_us: u64,
 }
 
 async fn list_or_watch(
@@ -122,6 +125,7 @@
         let listed = control.store.list(followed.prefix, Freshness::Latest);
         (followed, listed.await)
     };
+    let asked_us = clock::now_us();
     let mut lists: FuturesUnordered<_> = followed.iter().copied().map(list).collect();
     let mut revisions = Vec::new();
     let mut failure = None;
@@ -141,6 +145,7 @@
         // Changes that a later listing already has are applied again, which has no effect.
         revision: revisions.into_iter().min().unwrap_or(0),
         has_changes: false,
+        as_of_us: asked_us,
     })
 }
 
@@ -150,6 +155,7 @@
     followed: &[Followed],
     after: u64,
 ) -> Result<Read, StoreError> {
+    let asked_us = clock::now_us();
     let watched = control.store.watch(ALL_KEYS, after, WATCH_WAIT);
     let Changes { changes, revision } = with_timeout(WATCH_WAIT + CALL_TIMEOUT, watched).await?;
     let has_changes = !changes.is_empty();
@@ -169,5 +175,20 @@
     Ok(Read {
         revision,
         has_changes,
+        as_of_us: if has_changes {
+            asked_us
+        } else {
+            asked_us + WATCH_WAIT.as_micros() as u64
+        },
     })
 }
+
+/// Confirms the knowledge, and logs for how long it was not confirmed when there were changes.
+fn log_read(control: &Control, read: &Read) {
+    let knowledge = &control.gateway.knowledge;
+    if read.has_changes {
+        log::info!(revision = read.revision, unconfirmed_ms = knowledge.age().as_millis() as u64,
+            asked_ms = clock::now_us().saturating_sub(read.as_of_us) / 1_000; "changes read");
+    }
+    knowledge.confirm(read.as_of_us);
+}
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::external::Dialect;
+use crate::knowledge::KnowledgeClock;
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
 use crate::scheduler::{RetryShare, Scheduler};
@@ -40,6 +41,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Retry budget of a service and how the nodes divide it.
     pub retry: RetryShare,
+    /// Time within which what the store has acknowledged binds, such as that a runner is about to stop.
+    pub leaving_bound: Duration,
     /// Longest time for which an order of a former holder may still be in transit to a runner.
     pub max_order_delay: Duration,
     /// Time from the signal to stop until the platform kills the process.
@@ -55,6 +58,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The fleet, as last published by the control thread.
     pub snapshot: Arc<ArcSwap<FleetSnapshot>>,
+    /// How old the knowledge is that the fleet was published with.
+    pub knowledge: KnowledgeClock,
     /// Connection pool for requests to runners.
     pub upstreams: Arc<Upstreams>,
     /// Connection pool for the node's own calls to runners, whose answers name no request.
@@ -92,6 +97,7 @@
             upstreams: Upstreams::open(),
             own_calls: Upstreams::open(),
             quarantine: Quarantine::open(config.peer_listen),
+            knowledge: KnowledgeClock::open(config.leaving_bound),
             metrics,
             answer_cutoff: CancellationToken::new(),
             config,
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod front;
 pub mod gateway;
 pub mod idle_timeout;
+pub mod knowledge;
 pub mod lifecycle;
 pub mod logging;
 pub mod membership;
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -222,7 +222,8 @@
         log::info!(id:% = self.request_id, route:% = self.route.name,
             runner:% = placement.runner.id, wait_ms = placement.wait_us as u64 / 1_000,
             left_ms = self.remaining().as_millis() as u64, config_version = self.config.version,
-            runners_revision = self.gateway.snapshot.load().runners_revision; "placed");
+            runners_revision = self.gateway.snapshot.load().runners_revision,
+            knowledge_ms = self.gateway.knowledge.age().as_millis() as u64; "placed");
         Ok(placed)
     }
 
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -373,7 +373,8 @@
             read_tokens = prefill.map_or(decode.read_tokens, |r| r.read_tokens),
             read_ms = read.as_millis() as u64, wait_ms = wait.as_millis() as u64,
             left_ms = left.as_millis() as u64, config_version = self.config.version,
-            runners_revision = self.gateway.snapshot.load().runners_revision; "placed");
+            runners_revision = self.gateway.snapshot.load().runners_revision,
+            knowledge_ms = self.gateway.knowledge.age().as_millis() as u64; "placed");
         self.check_ends_before_stop(expected)?;
         if attempts.failed() == 0 && expected > left.mul_f64(FEASIBLE_SHARE) {
             return Err((GatewayAnswer::DeadlineInfeasible, expected));
