Hear of changes from few nodes that watch the store for all, and know when not

Cause: each node watched the store by itself, with a pause of 0.9 s after changes, without a call outstanding; one whose calls failed or were lost in that state learned of nothing for seconds, though others knew, and took its silence for health.

Change: a node keeps the time as of which its knowledge is complete. Two nodes watch the store without a pause, the others ask them or a relay of their zone; one whose source has nothing new in time asks all others at once. In doubt it prefers runners that have answered it lately.

--- a/crates/tealsaddle-core/src/fleet/knowledge.rs
+++ b/crates/tealsaddle-core/src/fleet/knowledge.rs
@@ -5,9 +5,13 @@
 //! knowledge was complete. Silence is no such word: the answer to a waiting call may have been lost.
 
 /// Part of the bound after which the source of the knowledge confirms it, if nothing has changed.
-const CONFIRM_SHARE: f64 = 0.3;
+const CONFIRM_SHARE: f64 = 0.25;
 /// Part of the bound that a source may take beyond that before it counts as failed.
 const LATE_SHARE: f64 = 0.2;
+/// Part of the bound that is left for the way of an answer with changes.
+const WAY_SHARE: f64 = 0.05;
+/// Part of the bound from which a source is overdue whose last word is that old.
+const PATIENCE_SHARE: f64 = 0.375;
 /// Part of the bound from which the knowledge is in doubt. The rest is for the requests that are under way to a
 /// runner by then.
 const DOUBT_SHARE: f64 = 0.55;
@@ -21,6 +25,10 @@
     pub confirm_us: u64,
     /// Time after which a source that has not answered counts as failed.
     pub source_timeout_us: u64,
+    /// Time that is left for the way of an answer with changes.
+    pub way_us: u64,
+    /// Age of its last word from which a source is overdue.
+    pub overdue_us: u64,
     /// Age from which the knowledge is in doubt.
     pub doubt_us: u64,
     /// Age up to which an answer of a runner shows that it is not about to stop.
@@ -36,7 +44,7 @@
     /// use tealsaddle_core::fleet::knowledge::FreshnessTerms;
     ///
     /// let terms = FreshnessTerms::of_bound(2_000_000);
-    /// assert_eq!(terms.confirm_us, 600_000);
+    /// assert_eq!(terms.confirm_us, 500_000);
     /// assert!(terms.source_timeout_us < terms.doubt_us);
     /// ```
     pub fn of_bound(bound_us: u64) -> Self {
@@ -44,12 +52,29 @@
         Self {
             confirm_us: share(CONFIRM_SHARE),
             source_timeout_us: share(CONFIRM_SHARE + LATE_SHARE),
+            way_us: share(WAY_SHARE),
+            overdue_us: share(PATIENCE_SHARE),
             doubt_us: share(DOUBT_SHARE),
             word_us: share(WORD_SHARE),
         }
     }
 }
 
+impl FreshnessTerms {
+    /// Returns the time as of which the answer to a call is complete that was sent at `asked_us`, was answered at
+    /// `heard_us` with changes, and had waited for them. Such an answer is made as soon as there are any; part of the
+    /// bound is left for its way, and more than that makes the call time out before the bound is reached.
+    pub fn as_of_changes_us(&self, asked_us: u64, heard_us: u64) -> u64 {
+        asked_us.max(heard_us.saturating_sub(self.way_us))
+    }
+
+    /// Returns for how long a source may hold back its answer to a node whose knowledge has this age; `None` if the
+    /// source is overdue.
+    pub const fn patience_us(&self, age_us: u64) -> Option<u64> {
+        self.overdue_us.checked_sub(age_us)
+    }
+}
+
 /// The time as of which a node's knowledge of the store was complete.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Knowledge {
--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod backpressure;
 pub mod cached_parts;
+pub mod change_sources;
 pub mod config;
 pub mod events;
 pub mod knowledge;
--- a/crates/tealsaddle-core/src/fleet/rendezvous.rs
+++ b/crates/tealsaddle-core/src/fleet/rendezvous.rs
@@ -21,7 +21,10 @@
 /// let home = runners.iter().max_by_key(|runner| rendezvous_weight(7, runner));
 /// assert_eq!(home, runners.iter().rev().max_by_key(|runner| rendezvous_weight(7, runner)));
 /// ```
-pub fn rendezvous_weight(part: u64, runner: &str) -> u64 {
+pub fn rendezvous_weight<K>(part: u64, runner: &K) -> u64
+where
+    K: Hash + ?Sized,
+{
     let mut hasher = FxHasher::default();
     runner.hash(&mut hasher);
     part.hash(&mut hasher);
--- a/crates/tealsaddle-core/src/fleet/store_availability.rs
+++ b/crates/tealsaddle-core/src/fleet/store_availability.rs
@@ -16,6 +16,11 @@
 }
 
 impl StoreAvailability {
+    /// Returns whether the last call had no answer.
+    pub const fn is_unavailable(&self) -> bool {
+        self.is_unavailable
+    }
+
     /// Records a call without an answer. Returns `true` if the store was available before.
     pub const fn on_failure(&mut self) -> bool {
         let is_new_outage = !self.is_unavailable;
--- a/crates/tealsaddle-core/src/fleet/store_era.rs
+++ b/crates/tealsaddle-core/src/fleet/store_era.rs
@@ -7,6 +7,11 @@
 pub struct StoreEra(Option<u64>);
 
 impl StoreEra {
+    /// Returns the newest era that was seen.
+    pub const fn current(&self) -> Option<u64> {
+        self.0
+    }
+
     /// Takes the era of an answer, as far as the store tells; returns whether it is later than one seen before.
     ///
     /// # Examples
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions for a fleet whose runners register themselves.
 
+mod change_histories;
 mod config;
 mod events;
 mod lease;
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/change_log.rs
@@ -0,0 +1,68 @@
+//! The latest changes that this node has heard of, for nodes that hear of them from this one.
+
+use std::collections::VecDeque;
+
+use crate::external::Change;
+
+/// Number of changes that are kept. A node that lacks more lists all keys.
+const MAX_CHANGES: usize = 1_024;
+
+/// How far the store's keys are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// Revision up to which all changes are known.
+    pub revision: u64,
+    /// Era of the store at that revision; `None` if it does not tell.
+    pub era: Option<u64>,
+}
+
+/// The latest changes of the keys that nodes follow, without gaps.
+#[derive(Debug, Default)]
+pub struct ChangeLog {
+    /// How far this node knows the keys; `None` before the first listing.
+    position: Option<Position>,
+    /// Revision after which the log has all changes.
+    begin_revision: u64,
+    changes: VecDeque<Change>,
+}
+
+impl ChangeLog {
+    /// How far this node knows the keys.
+    pub const fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// Begins again after a listing.
+    pub fn restart(&mut self, position: Position) {
+        self.position = Some(position);
+        self.begin_revision = position.revision;
+        self.changes.clear();
+    }
+
+    /// Adds changes up to a revision. Earlier ones have no effect.
+    pub fn extend(&mut self, changes: Vec<Change>, revision: u64) {
+        let Some(position) = &mut self.position else {
+            return;
+        };
+        let known = position.revision;
+        position.revision = known.max(revision);
+        let new = changes
+            .into_iter()
+            .filter(|change| change.revision() > known);
+        self.changes.extend(new);
+        while self.changes.len() > MAX_CHANGES {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.begin_revision = dropped.revision();
+            }
+        }
+    }
+
+    /// The changes after a position; `None` if some are missing here.
+    pub fn since(&self, position: Position) -> Option<impl Iterator<Item = &Change>> {
+        let own = self.position?;
+        let after = position.revision;
+        let is_complete = own.era == position.era && after >= self.begin_revision;
+        let changes = self.changes.iter().filter(move |c| c.revision() > after);
+        is_complete.then_some(changes)
+    }
+}
--- /dev/null
+++ b/crates/tealsaddle-gateway/src/changes.rs
@@ -0,0 +1,148 @@
+//! Messages in which nodes tell each other of changes in the store.
+//!
+//! A question is held back until there is something to tell: changes, or a later time as of which nothing has changed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use tealsaddle_schema::fleet::{ChangesQuestion, ChangesReply, StoredChange};
+
+use crate::change_log::Position;
+use crate::clock;
+use crate::control::Control;
+use crate::external::{Change, Item};
+use crate::peer_message::{self, Connection};
+use crate::upstream::Upstreams;
+
+/// Path of a [`ChangesQuestion`].
+pub const CHANGES_PATH: &str = "/changes";
+/// Largest size of the values in one answer. A node that lacks more reads them from the store.
+const MAX_VALUE_BYTES: usize = 16 << 10;
+
+/// Asks a peer for the changes after a position; `None` if it does not answer in time.
+pub async fn ask(
+    upstreams: &Arc<Upstreams>,
+    peer: SocketAddr,
+    question: &ChangesQuestion,
+    limit: Duration,
+) -> Option<ChangesReply> {
+    peer_message::send(
+        upstreams,
+        peer,
+        CHANGES_PATH,
+        question,
+        limit,
+        Connection::Keep,
+    )
+    .await
+}
+
+/// The question for the changes after a position.
+pub fn question(position: Position, seen_as_of_us: u64, wait: Duration) -> ChangesQuestion {
+    ChangesQuestion {
+        after_revision: position.revision,
+        era: position.era,
+        seen_as_of_us,
+        wait_us: wait.as_micros() as u64,
+    }
+}
+
+/// The changes in an answer.
+pub fn decode(changes: Vec<StoredChange>) -> Vec<Change> {
+    let decode = |change: StoredChange| {
+        if change.is_removed {
+            return Change::Removed {
+                key: change.key,
+                revision: change.revision,
+            };
+        }
+        Change::Put(Item {
+            key: change.key,
+            value: change.value.into_bytes(),
+            revision: change.revision,
+        })
+    };
+    changes.into_iter().map(decode).collect()
+}
+
+/// Answers a peer's question, in the form of [`ChangesReply`].
+pub async fn answer(control: &Control, body: &[u8]) -> (StatusCode, String) {
+    let question: ChangesQuestion = match peer_message::parse(body) {
+        Ok(question) => question,
+        Err(error) => {
+            log::warn!(error:%; "question of a peer cannot be parsed");
+            return (StatusCode::BAD_REQUEST, String::new());
+        }
+    };
+    let asked_us = clock::now_us();
+    let mut heard = control.heard.subscribe();
+    let longest = control.gateway.knowledge.terms().source_timeout_us;
+    let wait = Duration::from_micros(question.wait_us.min(longest));
+    let has_news = heard.wait_for(|()| has_news(control, &question));
+    // What is known at the end of the wait is told all the same.
+    drop(tokio::time::timeout(wait, has_news).await);
+    let reply = reply(control, &question, asked_us);
+    (StatusCode::OK, peer_message::text_of(&reply))
+}
+
+fn has_news(control: &Control, question: &ChangesQuestion) -> bool {
+    if control.gateway.knowledge.as_of_us() != question.seen_as_of_us {
+        return true;
+    }
+    let position = control.fleet().changes.position();
+    position.is_none_or(|own| own.era != question.era || own.revision > question.after_revision)
+}
+
+const fn position_of(question: &ChangesQuestion) -> Position {
+    Position {
+        revision: question.after_revision,
+        era: question.era,
+    }
+}
+
+fn reply(control: &Control, question: &ChangesQuestion, asked_us: u64) -> ChangesReply {
+    // The time is read before the changes: it may be earlier than what they show, but not later.
+    let as_of_us = control.gateway.knowledge.as_of_us();
+    let fleet = control.fleet();
+    let since = fleet.changes.since(position_of(question));
+    let changes = since.and_then(encode);
+    let position = fleet.changes.position();
+    let now_us = clock::now_us();
+    ChangesReply {
+        revision: position.map_or(0, |position| position.revision),
+        is_gap: changes.is_none(),
+        changes: changes.unwrap_or_default(),
+        as_of_us,
+        age_us: now_us.saturating_sub(as_of_us),
+        held_us: now_us.saturating_sub(asked_us),
+    }
+}
+
+/// The changes as they are sent; `None` if a value is not text, or there is too much of it.
+fn encode<'a, I>(changes: I) -> Option<Vec<StoredChange>>
+where
+    I: Iterator<Item = &'a Change>,
+{
+    let mut bytes = 0;
+    let encode = |change: &Change| match change {
+        Change::Removed { key, revision } => Some(StoredChange {
+            key: key.clone(),
+            revision: *revision,
+            is_removed: true,
+            value: String::new(),
+        }),
+        Change::Put(item) => {
+            bytes += item.value.len();
+            let value = std::str::from_utf8(&item.value).ok()?;
+            (bytes <= MAX_VALUE_BYTES).then(|| StoredChange {
+                key: item.key.clone(),
+                revision: item.revision,
+                is_removed: false,
+                value: value.to_owned(),
+            })
+        }
+    };
+    changes.map(encode).collect()
+}
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use hyper::StatusCode;
 use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
 use tokio::sync::Notify;
 
@@ -16,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::quarantine::keeper;
 use crate::rounds::ControlLoop;
-use crate::{Error, clock, peers};
+use crate::{Error, changes, clock, peers};
 
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -30,6 +31,8 @@
     fleet: Mutex<FleetState>,
     /// Signals that the store has recovered, so that a watch from before the outage is restarted.
     pub store_recovered: Notify,
+    /// Signals that this node has heard of the store's keys, for peers that hear of them from this node.
+    pub heard: tokio::sync::watch::Sender<()>,
 }
 
 /// Handle of the running control thread. Dropping it ends the thread, but not the node's lease.
@@ -47,6 +50,7 @@
             store,
             fleet: Mutex::default(),
             store_recovered: Notify::new(),
+            heard: tokio::sync::watch::Sender::new(()),
         });
         let (leave, leaving) = tokio::sync::watch::channel(false);
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -67,6 +71,16 @@
         self.leave.send_replace(true);
     }
 
+    /// Whether the last call of this node to the store was answered.
+    pub fn has_store(&self) -> bool {
+        !self.control.fleet().store_availability.is_unavailable()
+    }
+
+    /// Answers a peer's question for changes in the store.
+    pub async fn answer_changes(&self, body: &[u8]) -> (StatusCode, String) {
+        changes::answer(&self.control, body).await
+    }
+
     /// The encoded state of this node, for peers.
     pub fn peer_state(&self) -> String {
         peers::encode(&self.control.fleet(), clock::now_us())
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -51,6 +51,14 @@
             Self::Removed { key, .. } => key,
         }
     }
+
+    /// Store revision of the change.
+    pub const fn revision(&self) -> u64 {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// Result of [`Store::list`].
@@ -72,6 +80,8 @@
     pub changes: Vec<Change>,
     /// Revision after which the next watch continues.
     pub revision: u64,
+    /// Era of the store, as in [`Listing::era`].
+    pub era: Option<u64>,
 }
 
 /// Consistency that a read requires.
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -5,12 +5,14 @@
 
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::quarantine::list::QuarantineList;
 use tealsaddle_core::fleet::store_availability::StoreAvailability;
 use tealsaddle_core::fleet::store_era::StoreEra;
 use tealsaddle_core::name::Name;
 
+use crate::change_log::ChangeLog;
 use crate::external::{Change, Changes, Dialect, Item, Listing};
 use crate::snapshot::FleetSnapshot;
 
@@ -38,6 +40,10 @@
     pub nodes: u32,
     /// Addresses at which the other registered nodes serve their peers.
     pub peers: Arc<[SocketAddr]>,
+    /// The other registered nodes that serve peers.
+    pub members: Arc<[Member]>,
+    /// The latest changes, and how far the keys are known.
+    pub changes: ChangeLog,
     /// Whether the quarantined parts are known, from the store or a peer.
     pub has_quarantine_list: bool,
     quarantine: Arc<QuarantineList>,
@@ -243,7 +249,7 @@
                 })
                 .collect(),
             revision: self.revision,
-            era: None,
+            era: self.era.current(),
         })
     }
 
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod admit;
 pub mod answer;
 pub mod call;
+pub mod change_log;
+pub mod changes;
 pub mod clock;
 pub mod control;
 pub mod error;
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_schema::fleet::NodeRecord;
 
 use crate::clock;
@@ -117,6 +118,7 @@
         let record = NodeRecord {
             node: node.to_string(),
             peer_address: peer_address.unwrap_or_default(),
+            zone: config.zone.to_string(),
         };
         let transaction = Transaction {
             puts: vec![Put {
@@ -149,12 +151,13 @@
         let nodes = items.iter().filter(|item| item.key.starts_with(NODES));
         let listed = nodes.count().max(1) as u32;
         let nodes = self.nodes.on_listed(listed, clock::now_us());
-        let peers = peer_addresses(items, self.control.gateway.config.peer_listen);
+        let members = members(items, self.control.gateway.config.peer_listen);
         let is_changed = {
             let mut fleet = self.control.fleet();
-            let is_changed = fleet.nodes != nodes || *fleet.peers != *peers;
+            let is_changed = fleet.nodes != nodes || *fleet.members != *members;
             fleet.nodes = nodes;
-            fleet.peers = peers;
+            fleet.peers = members.iter().map(|member| member.address).collect();
+            fleet.members = members;
             is_changed
         };
         if is_changed {
@@ -170,16 +173,19 @@
     }
 }
 
-/// Addresses at which nodes other than that at `own` serve their peers. Nodes of an earlier release do not tell.
-fn peer_addresses(items: &[Item], own: Option<SocketAddr>) -> Arc<[SocketAddr]> {
+/// The nodes other than that at `own` that serve peers. Nodes of an earlier release do not tell.
+fn members(items: &[Item], own: Option<SocketAddr>) -> Arc<[Member]> {
     let nodes = items.iter().filter(|item| item.key.starts_with(NODES));
-    let address = |item: &Item| {
+    let member = |item: &Item| {
         let record: NodeRecord = serde_json::from_slice(&item.value).ok()?;
-        record.peer_address.parse().ok()
+        Some(Member {
+            address: record.peer_address.parse().ok()?,
+            zone: record.zone.as_str().into(),
+        })
     };
-    let mut addresses: Vec<SocketAddr> = nodes.filter_map(address).collect();
-    addresses.retain(|address| Some(*address) != own);
-    addresses.sort_unstable();
-    addresses.dedup();
-    addresses.into()
+    let mut members: Vec<Member> = nodes.filter_map(member).collect();
+    members.retain(|member| Some(member.address) != own);
+    members.sort_unstable();
+    members.dedup_by_key(|member| member.address);
+    members.into()
 }
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 
 use crate::Error;
+use crate::changes::CHANGES_PATH;
 use crate::control::ControlHandle;
 use crate::front::{ACCEPT_PAUSE, listen, text_response};
 use crate::gateway::Gateway;
@@ -72,6 +73,9 @@
     let Some(body) = read(request).await else {
         return (StatusCode::BAD_REQUEST, String::new());
     };
+    if path == CHANGES_PATH {
+        return control.answer_changes(&body).await;
+    }
     let answered = gateway.send_gate.answer(&path, &body);
     answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
 }
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -15,8 +15,8 @@
 use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
 use tealsaddle_schema::fleet::QuarantineRecord;
 
-use crate::clock;
-use crate::clock::jittered;
+use crate::change_log::Position;
+use crate::clock::{self, jittered};
 use crate::control::Control;
 use crate::external::{Item, Listing, OutgoingCall};
 use crate::fleet_state::FleetState;
@@ -38,6 +38,12 @@
     config: Option<String>,
     runners: Option<Vec<PeerItem>>,
     revision: u64,
+    /// Era of the store, if it tells.
+    #[serde(default)]
+    era: Option<u64>,
+    /// Revision up to which all changes are known; 0 if it is not known, as in an earlier release.
+    #[serde(default)]
+    complete_revision: u64,
     /// Quarantined parts; a node of an earlier release knows none.
     #[serde(default)]
     quarantined: Vec<QuarantineRecord>,
@@ -53,6 +59,16 @@
     expires_in_ms: Option<u64>,
 }
 
+impl PeerItem {
+    fn into_item(self) -> Item {
+        Item {
+            key: self.key,
+            value: self.value.into_bytes(),
+            revision: self.revision,
+        }
+    }
+}
+
 /// Encodes a node's state for a peer.
 pub fn encode(fleet: &FleetState, now_us: u64) -> String {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
@@ -63,6 +79,8 @@
         quarantined: quarantined.collect(),
         config: fleet.config_value().map(text),
         revision: listing.as_ref().map_or(0, |listing| listing.revision),
+        era: listing.as_ref().and_then(|listing| listing.era),
+        complete_revision: fleet.changes.position().map_or(0, |p| p.revision),
         runners: listing.map(|listing| {
             let items = listing.items.into_iter().map(|item| PeerItem {
                 value: text(&item.value),
@@ -98,7 +116,9 @@
             let answers = batch.iter().map(|seed| fetch(&upstreams, *seed));
             let answers = futures::future::join_all(answers).await;
             for state in answers.into_iter().flatten() {
-                apply(&control, state);
+                if !control.fleet().is_ready() {
+                    apply(&control, state);
+                }
             }
         }
         tokio::time::sleep(jittered(RETRY_PAUSE)).await;
@@ -122,6 +142,28 @@
         .ok()
 }
 
+/// Takes over the fleet from a peer that lacks the changes since what this node knows; returns whether it has it all
+/// now.
+pub async fn fetch_missing(
+    control: &Arc<Control>,
+    upstreams: &Arc<Upstreams>,
+    peer: SocketAddr,
+) -> bool {
+    let Some(state) = fetch(upstreams, peer).await else {
+        return false;
+    };
+    let known = control.fleet().changes.position();
+    let theirs = Position {
+        revision: state.complete_revision,
+        era: state.era,
+    };
+    let is_newer = known.is_none_or(|own| (own.era, own.revision) < (theirs.era, theirs.revision));
+    if is_newer && theirs.revision > 0 {
+        apply(control, state);
+    }
+    is_newer
+}
+
 fn apply(control: &Arc<Control>, state: PeerState) {
     control.take_quarantine(&state.quarantined);
     if let Some(config) = &state.config {
@@ -129,39 +171,39 @@
     }
     if let Some(runners) = state.runners {
         let now_us = clock::now_us();
-        let lapsed: Vec<(String, u64)> = runners
-            .iter()
-            .filter_map(|item| {
-                let left_us = item.expires_in_ms?.saturating_mul(1_000);
-                let expires_us = now_us + left_us.min(REREGISTRATION_WINDOW_US);
-                Some((item.key.clone(), expires_us))
-            })
-            .collect();
+        let lapsed = lapsed_registrations(&runners, now_us);
         let listing = Listing {
-            items: runners
-                .into_iter()
-                .map(|item| Item {
-                    key: item.key,
-                    value: item.value.into_bytes(),
-                    revision: item.revision,
-                })
-                .collect(),
+            items: runners.into_iter().map(PeerItem::into_item).collect(),
             revision: state.revision,
-            era: None,
+            era: state.era,
         };
         let dialect = &*control.gateway.dialect;
         let prefix = dialect.layout().runner_prefix;
         let mut fleet = control.fleet();
-        if !fleet.is_ready() {
-            log::info!(runners = listing.items.len(), revision = listing.revision;
-                "runners taken from a peer");
-            fleet.on_listing(dialect, prefix, listing, now_us);
-            for (key, expires_us) in lapsed {
-                fleet.on_lapsed(&key, expires_us);
-            }
+        log::info!(runners = listing.items.len(), revision = listing.revision;
+            "runners taken from a peer");
+        fleet.on_listing(dialect, prefix, listing, now_us);
+        for (key, expires_us) in lapsed {
+            fleet.on_lapsed(&key, expires_us);
+        }
+        if state.complete_revision > 0 {
+            fleet.changes.restart(Position {
+                revision: state.complete_revision,
+                era: state.era,
+            });
         }
         drop(fleet);
         control.expire_lapsed_later();
     }
     control.publish();
 }
+
+/// Keys of the registrations that have lapsed, and until when they are kept.
+fn lapsed_registrations(runners: &[PeerItem], now_us: u64) -> Vec<(String, u64)> {
+    let lapsed = runners.iter().filter_map(|item| {
+        let left_us = item.expires_in_ms?.saturating_mul(1_000);
+        let expires_us = now_us + left_us.min(REREGISTRATION_WINDOW_US);
+        Some((item.key.clone(), expires_us))
+    });
+    lapsed.collect()
+}
--- a/crates/tealsaddle-gateway/src/permits.rs
+++ b/crates/tealsaddle-gateway/src/permits.rs
@@ -88,8 +88,31 @@
         }
     }
 
-    /// Chooses among the runners that get a request now.
+    /// Chooses among the runners that get a request now. While the node may not know which runners are about to stop,
+    /// it prefers those that it has had an answer of.
     async fn place_now<F>(&self, candidates: Candidates<'_>, choose: &F) -> Result<Choice, Refusal>
+    where
+        F: Fn(&[Name]) -> Result<Placement, Refusal>,
+    {
+        let mut doubtful = self.doubtful_runners(candidates.stage);
+        if !doubtful.is_empty() {
+            doubtful.extend_from_slice(candidates.excluded);
+            let known = Candidates {
+                excluded: &doubtful,
+                ..candidates
+            };
+            if let Ok(Choice::Placed(placed)) = self.place_among(known, choose).await {
+                return Ok(Choice::Placed(placed));
+            }
+        }
+        self.place_among(candidates, choose).await
+    }
+
+    async fn place_among<F>(
+        &self,
+        candidates: Candidates<'_>,
+        choose: &F,
+    ) -> Result<Choice, Refusal>
     where
         F: Fn(&[Name]) -> Result<Placement, Refusal>,
     {
@@ -139,6 +162,24 @@
         held.collect()
     }
 
+    /// Ids of the runners of a stage that may be about to stop without this node's knowledge; none while its knowledge
+    /// of the store is up to date.
+    pub fn doubtful_runners(&self, stage: Option<Stage>) -> Vec<Name> {
+        let gateway = &self.gateway;
+        if !gateway.knowledge.is_doubtful() {
+            return Vec::new();
+        }
+        gateway.metrics.increment("knowledge.doubtful");
+        let word = Duration::from_micros(gateway.knowledge.terms().word_us);
+        let snapshot = gateway.snapshot.load();
+        let runners = snapshot.runners_of(&self.service).iter();
+        let unheard = runners.filter(|runner| {
+            let has_word = gateway.scheduler.has_answered_within(&runner.id, word);
+            runner.stage == stage && !has_word
+        });
+        unheard.map(|runner| Name::clone(&runner.id)).collect()
+    }
+
     /// Ids of the runners of a stage that get no request at this moment.
     pub fn held_runners(&self, stage: Option<Stage>) -> Vec<Name> {
         let candidates = Candidates {
--- a/crates/tealsaddle-gateway/src/snapshot.rs
+++ b/crates/tealsaddle-gateway/src/snapshot.rs
@@ -43,9 +43,11 @@
 
     /// Whether a runner accepts new requests: it is registered, is not draining and has not restarted.
     pub fn accepts_requests(&self, runner: &Runner) -> bool {
-        let mut registered = self.runners_of(&runner.service).iter();
-        registered.any(|r| {
-            r.id == runner.id && r.started_unix_ms == runner.started_unix_ms && !r.is_draining
+        let registered = self.runners_of(&runner.service);
+        let place = registered.binary_search_by(|r| r.id.cmp(&runner.id));
+        place.is_ok_and(|place| {
+            let registered = &registered[place];
+            registered.started_unix_ms == runner.started_unix_ms && !registered.is_draining
         })
     }
 }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -174,8 +174,12 @@
         if self.has_tried_prefill {
             return None;
         }
-        let held = self.call.held_runners(Some(Stage::Prefill));
-        self.call.choose_prefill(self.engine, &held)
+        let call = self.call;
+        let held = call.held_runners(Some(Stage::Prefill));
+        let mut unlikely = call.doubtful_runners(Some(Stage::Prefill));
+        unlikely.extend_from_slice(&held);
+        let known = call.choose_prefill(self.engine, &unlikely);
+        known.or_else(|| call.choose_prefill(self.engine, &held))
     }
 
     /// Chooses the decode runner, if the first event is expected in time.
