Ignore listings and changes that are older than what is known of the runners

Change: within an era, a listing below the known revision and changes up to it have no effect. Before: gateway::older_listing_does_not_undo_a_leaving failed; after: it passes.

--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -81,7 +81,13 @@
         listing: Listing,
         now_us: u64,
     ) {
+        let is_first_era = self.era.current().is_none() && listing.era.is_some();
         self.follow_era(listing.era, listing.revision);
+        if self.has_runner_list && listing.revision < self.revision && !is_first_era {
+            log::warn!(revision = listing.revision, known_revision = self.revision;
+                "listing of the runners is older than what is known, and ignored");
+            return;
+        }
         let listed: HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
         let is_unlisted = |key: &&String| !listed.contains(key.as_str());
         let unlisted: Vec<String> = self
@@ -122,7 +128,9 @@
         changes: Changes,
         now_us: u64,
     ) {
-        for change in changes.changes {
+        let known = self.revision;
+        let new = changes.changes.into_iter();
+        for change in new.filter(|change| change.revision() > known) {
             match change {
                 Change::Put(item) => self.put(dialect, prefix, item),
                 Change::Removed { key, revision } => self.remove(&key, revision, now_us),
