Take registrations for lapsed only if nobody had word from the store

Cause: a node whose own calls to the store had failed kept each runner that disappeared within two seconds after their return, as registrations lapse while the store is down. Others had heard of changes all the while, so nothing had lapsed. Change: the time of grace follows from whether this node heard of changes, from the store or a peer. Before: leaving::runner_that_left_is_not_kept_by_a_node_that_had_lost_the_store failed (kept for 1,995 ms); after: it passes.

--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -34,8 +34,10 @@
 /// State of the fleet in the control thread.
 #[derive(Debug, Default)]
 pub struct FleetState {
-    /// Whether and since when the store answers.
+    /// Whether and since when the store answers this node.
     pub store_availability: StoreAvailability,
+    /// Whether and since when this node hears of changes, from the store or a peer.
+    pub change_availability: StoreAvailability,
     /// Number of registered nodes, including this one; 0 before the first listing.
     pub nodes: u32,
     /// Addresses at which the other registered nodes serve their peers.
@@ -180,7 +182,7 @@
     }
 
     fn remove(&mut self, key: &str, revision: u64, now_us: u64) {
-        let keep_until_us = self.store_availability.keep_until_us(now_us);
+        let keep_until_us = self.change_availability.keep_until_us(now_us);
         let Some(current) = self.registrations.get_mut(key) else {
             return;
         };
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -116,6 +116,7 @@
         while let Some((followed, result)) = lists.next().await {
             match result {
                 Ok(listing) => {
+                    self.on_heard();
                     listed.push(Position {
                         revision: listing.revision,
                         era: listing.era,
@@ -209,6 +210,7 @@
 
     /// Applies changes, and keeps those that are followed for peers.
     fn apply(&self, changes: Vec<Change>, revision: u64) {
+        self.on_heard();
         let mut kept = changes;
         let is_followed = |change: &Change| {
             let mut followed = self.followed.iter();
@@ -231,6 +233,20 @@
         self.control.fleet().changes.extend(kept, revision);
     }
 
+    /// Records that this node hears of changes again, if it had not for so long that registrations may have lapsed
+    /// with the store. If others have heard of changes all the while, none has.
+    fn on_heard(&self) {
+        let knowledge = &self.control.gateway.knowledge;
+        let was_silent = knowledge.as_of_us() > 0 && knowledge.is_doubtful();
+        let availability = &mut self.control.fleet().change_availability;
+        if was_silent {
+            availability.on_failure();
+        }
+        if availability.on_answer(clock::now_us()) {
+            log::info!(unconfirmed_ms = knowledge.age().as_millis() as u64; "changes are heard again");
+        }
+    }
+
     /// Confirms the knowledge, logs for how long it was not confirmed if there were changes, and tells those who wait.
     fn confirm(&self, as_of_us: u64, has_changes: bool) {
         let knowledge = &self.control.gateway.knowledge;
