Confirm at the moment of a send that the runner is registered and not about to stop

Change: a permit holds only while the same process is registered and not about to stop. Before: leaving::permission_to_send_ends_when_the_runner_is_about_to_stop failed; after: it passes.

--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -93,7 +93,11 @@
         let metrics = Metrics::open();
         Arc::new(Self {
             scheduler: Scheduler::open(config.retry),
-            send_gate: SendGate::open(config.peer_listen, Arc::clone(&metrics)),
+            send_gate: SendGate::open(
+                config.peer_listen,
+                Arc::clone(&metrics),
+                Arc::clone(&snapshot),
+            ),
             upstreams: Upstreams::open(),
             own_calls: Upstreams::open(),
             quarantine: Quarantine::open(config.peer_listen),
--- a/crates/tealsaddle-gateway/src/send_gate/mod.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use hyper::StatusCode;
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::fleet::Runner;
@@ -96,16 +97,23 @@
     metrics: Arc<Metrics>,
     /// Connections to peers.
     upstreams: Arc<Upstreams>,
+    /// The fleet, as last published.
+    snapshot: Arc<ArcSwap<FleetSnapshot>>,
     state: Mutex<State>,
 }
 
 impl SendGate {
     /// Creates the gate of a node that has heard nothing of the runners.
-    pub fn open(own_address: Option<SocketAddr>, metrics: Arc<Metrics>) -> Arc<Self> {
+    pub fn open(
+        own_address: Option<SocketAddr>,
+        metrics: Arc<Metrics>,
+        snapshot: Arc<ArcSwap<FleetSnapshot>>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             own_address,
             metrics,
             upstreams: Upstreams::open(),
+            snapshot,
             state: Mutex::default(),
         })
     }
@@ -154,16 +162,18 @@
         }
     }
 
-    /// Whether a permit still holds: the runner may have asked for something since.
+    /// Whether a permit still holds: the runner may have asked for something since, also in its registration.
     pub fn is_valid(&self, permit: &SendPermit, runner: &Runner) -> bool {
-        Self::may_use(&self.state(), permit, runner, clock::now_us())
+        self.snapshot.load().accepts_requests(runner)
+            && Self::may_use(&self.state(), permit, runner, clock::now_us())
     }
 
     /// Uses a permit; returns `false` if it no longer holds.
     pub fn confirm(&self, permit: SendPermit, runner: &Runner) -> bool {
         let now_us = clock::now_us();
         let mut state = self.state();
-        let may_use = Self::may_use(&state, &permit, runner, now_us);
+        let is_registered = self.snapshot.load().accepts_requests(runner);
+        let may_use = is_registered && Self::may_use(&state, &permit, runner, now_us);
         drop(permit);
         if may_use {
             state.terms.on_send(runner, now_us);
