Let streams go on only at the software version that began them

Cause: no node knew the version of a runner's software, so any runner of the service went on with any stream.

Change: the version of the first event binds all further choices for the stream; none of its runners left ends the answer at once.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod cached_parts;
 pub mod change_sources;
 pub mod config;
+pub mod continuation;
 pub mod events;
 pub mod knowledge;
 pub mod lease;
@@ -55,6 +56,8 @@
     pub is_draining: bool,
     /// Stage that the runner serves; `None` for a runner of a plain service.
     pub stage: Option<Stage>,
+    /// Version of the runner's software; empty if it is not stated.
+    pub version: Name,
     /// Start of the runner's process, in milliseconds since the Unix epoch. A new value under the same
     /// id means that the process has restarted.
     pub started_unix_ms: u64,
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod send_gate;
 mod split;
 mod store_availability;
+mod version_histories;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +31,7 @@
         slots: 4,
         is_draining: false,
         stage,
+        version: Name::from("v1"),
         started_unix_ms: 0,
     })
 }
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -66,7 +66,10 @@
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
     let request = OutgoingRequest::new(head, body, &*gateway.dialect);
-    let service = Name::clone(route.service(hash(&request_id)));
+    // A stream that is taken up belongs to the service of the request that began it.
+    let first_id = metadata.resumes.as_ref();
+    let first_id = first_id.filter(|_| metadata.has_received_events);
+    let service = Name::clone(route.service(hash(first_id.unwrap_or(&request_id))));
     gateway.scheduler.on_request(&service);
     Ok(Arc::new(Call {
         gateway: Arc::clone(gateway),
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -57,6 +57,10 @@
     BodyCutOff,
     /// No runner of the service accepts new requests.
     NoRunner,
+    /// The stream that the caller takes up may have begun at any of several software versions.
+    StreamVersionUnknown,
+    /// No runner of the software version that began the stream accepts new requests.
+    StreamVersionGone,
     /// All runners of the service have asked for no request now.
     Withheld(HoldReason),
     /// The request is not expected to be answered by its deadline.
@@ -87,6 +91,8 @@
             Self::BodyTimeout => "body_timeout",
             Self::BodyCutOff => "body_cut_off",
             Self::NoRunner => "no_runner",
+            Self::StreamVersionUnknown => "stream_version_unknown",
+            Self::StreamVersionGone => "stream_version_gone",
             Self::Withheld(reason) => reason.as_str(),
             Self::DeadlineInfeasible => "deadline_infeasible",
             Self::QuarantinedPart => "quarantined_part",
@@ -121,6 +127,8 @@
         match self {
             Self::NoConfiguration
             | Self::NoRunner
+            | Self::StreamVersionUnknown
+            | Self::StreamVersionGone
             | Self::Withheld(_)
             | Self::DeadlineInfeasible
             | Self::QuarantinedPart
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -118,6 +118,10 @@
     /// The trial that this request is; empty for all other requests.
     trial: OnceLock<Trial>,
     digest: OnceLock<RequestDigest>,
+    /// Software version at which the stream has begun; only runners of it may go on.
+    version: OnceLock<Name>,
+    /// Whether events of this answer were passed on.
+    has_begun_stream: AtomicBool,
     has_ended: AtomicBool,
 }
 
@@ -149,6 +153,21 @@
         self.trial.get_or_init(|| trial);
     }
 
+    /// Records that events are passed on; returns whether some were before.
+    pub fn begin_stream(&self) -> bool {
+        self.has_begun_stream.swap(true, Ordering::Relaxed)
+    }
+
+    /// Binds the stream to the software version that has begun it.
+    pub fn bind_version(&self, version: &Name) {
+        self.version.get_or_init(|| Name::clone(version));
+    }
+
+    /// Software version at which the stream has begun; `None` before its first event.
+    pub fn version(&self) -> Option<&Name> {
+        self.version.get()
+    }
+
     /// The trial that this request is.
     pub fn trial(&self) -> Option<&Trial> {
         self.trial.get()
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -118,6 +118,7 @@
         let snapshot = self.fleet().snapshot();
         self.gateway.scheduler.on_snapshot(&snapshot);
         self.gateway.send_gate.on_snapshot(&snapshot);
+        self.gateway.versions.on_snapshot(&snapshot);
         self.gateway.snapshot.store(Arc::new(snapshot));
     }
 
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -177,6 +177,10 @@
     pub parts: Vec<PromptPart>,
     /// Upper limit of the output, in tokens; 0 if the caller states none.
     pub output_tokens: u64,
+    /// Whether the caller has received events of the stream before and takes it up again.
+    pub has_received_events: bool,
+    /// Id of the request that brought the first of them; `None` if the caller does not say.
+    pub resumes: Option<String>,
 }
 
 /// What the headers of a runner's answer say.
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::snapshot::FleetSnapshot;
 use crate::stop::Stop;
 use crate::upstream::Upstreams;
+use crate::versions::StreamVersions;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -68,6 +69,8 @@
     pub scheduler: Arc<Scheduler>,
     /// What runners ask of those who send to them.
     pub send_gate: Arc<SendGate>,
+    /// Which software versions began streams.
+    pub versions: Arc<StreamVersions>,
     /// What this node knows of crashes of runners.
     pub quarantine: Quarantine,
     /// Counters and latencies of this node.
@@ -101,6 +104,7 @@
             upstreams: Upstreams::open(),
             own_calls: Upstreams::open(),
             quarantine: Quarantine::open(config.peer_listen),
+            versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
             knowledge: KnowledgeClock::open(config.leaving_bound),
             metrics,
             answer_cutoff: CancellationToken::new(),
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -49,7 +49,9 @@
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
+pub mod stream_version;
 pub mod timeout;
 pub mod upstream;
+pub mod versions;
 
 pub use error::Error;
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -140,7 +140,10 @@
     async fn next(mut self) -> NextFrame {
         loop {
             match self.step().await {
-                Step::Data(data) => return Some((Ok(Frame::data(data)), Some(self))),
+                Step::Data(data) => {
+                    self.call.on_first_events(&self.run.runner).await;
+                    return Some((Ok(Frame::data(data)), Some(self)));
+                }
                 Step::Incomplete | Step::Resumed => {}
                 Step::End => return self.finish(),
                 Step::Broken(runner, outcome) => {
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -107,6 +107,7 @@
         engine: EngineLimits,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Refusal> {
+        self.bind_resumed_version().await?;
         let stream = self.open_stream(&engine, attempts, None).await?;
         Ok(relay::respond(Arc::clone(self), engine, stream, *attempts))
     }
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -9,9 +9,9 @@
 use tokio::sync::watch;
 
 use crate::clock::{self, jittered};
-use crate::control::{Control, with_timeout};
+use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
-use crate::external::Freshness;
+use crate::external::{Freshness, Put, Transaction};
 use crate::membership::Membership;
 use crate::orders::Orders;
 
@@ -91,6 +91,7 @@
             self.list_node_keys().await?;
         }
         self.orders.expire();
+        self.record_versions().await?;
         self.orders.issue().await
     }
 
@@ -104,12 +105,33 @@
         self.membership.join(sent_us).await
     }
 
+    /// Records which software versions may have streams, if this node holds the authority to order.
+    async fn record_versions(&self) -> Result<(), StoreError> {
+        if !self.orders.has_authority() {
+            return Ok(());
+        }
+        for (key, value) in self.control.gateway.versions.due_records() {
+            let put = Put {
+                key,
+                value,
+                lease: None,
+            };
+            let transaction = Transaction {
+                puts: vec![put],
+                ..Transaction::default()
+            };
+            with_timeout(CALL_TIMEOUT, self.control.store.commit(transaction)).await?;
+        }
+        Ok(())
+    }
+
     /// Lists the keys of all nodes, registers this node again if its key is missing, and acquires the
     /// authority to order if no node holds it.
     async fn list_node_keys(&mut self) -> Result<(), StoreError> {
         let list = self.control.store.list(KEY_PREFIX, Freshness::Stale);
         let items = with_timeout(LIST_TIMEOUT, list).await?.items;
         self.membership.on_listed(&items).await?;
+        self.control.gateway.versions.on_listed(&items);
         self.orders.on_listed(&items, self.membership.lease()).await
     }
 }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -341,6 +341,14 @@
     ) -> Result<Placement, Refusal> {
         let snapshot = self.gateway.snapshot.load();
         let runners = snapshot.runners_of(&self.service);
+        let of_version: Vec<Arc<Runner>>;
+        let runners = if self.state.version().is_some() {
+            let may_go_on = runners.iter().filter(|runner| self.may_go_on_at(runner));
+            of_version = may_go_on.cloned().collect();
+            &of_version
+        } else {
+            runners
+        };
         let scheduler = &self.gateway.scheduler;
         let placement = scheduler.choose_decode_runner(
             runners,
