--- a/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
@@ -170,7 +170,7 @@
         streams.push(Stream {
             id,
             node,
-            version: names()[version].clone(),
+            version: Name::clone(&names()[version]),
             begun_us,
             taken_up_us: if is_lost || is_broken {
                 broken_us + after_us
@@ -239,7 +239,7 @@
                     == derived(&stream.id, now_us);
                 let version = &names()[derived(&stream.id, now_us)];
                 if is_certain {
-                    Continuation::At(version.clone())
+                    Continuation::At(Name::clone(version))
                 } else {
                     Continuation::Unknown
                 }
@@ -285,7 +285,7 @@
     let mut answers = Answers::default();
     for holder in holders(&stream.id, scenario.nodes) {
         match state(holder) {
-            Some((true, _uptime_us)) if knows => answers.told = Some(stream.version.clone()),
+            Some((true, _uptime_us)) if knows => answers.told = Some(Name::clone(&stream.version)),
             Some((_, uptime_us)) => answers.denials += usize::from(uptime_us >= LIFE_US),
             None => {}
         }
