Close the connection of a refusal, so that a second copy of it meets no other request

What callers saw: "not run, try again" for a request that its runner was running (a report of other operators). Cause: a refusal without a body put its connection back into the pool before it was classified; a copy of it that came after the next request was taken for that one's answer, as refusals need not name their request. The same for the node's own calls, whose answers never do: a doubled refusal of a report would have stood for that of an order. Change: only a connection whose last answer was no refusal is used again.

--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -316,13 +316,12 @@
     /// The answer with its metadata; `None` if it belongs to another request. One that names no request is taken
     /// for one to this.
     fn own_answer(&self, answer: Answer) -> Option<OwnAnswer> {
-        let Answer { head, mut body } = answer;
+        let Answer { head, body } = answer;
         let metadata = self.gateway.dialect.answer_metadata(&head.headers);
         let answered_id = metadata.request_id.as_deref();
         if answered_id.is_some_and(|id| id != self.request_id) {
             return None;
         }
-        body.release_if_empty();
         Some(OwnAnswer {
             head,
             metadata,
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -183,6 +183,10 @@
         }
         headers.extend(call.headers);
         let Answer { head, mut body } = self.send(address, request, reuse).await?;
+        if !head.status.is_success() {
+            // A second copy of a refusal would be taken for the answer to the next call, which names no request.
+            body.forbid_reuse();
+        }
         let mut bytes = BytesMut::new();
         let mut cost_bytes = 0;
         while let Some(data) = body.next().await {
@@ -311,13 +315,6 @@
         }
     }
 
-    /// Returns the connection to the pool if the answer has no body. For an answer that belongs to the request.
-    pub fn release_if_empty(&mut self) {
-        if self.incoming.is_end_stream() {
-            self.return_to_pool();
-        }
-    }
-
     /// Closes the connection at the end of the answer instead of returning it to the pool.
     pub const fn forbid_reuse(&mut self) {
         self.usable_for = None;
