--- a/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
@@ -231,9 +231,10 @@
         outcome.taken_up += 1;
         let remembers = |node: usize| started_us(node) <= stream.begun_us;
         let decided = match way {
-            Way::Anywhere => Continuation::At(
-                names()[usize::from(random.random_bool(new_share(now_us)))].clone(),
-            ),
+            Way::Anywhere => {
+                let drawn = usize::from(random.random_bool(new_share(now_us)));
+                Continuation::At(Name::clone(&names()[drawn]))
+            }
             Way::Derived => {
                 let is_certain = derived(&stream.id, now_us.saturating_sub(LIFE_US))
                     == derived(&stream.id, now_us);
@@ -244,7 +245,7 @@
                     Continuation::Unknown
                 }
             }
-            Way::Recorded => Continuation::At(stream.version.clone()),
+            Way::Recorded => Continuation::At(Name::clone(&stream.version)),
             Way::Own | Way::Told => {
                 let mut this = Node::open(started_us(node));
                 this.observe(now_us);
