--- a/crates/tealsaddle-core/src/fleet/change_sources.rs
+++ b/crates/tealsaddle-core/src/fleet/change_sources.rs
@@ -1,7 +1,7 @@
-//! From whom a node hears of changes in the store.
+//! From whom a node learns of changes in the store.
 //!
 //! Calls to the store are limited and cost something, so few nodes watch it for all. Two nodes of the fleet do, in
-//! different zones; in each zone one node for each group hears of changes from them, and the others of the group hear
+//! different zones; in each zone one node for each group learns of changes from them, and the others of the group
 //! from that one. All nodes rank each other in the same way, so they agree without a message, and each source has a
 //! successor. The store is the last resort of every node.
 
--- a/crates/tealsaddle-core/tests/it/fleet/change_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/change_histories.rs
@@ -352,7 +352,7 @@
     }
 }
 
-/// Guards against nodes that do not know that their knowledge is old while nobody reaches the store.
+/// Guards against nodes that do not know that their knowledge is old while no node reaches the store.
 #[parameterized(silent = { Fault::StoreSilent(1.0) }, refusing = { Fault::StoreRefuses(1.0) })]
 fn nodes_without_the_store_are_in_doubt(fault: Fault) {
     for (count, zones) in FLEETS {
--- a/crates/tealsaddle-gateway/src/changes.rs
+++ b/crates/tealsaddle-gateway/src/changes.rs
@@ -71,10 +71,7 @@
 pub async fn answer(control: &Control, body: &[u8]) -> (StatusCode, String) {
     let question: ChangesQuestion = match peer_message::parse(body) {
         Ok(question) => question,
-        Err(error) => {
-            log::warn!(error:%; "question of a peer cannot be parsed");
-            return (StatusCode::BAD_REQUEST, String::new());
-        }
+        Err(error) => return peer_message::respond(CHANGES_PATH, Err(error)),
     };
     let asked_us = clock::now_us();
     let mut heard = control.heard.subscribe();
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -36,7 +36,7 @@
 pub struct FleetState {
     /// Whether and since when the store answers this node.
     pub store_availability: StoreAvailability,
-    /// Whether and since when this node hears of changes, from the store or a peer.
+    /// Whether and since when this node learns of changes, from the store or a peer.
     pub change_availability: StoreAvailability,
     /// Number of registered nodes, including this one; 0 before the first listing.
     pub nodes: u32,
--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -1,6 +1,6 @@
 //! Follows the keys of the store that a node needs: configuration, registrations, quarantined parts.
 //!
-//! The keys under each prefix are listed once. Then the node hears of all changes from one source, which
+//! The keys under each prefix are listed once. Then the node learns of all changes from one source, which
 //! [`tealsaddle_core::fleet::change_sources`] chooses: the store, or another node. Each source says at least every
 //! [`confirm_us`](tealsaddle_core::fleet::knowledge::FreshnessTerms::confirm_us) as of when nothing else has changed.
 //! When one does not, all others are asked at the same time, and the first that knows better is the next source. After
@@ -50,7 +50,7 @@
     Peer(PeerFailure),
 }
 
-/// Lists the keys, then hears of their changes. Never returns.
+/// Lists the keys, then learns of their changes. Never returns.
 pub async fn follow(control: Arc<Control>) {
     let mut follower = Follower::open(Arc::clone(&control));
     loop {
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -233,7 +233,7 @@
         self.control.fleet().changes.extend(kept, revision);
     }
 
-    /// Records that this node hears of changes again, if it had not for so long that registrations may have lapsed
+    /// Records that this node learns of changes again, if it had not for so long that registrations may have lapsed
     /// with the store. If others have heard of changes all the while, none has.
     fn on_heard(&self) {
         let knowledge = &self.control.gateway.knowledge;
--- a/crates/tealsaddle-gateway/src/peer_message.rs
+++ b/crates/tealsaddle-gateway/src/peer_message.rs
@@ -57,6 +57,17 @@
         .ok()
 }
 
+/// The response to a message of a peer, if it could be parsed.
+pub fn respond(path: &str, answered: Result<String, serde_json::Error>) -> (StatusCode, String) {
+    answered.map_or_else(
+        |error| {
+            log::warn!(path, error:%; "message of a peer cannot be parsed");
+            (StatusCode::BAD_REQUEST, String::new())
+        },
+        |text| (StatusCode::OK, text),
+    )
+}
+
 /// Parses a message of a peer.
 pub fn parse<M>(body: &[u8]) -> Result<M, serde_json::Error>
 where
--- a/crates/tealsaddle-gateway/src/quarantine/messages.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -15,7 +15,7 @@
 
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::peer_message::{self, Connection, parse, text_of};
+use crate::peer_message::{self, Connection, parse, respond, text_of};
 use crate::quarantine::collector;
 use crate::quarantine::keeper::Command;
 use crate::upstream::Upstreams;
@@ -61,13 +61,7 @@
         }),
         _ => return (StatusCode::NOT_FOUND, String::new()),
     };
-    match answered {
-        Ok(text) => (StatusCode::OK, text),
-        Err(error) => {
-            log::warn!(path, error:%; "message of a peer cannot be parsed");
-            (StatusCode::BAD_REQUEST, String::new())
-        }
-    }
+    respond(path, answered)
 }
 
 /// The question for the survivals of subjects at a service.
--- a/crates/tealsaddle-gateway/src/send_gate/mod.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/mod.rs
@@ -271,13 +271,7 @@
             messages::REACH_PATH => Ok("{}".to_owned()),
             _ => return None,
         };
-        Some(answered.map_or_else(
-            |error| {
-                log::warn!(path, error:%; "message of a peer cannot be parsed");
-                (StatusCode::BAD_REQUEST, String::new())
-            },
-            |text| (StatusCode::OK, text),
-        ))
+        Some(peer_message::respond(path, answered))
     }
 
     fn known_terms(&self) -> TermsNotice {
--- a/crates/tealsaddle-gateway/src/versions.rs
+++ b/crates/tealsaddle-gateway/src/versions.rs
@@ -365,13 +365,7 @@
             }),
             _ => return None,
         };
-        Some(answered.map_or_else(
-            |error| {
-                log::warn!(path, error:%; "message of a peer cannot be parsed");
-                (StatusCode::BAD_REQUEST, String::new())
-            },
-            |text| (StatusCode::OK, text),
-        ))
+        Some(peer_message::respond(path, answered))
     }
 
     fn on_notice(&self, notice: &StreamVersionsNotice) {
