Bound the log of changes for peers by the size of its values

Change: 512 KB of values at most; who lacks more lists the keys. Before: following::log_of_changes_is_bounded_by_their_size failed (10 MB kept); after: it passes.

--- a/crates/tealsaddle-gateway/src/change_log.rs
+++ b/crates/tealsaddle-gateway/src/change_log.rs
@@ -6,6 +6,8 @@
 
 /// Number of changes that are kept. A node that lacks more lists all keys.
 const MAX_CHANGES: usize = 1_024;
+/// Largest size of the values that are kept: configurations may be long.
+const MAX_VALUE_BYTES: usize = 512 << 10;
 
 /// How far the store's keys are known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +26,8 @@
     /// Revision after which the log has all changes.
     begin_revision: u64,
     changes: VecDeque<Change>,
+    /// Size of their values.
+    value_bytes: usize,
 }
 
 impl ChangeLog {
@@ -37,6 +41,7 @@
         self.position = Some(position);
         self.begin_revision = position.revision;
         self.changes.clear();
+        self.value_bytes = 0;
     }
 
     /// Adds changes up to a revision. Earlier ones have no effect.
@@ -49,11 +54,16 @@
         let new = changes
             .into_iter()
             .filter(|change| change.revision() > known);
-        self.changes.extend(new);
-        while self.changes.len() > MAX_CHANGES {
-            if let Some(dropped) = self.changes.pop_front() {
-                self.begin_revision = dropped.revision();
-            }
+        for change in new {
+            self.value_bytes += value_bytes(&change);
+            self.changes.push_back(change);
+        }
+        while self.changes.len() > MAX_CHANGES || self.value_bytes > MAX_VALUE_BYTES {
+            let Some(dropped) = self.changes.pop_front() else {
+                return;
+            };
+            self.value_bytes -= value_bytes(&dropped);
+            self.begin_revision = dropped.revision();
         }
     }
 
@@ -66,3 +76,10 @@
         is_complete.then_some(changes)
     }
 }
+
+fn value_bytes(change: &Change) -> usize {
+    match change {
+        Change::Put(item) => item.value.len(),
+        Change::Removed { .. } => 0,
+    }
+}
