Share the ranking of nodes, the id of a resumed stream and the patience with a source

Three modules ranked nodes for a key in the same words, two derived the request that began a stream, and two turned the age of the knowledge into what is left for a source. A result that nobody read is gone, and the choice of a prefill runner is made again only if runners were left out for doubt.

--- a/crates/tealsaddle-core/src/fleet/knowledge.rs
+++ b/crates/tealsaddle-core/src/fleet/knowledge.rs
@@ -11,7 +11,7 @@
 /// Part of the bound that is left for the way of an answer with changes.
 const WAY_SHARE: f64 = 0.05;
 /// Part of the bound from which a source is overdue whose last word is that old.
-const PATIENCE_SHARE: f64 = 0.375;
+const OVERDUE_SHARE: f64 = 0.375;
 /// Part of the bound from which the knowledge is in doubt. The rest is for the requests that are under way to a
 /// runner by then.
 const DOUBT_SHARE: f64 = 0.55;
@@ -53,14 +53,12 @@
             confirm_us: share(CONFIRM_SHARE),
             source_timeout_us: share(CONFIRM_SHARE + LATE_SHARE),
             way_us: share(WAY_SHARE),
-            overdue_us: share(PATIENCE_SHARE),
+            overdue_us: share(OVERDUE_SHARE),
             doubt_us: share(DOUBT_SHARE),
             word_us: share(WORD_SHARE),
         }
     }
-}
 
-impl FreshnessTerms {
     /// Returns the time as of which the answer to a call is complete that was sent at `asked_us`, was answered at
     /// `heard_us` with changes, and had waited for them. Such an answer is made as soon as there are any; part of the
     /// bound is left for its way, and more than that makes the call time out before the bound is reached.
--- a/crates/tealsaddle-core/src/fleet/rendezvous.rs
+++ b/crates/tealsaddle-core/src/fleet/rendezvous.rs
@@ -5,7 +5,9 @@
 //! nodes compute the same ranking without exchanging messages, and few parts change their home when a
 //! runner joins or leaves.
 
+use std::cmp::Reverse;
 use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
 
 use rustc_hash::FxHasher;
 
@@ -32,6 +34,11 @@
     mix(hasher.finish())
 }
 
+/// Sorts nodes for a key, such as a service or a request, so that all nodes that know the same ones agree on the first.
+pub fn sort_nodes(nodes: &mut [SocketAddr], key: &str) {
+    nodes.sort_by_cached_key(|node| Reverse(rendezvous_weight(0, &format!("{key} {node}"))));
+}
+
 /// Applies the finalizer of `SplitMix64`.
 const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -67,9 +67,8 @@
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
     let request = OutgoingRequest::new(head, body, &*gateway.dialect);
     // A stream that is taken up belongs to the service of the request that began it.
-    let first_id = metadata.resumes.as_ref();
-    let first_id = first_id.filter(|_| metadata.has_received_events);
-    let service = Name::clone(route.service(hash(first_id.unwrap_or(&request_id))));
+    let first_id = metadata.resumed_id().unwrap_or(&request_id);
+    let service = Name::clone(route.service(hash(first_id)));
     gateway.scheduler.on_request(&service);
     Ok(Arc::new(Call {
         gateway: Arc::clone(gateway),
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -183,6 +183,15 @@
     pub resumes: Option<String>,
 }
 
+impl RequestMetadata {
+    /// Id of the request that brought the first event of the stream that the caller takes up; `None` for a new stream, or
+    /// if the caller does not say.
+    pub fn resumed_id(&self) -> Option<&str> {
+        let resumes = self.resumes.as_deref();
+        resumes.filter(|_| self.has_received_events)
+    }
+}
+
 /// What the headers of a runner's answer say.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerMetadata {
--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -185,14 +185,11 @@
     ) -> impl Future<Output = (Source, Result<Heard, Failure>)> + use<> {
         let is_steady = self.tracker.current() == Some(source);
         let knowledge = &self.control.gateway.knowledge;
-        let wait_us = match source {
-            Source::Store => Some(knowledge.terms().confirm_us),
-            Source::Peer(_) => {
-                let age_us = knowledge.age().as_micros() as u64;
-                knowledge.terms().patience_us(age_us)
-            }
+        let longest_wait = match source {
+            Source::Store => Some(Duration::from_micros(knowledge.terms().confirm_us)),
+            Source::Peer(_) => knowledge.patience(),
         };
-        let wait = Duration::from_micros(wait_us.filter(|_| is_steady).unwrap_or(0));
+        let wait = longest_wait.filter(|_| is_steady).unwrap_or_default();
         let seen_as_of_us = match source {
             Source::Peer(peer) if is_steady => self.seen_as_of_us.get(&peer).copied(),
             Source::Peer(_) | Source::Store => None,
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -191,9 +191,7 @@
         self.apply(changes::decode(reply.changes), reply.revision);
         let as_of_us = as_of_answer_us(asked_us, reply.held_us, reply.age_us);
         self.confirm(as_of_us, has_changes);
-        let knowledge = &self.control.gateway.knowledge;
-        let age_us = knowledge.age().as_micros() as u64;
-        let is_overdue = knowledge.terms().patience_us(age_us).is_none();
+        let is_overdue = self.control.gateway.knowledge.patience().is_none();
         if is_overdue || (reply.as_of_us == seen_as_of_us && !has_changes) {
             return Err(PeerFailure::NothingNew);
         }
@@ -203,9 +201,9 @@
         })
     }
 
-    /// Takes over all keys that a peer knows; returns whether they are newer than those of this node.
-    pub async fn take_over(&self, peer: SocketAddr) -> bool {
-        peers::fetch_missing(&self.control, &self.upstreams, peer).await
+    /// Takes over all keys that a peer knows, if they are newer than those of this node.
+    pub async fn take_over(&self, peer: SocketAddr) {
+        peers::fetch_missing(&self.control, &self.upstreams, peer).await;
     }
 
     /// Applies changes, and keeps those that are followed for peers.
--- a/crates/tealsaddle-gateway/src/knowledge.rs
+++ b/crates/tealsaddle-gateway/src/knowledge.rs
@@ -43,6 +43,12 @@
         Duration::from_micros(self.knowledge().age_us(clock::now_us()))
     }
 
+    /// How long a source may still hold back its answer; `None` if it is overdue.
+    pub fn patience(&self) -> Option<Duration> {
+        let age_us = self.knowledge().age_us(clock::now_us());
+        self.terms.patience_us(age_us).map(Duration::from_micros)
+    }
+
     /// Whether changes may bind by now that this node does not know.
     pub fn is_doubtful(&self) -> bool {
         self.knowledge().is_doubtful(&self.terms, clock::now_us())
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -142,15 +142,10 @@
         .ok()
 }
 
-/// Takes over the fleet from a peer that lacks the changes since what this node knows; returns whether it has it all
-/// now.
-pub async fn fetch_missing(
-    control: &Arc<Control>,
-    upstreams: &Arc<Upstreams>,
-    peer: SocketAddr,
-) -> bool {
+/// Takes over the fleet from a peer that lacks the changes since what this node knows, if it is ahead of this node.
+pub async fn fetch_missing(control: &Arc<Control>, upstreams: &Arc<Upstreams>, peer: SocketAddr) {
     let Some(state) = fetch(upstreams, peer).await else {
-        return false;
+        return;
     };
     let known = control.fleet().changes.position();
     let theirs = Position {
@@ -161,7 +156,6 @@
     if is_newer && theirs.revision > 0 {
         apply(control, state);
     }
-    is_newer
 }
 
 fn apply(control: &Arc<Control>, state: PeerState) {
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -10,7 +10,7 @@
 
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::quarantine::subject::RequestDigest;
-use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
+use tealsaddle_core::fleet::rendezvous::sort_nodes;
 use tealsaddle_core::fleet::{PromptPart, Runner, shared_parts};
 use tealsaddle_core::name::Name;
 use tealsaddle_schema::fleet::{CrashReport, LostRequest};
@@ -210,8 +210,6 @@
     let snapshot = gateway.snapshot.load();
     let mut nodes: Vec<SocketAddr> = snapshot.peers.to_vec();
     nodes.extend(gateway.quarantine.own_address);
-    nodes.sort_by_cached_key(|node| {
-        std::cmp::Reverse(rendezvous_weight(0, &format!("{service} {node}")))
-    });
+    sort_nodes(&mut nodes, service);
     nodes
 }
--- a/crates/tealsaddle-gateway/src/send_gate/counting.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/counting.rs
@@ -12,7 +12,7 @@
 use rand::seq::SliceRandom;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::permit_counter::{Ask, CounterRole, Reply, RunnerTerms};
-use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
+use tealsaddle_core::fleet::rendezvous::sort_nodes;
 use tealsaddle_core::name::Name;
 use tealsaddle_schema::fleet::{PermitReply, PermitRequest, TermsNotice};
 
@@ -60,9 +60,7 @@
         };
         let mut nodes: Vec<SocketAddr> = self.peers.iter().filter(is_settled).copied().collect();
         nodes.extend(own_address);
-        nodes.sort_by_cached_key(|node| {
-            std::cmp::Reverse(rendezvous_weight(0, &format!("{runner} {node}")))
-        });
+        sort_nodes(&mut nodes, runner);
         nodes
     }
 
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -176,10 +176,15 @@
         }
         let call = self.call;
         let held = call.held_runners(Some(Stage::Prefill));
-        let mut unlikely = call.doubtful_runners(Some(Stage::Prefill));
-        unlikely.extend_from_slice(&held);
-        let known = call.choose_prefill(self.engine, &unlikely);
-        known.or_else(|| call.choose_prefill(self.engine, &held))
+        let mut left_out = call.doubtful_runners(Some(Stage::Prefill));
+        if !left_out.is_empty() {
+            left_out.extend_from_slice(&held);
+            let known = call.choose_prefill(self.engine, &left_out);
+            if known.is_some() {
+                return known;
+            }
+        }
+        call.choose_prefill(self.engine, &held)
     }
 
     /// Chooses the decode runner, if the first event is expected in time.
--- a/crates/tealsaddle-gateway/src/stream_version.rs
+++ b/crates/tealsaddle-gateway/src/stream_version.rs
@@ -14,7 +14,7 @@
         if !self.metadata.has_received_events || !self.route.repeat.may_repeat() {
             return Ok(());
         }
-        let resumes = self.metadata.resumes.as_deref();
+        let resumes = self.metadata.resumed_id();
         let versions = &self.gateway.versions;
         let decided = versions.continuation(resumes, &self.service).await;
         let answer = match &decided {
@@ -55,9 +55,7 @@
             return;
         }
         self.state.bind_version(&runner.version);
-        let resumes = self.metadata.resumes.as_deref();
-        let first = resumes.filter(|_| self.metadata.has_received_events);
-        let id = first.unwrap_or(&self.request_id);
+        let id = self.metadata.resumed_id().unwrap_or(&self.request_id);
         let versions = &self.gateway.versions;
         versions.on_begun(id, &self.service, &runner.version).await;
     }
--- a/crates/tealsaddle-gateway/src/versions.rs
+++ b/crates/tealsaddle-gateway/src/versions.rs
@@ -16,7 +16,7 @@
     Answers, Continuation, HOLDERS, QUORUM, StreamMemory, Times, VersionHistory, VersionRecord,
     continuation,
 };
-use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
+use tealsaddle_core::fleet::rendezvous::sort_nodes;
 use tealsaddle_core::name::Name;
 use tealsaddle_schema::fleet::{
     StreamVersion, StreamVersionQuestion, StreamVersionReply, StreamVersionsNotice,
@@ -88,9 +88,7 @@
     fn holders(&self, id: &str, own_address: Option<SocketAddr>) -> Vec<SocketAddr> {
         let mut nodes = self.peers.to_vec();
         nodes.extend(own_address);
-        nodes.sort_by_cached_key(|node| {
-            std::cmp::Reverse(rendezvous_weight(0, &format!("{id} {node}")))
-        });
+        sort_nodes(&mut nodes, id);
         nodes.truncate(HOLDERS);
         nodes
     }
