--- a/crates/tealsaddle-core/src/fleet/store_availability.rs
+++ b/crates/tealsaddle-core/src/fleet/store_availability.rs
@@ -13,6 +13,7 @@
 pub struct StoreAvailability {
     is_unavailable: bool,
     returned_us: Option<u64>,
+    answered_us: Option<u64>,
 }
 
 impl StoreAvailability {
@@ -21,6 +22,11 @@
         self.is_unavailable
     }
 
+    /// Returns when the last call was answered; `None` before the first answer.
+    pub const fn answered_us(&self) -> Option<u64> {
+        self.answered_us
+    }
+
     /// Records a call without an answer. Returns `true` if the store was available before.
     pub const fn on_failure(&mut self) -> bool {
         let is_new_outage = !self.is_unavailable;
@@ -35,6 +41,7 @@
             self.returned_us = Some(now_us);
         }
         self.is_unavailable = false;
+        self.answered_us = Some(now_us);
         is_outage_end
     }
 
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -236,12 +236,16 @@
     fn on_heard(&self) {
         let knowledge = &self.control.gateway.knowledge;
         let was_silent = knowledge.as_of_us() > 0 && knowledge.is_doubtful();
-        let availability = &mut self.control.fleet().change_availability;
+        let now_us = clock::now_us();
+        let mut fleet = self.control.fleet();
         if was_silent {
-            availability.on_failure();
+            fleet.change_availability.on_failure();
         }
-        if availability.on_answer(clock::now_us()) {
-            log::info!(unconfirmed_ms = knowledge.age().as_millis() as u64; "changes are heard again");
+        if fleet.change_availability.on_answer(now_us) {
+            let answered_us = fleet.store_availability.answered_us();
+            let store_silent_ms = answered_us.map(|us| now_us.saturating_sub(us) / 1_000);
+            log::info!(unconfirmed_ms = knowledge.age().as_millis() as u64, store_silent_ms;
+                "changes are heard again");
         }
     }
 
