Tell runners that have left from registrations that have lapsed by what the store was, not by one's own silence

Callers' requests reached a runner 2,302 ms and more after the store had acknowledged that it was gone (bound 2,000 ms).

Cause: a node whose source of changes among the nodes was silent for 1.1 s (frozen) took that for an outage of the store, and kept for 2 s what it then heard to be removed. Why a registration is missing was concluded by each reader.

Change: nodes keep when the store has answered anyone, and which runners are known to have left. That is told with each removal, and asked for by a node that keeps a runner. Silences in which no registration can lapse leave no room for an outage. StoreAvailability no longer decides about registrations; its test of the window is now one of StoreWords, with more cases.

Evidence: departures::silence_of_a_source_is_no_outage_of_the_store fails in both cases on the code before (the runner is kept, expires_in_ms 1,996 and 1,998).

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod change_sources;
 pub mod config;
 pub mod continuation;
+pub mod departures;
 pub mod events;
 pub mod knowledge;
 pub mod lease;
@@ -25,6 +26,7 @@
 pub mod split;
 pub mod store_availability;
 pub mod store_era;
+pub mod store_words;
 
 use std::net::SocketAddr;
 
--- a/crates/tealsaddle-gateway/src/changes.rs
+++ b/crates/tealsaddle-gateway/src/changes.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::control::Control;
 use crate::external::{Change, Item};
+use crate::fleet_state::FleetState;
 use crate::peer_message::{self, Connection};
 use crate::upstream::Upstreams;
 
@@ -56,6 +57,7 @@
             return Change::Removed {
                 key: change.key,
                 revision: change.revision,
+                has_left: change.has_left,
             };
         }
         Change::Put(Item {
@@ -104,7 +106,7 @@
     let as_of_us = control.gateway.knowledge.as_of_us();
     let fleet = control.fleet();
     let since = fleet.changes.since(position_of(question));
-    let changes = since.and_then(encode);
+    let changes = since.and_then(|changes| encode(changes, &fleet));
     let position = fleet.changes.position();
     let now_us = clock::now_us();
     ChangesReply {
@@ -117,18 +119,24 @@
     }
 }
 
-/// The changes as they are sent; `None` if a value is not text, or there is too much of it.
-fn encode<'a, I>(changes: I) -> Option<Vec<StoredChange>>
+/// The changes as they are sent; `None` if a value is not text, or there is too much of it. Why a registration was
+/// removed is told as it is known by now.
+fn encode<'a, I>(changes: I, fleet: &FleetState) -> Option<Vec<StoredChange>>
 where
     I: Iterator<Item = &'a Change>,
 {
     let mut bytes = 0;
     let encode = |change: &Change| match change {
-        Change::Removed { key, revision } => Some(StoredChange {
+        Change::Removed {
+            key,
+            revision,
+            has_left,
+        } => Some(StoredChange {
             key: key.clone(),
             revision: *revision,
             is_removed: true,
             value: String::new(),
+            has_left: *has_left || fleet.has_left(key, revision.saturating_sub(1)),
         }),
         Change::Put(item) => {
             bytes += item.value.len();
@@ -138,6 +146,7 @@
                 revision: item.revision,
                 is_removed: false,
                 value: value.to_owned(),
+                has_left: false,
             })
         }
     };
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
+use tealsaddle_core::fleet::store_words::{REREGISTRATION_WINDOW_US, StoreWord};
 use tokio::sync::Notify;
 
 use crate::error::StoreError;
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::quarantine::keeper;
 use crate::rounds::ControlLoop;
-use crate::{Error, changes, clock, peers};
+use crate::{Error, changes, clock, departures, peers};
 
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -45,10 +45,11 @@
 impl ControlHandle {
     /// Starts the control thread.
     pub fn spawn(gateway: Arc<Gateway>, store: Arc<dyn Store>) -> Result<Self, Error> {
+        let fleet = FleetState::open(gateway.config.registration_renewal);
         let control = Arc::new(Control {
             gateway,
             store,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(fleet),
             store_recovered: Notify::new(),
             heard: tokio::sync::watch::Sender::new(()),
         });
@@ -76,6 +77,11 @@
         !self.control.fleet().store_availability.is_unavailable()
     }
 
+    /// Answers a peer's question whether runners have left.
+    pub fn answer_departures(&self, body: &[u8]) -> (StatusCode, String) {
+        departures::answer(&self.control, body)
+    }
+
     /// Answers a peer's question for changes in the store.
     pub async fn answer_changes(&self, body: &[u8]) -> (StatusCode, String) {
         changes::answer(&self.control, body).await
@@ -122,12 +128,20 @@
         self.gateway.snapshot.store(Arc::new(snapshot));
     }
 
+    /// Records that the store has answered a call which was sent at `sent_us`.
+    pub fn on_store_word(&self, sent_us: u64) {
+        let word = StoreWord {
+            from_us: sent_us,
+            to_us: clock::now_us(),
+        };
+        self.fleet().store_words.on_word(word);
+    }
+
     /// Records whether a call to the store succeeded, and restarts the watches when the store recovers.
     pub fn on_store_call(&self, error: Option<&StoreError>) {
-        let now_us = clock::now_us();
         match error {
             None => {
-                if self.fleet().store_availability.on_answer(now_us) {
+                if self.fleet().store_availability.on_answer() {
                     log::info!("the store answers again");
                     self.store_recovered.notify_waiters();
                 }
@@ -189,18 +203,24 @@
             }
         }
         self.publish();
-        self.expire_lapsed_later();
+        self.judge_lapsed();
     }
 
-    /// Drops lapsed registrations once their time is over.
-    pub fn expire_lapsed_later(self: &Arc<Self>) {
-        if !self.fleet().has_lapsed_registrations() {
+    /// Asks peers whether the runners have left whose registrations may have lapsed, and drops the others once their time
+    /// is over.
+    pub fn judge_lapsed(self: &Arc<Self>) {
+        if !self.fleet().begin_asking() {
             return;
         }
+        self.gateway.metrics.increment("registrations.kept");
         let control = Arc::clone(self);
         tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_micros(REREGISTRATION_WINDOW_US)).await;
-            control.fleet().expire(clock::now_us());
+            let window = tokio::time::sleep(Duration::from_micros(REREGISTRATION_WINDOW_US));
+            departures::settle(&control).await;
+            window.await;
+            if control.fleet().expire(clock::now_us()) > 0 {
+                control.gateway.metrics.increment("registrations.expired");
+            }
             control.publish();
         });
     }
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -40,6 +40,8 @@
         key: String,
         /// Store revision of the removal.
         revision: u64,
+        /// Whether a peer that told of it knows that the runner has left. The store does not say why a key is removed.
+        has_left: bool,
     },
 }
 
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -2,14 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tealsaddle_core::collections::{HashMap, HashSet};
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
+use tealsaddle_core::fleet::departures::Departures;
 use tealsaddle_core::fleet::quarantine::list::QuarantineList;
 use tealsaddle_core::fleet::store_availability::StoreAvailability;
 use tealsaddle_core::fleet::store_era::StoreEra;
+use tealsaddle_core::fleet::store_words::StoreWords;
 use tealsaddle_core::name::Name;
 
 use crate::change_log::ChangeLog;
@@ -26,18 +29,29 @@
     runner: Option<Arc<Runner>>,
     value: Vec<u8>,
     revision: u64,
-    /// Time at which the runner is dropped unless it has registered again; `None` while its registration is
-    /// in the store.
-    expires_us: Option<u64>,
+    /// Set while the registration is no longer in the store.
+    lapse: Option<Lapse>,
+}
+
+/// A registration that may have lapsed while the store was away.
+#[derive(Debug, Clone, Copy)]
+struct Lapse {
+    /// Time at which the runner is dropped unless it has registered again.
+    expires_us: u64,
+    /// Whether a peer has told so, rather than that this node has concluded it from the silence of the store.
+    is_told: bool,
+    /// Whether other nodes have been asked what they know of it.
+    is_asked: bool,
 }
 
 /// State of the fleet in the control thread.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FleetState {
-    /// Whether and since when the store answers this node.
+    /// Whether the store answers this node.
     pub store_availability: StoreAvailability,
-    /// Whether and since when this node learns of changes, from the store or a peer.
-    pub change_availability: StoreAvailability,
+    /// When the store is known to have answered this node or another one.
+    pub store_words: StoreWords,
+    departures: Departures,
     /// Number of registered nodes, including this one; 0 before the first listing.
     pub nodes: u32,
     /// Addresses at which the other registered nodes serve their peers.
@@ -61,6 +75,28 @@
 }
 
 impl FleetState {
+    /// Creates the state of a node that knows nothing yet, on a platform whose runners renew their registrations each
+    /// `renewal`.
+    pub fn open(renewal: Duration) -> Self {
+        Self {
+            store_availability: StoreAvailability::default(),
+            store_words: StoreWords::open(renewal.as_micros() as u64),
+            departures: Departures::default(),
+            nodes: 0,
+            peers: Arc::default(),
+            members: Arc::default(),
+            changes: ChangeLog::default(),
+            has_quarantine_list: false,
+            quarantine: Arc::default(),
+            config: None,
+            config_value: Vec::new(),
+            registrations: HashMap::default(),
+            has_runner_list: false,
+            revision: 0,
+            era: StoreEra::default(),
+        }
+    }
+
     /// Applies a configuration if it is newer than the current one; returns whether it is.
     pub fn on_config(&mut self, config: FleetConfig, value: &[u8]) -> bool {
         let current = self.config.as_ref().map(|config| config.version);
@@ -117,6 +153,7 @@
         log::warn!(era, revision, earlier_revision = self.revision;
             "store came back from an older copy; all registrations are replaced");
         self.revision = revision;
+        self.departures.clear();
         for registration in self.registrations.values_mut() {
             registration.revision = 0;
         }
@@ -135,7 +172,12 @@
         for change in new.filter(|change| change.revision() > known) {
             match change {
                 Change::Put(item) => self.put(dialect, prefix, item),
-                Change::Removed { key, revision } => self.remove(&key, revision, now_us),
+                Change::Removed {
+                    key,
+                    revision,
+                    has_left: true,
+                } => self.on_left(&key, revision),
+                Change::Removed { key, revision, .. } => self.remove(&key, revision, now_us),
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -155,11 +197,12 @@
             }
         };
         self.log_change(&item.key, runner.as_deref(), item.revision);
+        self.departures.forget(&item.key);
         let registration = Registration {
             runner,
             value: item.value,
             revision: item.revision,
-            expires_us: None,
+            lapse: None,
         };
         self.registrations.insert(item.key, registration);
     }
@@ -182,7 +225,7 @@
     }
 
     fn remove(&mut self, key: &str, revision: u64, now_us: u64) {
-        let keep_until_us = self.change_availability.keep_until_us(now_us);
+        let keep_until_us = self.store_words.keep_until_us(now_us);
         let Some(current) = self.registrations.get_mut(key) else {
             return;
         };
@@ -190,46 +233,124 @@
             return;
         }
         let is_draining = current.runner.as_ref().is_some_and(|r| r.is_draining);
-        if let Some(until_us) = keep_until_us
-            && !is_draining
+        match keep_until_us.filter(|_until_us| !is_draining) {
+            Some(expires_us) => {
+                let is_asked = current.lapse.is_some_and(|lapse| lapse.is_asked);
+                current.lapse = Some(Lapse {
+                    expires_us,
+                    is_told: false,
+                    is_asked,
+                });
+                let kept_ms = expires_us.saturating_sub(now_us) / 1_000;
+                log::info!(key, revision, kept_ms; "registration may have lapsed; runner kept for now");
+            }
+            None => self.on_left(key, revision),
+        }
+    }
+
+    /// Drops a runner that is known to have left by a revision.
+    fn on_left(&mut self, key: &str, revision: u64) {
+        if self
+            .registrations
+            .get(key)
+            .is_some_and(|current| current.revision > revision)
         {
-            current.expires_us = Some(until_us);
-            log::info!(key, revision; "registration lapsed; runner kept for now");
             return;
         }
-        self.registrations.remove(key);
-        log::info!(key, revision; "runner gone");
+        if self.registrations.remove(key).is_some() {
+            log::info!(key, revision; "runner gone");
+        }
+        self.departures.on_left(key, revision);
+    }
+
+    /// Whether the runner of a registration has left since it wrote it at `registered_revision`.
+    pub fn has_left(&self, key: &str, registered_revision: u64) -> bool {
+        self.departures.has_left(key, registered_revision)
+    }
+
+    /// Registrations that are no longer in the store and may have lapsed, with the revisions at which they were written.
+    pub fn lapsed(&self) -> impl Iterator<Item = (&str, u64)> {
+        let registrations = self.registrations.iter();
+        let lapsed = registrations.filter(|(_key, registration)| registration.lapse.is_some());
+        lapsed.map(|(key, registration)| (key.as_str(), registration.revision))
+    }
+
+    /// Returns whether some registrations may have lapsed of which other nodes have not been asked, and counts them as asked.
+    pub fn begin_asking(&mut self) -> bool {
+        let mut has_new = false;
+        let registrations = self.registrations.values_mut();
+        for lapse in registrations.filter_map(|registration| registration.lapse.as_mut()) {
+            has_new |= !lapse.is_asked;
+            lapse.is_asked = true;
+        }
+        has_new
+    }
+
+    /// Drops the runners that are kept and of which a peer knows that they have left.
+    pub fn on_told_left(&mut self, keys: &[String]) {
+        let is_kept = |key: &&String| {
+            let registration = self.registrations.get(*key);
+            registration.is_some_and(|registration| registration.lapse.is_some())
+        };
+        let kept: Vec<&String> = keys.iter().filter(is_kept).collect();
+        for key in kept {
+            self.on_left(key, self.revision);
+        }
+    }
+
+    /// Drops the runners that were kept for a silence which leaves no room for an outage any more, by what is known of the
+    /// store now.
+    pub fn settle(&mut self, now_us: u64) {
+        if self.store_words.keep_until_us(now_us).is_some() {
+            return;
+        }
+        let registrations = self.registrations.iter();
+        let settled = registrations
+            .filter(|(_key, registration)| registration.lapse.is_some_and(|lapse| !lapse.is_told));
+        let settled: Vec<String> = settled.map(|(key, _registration)| key.clone()).collect();
+        for key in settled {
+            self.on_left(&key, self.revision);
+        }
     }
 
-    /// Records that a registration is no longer in the store and is kept until `expires_us`.
+    /// Records that a registration is no longer in the store and is kept until `expires_us`, as a peer tells.
     pub fn on_lapsed(&mut self, key: &str, expires_us: u64) {
         if let Some(registration) = self.registrations.get_mut(key) {
-            registration.expires_us = Some(expires_us);
+            registration.lapse = Some(Lapse {
+                expires_us,
+                is_told: true,
+                is_asked: false,
+            });
         }
     }
 
     /// Time until which a lapsed registration is kept; `None` while it is in the store.
     pub fn expires_us(&self, key: &str) -> Option<u64> {
-        self.registrations.get(key)?.expires_us
+        let lapse = self.registrations.get(key)?.lapse?;
+        Some(lapse.expires_us)
     }
 
     /// Whether any runner is kept although its registration is no longer in the store.
     pub fn has_lapsed_registrations(&self) -> bool {
-        let mut registrations = self.registrations.values();
-        registrations.any(|registration| registration.expires_us.is_some())
+        self.lapsed().next().is_some()
     }
 
-    /// Drops the runners whose registrations have lapsed and which have not registered again in time.
-    pub fn expire(&mut self, now_us: u64) {
-        self.registrations.retain(|key, registration| {
-            let is_over = registration
-                .expires_us
-                .is_some_and(|until_us| until_us <= now_us);
-            if is_over {
-                log::info!(key:%; "runner gone: its registration did not come back");
-            }
-            !is_over
-        });
+    /// Drops the runners whose registrations have lapsed and which have not registered again in time; returns their number.
+    pub fn expire(&mut self, now_us: u64) -> usize {
+        let is_over = |lapse: Lapse| lapse.expires_us <= now_us;
+        let registrations = self.registrations.iter();
+        let over = registrations.filter(|(_key, r)| r.lapse.is_some_and(is_over));
+        let over: Vec<String> = over.map(|(key, _registration)| key.clone()).collect();
+        for key in &over {
+            log::info!(key:%; "registration did not come back");
+            self.on_left(key, self.revision);
+        }
+        over.len()
+    }
+
+    /// Era of the store, if it tells.
+    pub const fn era(&self) -> Option<u64> {
+        self.era.current()
     }
 
     /// The registered runner with this id.
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tealsaddle_core::fleet::knowledge::as_of_answer_us;
+use tealsaddle_core::fleet::store_words::StoreWord;
 
 use super::StoreUpdate;
 use crate::change_log::Position;
@@ -116,7 +117,7 @@
         while let Some((followed, result)) = lists.next().await {
             match result {
                 Ok(listing) => {
-                    self.on_heard();
+                    self.control.on_store_word(asked_us);
                     listed.push(Position {
                         revision: listing.revision,
                         era: listing.era,
@@ -157,13 +158,14 @@
         if !is_same_era || (!has_changes && revision > position.revision) {
             return Err(StoreError::HistoryGone);
         }
-        self.apply(changes, revision);
         let terms = self.control.gateway.knowledge.terms();
         let as_of_us = if has_changes {
             terms.as_of_changes_us(asked_us, clock::now_us())
         } else {
             asked_us + wait.as_micros() as u64
         };
+        self.control.on_store_word(as_of_us);
+        self.apply(changes, revision);
         self.confirm(as_of_us, has_changes);
         Ok(Heard {
             has_changes,
@@ -188,8 +190,12 @@
             return Err(PeerFailure::Gap);
         }
         let has_changes = !reply.changes.is_empty();
-        self.apply(changes::decode(reply.changes), reply.revision);
         let as_of_us = as_of_answer_us(asked_us, reply.held_us, reply.age_us);
+        self.control.fleet().store_words.on_word(StoreWord {
+            from_us: as_of_us,
+            to_us: clock::now_us().saturating_sub(reply.age_us),
+        });
+        self.apply(changes::decode(reply.changes), reply.revision);
         self.confirm(as_of_us, has_changes);
         let is_overdue = self.control.gateway.knowledge.patience().is_none();
         if is_overdue || (reply.as_of_us == seen_as_of_us && !has_changes) {
@@ -208,7 +214,6 @@
 
     /// Applies changes, and keeps those that are followed for peers.
     fn apply(&self, changes: Vec<Change>, revision: u64) {
-        self.on_heard();
         let mut kept = changes;
         let is_followed = |change: &Change| {
             let mut followed = self.followed.iter();
@@ -231,24 +236,6 @@
         self.control.fleet().changes.extend(kept, revision);
     }
 
-    /// Records that this node learns of changes again, if it had not for so long that registrations may have lapsed
-    /// with the store. If others have heard of changes all the while, none has.
-    fn on_heard(&self) {
-        let knowledge = &self.control.gateway.knowledge;
-        let was_silent = knowledge.as_of_us() > 0 && knowledge.is_doubtful();
-        let now_us = clock::now_us();
-        let mut fleet = self.control.fleet();
-        if was_silent {
-            fleet.change_availability.on_failure();
-        }
-        if fleet.change_availability.on_answer(now_us) {
-            let answered_us = fleet.store_availability.answered_us();
-            let store_silent_ms = answered_us.map(|us| now_us.saturating_sub(us) / 1_000);
-            log::info!(unconfirmed_ms = knowledge.age().as_millis() as u64, store_silent_ms;
-                "changes are heard again");
-        }
-    }
-
     /// Confirms the knowledge, logs for how long it was not confirmed if there were changes, and tells those who wait.
     fn confirm(&self, as_of_us: u64, has_changes: bool) {
         let knowledge = &self.control.gateway.knowledge;
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -44,6 +44,8 @@
     pub retry: RetryShare,
     /// Time within which what the store has acknowledged binds, such as that a runner is about to stop.
     pub leaving_bound: Duration,
+    /// Time between two renewals of a runner's registration.
+    pub registration_renewal: Duration,
     /// Longest time for which an order of a former holder may still be in transit to a runner.
     pub max_order_delay: Duration,
     /// Time from the signal to stop until the platform kills the process.
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod changes;
 pub mod clock;
 pub mod control;
+pub mod departures;
 pub mod error;
 pub mod event_stream;
 pub mod external;
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -16,6 +16,7 @@
 use crate::Error;
 use crate::changes::CHANGES_PATH;
 use crate::control::ControlHandle;
+use crate::departures::DEPARTURES_PATH;
 use crate::front::{ACCEPT_PAUSE, listen, text_response};
 use crate::gateway::Gateway;
 use crate::peers::STATE_PATH;
@@ -73,6 +74,9 @@
     let Some(body) = read(request).await else {
         return (StatusCode::BAD_REQUEST, String::new());
     };
+    if path == DEPARTURES_PATH {
+        return control.answer_departures(&body);
+    }
     if path == CHANGES_PATH {
         return control.answer_changes(&body).await;
     }
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use hyper::header::HeaderMap;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use tealsaddle_core::fleet::store_availability::REREGISTRATION_WINDOW_US;
+use tealsaddle_core::fleet::store_words::REREGISTRATION_WINDOW_US;
 use tealsaddle_schema::fleet::QuarantineRecord;
 
 use crate::change_log::Position;
@@ -187,7 +187,7 @@
             });
         }
         drop(fleet);
-        control.expire_lapsed_later();
+        control.judge_lapsed();
     }
     control.publish();
 }
--- a/crates/tealsaddle-gateway/src/quarantine/records.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/records.rs
@@ -131,7 +131,7 @@
                 list.on_stored(record, item.revision, now_us, delay_us);
             }
         }
-        Change::Removed { key, revision } => {
+        Change::Removed { key, revision, .. } => {
             let Some(key) = parse_key(&key) else {
                 return;
             };
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -98,6 +98,7 @@
     async fn keep_lease(&mut self) -> Result<(), StoreError> {
         let sent_us = clock::now_us();
         if self.membership.renew(sent_us).await? {
+            self.control.on_store_word(sent_us);
             self.orders.on_lease_renewed(sent_us);
             return Ok(());
         }
