--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::connector::{Connect, TcpConnector};
 use crate::external::Dialect;
 use crate::knowledge::KnowledgeClock;
 use crate::metrics::Metrics;
@@ -94,6 +95,16 @@
         config: GatewayConfig,
         dialect: Arc<dyn Dialect>,
         snapshot: Arc<ArcSwap<FleetSnapshot>>,
+    ) -> Arc<Self> {
+        Self::with_connector(config, dialect, snapshot, Arc::new(TcpConnector))
+    }
+
+    /// Creates the shared state of a gateway that connects to runners by `connector`.
+    pub fn with_connector(
+        config: GatewayConfig,
+        dialect: Arc<dyn Dialect>,
+        snapshot: Arc<ArcSwap<FleetSnapshot>>,
+        connector: Arc<dyn Connect>,
     ) -> Arc<Self> {
         let metrics = Metrics::open();
         Arc::new(Self {
@@ -103,8 +114,8 @@
                 Arc::clone(&metrics),
                 Arc::clone(&snapshot),
             ),
-            upstreams: Upstreams::open(),
-            own_calls: Upstreams::open(),
+            upstreams: Upstreams::open_with(Arc::clone(&connector)),
+            own_calls: Upstreams::open_with(connector),
             quarantine: Quarantine::open(config.peer_listen),
             versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
             knowledge: KnowledgeClock::open(config.leaving_bound),
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod change_log;
 pub mod changes;
 pub mod clock;
+pub mod connector;
 pub mod control;
 pub mod departures;
 pub mod error;
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -23,6 +23,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::connector::{Connect, TcpConnector};
 use crate::external::OutgoingCall;
 use crate::framing::Framing;
 use crate::timeout::timeout_at;
@@ -90,9 +91,10 @@
 }
 
 /// Pool of idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Upstreams {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    connector: Arc<dyn Connect>,
 }
 
 /// The answer to a request. Its body owns the connection.
@@ -129,7 +131,15 @@
 impl Upstreams {
     /// Creates an empty pool.
     pub fn open() -> Arc<Self> {
-        Arc::new(Self::default())
+        Self::open_with(Arc::new(TcpConnector))
+    }
+
+    /// Creates an empty pool whose connections are opened by `connector`.
+    pub fn open_with(connector: Arc<dyn Connect>) -> Arc<Self> {
+        Arc::new(Self {
+            idle: Mutex::default(),
+            connector,
+        })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -144,7 +154,7 @@
         loop {
             let (mut connection, is_fresh) = match self.take_idle(address, reuse) {
                 Some(connection) => (connection, false),
-                None => (connect(address).await?, true),
+                None => (connect(&*self.connector, address).await?, true),
             };
             if connection.sender.ready().await.is_err() {
                 if is_fresh {
@@ -348,8 +358,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, SendFailure> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+async fn connect(connector: &dyn Connect, address: SocketAddr) -> Result<Connection, SendFailure> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(address));
     let Ok(Ok(stream)) = connecting.await else {
         return Err(not_run());
     };
