Design how a node reaches runners through another node

Three ways weighed: not ready, handing the request over, lending the path. Lending keeps the state machine of attempts, permits, versions and budgets at the node that has the request. The decision is core::fleet::paths, without I/O; nothing uses it yet.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod knowledge;
 pub mod lease;
 pub mod load;
+pub mod paths;
 pub mod permit_counter;
 pub mod placement;
 pub mod prefill;
