Reach runners through other nodes where a node has lost its own path to them

Cause: each attempt chose among runners none of which the node reached, until attempts or time were used up, while other nodes reached them all.

Change: a connect that fails or hangs for 100 ms is tried through other nodes (CONNECT on the address for peers); the node decides as before. core::fleet::paths decides whom to ask and when to come back; gateway::borrowed_paths connects.

Evidence: the six cases of cut_from_runners fail before (0 of 8) and pass.

--- a/crates/tealsaddle-core/src/fleet/paths.rs
+++ b/crates/tealsaddle-core/src/fleet/paths.rs
@@ -13,13 +13,17 @@
 use crate::name::Name;
 
 /// Number of nodes that are asked for one connection.
-const MAX_LENDERS: usize = 3;
+const MAX_LENDERS: usize = 5;
 /// Time between trials of the node's own way while a path is borrowed.
 const TRIAL_INTERVAL_US: u64 = 1_000_000;
 /// Time for which a node that was unable to lend is asked last, and its zone after the others.
 const UNABLE_US: u64 = 2_000_000;
 /// Time for which no path is borrowed to a runner that nobody reaches.
 const DOWN_US: u64 = 500_000;
+/// Time for which a connect shows that the node reaches runners.
+const SOUND_US: u64 = 1_000_000;
+/// Number of runners to which the latest connects are kept: one, and another one.
+const KEPT_CONNECTS: usize = 2;
 /// Time after its last use from which a broken path is forgotten.
 const FORGET_US: u64 = 30_000_000;
 
@@ -65,6 +69,8 @@
     lenders: HashMap<SocketAddr, Lender>,
     /// Until when nodes of a zone are asked after those of others.
     unable_zones: HashMap<Name, u64>,
+    /// The runners to which the node has connected by itself, the latest one last.
+    connected: Vec<(SocketAddr, u64)>,
 }
 
 /// A search for a node that lends its path to a runner.
@@ -74,6 +80,8 @@
     own_zone: Name,
     has_other_zone: bool,
     is_unreachable: bool,
+    /// Nodes that do not reach the runner.
+    without_path: Vec<Member>,
 }
 
 impl Paths {
@@ -96,13 +104,20 @@
         path.is_some_and(|path| path.down_until_us > now_us)
     }
 
-    /// Returns whether the path to any runner is broken, so that the node cannot tell whether another one is down.
-    pub fn has_broken(&self) -> bool {
-        self.runners.values().any(|path| path.is_broken)
+    /// Returns whether the node has reached another runner than this one by itself just now, so that it can tell that this
+    /// one is down.
+    pub fn reaches_others(&self, runner: SocketAddr, now_us: u64) -> bool {
+        let mut connected = self.connected.iter();
+        connected.any(|(other, us)| *other != runner && us + SOUND_US > now_us)
     }
 
     /// Records that the node has connected by itself. Returns `true` if the path was broken before.
-    pub fn on_connected(&mut self, runner: SocketAddr) -> bool {
+    pub fn on_connected(&mut self, runner: SocketAddr, now_us: u64) -> bool {
+        self.connected.retain(|(other, _us)| *other != runner);
+        if self.connected.len() == KEPT_CONNECTS {
+            self.connected.remove(0);
+        }
+        self.connected.push((runner, now_us));
         let path = self.runners.remove(&runner);
         path.is_some_and(|path| path.is_broken)
     }
@@ -148,6 +163,7 @@
             own_zone: Name::clone(own_zone),
             has_other_zone: first_of_other.is_some(),
             is_unreachable: false,
+            without_path: Vec::new(),
         }
     }
 
@@ -164,6 +180,10 @@
         match answer {
             LenderAnswer::Connected => {
                 self.lenders.entry(lender.address).or_default().borrowed += 1;
+                // The runner is up, so those that do not reach it are cut off as well.
+                for other in std::mem::take(&mut search.without_path) {
+                    self.on_unable(&other, now_us);
+                }
                 let path = self.runners.entry(runner).or_default();
                 path.used_us = now_us;
                 path.down_until_us = 0;
@@ -178,18 +198,26 @@
                 // The whole zone may be cut off without knowing it yet.
                 let is_other_zone = lender.zone != search.own_zone;
                 search.is_unreachable |= is_other_zone || !search.has_other_zone;
+                search.without_path.push(lender.clone());
                 false
             }
             LenderAnswer::Unable => {
-                let until_us = now_us + UNABLE_US;
-                self.lenders.entry(lender.address).or_default().unable_until_us = until_us;
-                let zone = Name::clone(&lender.zone);
-                self.unable_zones.insert(zone, until_us);
+                self.on_unable(lender, now_us);
                 false
             }
         }
     }
 
+    fn on_unable(&mut self, lender: &Member, now_us: u64) {
+        let until_us = now_us + UNABLE_US;
+        self.lenders
+            .entry(lender.address)
+            .or_default()
+            .unable_until_us = until_us;
+        let zone = Name::clone(&lender.zone);
+        self.unable_zones.insert(zone, until_us);
+    }
+
     /// Records that a search has ended without a path.
     pub fn on_not_found(&mut self, search: &Search, runner: SocketAddr, now_us: u64) {
         if search.is_unreachable {
@@ -212,7 +240,8 @@
             .retain(|_runner, path| path.used_us + FORGET_US > now_us);
         self.lenders
             .retain(|_node, lender| lender.borrowed > 0 || lender.unable_until_us > now_us);
-        self.unable_zones.retain(|_zone, until_us| *until_us > now_us);
+        self.unable_zones
+            .retain(|_zone, until_us| *until_us > now_us);
     }
 }
 
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -420,6 +420,7 @@
             runners_revision: self.revision,
             nodes: self.nodes,
             peers: Arc::clone(&self.peers),
+            members: Arc::clone(&self.members),
             has_quarantine_list: self.has_quarantine_list,
             quarantine: Arc::clone(&self.quarantine),
         }
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -11,6 +11,8 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::borrowed_paths::RunnerPaths;
+use crate::borrowed_paths::lender::LentPaths;
 use crate::connector::{Connect, TcpConnector};
 use crate::external::Dialect;
 use crate::knowledge::KnowledgeClock;
@@ -64,6 +66,10 @@
     pub snapshot: Arc<ArcSwap<FleetSnapshot>>,
     /// How old the knowledge is that the fleet was published with.
     pub knowledge: KnowledgeClock,
+    /// Ways to the runners, some of them through other nodes.
+    pub runner_paths: Arc<RunnerPaths>,
+    /// Paths to runners that are lent to other nodes.
+    pub lent_paths: LentPaths,
     /// Connection pool for requests to runners.
     pub upstreams: Arc<Upstreams>,
     /// Connection pool for the node's own calls to runners, whose answers name no request.
@@ -107,6 +113,13 @@
         connector: Arc<dyn Connect>,
     ) -> Arc<Self> {
         let metrics = Metrics::open();
+        let runner_paths = RunnerPaths::open(
+            connector,
+            Arc::clone(&snapshot),
+            Arc::clone(&metrics),
+            Name::clone(&config.zone),
+            config.peer_listen,
+        );
         Arc::new(Self {
             scheduler: Scheduler::open(config.retry),
             send_gate: SendGate::open(
@@ -114,8 +127,10 @@
                 Arc::clone(&metrics),
                 Arc::clone(&snapshot),
             ),
-            upstreams: Upstreams::open_with(Arc::clone(&connector)),
-            own_calls: Upstreams::open_with(connector),
+            upstreams: Upstreams::open_by(Arc::clone(&runner_paths)),
+            own_calls: Upstreams::open_by(Arc::clone(&runner_paths)),
+            runner_paths,
+            lent_paths: LentPaths::default(),
             quarantine: Quarantine::open(config.peer_listen),
             versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
             knowledge: KnowledgeClock::open(config.leaving_bound),
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admit;
 pub mod answer;
+pub mod borrowed_paths;
 pub mod call;
 pub mod change_log;
 pub mod changes;
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -1,5 +1,5 @@
-//! Server of the address for peers: the state of the node, and messages about crashes and about runners that ask for
-//! less.
+//! Server of the address for peers: the state of the node, messages about crashes and about runners that ask for
+//! less, and paths to runners that are lent.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 
 use crate::Error;
+use crate::borrowed_paths::lender;
 use crate::changes::CHANGES_PATH;
 use crate::control::ControlHandle;
 use crate::departures::DEPARTURES_PATH;
@@ -38,7 +39,7 @@
 
 async fn accept(listener: TcpListener, gateway: Arc<Gateway>, control: Arc<ControlHandle>) {
     loop {
-        let Ok((stream, _address)) = listener.accept().await else {
+        let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -49,13 +50,17 @@
             let gateway = Arc::clone(&gateway);
             let control = Arc::clone(&control);
             async move {
+                if request.method() == Method::CONNECT {
+                    let status = lender::answer(&gateway, address.ip(), request).await;
+                    return Ok(text_response(status, String::new()));
+                }
                 let (status, text) = respond(&gateway, &control, request).await;
                 Ok::<Response<_>, Infallible>(text_response(status, text))
             }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         // A peer that disconnects is not an error.
-        tokio::spawn(async move { drop(connection.await) });
+        tokio::spawn(async move { drop(connection.with_upgrades().await) });
     }
 }
 
--- a/crates/tealsaddle-gateway/src/snapshot.rs
+++ b/crates/tealsaddle-gateway/src/snapshot.rs
@@ -5,6 +5,7 @@
 
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_core::fleet::config::FleetConfig;
 use tealsaddle_core::fleet::quarantine::list::QuarantineList;
 use tealsaddle_core::name::Name;
@@ -24,6 +25,8 @@
     pub nodes: u32,
     /// Addresses at which the other registered nodes serve their peers.
     pub peers: Arc<[SocketAddr]>,
+    /// The other registered nodes that serve peers.
+    pub members: Arc<[Member]>,
     /// Whether the quarantined parts are known.
     pub has_quarantine_list: bool,
     /// Prompt parts whose requests are refused, since they crash runners.
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -23,14 +23,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::connector::{Connect, TcpConnector};
+use crate::borrowed_paths::{BorrowedPath, CONNECT_TIMEOUT, RunnerPaths};
 use crate::external::OutgoingCall;
 use crate::framing::Framing;
 use crate::timeout::timeout_at;
 
-/// Timeout of connecting. Within a region connecting takes milliseconds, and waiting longer does not help
-/// after a lost SYN, which is retransmitted only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before the first keep-alive probe, and time between probes.
@@ -75,6 +72,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    borrowed: Option<BorrowedPath>,
 }
 
 impl Drop for Connection {
@@ -91,10 +89,11 @@
 }
 
 /// Pool of idle connections by address.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Upstreams {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
-    connector: Arc<dyn Connect>,
+    /// Ways to runners; `None` for a pool that only connects directly.
+    paths: Option<Arc<RunnerPaths>>,
 }
 
 /// The answer to a request. Its body owns the connection.
@@ -131,14 +130,14 @@
 impl Upstreams {
     /// Creates an empty pool.
     pub fn open() -> Arc<Self> {
-        Self::open_with(Arc::new(TcpConnector))
+        Arc::new(Self::default())
     }
 
-    /// Creates an empty pool whose connections are opened by `connector`.
-    pub fn open_with(connector: Arc<dyn Connect>) -> Arc<Self> {
+    /// Creates an empty pool whose connections lead to runners, some through other nodes.
+    pub fn open_by(paths: Arc<RunnerPaths>) -> Arc<Self> {
         Arc::new(Self {
             idle: Mutex::default(),
-            connector,
+            paths: Some(paths),
         })
     }
 
@@ -154,7 +153,7 @@
         loop {
             let (mut connection, is_fresh) = match self.take_idle(address, reuse) {
                 Some(connection) => (connection, false),
-                None => (connect(&*self.connector, address).await?, true),
+                None => (self.connect(address).await?, true),
             };
             if connection.sender.ready().await.is_err() {
                 if is_fresh {
@@ -226,7 +225,8 @@
     ) -> Answer {
         let (head, incoming) = response.into_parts();
         let body = AnswerBody {
-            usable_for: usable_for(&head.headers),
+            // A borrowed path serves one request.
+            usable_for: usable_for(&head.headers).filter(|_| connection.borrowed.is_none()),
             framing: Framing::of(&head, !incoming.is_end_stream()),
             incoming,
             connection: Some(connection),
@@ -236,6 +236,20 @@
         Answer { head, body }
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
+        let Some(paths) = &self.paths else {
+            let connecting = TcpStream::connect(address);
+            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+            let stream = connecting.ok().and_then(Result::ok).ok_or_else(not_run)?;
+            return start(stream, None).await;
+        };
+        let opened = paths.connect(address).await.ok_or_else(not_run)?;
+        if opened.is_own_hanging {
+            self.pool().remove(&address);
+        }
+        start(opened.stream, opened.borrowed).await
+    }
+
     fn pool(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().expect("no holder of the lock panics")
     }
@@ -358,11 +372,11 @@
     }
 }
 
-async fn connect(connector: &dyn Connect, address: SocketAddr) -> Result<Connection, SendFailure> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(address));
-    let Ok(Ok(stream)) = connecting.await else {
-        return Err(not_run());
-    };
+/// Begins to use a connection.
+async fn start(
+    stream: TcpStream,
+    borrowed: Option<BorrowedPath>,
+) -> Result<Connection, SendFailure> {
     set_options(&stream);
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -378,6 +392,7 @@
     Ok(Connection {
         sender,
         driver: driver.abort_handle(),
+        borrowed,
     })
 }
 
