Take a failed connect for the end of a process only if other nodes confirm it

Cause: process_check took a failed connect for the end of the process, whoever failed to connect.

Change: it counts only if a node that reaches other runners does not reach this one either, or if there is no other node. failed_connects_of_nodes_without_a_path_are_no_crashes::all_nodes_are_cut_off fails before; the case of a process that has ended passes before and after.

--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -17,7 +17,8 @@
 /// How often the runner is asked, if it closes the connection without an answer.
 const CHECKS: usize = 2;
 
-/// Whether the process of a runner has ended: nothing accepts a connection, or it is another process.
+/// Whether the process of a runner has ended: nothing accepts a connection, also one of another node, or it is another
+/// process.
 pub async fn has_ended(gateway: &Gateway, runner: &Runner) -> bool {
     for _check in 0..CHECKS {
         let request = gateway.dialect.report_request(&runner.id);
@@ -33,7 +34,10 @@
                 return started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
             }
             Err(failure) => match failure.outcome {
-                AttemptOutcome::NotRun(NotRunReason::ConnectFailed) => return true,
+                // A node that is cut off cannot tell.
+                AttemptOutcome::NotRun(NotRunReason::ConnectFailed) => {
+                    return gateway.runner_paths.is_down(runner.address);
+                }
                 AttemptOutcome::Unknown(UnknownReason::ConnectionLost) => {}
                 AttemptOutcome::NotRun(_)
                 | AttemptOutcome::Unknown(_)
