Expect a cut at all runners after two, and let no node that is cut off count as a witness

Change: two broken paths without a connect of the node's own stand for a cut from all; connects for others count as connects; a lender that fails to connect tries another runner before it says that this one is down.

--- a/crates/tealsaddle-core/src/fleet/paths.rs
+++ b/crates/tealsaddle-core/src/fleet/paths.rs
@@ -22,8 +22,11 @@
 const DOWN_US: u64 = 500_000;
 /// Time for which a connect shows that the node reaches runners.
 const SOUND_US: u64 = 1_000_000;
-/// Number of runners to which the latest connects are kept: one, and another one.
-const KEPT_CONNECTS: usize = 2;
+/// Time for which a connect that has failed counts for a cut from all runners. A runner that takes no more connections
+/// refuses some as well.
+const FAILED_US: u64 = 2_000_000;
+/// Number of broken paths from which a node that has not connected just now counts as cut off from all runners.
+const CUT_OFF_RUNNERS: usize = 2;
 /// Time after its last use from which a broken path is forgotten.
 const FORGET_US: u64 = 30_000_000;
 
@@ -50,6 +53,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct RunnerPath {
     is_broken: bool,
+    /// When the node's own connect last failed.
+    failed_us: u64,
     next_trial_us: u64,
     down_until_us: u64,
     used_us: u64,
@@ -69,8 +74,8 @@
     lenders: HashMap<SocketAddr, Lender>,
     /// Until when nodes of a zone are asked after those of others.
     unable_zones: HashMap<Name, u64>,
-    /// The runners to which the node has connected by itself, the latest one last.
-    connected: Vec<(SocketAddr, u64)>,
+    /// When the node last connected by itself to any runner.
+    connected_us: u64,
 }
 
 /// A search for a node that lends its path to a runner.
@@ -86,11 +91,21 @@
 
 impl Paths {
     /// Returns the way to a runner.
-    pub fn way(&self, runner: SocketAddr) -> Way {
-        match self.runners.get(&runner) {
-            Some(path) if path.is_broken => Way::Borrowed,
-            Some(_) | None => Way::Direct,
+    pub fn way(&self, runner: SocketAddr, now_us: u64) -> Way {
+        let path = self.runners.get(&runner);
+        if path.is_some_and(|path| path.is_broken) || self.is_cut_off(now_us) {
+            return Way::Borrowed;
         }
+        Way::Direct
+    }
+
+    /// Whether the node does not expect to reach any runner by itself: several paths are broken, and no connect of its own
+    /// has succeeded just now. Without this, a cut is found out at each runner separately.
+    fn is_cut_off(&self, now_us: u64) -> bool {
+        let is_broken = |path: &&RunnerPath| path.is_broken && path.failed_us + FAILED_US > now_us;
+        let broken = self.runners.values().filter(is_broken);
+        let has_connected = self.connected_us > 0 && self.connected_us + SOUND_US > now_us;
+        !has_connected && broken.count() >= CUT_OFF_RUNNERS
     }
 
     /// Returns whether other nodes may be asked for a path to a runner: not shortly after none of them reached it.
@@ -104,31 +119,26 @@
         path.is_some_and(|path| path.down_until_us > now_us)
     }
 
-    /// Returns whether the node has reached another runner than this one by itself just now, so that it can tell that this
-    /// one is down.
-    pub fn reaches_others(&self, runner: SocketAddr, now_us: u64) -> bool {
-        let mut connected = self.connected.iter();
-        connected.any(|(other, us)| *other != runner && us + SOUND_US > now_us)
-    }
-
     /// Records that the node has connected by itself. Returns `true` if the path was broken before.
     pub fn on_connected(&mut self, runner: SocketAddr, now_us: u64) -> bool {
-        self.connected.retain(|(other, _us)| *other != runner);
-        if self.connected.len() == KEPT_CONNECTS {
-            self.connected.remove(0);
-        }
-        self.connected.push((runner, now_us));
+        self.connected_us = now_us;
         let path = self.runners.remove(&runner);
         path.is_some_and(|path| path.is_broken)
     }
 
+    /// Records that the node could not connect by itself.
+    pub fn on_failed(&mut self, runner: SocketAddr, now_us: u64) {
+        let path = self.runners.entry(runner).or_default();
+        path.failed_us = now_us;
+        path.used_us = now_us;
+    }
+
     /// Returns whether the node should try to connect by itself now, beside a borrowed path, and counts the trial.
     pub fn begin_trial(&mut self, runner: SocketAddr, now_us: u64) -> bool {
-        let Some(path) = self.runners.get_mut(&runner) else {
-            return false;
-        };
-        let is_due = path.is_broken && path.next_trial_us <= now_us;
+        let path = self.runners.entry(runner).or_default();
+        let is_due = path.next_trial_us <= now_us;
         if is_due {
+            path.used_us = now_us;
             path.next_trial_us = now_us + TRIAL_INTERVAL_US;
         }
         is_due
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod lease;
 mod load;
+mod path_histories;
 mod permit_histories;
 mod placement;
 mod pool_sim;
--- a/crates/tealsaddle-gateway/src/borrowed_paths/lender.rs
+++ b/crates/tealsaddle-gateway/src/borrowed_paths/lender.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::http::uri::Authority;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tealsaddle_core::fleet::paths::Way;
@@ -16,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
+use crate::clock;
 use crate::gateway::Gateway;
 use crate::snapshot::FleetSnapshot;
 use crate::upstream::set_options;
@@ -52,7 +54,7 @@
 }
 
 async fn lend(gateway: &Arc<Gateway>, from: IpAddr, request: Request<Incoming>) -> StatusCode {
-    let target = request.uri().authority().map(|target| target.as_str());
+    let target = request.uri().authority().map(Authority::as_str);
     let Some(runner) = target.and_then(|target| target.parse::<SocketAddr>().ok()) else {
         return StatusCode::BAD_REQUEST;
     };
@@ -62,14 +64,15 @@
         return StatusCode::FORBIDDEN;
     }
     let paths = &gateway.runner_paths;
-    if gateway.is_stopping() || paths.paths().way(runner) == Way::Borrowed {
+    let way = paths.paths().way(runner, clock::now_us());
+    if gateway.is_stopping() || way == Way::Borrowed {
         return StatusCode::SERVICE_UNAVAILABLE;
     }
     let Ok(place) = Arc::clone(&gateway.lent_paths.0).try_acquire_owned() else {
         return StatusCode::SERVICE_UNAVAILABLE;
     };
-    let connecting = tokio::time::timeout(LENT_CONNECT_TIMEOUT, paths.connector.connect(runner));
-    let Ok(Ok(stream)) = connecting.await else {
+    let connecting = tokio::time::timeout(LENT_CONNECT_TIMEOUT, paths.connect_directly(runner));
+    let Ok(Some(stream)) = connecting.await else {
         return if paths.reaches_others(runner).await {
             StatusCode::BAD_GATEWAY
         } else {
--- a/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
+++ b/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
@@ -102,7 +102,7 @@
 
     /// Connects to a runner; `None` if it is not reached on any way.
     pub async fn connect(self: &Arc<Self>, runner: SocketAddr) -> Option<OpenedPath> {
-        let way = self.paths().way(runner);
+        let way = self.paths().way(runner, clock::now_us());
         match way {
             Way::Direct => self.connect_first(runner).await,
             Way::Borrowed => {
@@ -136,7 +136,10 @@
 
     async fn connect_directly(&self, runner: SocketAddr) -> Option<TcpStream> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.connector.connect(runner));
-        let stream = connecting.await.ok()?.ok()?;
+        let Ok(Ok(stream)) = connecting.await else {
+            self.paths().on_failed(runner, clock::now_us());
+            return None;
+        };
         if self.paths().on_connected(runner, clock::now_us()) {
             self.metrics.increment("paths.direct_again");
             log::info!(runner:%; "runner is reached directly again");
@@ -144,12 +147,9 @@
         Some(stream)
     }
 
-    /// Whether this node reaches other runners than this one by itself, and so can tell that this one is down. If it has not
-    /// connected to any just now, it tries one.
+    /// Whether this node reaches another runner than this one by itself now, and so can tell that this one is down. An
+    /// earlier connect shows nothing: the node may have been cut off since.
     async fn reaches_others(&self, runner: SocketAddr) -> bool {
-        if self.paths().reaches_others(runner, clock::now_us()) {
-            return true;
-        }
         let snapshot = self.snapshot.load_full();
         let mut others: Vec<SocketAddr> = snapshot
             .runners
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -153,7 +153,8 @@
         loop {
             let (mut connection, is_fresh) = match self.take_idle(address, reuse) {
                 Some(connection) => (connection, false),
-                None => (self.connect(address).await?, true),
+                // Boxed, since few requests open a connection and each would hold the space for it.
+                None => (Box::pin(self.connect(address)).await?, true),
             };
             if connection.sender.ready().await.is_err() {
                 if is_fresh {
