--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -32,7 +32,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before the first keep-alive probe, and time between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes after which a connection is closed.
+/// Unanswered keep-alive probes after which a connection is closed. Where [`UNACKNOWLEDGED_TIMEOUT`] could be set, that
+/// time decides instead, also for idle connections.
 const MAX_PROBES: u32 = 2;
 /// Idle time after which a connection is not reused, if the peer states no keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
