Count a connect that hangs as failed when another node's path is taken in its place

In the drawn histories a hang counts as a failure already. cut_from_runners passes as before; there is no test of its own.

--- a/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
+++ b/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
@@ -126,10 +126,13 @@
         match select(direct, pin!(self.borrow_path(runner))).await {
             Either::Left((Some(stream), _search)) => Some(own_path(stream)),
             Either::Left((None, search)) => search.await,
-            Either::Right((Some(path), _direct)) => Some(OpenedPath {
-                is_own_hanging: true,
-                ..path
-            }),
+            Either::Right((Some(path), _direct)) => {
+                self.paths().on_failed(runner, clock::now_us());
+                Some(OpenedPath {
+                    is_own_hanging: true,
+                    ..path
+                })
+            }
             Either::Right((None, direct)) => direct.await.map(own_path),
         }
     }
