Plan the end of keeping anew when a later outage lengthens it

A runner whose registration was missing through two outages in a row was kept for ever: the time until which it is kept grew after its end had been planned, and no other one was planned, as the nodes had been asked already. Found by reading the change. departures::later_outage_plans_another_end_of_keeping fails before.

--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -235,7 +235,8 @@
         let is_draining = current.runner.as_ref().is_some_and(|r| r.is_draining);
         match keep_until_us.filter(|_until_us| !is_draining) {
             Some(expires_us) => {
-                let is_asked = current.lapse.is_some_and(|lapse| lapse.is_asked);
+                let is_same = |lapse: Lapse| lapse.is_asked && lapse.expires_us >= expires_us;
+                let is_asked = current.lapse.is_some_and(is_same);
                 current.lapse = Some(Lapse {
                     expires_us,
                     is_told: false,
