Let no answer without a length count as complete on a borrowed path

Such an answer ends with its connection, and a lender that is killed closes the connection in the same way: the caller would have got half an answer framed as whole. Found by reading the change. The test answer_without_a_length_through_another_node_does_not_look_complete fails before. Such answers of runners are lost on borrowed paths now, which costs a resume or a 502.

--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -122,6 +122,7 @@
 pub struct AnswerBody {
     incoming: Incoming,
     framing: Framing,
+    is_borrowed: bool,
     connection: Option<Connection>,
     upstreams: Arc<Upstreams>,
     address: SocketAddr,
@@ -212,6 +213,11 @@
                 Err(error) => return Err(unknown(&error)),
             }
         }
+        if body.has_uncertain_end() {
+            return Err(SendFailure {
+                outcome: AttemptOutcome::Unknown(UnknownReason::ConnectionLost),
+            });
+        }
         Ok(CallAnswer {
             status: head.status,
             headers: head.headers,
@@ -230,6 +236,7 @@
             // A borrowed path serves one request.
             usable_for: usable_for(&head.headers).filter(|_| connection.borrowed.is_none()),
             framing: Framing::of(&head, !incoming.is_end_stream()),
+            is_borrowed: connection.borrowed.is_some(),
             incoming,
             connection: Some(connection),
             upstreams: Arc::clone(self),
@@ -305,6 +312,12 @@
         self.framing
     }
 
+    /// Whether the end of the body may be that of the node that lent its path: a body without a length ends in the same way
+    /// if that node ends.
+    pub fn has_uncertain_end(&self) -> bool {
+        self.is_borrowed && self.framing == Framing::UntilClose
+    }
+
     /// The next bytes; `None` after the end of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
@@ -334,6 +347,7 @@
     /// The next bytes, if they arrive before `limit`; `Ok(None)` after the end of the body.
     pub async fn next_until(&mut self, limit: Instant) -> Result<Option<Bytes>, UnknownReason> {
         match timeout_at(limit, self.next()).await {
+            Ok(None) if self.has_uncertain_end() => Err(UnknownReason::ConnectionLost),
             Ok(None) => Ok(None),
             Ok(Some(Ok(data))) => Ok(Some(data)),
             Ok(Some(Err(_broken))) => Err(UnknownReason::ConnectionLost),
