Give the check of a process the time to ask other nodes, and let witnesses reach the same service

A check that runs out of time says that nothing has crashed.

Change: 400 ms for the report and the time of a search beside it. A lender that does not reach a runner now tries another one of the same service before it says that this one is down: it may be cut off from that service only (found by reading).

--- a/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
+++ b/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
@@ -31,7 +31,7 @@
 const DIRECT_PATIENCE: Duration = Duration::from_millis(100);
 
 /// Time for asking other nodes.
-const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
+pub const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The ways of this node to the runners.
 #[derive(Debug)]
@@ -150,17 +150,14 @@
         Some(stream)
     }
 
-    /// Whether this node reaches another runner than this one by itself now, and so can tell that this one is down. An
+    /// Whether this node reaches another runner of the same service by itself now, and so can tell that this one is down. An
     /// earlier connect shows nothing: the node may have been cut off since.
     async fn reaches_others(&self, runner: SocketAddr) -> bool {
         let snapshot = self.snapshot.load_full();
-        let mut others: Vec<SocketAddr> = snapshot
-            .runners
-            .values()
-            .flatten()
-            .map(|r| r.address)
-            .collect();
-        others.retain(|other| *other != runner);
+        let mut services = snapshot.runners.values();
+        let service = services.find(|runners| runners.iter().any(|r| r.address == runner));
+        let addresses = service.into_iter().flatten().map(|r| r.address);
+        let others: Vec<SocketAddr> = addresses.filter(|other| *other != runner).collect();
         let Some(other) = others.choose(&mut rand::rng()) else {
             return true;
         };
--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -7,13 +7,14 @@
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
 
+use crate::borrowed_paths::SEARCH_TIMEOUT;
 use crate::call::Call;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::upstream::Reuse;
 
-/// Time for the runner's report.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for the runner's report, and for asking other nodes whether they reach the runner.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400).saturating_add(SEARCH_TIMEOUT);
 /// How often the runner is asked, if it closes the connection without an answer.
 const CHECKS: usize = 2;
 
