--- a/crates/tealsaddle-core/src/fleet/paths.rs
+++ b/crates/tealsaddle-core/src/fleet/paths.rs
@@ -18,7 +18,7 @@
 const TRIAL_INTERVAL_US: u64 = 1_000_000;
 /// Time for which a node that was unable to lend is asked last, and its zone after the others.
 const UNABLE_US: u64 = 2_000_000;
-/// Time for which no path is borrowed to a runner that nobody reaches.
+/// Time for which no path is borrowed to a runner that no node reaches.
 const DOWN_US: u64 = 500_000;
 /// Time for which a connect shows that the node reaches runners.
 const SOUND_US: u64 = 1_000_000;
@@ -108,12 +108,7 @@
         !has_connected && broken.count() >= CUT_OFF_RUNNERS
     }
 
-    /// Returns whether other nodes may be asked for a path to a runner: not shortly after none of them reached it.
-    pub fn may_borrow(&self, runner: SocketAddr, now_us: u64) -> bool {
-        !self.is_down(runner, now_us)
-    }
-
-    /// Returns whether a short while ago no node reached the runner that was asked.
+    /// Returns whether a short while ago no node reached the runner that was asked. No path to it is borrowed then.
     pub fn is_down(&self, runner: SocketAddr, now_us: u64) -> bool {
         let path = self.runners.get(&runner);
         path.is_some_and(|path| path.down_until_us > now_us)
--- a/crates/tealsaddle-core/tests/it/fleet/change_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/change_histories.rs
@@ -103,7 +103,7 @@
         for seed in 0..2 {
             let mut fleet = Fleet::open(count, zones, faults, seed);
             fleet.play_until(FAULT_US[1] - SECOND_US);
-            // Leases run out while the store is away, and nobody hears of it before its return.
+            // Leases run out while the store is away, and no node learns of it before its return.
             fleet.change();
             fleet.play_until(FAULT_US[1] + SECOND_US);
             for place in 0..count {
--- a/crates/tealsaddle-core/tests/it/fleet/path_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/path_histories.rs
@@ -197,7 +197,7 @@
             }
         }
         let now_us = self.now_us;
-        if !self.nodes[node].paths.may_borrow(address, now_us) {
+        if self.nodes[node].paths.is_down(address, now_us) {
             self.outcome.false_down += u64::from(self.is_up(runner));
             return None;
         }
--- a/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
+++ b/crates/tealsaddle-gateway/src/borrowed_paths/mod.rs
@@ -20,16 +20,12 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
-use crate::connector::Connect;
+use crate::connector::{Connect, connect_in_time};
 use crate::metrics::Metrics;
 use crate::snapshot::FleetSnapshot;
 
-/// Timeout of connecting. Within a region connecting takes milliseconds, and waiting longer does not help
-/// after a lost SYN, which is retransmitted only after a second.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connect that hangs is tried through another node as well.
 const DIRECT_PATIENCE: Duration = Duration::from_millis(100);
-
 /// Time for asking other nodes.
 pub const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -138,8 +134,7 @@
     }
 
     async fn connect_directly(&self, runner: SocketAddr) -> Option<TcpStream> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.connector.connect(runner));
-        let Ok(Ok(stream)) = connecting.await else {
+        let Some(stream) = connect_in_time(&*self.connector, runner).await else {
             self.paths().on_failed(runner, clock::now_us());
             return None;
         };
@@ -185,7 +180,7 @@
             let now_us = clock::now_us();
             let mut paths = self.paths();
             paths.forget_old(now_us);
-            if members.is_empty() || !paths.may_borrow(runner, now_us) {
+            if members.is_empty() || paths.is_down(runner, now_us) {
                 return None;
             }
             let number = self.searches.fetch_add(1, Ordering::Relaxed);
--- a/crates/tealsaddle-gateway/src/departures.rs
+++ b/crates/tealsaddle-gateway/src/departures.rs
@@ -64,8 +64,9 @@
         let Some(reply) = reply else {
             continue;
         };
-        take(&mut control.fleet(), &reply, asked_us);
-        control.publish();
+        if take(&mut control.fleet(), &reply, asked_us) {
+            control.publish();
+        }
         if !control.fleet().has_lapsed_registrations() {
             return;
         }
@@ -102,8 +103,8 @@
     }
 }
 
-/// Takes over what a node has replied to a question that was sent at `asked_us`.
-pub fn take(fleet: &mut FleetState, reply: &DepartureReply, asked_us: u64) {
+/// Takes over what a node has replied to a question that was sent at `asked_us`; returns whether runners were dropped.
+pub fn take(fleet: &mut FleetState, reply: &DepartureReply, asked_us: u64) -> bool {
     let now_us = clock::now_us();
     for answer in &reply.answers {
         fleet.store_words.on_word(StoreWord {
@@ -111,8 +112,7 @@
             to_us: now_us.saturating_sub(answer.to_age_us),
         });
     }
-    fleet.on_told_left(&reply.left);
-    fleet.settle(now_us);
+    fleet.on_told_left(&reply.left) + fleet.settle(now_us) > 0
 }
 
 /// The reply to a question.
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -197,13 +197,16 @@
             }
         };
         self.log_change(&item.key, runner.as_deref(), item.revision);
-        self.departures.forget(&item.key);
         let registration = Registration {
             runner,
             value: item.value,
             revision: item.revision,
             lapse: None,
         };
+        // A runner that is registered is not among those that have left.
+        if current.is_none() {
+            self.departures.forget(&item.key);
+        }
         self.registrations.insert(item.key, registration);
     }
 
@@ -251,11 +254,8 @@
 
     /// Drops a runner that is known to have left by a revision.
     fn on_left(&mut self, key: &str, revision: u64) {
-        if self
-            .registrations
-            .get(key)
-            .is_some_and(|current| current.revision > revision)
-        {
+        let current = self.registrations.get(key);
+        if current.is_some_and(|current| current.revision > revision) {
             return;
         }
         if self.registrations.remove(key).is_some() {
@@ -287,31 +287,35 @@
         has_new
     }
 
-    /// Drops the runners that are kept and of which a peer knows that they have left.
-    pub fn on_told_left(&mut self, keys: &[String]) {
-        let is_kept = |key: &&String| {
-            let registration = self.registrations.get(*key);
-            registration.is_some_and(|registration| registration.lapse.is_some())
-        };
-        let kept: Vec<&String> = keys.iter().filter(is_kept).collect();
-        for key in kept {
-            self.on_left(key, self.revision);
-        }
+    /// Drops the runners that are kept and of which a peer knows that they have left; returns their number.
+    pub fn on_told_left(&mut self, keys: &[String]) -> usize {
+        self.drop_lapsed(|key, _lapse| keys.iter().any(|told| told == key))
     }
 
     /// Drops the runners that were kept for a silence which leaves no room for an outage any more, by what is known of the
-    /// store now.
-    pub fn settle(&mut self, now_us: u64) {
+    /// store now; returns their number.
+    pub fn settle(&mut self, now_us: u64) -> usize {
         if self.store_words.keep_until_us(now_us).is_some() {
-            return;
+            return 0;
         }
+        self.drop_lapsed(|_key, lapse| !lapse.is_told)
+    }
+
+    /// Drops the runners whose registrations have lapsed and for which `has_ended` holds; returns their number.
+    fn drop_lapsed<F>(&mut self, has_ended: F) -> usize
+    where
+        F: Fn(&str, Lapse) -> bool,
+    {
         let registrations = self.registrations.iter();
-        let settled = registrations
-            .filter(|(_key, registration)| registration.lapse.is_some_and(|lapse| !lapse.is_told));
-        let settled: Vec<String> = settled.map(|(key, _registration)| key.clone()).collect();
-        for key in settled {
-            self.on_left(&key, self.revision);
+        let lapsed = registrations.filter_map(|(key, registration)| {
+            let lapse = registration.lapse?;
+            has_ended(key, lapse).then(|| key.clone())
+        });
+        let keys: Vec<String> = lapsed.collect();
+        for key in &keys {
+            self.on_left(key, self.revision);
         }
+        keys.len()
     }
 
     /// Records that a registration is no longer in the store and is kept until `expires_us`, as a peer tells.
@@ -338,15 +342,13 @@
 
     /// Drops the runners whose registrations have lapsed and which have not registered again in time; returns their number.
     pub fn expire(&mut self, now_us: u64) -> usize {
-        let is_over = |lapse: Lapse| lapse.expires_us <= now_us;
-        let registrations = self.registrations.iter();
-        let over = registrations.filter(|(_key, r)| r.lapse.is_some_and(is_over));
-        let over: Vec<String> = over.map(|(key, _registration)| key.clone()).collect();
-        for key in &over {
-            log::info!(key:%; "registration did not come back");
-            self.on_left(key, self.revision);
-        }
-        over.len()
+        self.drop_lapsed(|key, lapse| {
+            let is_over = lapse.expires_us <= now_us;
+            if is_over {
+                log::info!(key; "registration did not come back");
+            }
+            is_over
+        })
     }
 
     /// Era of the store, if it tells.
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -23,7 +23,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::borrowed_paths::{BorrowedPath, CONNECT_TIMEOUT, RunnerPaths};
+use crate::borrowed_paths::{BorrowedPath, RunnerPaths};
+use crate::connector::{TcpConnector, connect_in_time};
 use crate::external::OutgoingCall;
 use crate::framing::Framing;
 use crate::timeout::timeout_at;
@@ -247,10 +248,8 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
         let Some(paths) = &self.paths else {
-            let connecting = TcpStream::connect(address);
-            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-            let stream = connecting.ok().and_then(Result::ok).ok_or_else(not_run)?;
-            return start(stream, None).await;
+            let stream = connect_in_time(&TcpConnector, address).await;
+            return start(stream.ok_or_else(not_run)?, None).await;
         };
         let opened = paths.connect(address).await.ok_or_else(not_run)?;
         if opened.is_own_hanging {
