Let the split of the stages follow what both need as times

Decode runners with half of their places free are already too full for them, and the planner knew shares of places only: nine prefill runners idled at a tenth of their speed beside three decode runners with some 50 answers each. Placement counted requests, and nothing read the callers' estimates.

Change: core::fleet::generation learns the time between events by the batch and the events by the tokens that callers expect, from streams that end. core::fleet::stage_load keeps what streams need (events against time left, by tokens, ended and overdue ones too). core::fleet::needs states both stages as expected against allowed time, for any number of runners; core::fleet::split moves runners if that gains more than it costs, with the price of the change and of the distance from the default split. The decode runner of a request is the one where its answer ends first; prompts that take some milliseconds are read by the decode runner.

Tests that play loads (stage_histories): mix in phases, swings of three seconds, no estimates, estimates wrong by four, one slow runner in three, 12 and 160 runners.

--- a/crates/tealsaddle-core/src/fleet/events.rs
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -62,6 +62,11 @@
         self.buffered.len()
     }
 
+    /// Returns the number of complete events of the present runner's stream.
+    pub const fn events(&self) -> u64 {
+        self.boundary.events()
+    }
+
     /// Returns the id of the last complete event that had one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
@@ -75,6 +80,7 @@
 #[derive(Debug, Default)]
 pub struct EventBoundary {
     total_bytes: usize,
+    events: u64,
     /// Number of bytes since the last complete event.
     incomplete_bytes: usize,
     line: Line,
@@ -128,6 +134,11 @@
         self.incomplete_bytes
     }
 
+    /// Returns the number of complete events that had a field.
+    pub const fn events(&self) -> u64 {
+        self.events
+    }
+
     fn push_byte(&mut self, byte: u8) {
         let before = std::mem::take(&mut self.carriage_return);
         if matches!(before, CarriageReturn::Open) && byte != b'\n' {
@@ -174,6 +185,7 @@
             Line::Comment => !self.has_fields,
             Line::Field => false,
         };
+        self.events += u64::from(ends_event && self.has_fields);
         self.has_fields = !ends_event;
         if ends_event {
             self.incomplete_bytes = 0;
--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -229,6 +229,13 @@
         f64::from(self.other_nodes_requests) * 0.5_f64.powf(age_us / REPORT_HALF_LIFE_US)
     }
 
+    /// Returns the number of requests at the runner, with those of other nodes as last reported; `None` if the last report
+    /// is older than `stale_us`.
+    pub fn reported_requests(&self, now_us: u64, stale_us: u64) -> Option<f64> {
+        let is_fresh = now_us.saturating_sub(self.reported_at_us) <= stale_us;
+        is_fresh.then(|| f64::from(self.own_requests + self.other_nodes_requests))
+    }
+
     /// Returns the estimated number of requests of other nodes in the runner's queue, or 0 if the last
     /// report is older than `stale_us`.
     pub fn other_nodes_waiting(&self, now_us: u64, stale_us: u64) -> u32 {
--- a/crates/tealsaddle-core/src/fleet/placement.rs
+++ b/crates/tealsaddle-core/src/fleet/placement.rs
@@ -1,15 +1,15 @@
-//! Placement of requests on decode runners and on the runners of plain services.
+//! Placement of requests on runners.
 //!
-//! The prefill runner of a prompt is chosen by [`prefill`](super::prefill). The decode runner of a request
-//! is the one with the lowest expected cost, which includes a penalty for runners in other zones than the
-//! node. The decode runner is chosen before the prompt is read, so that no prompt is read for a request
-//! that no decode runner can take.
+//! The runner of a request is the one with the lowest expected cost, which includes a penalty for runners in other
+//! zones than the node. This module has what the choices have in common, and the choice for plain services; the
+//! prefill runner of a prompt is chosen by [`prefill`](super::prefill), the runner that generates the output by
+//! [`decode`](super::decode).
 
 use std::sync::Arc;
 
-use super::config::EngineLimits;
+use super::generation::EventTimes;
 use super::load::RunnerView;
-use super::{PromptPart, Runner, Stage, prompt_tokens};
+use super::{PromptPart, Runner, Stage};
 use crate::collections::HashMap;
 use crate::name::Name;
 
@@ -20,19 +20,8 @@
 /// Penalty of a runner in another zone, per byte of the request. Links between zones are shared and have
 /// less bandwidth than links within a zone.
 const ZONE_PENALTY_US_PER_BYTE: f64 = 2.0;
-/// Delay that a running request causes for the events of the other requests in its batch.
-const BATCH_PENALTY_US: f64 = 1_500.0;
-/// Duration of an empty decode step, in units of [`BATCH_PENALTY_US`].
-const EMPTY_BATCH_REQUESTS: f64 = 6.0;
-/// Share of the KV cache that running requests may use. The rest absorbs requests that other nodes send
-/// at the same time.
-const MAX_KV_SHARE: f64 = 0.9;
-/// Age from which a reported queue length is ignored.
-const QUEUE_STALE_US: u64 = 1_000_000;
-/// Time that a decode runner takes to read a prompt, relative to a prefill runner.
-const DECODE_READ_FACTOR: f64 = 2.0;
 /// Time from the end of reading to the first event, including the transfer of the KV cache.
-const HANDOVER_US: f64 = 25_000.0;
+pub(super) const HANDOVER_US: f64 = 25_000.0;
 
 /// Running means of the requests and runners of a model service, learned from answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -43,10 +32,8 @@
     pub read_us: f64,
     /// Mean duration of a request at its decode runner.
     pub stream_us: f64,
-    /// Mean time from the first to the last event of a stream; 0 until a stream has ended.
-    pub events_us: f64,
-    /// Mean number of output tokens that the callers of those streams requested.
-    pub output_tokens: f64,
+    /// Times between events.
+    pub event_times: EventTimes,
     /// Mean number of tokens that a request occupies in the KV cache.
     pub kv_tokens: f64,
 }
@@ -57,8 +44,7 @@
             read_us_per_token: 25.0,
             read_us: 60_000.0,
             stream_us: 800_000.0,
-            events_us: 0.0,
-            output_tokens: 0.0,
+            event_times: EventTimes::default(),
             kv_tokens: 6_000.0,
         }
     }
@@ -103,24 +89,6 @@
     pub fn on_stream(&mut self, took_us: u64) {
         self.stream_us += MEAN_WEIGHT * (took_us as f64 - self.stream_us);
     }
-
-    /// Records the time from the first to the last event of a stream whose caller requested
-    /// `output_tokens` tokens.
-    pub fn on_generated(&mut self, output_tokens: u64, took_us: u64) {
-        let weight = if self.output_tokens > 0.0 {
-            MEAN_WEIGHT
-        } else {
-            1.0
-        };
-        self.events_us += weight * (took_us as f64 - self.events_us);
-        self.output_tokens += weight * (output_tokens as f64 - self.output_tokens);
-    }
-
-    /// Returns the expected time from the first event to the end of a stream; 0 until a stream has ended.
-    pub fn generation_us(&self, output_tokens: u64) -> f64 {
-        // A ratio of two means weights streams by their length; a mean of ratios would not.
-        output_tokens as f64 * self.events_us / self.output_tokens.max(1.0)
-    }
 }
 
 /// Properties of a request that determine its placement.
@@ -130,6 +98,8 @@
     pub parts: &'a [PromptPart],
     /// Number of tokens that the request will occupy in the KV cache: prompt and output.
     pub kv_tokens: u64,
+    /// Expected output, in tokens; 0 if it is not known or the service generates none.
+    pub output_tokens: u64,
     /// Availability zone of the node that places the request.
     pub zone: &'a str,
     /// Size of the request's body, in bytes.
@@ -164,6 +134,8 @@
     /// Time to wait and to read that is expected of a runner of average speed, the baseline for
     /// [`RunnerView::on_duration`]; 0 for decode runners and plain services.
     pub nominal_us: f64,
+    /// Expected time to generate the output; 0 for prefill runners and plain services, and until it is known.
+    pub generation_us: f64,
 }
 
 impl Placement {
@@ -243,114 +215,6 @@
     best.map(|(_cost, placement)| placement)
 }
 
-/// Load of a decode runner: the requests of this node and the estimated requests of other nodes.
-struct DecodeLoad {
-    requests: f64,
-    kv_tokens: f64,
-}
-
-fn decode_load(view: &RunnerView, stats: &ServiceStats, now_us: u64) -> DecodeLoad {
-    let others = view.other_nodes_requests(now_us);
-    DecodeLoad {
-        requests: others + f64::from(view.own_requests()),
-        kv_tokens: others * stats.kv_tokens + view.own_kv_tokens() as f64,
-    }
-}
-
-/// Returns the mean utilization of the decode runners. The utilization of a runner is the share of its
-/// slots or of its KV cache that is in use, whichever is larger.
-pub fn decode_utilization(
-    views: &RunnerViews,
-    runners: &[Arc<Runner>],
-    engine: &EngineLimits,
-    stats: &ServiceStats,
-    now_us: u64,
-) -> f64 {
-    let unknown = RunnerView::default();
-    let decode = runners
-        .iter()
-        .filter(|runner| runner.stage == Some(Stage::Decode));
-    let shares: Vec<f64> = decode
-        .map(|runner| {
-            let load = decode_load(view_of(views, &unknown, runner), stats, now_us);
-            let of_slots = load.requests / f64::from(engine.slots.max(1));
-            let of_memory = load.kv_tokens / engine.kv_tokens.max(1) as f64;
-            of_slots.max(of_memory)
-        })
-        .collect();
-    shares.iter().sum::<f64>() / shares.len().max(1) as f64
-}
-
-/// Query for a decode runner.
-#[derive(Debug, Clone, Copy)]
-pub struct DecodeQuery<'a> {
-    /// Request to be placed.
-    pub request: &'a PlacementRequest<'a>,
-    /// Capacities of the service's runners.
-    pub engine: &'a EngineLimits,
-    /// Statistics of the service.
-    pub stats: &'a ServiceStats,
-    /// Whether a prefill runner reads the prompt, so that the decode runner does not have to.
-    pub is_prefilled: bool,
-}
-
-/// Chooses the decode runner for a request; `None` if no runner is eligible.
-pub fn choose_decode(
-    views: &RunnerViews,
-    runners: &[Arc<Runner>],
-    query: &DecodeQuery<'_>,
-    excluded: &[Name],
-    now_us: u64,
-) -> Option<Placement> {
-    let DecodeQuery {
-        request,
-        engine,
-        stats,
-        is_prefilled,
-    } = *query;
-    let unknown = RunnerView::default();
-    let candidates = eligible(views, runners, Some(Stage::Decode), excluded, now_us);
-    cheapest(&candidates, |runner| {
-        let view = view_of(views, &unknown, runner);
-        let slots = engine.slots.max(1);
-        let load = decode_load(view, stats, now_us);
-        let active = load.requests;
-        let kv_tokens = load.kv_tokens + request.kv_tokens as f64;
-        let over_slots = (active + 1.0 - f64::from(slots)).max(0.0);
-        let over_kv_tokens = kv_tokens - engine.kv_tokens as f64 * MAX_KV_SHARE;
-        let over_kv = (over_kv_tokens / stats.kv_tokens.max(1.0)).max(0.0);
-        let waiting = f64::from(view.other_nodes_waiting(now_us, QUEUE_STALE_US));
-        let queue = over_slots.max(over_kv).max(waiting);
-        // Slots become free one by one, at the rate at which the running requests end.
-        let running = (active - queue).max(1.0);
-        let wait_us = queue * stats.stream_us / running;
-        let read_tokens = if is_prefilled {
-            0
-        } else {
-            prompt_tokens(request.parts) - view.cached_parts.cached_tokens(request.parts)
-        };
-        let queued_us =
-            view.own_read_tokens() as f64 * stats.read_us_per_token * DECODE_READ_FACTOR;
-        let read_us = read_tokens as f64 * stats.read_us_per_token * DECODE_READ_FACTOR;
-        let batch_us = (active + EMPTY_BATCH_REQUESTS) * BATCH_PENALTY_US * view.slowdown();
-        let mut cost = wait_us + queued_us + read_us + batch_us;
-        cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
-        cost += request.zone_penalty_us(runner);
-        if request.is_doubtful {
-            cost = active;
-        }
-        let placement = Placement {
-            runner: Arc::clone(runner),
-            wait_us: wait_us + if is_prefilled { 0.0 } else { queued_us },
-            read_us,
-            read_tokens,
-            fetches_from: None,
-            nominal_us: 0.0,
-        };
-        (cost, placement)
-    })
-}
-
 /// Assumed duration of a request at a plain service.
 const PLAIN_REQUEST_US: f64 = 40_000.0;
 
@@ -381,6 +245,7 @@
             read_tokens: 0,
             fetches_from: None,
             nominal_us: 0.0,
+            generation_us: 0.0,
         };
         (cost, placement)
     })
--- a/crates/tealsaddle-core/src/fleet/prefill.rs
+++ b/crates/tealsaddle-core/src/fleet/prefill.rs
@@ -23,7 +23,7 @@
 use crate::name::Name;
 
 /// Fixed part of the time to read a prompt.
-const READ_OVERHEAD_US: f64 = 15_000.0;
+pub(super) const READ_OVERHEAD_US: f64 = 15_000.0;
 /// Fixed part of the time to fetch a KV cache.
 const FETCH_OVERHEAD_US: f64 = 5_000.0;
 /// Factor on the transfer time of a fetch between zones.
@@ -232,6 +232,7 @@
             read_tokens,
             fetches_from: source.cloned(),
             nominal_us: queue_us + fetch_us + read_us + READ_OVERHEAD_US,
+            generation_us: 0.0,
         };
         let reread_tokens = shared_tokens.saturating_sub(cached_tokens);
         let reread_weight = REREAD_WEIGHT + self.mean_queue * REREAD_WEIGHT_PER_QUEUED;
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod change_sim;
 mod config;
 mod events;
+mod generation;
 mod lease;
 mod load;
 mod path_histories;
@@ -13,6 +14,8 @@
 mod quarantine;
 mod send_gate;
 mod split;
+mod stage_histories;
+mod stage_sim;
 mod store_availability;
 mod version_histories;
 
--- a/crates/tealsaddle-core/tests/it/fleet/placement.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/placement.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 
 use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::decode::{DecodeQuery, choose_decode, should_read_itself};
+use tealsaddle_core::fleet::generation::GeneratedStream;
 use tealsaddle_core::fleet::load::{ReportedLoad, RunnerView, Work};
 use tealsaddle_core::fleet::placement::{
-    DecodeQuery, Placement, PlacementRequest, RunnerViews, ServiceStats, choose_decode,
-    choose_plain,
+    Placement, PlacementRequest, RunnerViews, ServiceStats, choose_plain,
 };
 use tealsaddle_core::fleet::prefill::{PrefillQuery, choose_prefill};
 use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
 use tealsaddle_core::name::Name;
+use yare::parameterized;
 
 use super::{SECOND_US, draining, prefill_runners, prompt, runner};
 
@@ -29,6 +31,7 @@
     PlacementRequest {
         parts,
         kv_tokens: 1_000,
+        output_tokens: 0,
         zone,
         body_bytes: 1_000,
         is_doubtful: false,
@@ -336,19 +339,6 @@
     assert_eq!(id(&views), Some(Name::from("p1")));
 }
 
-/// Guards against expecting long outputs to end as early as short outputs of the same service.
-#[test]
-fn expected_generation_time_grows_with_the_output() {
-    let mut stats = ServiceStats::default();
-    assert!(stats.generation_us(1_000) < 1.0);
-    for _ in 0..200 {
-        stats.on_generated(10, 200_000);
-        stats.on_generated(500, 1_000_000);
-    }
-    let expected_us = stats.generation_us(1_000);
-    assert!((2.2e6..2.5e6).contains(&expected_us), "{expected_us}");
-}
-
 /// Guards against a mean size of the requests in the KV cache that sinks to nothing, because a request that
 /// only reads its prompt at a runner is counted with the size 0.
 #[test]
@@ -367,3 +357,70 @@
         stats.read_us
     );
 }
+
+/// Guards against a long answer at a runner that generates slowly, or for many others, while a short one takes a place
+/// where the long one would end in time.
+#[test]
+fn long_answers_get_the_runners_that_generate_faster() {
+    let runners = [
+        runner("busy", "a", Some(Stage::Decode)),
+        runner("idle", "b", Some(Stage::Decode)),
+    ];
+    let mut stats = ServiceStats::default();
+    stats.event_times.on_stream(&GeneratedStream {
+        expected_tokens: 2_000,
+        events: 201,
+        events_us: 200 * 20_000,
+        batch: 4.0,
+    });
+    let mut views = RunnerViews::default();
+    let view = views.entry(Name::from("busy")).or_default();
+    for _ in 0..4 {
+        view.on_request_start(Work::default());
+    }
+    let chosen = |output_tokens: u64| {
+        let parts = prompt(1, 100, 2, 50);
+        let request = PlacementRequest {
+            output_tokens,
+            body_bytes: 20_000,
+            ..request(&parts, "a")
+        };
+        let query = DecodeQuery {
+            request: &request,
+            engine: &ENGINE,
+            stats: &stats,
+            is_prefilled: true,
+        };
+        let placement = choose_decode(&views, &runners, &query, &[], NOW_US);
+        placement.expect("both runners accept requests")
+    };
+    assert_eq!(&*chosen(2_000).runner.id, "idle");
+    assert_eq!(&*chosen(20).runner.id, "busy");
+    let expected_us = chosen(2_000).generation_us;
+    assert!((3.3e6..4.1e6).contains(&expected_us), "{expected_us}");
+}
+
+/// Guards against a prompt of a few hundred tokens that waits behind long ones at a prefill runner.
+#[parameterized(
+    short = { 300, true },
+    long = { 3_000, false },
+)]
+fn decode_runners_read_short_prompts(tokens: u64, expected: bool) {
+    let stats = ServiceStats {
+        read_us_per_token: 5.0,
+        ..ServiceStats::default()
+    };
+    let parts = prompt(1, tokens, 2, 50);
+    let request = request(&parts, "a");
+    let decode = [runner("d", "a", Some(Stage::Decode))];
+    let query = DecodeQuery {
+        request: &request,
+        engine: &ENGINE,
+        stats: &stats,
+        is_prefilled: false,
+    };
+    let views = RunnerViews::default();
+    let own = choose_decode(&views, &decode, &query, &[], NOW_US).expect("it accepts requests");
+    let prefill = place_prefill(&views, &prefill_runners(2), &parts);
+    assert_eq!(should_read_itself(&own, &prefill), expected);
+}
--- a/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
@@ -86,6 +86,7 @@
         let request = PlacementRequest {
             parts: &parts,
             kv_tokens: 0,
+            output_tokens: 0,
             zone: "a",
             body_bytes: 0,
             is_doubtful: false,
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -203,8 +203,11 @@
         let Some(stop) = self.gateway.current_stop() else {
             return Ok(());
         };
+        let snapshot = self.gateway.snapshot.load();
+        let runners = snapshot.runners_of(&self.service);
+        let output_tokens = self.metadata.expected_output_tokens();
         let scheduler = &self.gateway.scheduler;
-        let generation_us = scheduler.generation_us(&self.service, self.metadata.output_tokens);
+        let generation_us = scheduler.generation_us(runners, output_tokens);
         let expected = wait + Duration::from_micros(generation_us as u64);
         // The objective of the route is the only estimate for a plain service, and for a model before its
         // first stream has ended.
@@ -347,6 +350,7 @@
         PlacementRequest {
             parts: &self.metadata.parts,
             kv_tokens: prompt_tokens(&self.metadata.parts) + self.metadata.output_tokens,
+            output_tokens: self.metadata.expected_output_tokens(),
             zone: &self.gateway.config.zone,
             body_bytes: self.request.body_bytes(),
             is_doubtful: self.state.trial().is_some(),
--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -26,6 +26,8 @@
     has_events: bool,
     /// Whether the caller has got any event.
     has_passed_events: bool,
+    /// Whether several runners have written the stream.
+    has_continued: bool,
 }
 
 impl EventStream {
@@ -37,12 +39,14 @@
             boundary: EventBoundary::default(),
             has_events: repeat.is_stream() && is_success && has_events(head, framing),
             has_passed_events: false,
+            has_continued: false,
         }
     }
 
     /// Goes on with the answer of another runner after the last complete event.
     pub fn continue_with(&mut self, head: &Parts, framing: Framing) {
         drop(self.take_rest());
+        self.has_continued = true;
         self.has_events |= has_events(head, framing);
     }
 
@@ -77,6 +81,13 @@
         )
     }
 
+    /// Number of complete events; `None` if several runners have written them.
+    pub fn count(&self) -> Option<u64> {
+        let splitter = self.splitter.as_ref();
+        let count = splitter.map_or(self.boundary.events(), EventSplitter::events);
+        (!self.has_continued).then_some(count)
+    }
+
     /// Whether the answer consists of events.
     pub const fn has_events(&self) -> bool {
         self.has_events
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -179,6 +179,8 @@
     pub parts: Vec<PromptPart>,
     /// Upper limit of the output, in tokens; 0 if the caller states none.
     pub output_tokens: u64,
+    /// Caller's estimate of the output, in tokens; `None` if it makes none.
+    pub estimated_output_tokens: Option<u64>,
     /// Whether the caller has received events of the stream before and takes it up again.
     pub has_received_events: bool,
     /// Id of the request that brought the first of them; `None` if the caller does not say.
@@ -186,6 +188,15 @@
 }
 
 impl RequestMetadata {
+    /// Expected output, in tokens: the caller's estimate up to its limit, or else the limit; 0 if it states neither.
+    pub fn expected_output_tokens(&self) -> u64 {
+        match (self.estimated_output_tokens, self.output_tokens) {
+            (Some(estimate), 0) => estimate,
+            (Some(estimate), limit) => estimate.min(limit),
+            (None, limit) => limit,
+        }
+    }
+
     /// Id of the request that brought the first event of the stream that the caller takes up; `None` for a new stream, or
     /// if the caller does not say.
     pub fn resumed_id(&self) -> Option<&str> {
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -12,9 +12,10 @@
 
 use serde::{Deserialize, Serialize};
 use tealsaddle_core::collections::HashMap;
-use tealsaddle_core::fleet::Stage;
 use tealsaddle_core::fleet::lease::{Authority, LeaseTerms};
-use tealsaddle_core::fleet::split::{self, DecodeUseTracker, StageMove};
+use tealsaddle_core::fleet::needs::StageNeeds;
+use tealsaddle_core::fleet::split::{self, Pool, StageMove};
+use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
 
 use crate::clock;
@@ -78,7 +79,6 @@
     upstreams: Arc<Upstreams>,
     authority: Option<Authority>,
     pending: HashMap<String, Pending>,
-    decode_trackers: HashMap<Name, DecodeUseTracker>,
 }
 
 impl Orders {
@@ -89,7 +89,6 @@
             upstreams: Upstreams::open(),
             authority: None,
             pending: HashMap::default(),
-            decode_trackers: HashMap::default(),
         }
     }
 
@@ -237,7 +236,7 @@
 
     /// Plans up to [`ORDERS_PER_ROUND`] stage changes, and fetches the order counts of their runners. Runners
     /// that accept no order now are left out.
-    async fn plan_with_counts(&mut self) -> Vec<CountedMove> {
+    async fn plan_with_counts(&self) -> Vec<CountedMove> {
         let counted = self
             .plan()
             .into_iter()
@@ -247,36 +246,31 @@
         counted.into_iter().flatten().collect()
     }
 
-    fn plan(&mut self) -> Vec<StageMove> {
+    fn plan(&self) -> Vec<StageMove> {
         let gateway = &self.control.gateway;
         let snapshot = gateway.snapshot.load();
         let mut moves = Vec::new();
         let Some(config) = &snapshot.config else {
             return moves;
         };
-        let now_us = clock::now_us();
         for service in config.services.values() {
             let Some(engine) = &service.engine else {
                 continue;
             };
             let runners = snapshot.runners_of(&service.name);
-            let share = gateway.scheduler.decode_utilization(runners, engine);
-            let tracker = self
-                .decode_trackers
-                .entry(Name::clone(&service.name))
-                .or_default();
-            let decode_use = tracker.on_utilization(share, now_us);
-            let planned = split::plan(runners, decode_use);
+            let pool = Pool::new(runners, |runner| {
+                let pending = self.pending.get(&*runner.id);
+                pending.map(|pending| pending.to)
+            });
+            let needs = gateway.scheduler.stage_needs(runners, engine);
+            let load_of = |runner: &Runner| gateway.scheduler.requests_at(runner);
+            let planned = split::plan(&pool, needs.as_ref(), engine.switch_ms, load_of);
             if !planned.is_empty() {
-                log::info!(service:% = service.name, moves = planned.len(), share, decode_use:?;
-                    "stage changes planned");
+                log_planned(&service.name, &pool, needs.as_ref(), &planned);
             }
             moves.extend(planned);
         }
-        moves.retain(|step| {
-            let is_pending = self.pending.contains_key(&*step.runner.id);
-            !is_pending && gateway.send_gate.allows_own_calls(&step.runner)
-        });
+        moves.retain(|step| gateway.send_gate.allows_own_calls(&step.runner));
         moves
     }
 
@@ -370,6 +364,21 @@
     }
 }
 
+/// Logs planned changes with the needs from which they follow, as expected and allowed times.
+fn log_planned(service: &Name, pool: &Pool, needs: Option<&StageNeeds>, planned: &[StageMove]) {
+    let prefill = needs.map(|needs| needs.prefill(1.0));
+    let decode = needs.map(|needs| needs.decode(1.0));
+    let ms = |ms: Option<f64>| ms.map(|ms| ms as u64);
+    log::info!(service:%, moves = planned.len(), to:? = planned[0].to,
+        prefill_runners = pool.prefill.len(), decode_runners = pool.decode.len(),
+        joining_prefill = pool.joining_prefill, joining_decode = pool.joining_decode,
+        prefill_ms:? = ms(prefill.map(|need| need.expected_ms)),
+        prefill_allowed_ms:? = ms(prefill.map(|need| need.allowed_ms)),
+        decode_ms:? = ms(decode.map(|need| need.expected_ms)),
+        decode_allowed_ms:? = ms(decode.map(|need| need.allowed_ms));
+        "stage changes planned");
+}
+
 /// The condition that the holder's key has this revision; 0 means that there is no holder.
 fn holder_at(revision: u64) -> KeyRevision {
     KeyRevision {
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -224,6 +224,12 @@
             if outcome == LOST {
                 self.run.on_lost(&self.call);
             }
+            if reason == UnknownReason::Timeout
+                && let Some(events) = self.events.count()
+            {
+                let events_time = self.call.progress.events_time();
+                self.attempt.on_stream_overdue(events, events_time);
+            }
             self.attempt.on_outcome(outcome, false);
             Step::Broken(runner, outcome)
         })
@@ -254,9 +260,12 @@
     fn finish(mut self) -> NextFrame {
         self.run.on_survived(&self.call);
         let call = &self.call;
-        let events_time = call.progress.events_time();
-        self.attempt
-            .on_stream_end(call.metadata.output_tokens, events_time);
+        if let Some(events) = self.events.count() {
+            let expected_tokens = call.metadata.expected_output_tokens();
+            let events_time = call.progress.events_time();
+            self.attempt
+                .on_stream_end(expected_tokens, events, events_time, call.remaining());
+        }
         let runner = self.attempt.runner();
         call.log_end("answered", runner, self.attempts.failed());
         let rest = self.events.take_rest()?;
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -107,6 +107,10 @@
         engine: EngineLimits,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Refusal> {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        self.gateway
+            .scheduler
+            .on_objective(&self.service, objective);
         self.bind_resumed_version().await?;
         let stream = self.open_stream(&engine, attempts, None).await?;
         Ok(relay::respond(Arc::clone(self), engine, stream, *attempts))
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -5,12 +5,16 @@
 
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::decode::{self, DecodeQuery};
+use tealsaddle_core::fleet::generation::GeneratedStream;
 use tealsaddle_core::fleet::load::{ReportedLoad, RunnerView, Work};
+use tealsaddle_core::fleet::needs::{self, StageNeeds};
 use tealsaddle_core::fleet::placement::{
     self, Placement, PlacementRequest, RunnerViews, ServiceStats,
 };
 use tealsaddle_core::fleet::prefill::{self, PrefillQuery};
-use tealsaddle_core::fleet::{PromptPart, Runner};
+use tealsaddle_core::fleet::stage_load::{StageLoad, StreamNeed};
+use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, RetryBudget};
 
@@ -41,6 +45,7 @@
 struct State {
     views: RunnerViews,
     service_stats: HashMap<Name, ServiceStats>,
+    stage_loads: HashMap<Name, StageLoad>,
     budgets: HashMap<Name, RetryBudget>,
     nodes: u32,
 }
@@ -52,6 +57,14 @@
         let service_stats = service.and_then(|service| self.service_stats.get(service));
         service_stats.copied().unwrap_or_default()
     }
+
+    /// Requests of all nodes at a runner, as far as this node knows.
+    fn batch_of(&self, runner: &str, now_us: u64) -> f64 {
+        let view = self.views.get(runner);
+        view.map_or(0.0, |view| {
+            f64::from(view.own_requests()) + view.other_nodes_requests(now_us)
+        })
+    }
 }
 
 /// Chooses runners for requests, from what this node has observed of them beyond their registrations.
@@ -67,8 +80,11 @@
     scheduler: Arc<Scheduler>,
     runner: Name,
     service: Name,
+    stage: Option<Stage>,
     work: Work,
     started_us: u64,
+    /// Requests at the runner at the start, with this one.
+    batch: f64,
     /// Whether this node had no other prompt in prefill at the runner at the start.
     is_only_prefill: bool,
 }
@@ -123,34 +139,66 @@
         excluded: &[Name],
     ) -> Option<Placement> {
         let state = self.state();
-        let query = placement::DecodeQuery {
+        let query = DecodeQuery {
             request,
             engine,
             stats: &state.stats_of(runners),
             is_prefilled,
         };
-        placement::choose_decode(&state.views, runners, &query, excluded, clock::now_us())
+        decode::choose_decode(&state.views, runners, &query, excluded, clock::now_us())
     }
 
-    /// Utilization of the decode runners of a service, as a share of their capacity.
-    pub fn decode_utilization(&self, runners: &[Arc<Runner>], engine: &EngineLimits) -> f64 {
+    /// What the stages of a model service need; `None` if this node has placed no requests lately.
+    pub fn stage_needs(
+        &self,
+        runners: &[Arc<Runner>],
+        engine: &EngineLimits,
+    ) -> Option<StageNeeds> {
+        let now_us = clock::now_us();
         let state = self.state();
-        let service_stats = state.stats_of(runners);
-        placement::decode_utilization(
-            &state.views,
-            runners,
-            engine,
-            &service_stats,
-            clock::now_us(),
-        )
+        let service = &runners.first()?.service;
+        let load = state.stage_loads.get(service)?;
+        let service_stats = state.service_stats.get(service)?;
+        let batch = needs::mean_batch(&state.views, runners, now_us)?;
+        StageNeeds::observed(load, service_stats, engine, batch, now_us)
     }
 
-    /// Expected time from the first event to the end of a stream, in microseconds.
-    pub fn generation_us(&self, service: &Name, output_tokens: u64) -> f64 {
-        let service_stats = self.state().service_stats.get(service).copied();
-        service_stats
-            .unwrap_or_default()
-            .generation_us(output_tokens)
+    /// Requests of all nodes at a runner, as far as this node knows.
+    pub fn requests_at(&self, runner: &Runner) -> f64 {
+        self.state().batch_of(&runner.id, clock::now_us())
+    }
+
+    /// Expected time to generate an output at one of the runners of a service, in microseconds; 0 until it is known.
+    pub fn generation_us(&self, runners: &[Arc<Runner>], output_tokens: u64) -> f64 {
+        let state = self.state();
+        let batch = needs::mean_batch(&state.views, runners, clock::now_us()).unwrap_or(0.0);
+        let times = state.stats_of(runners).event_times;
+        times.generation_us(output_tokens, batch)
+    }
+
+    /// Records what a stream needs that has been placed: the expected output, and the time from its first event to its
+    /// deadline.
+    pub fn on_stream_placed(&self, service: &Name, output_tokens: u64, allowed: Duration) {
+        let now_us = clock::now_us();
+        let mut state = self.state();
+        let service_stats = state.service_stats.get(service);
+        let events = service_stats.map_or(0.0, |service_stats| {
+            service_stats.event_times.events_of(output_tokens as f64)
+        });
+        let load = state.stage_loads.entry(Name::clone(service)).or_default();
+        let need = StreamNeed {
+            events,
+            allowed_us: allowed.as_micros() as f64,
+        };
+        load.demand.push(need, now_us);
+    }
+
+    /// Records the objective of a request of a model service, for the time to its first event.
+    pub fn on_objective(&self, service: &Name, objective: Duration) {
+        let mut state = self.state();
+        let load = state.stage_loads.entry(Name::clone(service)).or_default();
+        load.objective_us
+            .push(objective.as_micros() as f64, clock::now_us());
     }
 
     /// Chooses the runner of a plain service for a request; `None` if no runner accepts requests.
@@ -176,12 +224,15 @@
         view.on_process_start(runner.started_unix_ms);
         let is_only_prefill = view.own_read_tokens() == 0;
         view.on_request_start(work);
+        let now_us = clock::now_us();
         RunnerAttempt {
             scheduler: Arc::clone(self),
             runner: Name::clone(&runner.id),
             service: Name::clone(&runner.service),
+            stage: runner.stage,
             work,
-            started_us: clock::now_us(),
+            started_us: now_us,
+            batch: state.batch_of(&runner.id, now_us),
             is_only_prefill,
         }
     }
@@ -299,22 +350,56 @@
         }
     }
 
-    /// Records the end of a complete stream; `events_time` is the time from its first event to its last.
-    pub fn on_stream_end(&self, output_tokens: u64, events_time: Duration) {
+    /// Records the end of a complete stream of `events` events; `events_time` is the time from the first to the last, and
+    /// `remaining` the time that is left until its deadline.
+    pub fn on_stream_end(
+        &self,
+        expected_tokens: u64,
+        events: u64,
+        events_time: Duration,
+        remaining: Duration,
+    ) {
         let took_us = self.elapsed_us();
+        self.record_need(events, events_time + remaining);
         let mut state = self.scheduler.state();
+        let batch_now = state.batch_of(&self.runner, clock::now_us());
+        let stream = GeneratedStream {
+            expected_tokens,
+            events,
+            events_us: events_time.as_micros() as u64,
+            batch: f64::midpoint(self.batch, batch_now),
+        };
         let service_stats = state
             .service_stats
             .entry(Name::clone(&self.service))
             .or_default();
-        let expected_us = service_stats.stream_us;
+        let times = service_stats.event_times;
         service_stats.on_stream(took_us);
-        service_stats.on_generated(output_tokens, events_time.as_micros() as u64);
-        if let Some(view) = state.views.get_mut(&self.runner) {
-            view.on_duration(took_us as f64, expected_us);
+        service_stats.event_times.on_stream(&stream);
+        let gaps = events.saturating_sub(1) as f64;
+        let expected_us = times.us_per_event(stream.batch).unwrap_or(0.0) * gaps;
+        if expected_us > 0.0
+            && let Some(view) = state.views.get_mut(&self.runner)
+        {
+            view.on_duration(stream.events_us as f64, expected_us);
         }
     }
 
+    /// Records a stream whose deadline has passed after `events` events; `events_time` is the time since the first.
+    pub fn on_stream_overdue(&self, events: u64, events_time: Duration) {
+        self.record_need(events, events_time);
+    }
+
+    fn record_need(&self, events: u64, allowed: Duration) {
+        let mut state = self.scheduler.state();
+        let load = state.stage_loads.entry(Name::clone(&self.service));
+        let need = StreamNeed {
+            events: events as f64,
+            allowed_us: allowed.as_micros() as f64,
+        };
+        load.or_default().demand.push(need, clock::now_us());
+    }
+
     /// Records the duration of a prefill, to be compared with the one expected of a runner of average speed.
     pub fn on_prefill_time(&self, expected_us: f64) {
         let took_us = self.elapsed_us() as f64;
@@ -323,7 +408,13 @@
 
     /// Records the load that the runner reported with an answer.
     pub fn on_load(&self, load: ReportedLoad) {
-        self.with_view(|view| view.on_report(load, clock::now_us()));
+        let now_us = clock::now_us();
+        self.with_view(|view| view.on_report(load, now_us));
+        let mut state = self.scheduler.state();
+        let stage_load = state.stage_loads.entry(Name::clone(&self.service));
+        if self.stage == Some(Stage::Prefill) {
+            stage_load.or_default().on_reads(load, now_us);
+        }
     }
 
     /// Records the outcome of the attempt; `is_failure_status` marks an answer with a server error.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -9,6 +9,7 @@
 
 use hyper::http;
 use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::decode::should_read_itself;
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::placement::Placement;
 use tealsaddle_core::fleet::{Runner, Stage};
@@ -126,7 +127,9 @@
         let (call, engine) = (self.call, self.engine);
         loop {
             call.check_quarantine()?;
-            let prefill = self.choose_prefill();
+            let prefill = self
+                .choose_prefill()
+                .filter(|prefill| !self.should_read_itself(prefill));
             let placed = self.place_decode(prefill.as_ref(), attempts).await?;
             let PermittedPlacement {
                 placement: decode,
@@ -187,6 +190,17 @@
         call.choose_prefill(self.engine, &held)
     }
 
+    /// Whether the decode runner should read the prompt itself rather than the prefill runner.
+    fn should_read_itself(&self, prefill: &Placement) -> bool {
+        let own = self.call.choose_decode(self.engine, false, &self.excluded);
+        let reads_itself = own.is_ok_and(|own| should_read_itself(&own, prefill));
+        if reads_itself {
+            let metrics = &self.call.gateway.metrics;
+            metrics.increment("read.by_decode_runner");
+        }
+        reads_itself
+    }
+
     /// Chooses the decode runner, if the first event is expected in time.
     async fn place_decode(
         &self,
@@ -389,6 +403,8 @@
             reader:% = prefill.map_or("-", |r| &r.runner.id), decoder:% = decode.runner.id,
             read_tokens = prefill.map_or(decode.read_tokens, |r| r.read_tokens),
             read_ms = read.as_millis() as u64, wait_ms = wait.as_millis() as u64,
+            output_tokens = self.metadata.expected_output_tokens(),
+            generation_ms = micros(decode.generation_us).as_millis() as u64,
             left_ms = left.as_millis() as u64, config_version = self.config.version,
             runners_revision = self.gateway.snapshot.load().runners_revision,
             knowledge_ms = self.gateway.knowledge.age().as_millis() as u64; "placed");
@@ -404,7 +420,10 @@
             read_tokens: decode.read_tokens,
             kv_tokens: self.placement_request().kv_tokens,
         };
-        self.gateway.scheduler.begin_attempt(&decode.runner, work)
+        let scheduler = &self.gateway.scheduler;
+        let output_tokens = self.metadata.expected_output_tokens();
+        scheduler.on_stream_placed(&self.service, output_tokens, self.remaining());
+        scheduler.begin_attempt(&decode.runner, work)
     }
 
     fn check_stream_answer(
