Refuse requests that would be late in a queue that does not empty

Cause: while more prompts come than can be read, queues stand at the callers' deadlines: all requests wait for a second and more and are late. Estimates were right (median of the time taken within a tenth of the expected time, up to 1.5 s), but only used against the deadline.

Change: core::fleet::standing_queue, and the check of the end of the answer in core::fleet::admission.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 //! their input is a list of runners, what this node has observed of them and a time; their result is a
 //! choice.
 
+pub mod admission;
 pub mod backpressure;
 pub mod cached_parts;
 pub mod change_sources;
@@ -29,6 +30,7 @@
 pub mod send_gate;
 pub mod split;
 pub mod stage_load;
+pub mod standing_queue;
 pub mod store_availability;
 pub mod store_era;
 pub mod store_words;
--- a/crates/tealsaddle-core/src/fleet/stage_load.rs
+++ b/crates/tealsaddle-core/src/fleet/stage_load.rs
@@ -6,6 +6,7 @@
 //! events than all others.
 
 use super::load::ReportedLoad;
+use super::standing_queue::StandingQueue;
 
 /// Half-life of the observations of load.
 const HALF_LIFE_US: f64 = 2e6;
@@ -138,6 +139,8 @@
     pub objective_us: DecayingMean,
     /// What the streams need.
     pub demand: StreamDemand,
+    /// Whether requests wait for longer than they should.
+    pub queue: StandingQueue,
 }
 
 impl StageLoad {
--- a/crates/tealsaddle-core/tests/it/fleet/stage_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/stage_histories.rs
@@ -32,6 +32,7 @@
     runners: 12,
     has_slow_runners: true,
     estimates: Some(1.0),
+    has_admission: true,
     seconds: 34,
     rates: phases,
 };
@@ -84,6 +85,32 @@
     );
 }
 
+/// Half as many prompts again as nine prefill runners can read, for eight seconds of twelve.
+const fn too_many_prompts(second: u64) -> (f64, f64) {
+    if second % 12 < 8 {
+        (450.0, 2.0)
+    } else {
+        (100.0, 2.0)
+    }
+}
+
+/// Guards against queues in which all callers wait until they are late, while as many could be answered on time as are
+/// answered at all.
+#[test]
+fn overload_does_not_make_all_callers_late() {
+    let load = Load {
+        rates: too_many_prompts,
+        ..PHASES
+    };
+    let outcome = play(load);
+    let without = play(Load {
+        has_admission: false,
+        ..load
+    });
+    assert!(without.short_on_time < 0.4, "{without}");
+    assert!(outcome.short_on_time > 0.6, "{outcome}");
+}
+
 /// The loads above, beside a split that stays as it is.
 #[test]
 fn outcomes_of_splits() {
@@ -117,6 +144,13 @@
                 ..PHASES
             },
         ),
+        (
+            "too many prompts",
+            Load {
+                rates: too_many_prompts,
+                ..PHASES
+            },
+        ),
     ];
     let lines = loads.iter().map(|(name, load)| {
         let (planned, fixed): (Outcome, Outcome) = (play(*load), play_fixed(*load));
--- a/crates/tealsaddle-core/tests/it/fleet/stage_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/stage_sim.rs
@@ -30,6 +30,8 @@
 const STEP_US_PER_STREAM: f64 = 25.2;
 const READ_US_PER_TOKEN: f64 = 1.0 / 0.22;
 const TOKENS_PER_EVENT: f64 = 42.0;
+/// Time from the end of a read to the first event.
+const HANDOVER_US: f64 = 25_000.0;
 const OBJECTIVE_US: u64 = 200_000;
 const ENGINE: EngineLimits = EngineLimits {
     slots: 64,
@@ -91,6 +93,8 @@
     pub has_slow_runners: bool,
     /// Factor on the callers' estimates of their outputs, which are off by half besides; `None` for callers who make none.
     pub estimates: Option<f64>,
+    /// Whether requests are refused that would be late because of a queue that does not empty.
+    pub has_admission: bool,
     pub seconds: u64,
     /// Short and long requests a second for each twelve runners, by the second.
     pub rates: fn(u64) -> (f64, f64),
@@ -105,6 +109,8 @@
     pub long_served: f64,
     /// The same for the longest tenth of them.
     pub longest_served: f64,
+    /// Share of the tokens of all long answers that are in those complete by their deadline.
+    pub long_tokens_served: f64,
     pub orders: usize,
 }
 
@@ -112,8 +118,12 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             f,
-            "short on time {:.2}, long served {:.2}, longest tenth served {:.2}, orders {}",
-            self.short_on_time, self.long_served, self.longest_served, self.orders
+            "short on time {:.2}, long served {:.2}, longest tenth {:.2}, by tokens {:.2}, orders {}",
+            self.short_on_time,
+            self.long_served,
+            self.longest_served,
+            self.long_tokens_served,
+            self.orders
         )
     }
 }
@@ -269,6 +279,12 @@
             return;
         };
         let took_us = kind.prompt_tokens() as f64 * READ_US_PER_TOKEN * reader.slowness + 15_000.0;
+        let expected_us = reader.free_us.saturating_sub(now_us) as f64 + took_us + HANDOVER_US;
+        let queue = &mut self.stage_load.queue;
+        let is_refused = queue.on_request(expected_us, OBJECTIVE_US as f64, now_us);
+        if is_refused && self.load.has_admission {
+            return;
+        }
         reader.free_us = reader.free_us.max(now_us) + took_us as u64;
         let end_us = reader.free_us;
         reader.reads.push((end_us, index));
@@ -345,7 +361,7 @@
         let decoder = decoder.next().expect("the chosen runner is in the pool");
         decoder.streams.push(index);
         request.batch = decoder.streams.len() as f64;
-        request.first_event_us = now_us + 25_000;
+        request.first_event_us = now_us + HANDOVER_US as u64;
     }
 
     fn generate(&mut self) {
@@ -472,6 +488,7 @@
             short_on_time: share(&short, Request::is_on_time),
             long_served: share(&long, Request::is_served),
             longest_served: share(longest, Request::is_served),
+            long_tokens_served: tokens(&long, Request::is_served) / tokens(&long, |_request| true),
             orders: self.orders,
         }
     }
@@ -491,6 +508,15 @@
     good as f64 / requests.len().max(1) as f64
 }
 
+/// Tokens of the requests that are good.
+fn tokens<F>(requests: &[&Request], is_good: F) -> f64
+where
+    F: Fn(&Request) -> bool,
+{
+    let good = requests.iter().filter(|request| is_good(request));
+    good.map(|request| request.tokens).sum()
+}
+
 fn report(requests: usize) -> ReportedLoad {
     ReportedLoad {
         running: requests as u32,
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -176,10 +176,26 @@
         times.generation_us(output_tokens, batch)
     }
 
+    /// Records the expected time to the first event of a request; returns whether it would be late because of a queue that
+    /// does not empty.
+    pub fn is_late_in_standing_queue(
+        &self,
+        service: &Name,
+        expected: Duration,
+        objective: Duration,
+    ) -> bool {
+        let mut state = self.state();
+        let load = state.stage_loads.entry(Name::clone(service)).or_default();
+        load.queue.on_request(
+            expected.as_micros() as f64,
+            objective.as_micros() as f64,
+            clock::now_us(),
+        )
+    }
+
     /// Records what a stream needs that has been placed: the expected output, and the time from its first event to its
     /// deadline.
     pub fn on_stream_placed(&self, service: &Name, output_tokens: u64, allowed: Duration) {
-        let now_us = clock::now_us();
         let mut state = self.state();
         let service_stats = state.service_stats.get(service);
         let events = service_stats.map_or(0.0, |service_stats| {
@@ -190,7 +206,7 @@
             events,
             allowed_us: allowed.as_micros() as f64,
         };
-        load.demand.push(need, now_us);
+        load.demand.push(need, clock::now_us());
     }
 
     /// Records the objective of a request of a model service, for the time to its first event.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::http;
+use tealsaddle_core::fleet::admission::{Candidate, Reason};
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::decode::should_read_itself;
 use tealsaddle_core::fleet::load::Work;
@@ -18,7 +19,7 @@
 use tokio::time::Instant;
 
 use crate::answer::{GatewayAnswer, classify_answer};
-use crate::call::{Call, FEASIBLE_SHARE, OwnAnswer, Refusal};
+use crate::call::{Call, OwnAnswer, Refusal};
 use crate::clock;
 use crate::external::SendMetadata;
 use crate::permits::{Candidates, PermittedPlacement};
@@ -211,7 +212,7 @@
         let is_prefilled = prefill.is_some() || self.kv_guard.is_some();
         let choose = |left_out: &[Name]| {
             let decode = call.choose_decode(engine, is_prefilled, left_out)?;
-            call.check_first_event_in_time(prefill, &decode, attempts)?;
+            call.check_admission(prefill, &decode, attempts)?;
             Ok(decode)
         };
         let candidates = Candidates {
@@ -385,7 +386,7 @@
         placement.map_or(Duration::ZERO, |placement| micros(placement.wait_us))
     }
 
-    fn check_first_event_in_time(
+    fn check_admission(
         &self,
         prefill: Option<&Placement>,
         decode: &Placement,
@@ -409,10 +410,29 @@
             runners_revision = self.gateway.snapshot.load().runners_revision,
             knowledge_ms = self.gateway.knowledge.age().as_millis() as u64; "placed");
         self.check_ends_before_stop(expected)?;
-        if attempts.failed() == 0 && expected > left.mul_f64(FEASIBLE_SHARE) {
-            return Err((GatewayAnswer::DeadlineInfeasible, expected));
+        if attempts.failed() > 0 {
+            return Ok(());
         }
-        Ok(())
+        let scheduler = &self.gateway.scheduler;
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let candidate = Candidate {
+            first_event_left_us: left.as_micros() as f64,
+            left_us: self.remaining().as_micros() as f64,
+            first_event_us: expected.as_micros() as f64,
+            decode,
+            is_late_in_standing_queue: scheduler.is_late_in_standing_queue(
+                &self.service,
+                expected,
+                objective,
+            ),
+        };
+        candidate.check().map_err(|rejection| {
+            let answer = match rejection.reason {
+                Reason::DeadlineInfeasible => GatewayAnswer::DeadlineInfeasible,
+                Reason::Overloaded => GatewayAnswer::Overloaded,
+            };
+            (answer, micros(rejection.wait_us))
+        })
     }
 
     fn begin_decode(&self, decode: &Placement) -> RunnerAttempt {
