Read prompts that would be late after those that can be on time

Cause: as before, all requests are late while more prompts come than can be read. Refusing the late ones leaves them without an answer, though there is time for some of them later.

Change: a request whose first event is expected after 0.8 of its objective is deferred; its prompt is read with less urgency. Nodes expect the queue of a prompt without the deferred ones: their own by count, those of other nodes by the share among their own. Nothing is refused for being late.

--- a/crates/tealsaddle-core/src/fleet/decode.rs
+++ b/crates/tealsaddle-core/src/fleet/decode.rs
@@ -105,9 +105,11 @@
         if request.is_doubtful {
             cost = active;
         }
+        let wait_us = wait_us + if self.is_prefilled { 0.0 } else { queued_us };
         let placement = Placement {
             runner: Arc::clone(runner),
-            wait_us: wait_us + if self.is_prefilled { 0.0 } else { queued_us },
+            wait_us,
+            deferred_wait_us: wait_us,
             read_us,
             read_tokens,
             fetches_from: None,
--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -25,6 +25,8 @@
     pub read_tokens: u64,
     /// Number of tokens that the request occupies in the KV cache.
     pub kv_tokens: u64,
+    /// Whether the runner reads the prompt after those of requests that are not deferred.
+    pub is_deferred: bool,
 }
 
 /// Weight of the newest outcome in the exponential average of failures.
@@ -49,7 +51,9 @@
 #[derive(Debug)]
 pub struct RunnerView {
     own_requests: u32,
+    own_deferred_requests: u32,
     own_read_tokens: u64,
+    own_deferred_read_tokens: u64,
     own_kv_tokens: u64,
     /// Estimate of the prompt parts in the runner's KV cache.
     pub cached_parts: CachedParts,
@@ -71,7 +75,9 @@
     fn default() -> Self {
         Self {
             own_requests: 0,
+            own_deferred_requests: 0,
             own_read_tokens: 0,
+            own_deferred_read_tokens: 0,
             own_kv_tokens: 0,
             cached_parts: CachedParts::default(),
             started_unix_ms: 0,
@@ -94,31 +100,48 @@
     /// the new process has an empty cache and has neither failed nor been slow.
     pub fn on_process_start(&mut self, started_unix_ms: u64) {
         if self.started_unix_ms != 0 && self.started_unix_ms != started_unix_ms {
-            let own = (self.own_requests, self.own_read_tokens, self.own_kv_tokens);
-            *self = Self::default();
             // The requests sent to the previous process still end one by one.
-            (self.own_requests, self.own_read_tokens, self.own_kv_tokens) = own;
+            *self = Self {
+                own_requests: self.own_requests,
+                own_deferred_requests: self.own_deferred_requests,
+                own_read_tokens: self.own_read_tokens,
+                own_deferred_read_tokens: self.own_deferred_read_tokens,
+                own_kv_tokens: self.own_kv_tokens,
+                ..Self::default()
+            };
         }
         self.started_unix_ms = started_unix_ms;
     }
 
     /// Counts a request that this node sends to the runner.
-    pub const fn on_request_start(&mut self, work: Work) {
+    pub fn on_request_start(&mut self, work: Work) {
+        if work.is_deferred {
+            self.own_deferred_requests += 1;
+            self.own_deferred_read_tokens += work.read_tokens;
+        }
         self.own_requests += 1;
         self.own_read_tokens += work.read_tokens;
         self.own_kv_tokens += work.kv_tokens;
     }
 
-    /// Records that the runner has read prompt tokens of a request of this node.
-    pub const fn on_read(&mut self, tokens: u64) {
+    /// Records that the runner has read the prompt of a request of this node, with this work.
+    pub const fn on_read(&mut self, work: Work) {
+        let tokens = work.read_tokens;
         self.own_read_tokens = self.own_read_tokens.saturating_sub(tokens);
+        if work.is_deferred {
+            let deferred = &mut self.own_deferred_read_tokens;
+            *deferred = deferred.saturating_sub(tokens);
+        }
     }
 
     /// Subtracts a request of this node. `work` is the part of the request's work that has not been
     /// subtracted before.
     pub const fn on_request_end(&mut self, work: Work) {
+        self.on_read(work);
         self.own_requests = self.own_requests.saturating_sub(1);
-        self.own_read_tokens = self.own_read_tokens.saturating_sub(work.read_tokens);
+        if work.is_deferred {
+            self.own_deferred_requests = self.own_deferred_requests.saturating_sub(1);
+        }
         self.own_kv_tokens = self.own_kv_tokens.saturating_sub(work.kv_tokens);
     }
 
@@ -127,6 +150,16 @@
         self.own_requests
     }
 
+    /// Returns how many of them are deferred.
+    pub const fn own_deferred_requests(&self) -> u32 {
+        self.own_deferred_requests
+    }
+
+    /// Returns how many of [`own_read_tokens`](Self::own_read_tokens) belong to deferred requests.
+    pub const fn own_deferred_read_tokens(&self) -> u64 {
+        self.own_deferred_read_tokens
+    }
+
     /// Returns the number of prompt tokens of this node that the runner has yet to read.
     pub const fn own_read_tokens(&self) -> u64 {
         self.own_read_tokens
--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -30,7 +30,6 @@
 pub mod send_gate;
 pub mod split;
 pub mod stage_load;
-pub mod standing_queue;
 pub mod store_availability;
 pub mod store_era;
 pub mod store_words;
--- a/crates/tealsaddle-core/src/fleet/placement.rs
+++ b/crates/tealsaddle-core/src/fleet/placement.rs
@@ -124,6 +124,8 @@
     pub runner: Arc<Runner>,
     /// Expected time until the runner starts with the request.
     pub wait_us: f64,
+    /// The same if the runner starts with it after all other requests, deferred ones too.
+    pub deferred_wait_us: f64,
     /// Expected time to read the prompt; 0 if the runner reads nothing.
     pub read_us: f64,
     /// Number of prompt tokens that the runner has to read.
@@ -144,6 +146,11 @@
     pub fn until_first_event_us(&self) -> f64 {
         self.wait_us + self.read_us + HANDOVER_US
     }
+
+    /// Returns the same time if the runner starts with the request after all others.
+    pub fn until_deferred_first_event_us(&self) -> f64 {
+        self.deferred_wait_us + self.read_us + HANDOVER_US
+    }
 }
 
 /// Views of the runners, by id.
@@ -241,6 +248,7 @@
         let placement = Placement {
             runner: Arc::clone(runner),
             wait_us,
+            deferred_wait_us: wait_us,
             read_us: 0.0,
             read_tokens: 0,
             fetches_from: None,
--- a/crates/tealsaddle-core/src/fleet/prefill.rs
+++ b/crates/tealsaddle-core/src/fleet/prefill.rs
@@ -108,6 +108,9 @@
     /// Eligible runners in rendezvous order: the home comes first, then the runners to which it spills.
     candidates: Vec<&'a Arc<Runner>>,
     holders: Vec<Holder<'a>>,
+    /// Share of this node's requests at the candidates that are deferred. Those of other nodes are taken to be deferred
+    /// as often.
+    deferred_share: f64,
     /// Mean number of queued requests at the candidates other than the home.
     mean_queue: f64,
     now_us: u64,
@@ -145,9 +148,11 @@
             query,
             holders: holders.collect(),
             candidates,
+            deferred_share: 0.0,
             mean_queue: 0.0,
             now_us,
         };
+        evaluation.deferred_share = evaluation.deferred_share();
         evaluation.mean_queue = evaluation.mean_queue();
         if prompt_tokens(shared) >= MIN_HOMED_TOKENS {
             evaluation.candidates.truncate(MAX_HOMES);
@@ -159,10 +164,31 @@
         view_of(self.views, &self.unknown, runner)
     }
 
+    /// Returns the time to read the prompts at a runner that are not deferred.
     fn queue_us(&self, view: &RunnerView) -> f64 {
+        let tokens = view.own_read_tokens() - view.own_deferred_read_tokens();
+        self.query.read_us(tokens) + self.other_nodes_us(view) * (1.0 - self.deferred_share)
+    }
+
+    /// Returns the time to read all prompts at a runner.
+    fn whole_queue_us(&self, view: &RunnerView) -> f64 {
+        self.query.read_us(view.own_read_tokens()) + self.other_nodes_us(view)
+    }
+
+    fn other_nodes_us(&self, view: &RunnerView) -> f64 {
         let per_request_us = self.query.stats.read_us + READ_OVERHEAD_US;
-        self.query.read_us(view.own_read_tokens())
-            + view.other_nodes_requests(self.now_us) * per_request_us
+        view.other_nodes_requests(self.now_us) * per_request_us
+    }
+
+    fn deferred_share(&self) -> f64 {
+        let views = self.candidates.iter().map(|runner| self.view(runner));
+        let (deferred, all) = views.fold((0, 0), |(deferred, all), view| {
+            (
+                deferred + view.own_deferred_requests(),
+                all + view.own_requests(),
+            )
+        });
+        f64::from(deferred) / f64::from(all.max(1))
     }
 
     /// Returns the mean number of queued requests at the candidates. The home is excluded, so that one hot
@@ -228,6 +254,7 @@
         let placement = Placement {
             runner: Arc::clone(runner),
             wait_us: queue_us * view.slowdown() + fetch_us,
+            deferred_wait_us: self.whole_queue_us(view) * view.slowdown() + fetch_us,
             read_us: read_us * view.slowdown(),
             read_tokens,
             fetches_from: source.cloned(),
--- a/crates/tealsaddle-core/src/fleet/stage_load.rs
+++ b/crates/tealsaddle-core/src/fleet/stage_load.rs
@@ -6,7 +6,6 @@
 //! events than all others.
 
 use super::load::ReportedLoad;
-use super::standing_queue::StandingQueue;
 
 /// Half-life of the observations of load.
 const HALF_LIFE_US: f64 = 2e6;
@@ -139,8 +138,6 @@
     pub objective_us: DecayingMean,
     /// What the streams need.
     pub demand: StreamDemand,
-    /// Whether requests wait for longer than they should.
-    pub queue: StandingQueue,
 }
 
 impl StageLoad {
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -65,8 +65,6 @@
     Withheld(HoldReason),
     /// The request is not expected to be answered by its deadline.
     DeadlineInfeasible,
-    /// More prompts come than can be read, and the answer would begin late.
-    Overloaded,
     /// A part of the prompt crashes the runners.
     QuarantinedPart,
     /// The request crashes the runners.
@@ -97,7 +95,6 @@
             Self::StreamVersionGone => "stream_version_gone",
             Self::Withheld(reason) => reason.as_str(),
             Self::DeadlineInfeasible => "deadline_infeasible",
-            Self::Overloaded => "overloaded",
             Self::QuarantinedPart => "quarantined_part",
             Self::QuarantinedRequest => "quarantined_request",
             Self::Stopping => "stopping",
@@ -134,7 +131,6 @@
             | Self::StreamVersionGone
             | Self::Withheld(_)
             | Self::DeadlineInfeasible
-            | Self::Overloaded
             | Self::QuarantinedPart
             | Self::QuarantinedRequest
             | Self::Stopping
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -9,6 +9,7 @@
 
 use hyper::http;
 use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::admission::Turn;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
 use tealsaddle_core::fleet::placement::PlacementRequest;
 use tealsaddle_core::fleet::quarantine::subject::RequestDigest;
@@ -113,6 +114,8 @@
 pub struct CallState {
     /// Number of runners that may run the request. A runner whose attempt has failed does not count.
     maybe_running: AtomicU32,
+    /// Whether prefill runners read the prompt after those of requests that can be on time.
+    is_deferred: AtomicBool,
     /// Whether a prefill runner has read the prompt. Reading it once more is a retry.
     has_been_read: AtomicBool,
     /// The trial that this request is; empty for all other requests.
@@ -143,6 +146,17 @@
 }
 
 impl CallState {
+    /// Records when prefill runners read the prompt.
+    pub fn set_turn(&self, turn: Turn) {
+        let is_deferred = turn == Turn::Deferred;
+        self.is_deferred.store(is_deferred, Ordering::Relaxed);
+    }
+
+    /// Whether prefill runners read the prompt after those of requests that can be on time.
+    pub fn is_deferred(&self) -> bool {
+        self.is_deferred.load(Ordering::Relaxed)
+    }
+
     /// Records that a prefill runner has read the prompt.
     pub fn on_prompt_read(&self) {
         self.has_been_read.store(true, Ordering::Relaxed);
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -39,6 +39,8 @@
 /// After a failure to connect, a further prefill attempt is not deducted from the retry budget while fewer
 /// than this many attempts have failed.
 const MAX_UNSENT_PREFILLS: usize = 3;
+/// Steps of urgency by which the reads of deferred requests come after others.
+const DEFERRAL: u32 = 4;
 /// Largest answer of a prefill runner.
 const MAX_HANDLE_BYTES: usize = 4 << 10;
 /// Timeout of a call that frees the KV cache of a handle.
@@ -272,6 +274,7 @@
         let work = Work {
             read_tokens: placement.read_tokens,
             kv_tokens: 0,
+            is_deferred: self.state.is_deferred(),
         };
         let runner = &placement.runner;
         let mut attempt = self.gateway.scheduler.begin_attempt(runner, work);
@@ -299,10 +302,20 @@
         result
     }
 
+    /// Urgency with which a prefill runner reads the prompt; 0 is the most urgent.
+    fn read_urgency(&self) -> u32 {
+        let deferral = if self.state.is_deferred() {
+            DEFERRAL
+        } else {
+            0
+        };
+        self.route.priority + deferral
+    }
+
     /// Metadata of a request to the prefill runner.
     fn prefill_metadata<'a>(&self, placement: &'a Placement) -> SendMetadata<'a> {
         SendMetadata {
-            urgency: Some(self.route.priority),
+            urgency: Some(self.read_urgency()),
             is_prefill_only: true,
             fetches_from: placement.fetches_from.as_ref().map(|source| source.address),
             remaining: self.first_event_remaining(),
@@ -319,6 +332,7 @@
         log::info!(id:% = self.request_id, runner:% = placement.runner.id,
             expected_ms = (placement.wait_us + placement.read_us) as u64 / 1_000,
             took_ms = attempt.elapsed_us() / 1_000, read_tokens = placement.read_tokens,
+            is_deferred = self.state.is_deferred(),
             fetched_from:% = placement.fetches_from.as_ref().map_or("-", |r| &r.id);
             "prompt read");
         self.state.on_prompt_read();
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -176,23 +176,6 @@
         times.generation_us(output_tokens, batch)
     }
 
-    /// Records the expected time to the first event of a request; returns whether it would be late because of a queue that
-    /// does not empty.
-    pub fn is_late_in_standing_queue(
-        &self,
-        service: &Name,
-        expected: Duration,
-        objective: Duration,
-    ) -> bool {
-        let mut state = self.state();
-        let load = state.stage_loads.entry(Name::clone(service)).or_default();
-        load.queue.on_request(
-            expected.as_micros() as f64,
-            objective.as_micros() as f64,
-            clock::now_us(),
-        )
-    }
-
     /// Records what a stream needs that has been placed: the expected output, and the time from its first event to its
     /// deadline.
     pub fn on_stream_placed(&self, service: &Name, output_tokens: u64, allowed: Duration) {
@@ -349,18 +332,19 @@
     /// Records that the runner has read the prompt. `capacity_tokens` is the size of its whole KV cache.
     pub fn on_prefill_end(&mut self, parts: &[PromptPart], capacity_tokens: u64) {
         let took_us = self.elapsed_us();
-        let read_tokens = std::mem::take(&mut self.work.read_tokens);
+        let work = self.work;
+        self.work.read_tokens = 0;
         let mut state = self.scheduler.state();
         let nodes = nodes_sharing(state.nodes);
-        if self.is_only_prefill && read_tokens > 0 {
+        if self.is_only_prefill && work.read_tokens > 0 && !work.is_deferred {
             let service_stats = state
                 .service_stats
                 .entry(Name::clone(&self.service))
                 .or_default();
-            service_stats.on_read(read_tokens, took_us);
+            service_stats.on_read(work.read_tokens, took_us);
         }
         if let Some(view) = state.views.get_mut(&self.runner) {
-            view.on_read(read_tokens);
+            view.on_read(work);
             let capacity = capacity_tokens as f64 * CACHE_SHARE / nodes;
             view.cached_parts.on_read(parts, capacity as u64);
         }
@@ -416,8 +400,12 @@
         load.or_default().demand.push(need, clock::now_us());
     }
 
-    /// Records the duration of a prefill, to be compared with the one expected of a runner of average speed.
+    /// Records the duration of a prefill, to be compared with the one expected of a runner of average speed. That of a
+    /// deferred one depends on the requests after it and is left out.
     pub fn on_prefill_time(&self, expected_us: f64) {
+        if self.work.is_deferred {
+            return;
+        }
         let took_us = self.elapsed_us() as f64;
         self.with_view(|view| view.on_duration(took_us, expected_us));
     }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hyper::http;
-use tealsaddle_core::fleet::admission::{Candidate, Reason};
+use tealsaddle_core::fleet::admission::{Candidate, FirstEvent};
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::decode::should_read_itself;
 use tealsaddle_core::fleet::load::Work;
@@ -392,18 +392,14 @@
         decode: &Placement,
         attempts: &Attempts,
     ) -> Result<(), Refusal> {
-        let read = prefill.map_or(micros(decode.read_us), |r| micros(r.until_first_event_us()));
-        let wait = micros(decode.wait_us);
+        let first_event = expected_first_event(prefill, decode);
+        let expected = micros(first_event.in_turn_us);
+        let read = micros(prefill.map_or(decode.read_us, Placement::until_first_event_us));
         let left = self.first_event_remaining();
-        let expected = if prefill.is_some() {
-            read.max(wait)
-        } else {
-            read + wait
-        };
         log::info!(id:% = self.request_id, route:% = self.route.name,
             reader:% = prefill.map_or("-", |r| &r.runner.id), decoder:% = decode.runner.id,
             read_tokens = prefill.map_or(decode.read_tokens, |r| r.read_tokens),
-            read_ms = read.as_millis() as u64, wait_ms = wait.as_millis() as u64,
+            read_ms = read.as_millis() as u64, wait_ms = micros(decode.wait_us).as_millis() as u64,
             output_tokens = self.metadata.expected_output_tokens(),
             generation_ms = micros(decode.generation_us).as_millis() as u64,
             left_ms = left.as_millis() as u64, config_version = self.config.version,
@@ -413,32 +409,30 @@
         if attempts.failed() > 0 {
             return Ok(());
         }
-        let scheduler = &self.gateway.scheduler;
-        let objective = Duration::from_millis(self.route.objective_ms);
         let candidate = Candidate {
+            objective_us: self.route.objective_ms as f64 * 1e3,
             first_event_left_us: left.as_micros() as f64,
             left_us: self.remaining().as_micros() as f64,
-            first_event_us: expected.as_micros() as f64,
+            first_event,
             decode,
-            is_late_in_standing_queue: scheduler.is_late_in_standing_queue(
-                &self.service,
-                expected,
-                objective,
-            ),
         };
-        candidate.check().map_err(|rejection| {
-            let answer = match rejection.reason {
-                Reason::DeadlineInfeasible => GatewayAnswer::DeadlineInfeasible,
-                Reason::Overloaded => GatewayAnswer::Overloaded,
-            };
-            (answer, micros(rejection.wait_us))
-        })
+        match candidate.check() {
+            Ok(turn) => {
+                self.state.set_turn(turn);
+                Ok(())
+            }
+            Err(infeasible) => Err((
+                GatewayAnswer::DeadlineInfeasible,
+                micros(infeasible.wait_us),
+            )),
+        }
     }
 
     fn begin_decode(&self, decode: &Placement) -> RunnerAttempt {
         let work = Work {
             read_tokens: decode.read_tokens,
             kv_tokens: self.placement_request().kv_tokens,
+            is_deferred: false,
         };
         let scheduler = &self.gateway.scheduler;
         let output_tokens = self.metadata.expected_output_tokens();
@@ -486,6 +480,21 @@
     }
 }
 
+/// Expected times until the first event, with a prefill runner or at a decode runner that reads the prompt itself.
+fn expected_first_event(prefill: Option<&Placement>, decode: &Placement) -> FirstEvent {
+    let Some(prefill) = prefill else {
+        let in_turn_us = decode.wait_us + decode.read_us;
+        return FirstEvent {
+            in_turn_us,
+            deferred_us: in_turn_us,
+        };
+    };
+    FirstEvent {
+        in_turn_us: prefill.until_first_event_us().max(decode.wait_us),
+        deferred_us: prefill.until_deferred_first_event_us().max(decode.wait_us),
+    }
+}
+
 /// Converts microseconds to a duration; negative values count as zero.
 pub fn micros(us: f64) -> Duration {
     Duration::from_micros(us.max(0.0) as u64)
