--- a/crates/tealsaddle-core/tests/it/fleet/load.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/load.rs
@@ -83,6 +83,7 @@
     view.on_request_start(Work {
         read_tokens: 100,
         kv_tokens: 100,
+        is_deferred: false,
     });
     view.cached_parts.on_read(&parts, 100_000);
     view.on_process_start(1);
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions for a fleet whose runners register themselves.
 
+mod admission;
 mod change_histories;
 mod change_sim;
 mod config;
--- a/crates/tealsaddle-core/tests/it/fleet/placement.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/placement.rs
@@ -113,6 +113,7 @@
         view.on_request_start(Work {
             read_tokens: queued_tokens,
             kv_tokens: 0,
+            is_deferred: false,
         });
         views.insert(Name::clone(&home), view);
         Name::clone(&place_prefill(&views, &runners, &parts).runner.id)
@@ -217,6 +218,7 @@
     view.on_request_start(Work {
         read_tokens: 30_000,
         kv_tokens: 0,
+        is_deferred: false,
     });
     let placement = place_prefill(&views, &runners, &parts);
     let source =
@@ -309,6 +311,7 @@
         view.on_request_start(Work {
             read_tokens: 0,
             kv_tokens: 99_000,
+            is_deferred: false,
         });
         views.insert(Name::clone(&runner.id), view);
     }
@@ -424,3 +427,40 @@
     let prefill = place_prefill(&views, &prefill_runners(2), &parts);
     assert_eq!(should_read_itself(&own, &prefill), expected);
 }
+
+/// Guards against requests that count deferred ones as ahead of them, by which all would be deferred in turn.
+#[test]
+fn deferred_reads_delay_only_deferred_requests() {
+    let runners = prefill_runners(1);
+    let mut views = RunnerViews::default();
+    let view = views.entry(Name::clone(&runners[0].id)).or_default();
+    for is_deferred in [true, true, true, false] {
+        view.on_request_start(Work {
+            read_tokens: 10_000,
+            kv_tokens: 0,
+            is_deferred,
+        });
+    }
+    view.on_report(
+        ReportedLoad {
+            running: 12,
+            waiting: 0,
+            slots: 64,
+        },
+        NOW_US,
+    );
+    let placement = place_prefill(&views, &runners, &prompt(1, 100, 2, 50));
+    let stats = ServiceStats::default();
+    let own_read_us = 10_000.0 * stats.read_us_per_token;
+    let others_us = 8.0 * (stats.read_us + 15_000.0);
+    let expected_us = own_read_us + others_us / 4.0;
+    assert!(
+        (placement.wait_us - expected_us).abs() < 1.0,
+        "{placement:?}"
+    );
+    let whole_us = 4.0 * own_read_us + others_us;
+    assert!(
+        (placement.deferred_wait_us - whole_us).abs() < 1.0,
+        "{placement:?}"
+    );
+}
--- a/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
@@ -97,6 +97,7 @@
         let work = Work {
             read_tokens: choice.read_tokens,
             kv_tokens: 0,
+            is_deferred: false,
         };
         view.on_request_start(work);
         let source = choice
--- a/crates/tealsaddle-core/tests/it/fleet/stage_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/stage_histories.rs
@@ -32,7 +32,7 @@
     runners: 12,
     has_slow_runners: true,
     estimates: Some(1.0),
-    has_admission: true,
+    has_deferral: true,
     seconds: 34,
     rates: phases,
 };
@@ -104,11 +104,15 @@
     };
     let outcome = play(load);
     let without = play(Load {
-        has_admission: false,
+        has_deferral: false,
         ..load
     });
     assert!(without.short_on_time < 0.4, "{without}");
     assert!(outcome.short_on_time > 0.6, "{outcome}");
+    assert!(
+        outcome.short_served > without.short_served - 0.02,
+        "{outcome}; without {without}"
+    );
 }
 
 /// The loads above, beside a split that stays as it is.
--- a/crates/tealsaddle-core/tests/it/fleet/stage_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/stage_sim.rs
@@ -1,21 +1,23 @@
 //! A model service under load in virtual time: runners of both stages, callers with short and with long answers, and a
 //! planner that orders changes of stage.
 //!
-//! Prefill runners read one prompt after the other. A decode runner generates all its streams in one batch, whose step
+//! Prefill runners read one prompt after the other, those of deferred requests last. A decode runner generates all its streams in one batch, whose step
 //! takes longer for each of them. A runner that is ordered to change its stage ends its work, switches, and then gets
 //! requests of the other stage. The decisions are those of the core; only the time is simulated.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::admission::{Candidate, FirstEvent, Turn};
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::decode::{DecodeQuery, choose_decode};
 use tealsaddle_core::fleet::generation::GeneratedStream;
 use tealsaddle_core::fleet::load::{ReportedLoad, Work};
 use tealsaddle_core::fleet::needs::{StageNeeds, mean_batch};
-use tealsaddle_core::fleet::placement::{PlacementRequest, RunnerViews, ServiceStats};
+use tealsaddle_core::fleet::placement::{Placement, PlacementRequest, RunnerViews, ServiceStats};
 use tealsaddle_core::fleet::split::{Pool, plan};
 use tealsaddle_core::fleet::stage_load::{StageLoad, StreamNeed};
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
@@ -58,6 +60,10 @@
         }
     }
 
+    fn read_us(self) -> f64 {
+        self.prompt_tokens() as f64 * READ_US_PER_TOKEN + 15_000.0
+    }
+
     const fn max_output_tokens(self) -> f64 {
         match self {
             Self::Short => 252.0,
@@ -93,8 +99,8 @@
     pub has_slow_runners: bool,
     /// Factor on the callers' estimates of their outputs, which are off by half besides; `None` for callers who make none.
     pub estimates: Option<f64>,
-    /// Whether requests are refused that would be late because of a queue that does not empty.
-    pub has_admission: bool,
+    /// Whether the prompts of requests that would be late are read after those of others.
+    pub has_deferral: bool,
     pub seconds: u64,
     /// Short and long requests a second for each twelve runners, by the second.
     pub rates: fn(u64) -> (f64, f64),
@@ -105,6 +111,8 @@
 pub struct Outcome {
     /// Short requests whose first event came within the objective.
     pub short_on_time: f64,
+    /// Short requests that were answered at all.
+    pub short_served: f64,
     /// Long answers that were complete by their deadline.
     pub long_served: f64,
     /// The same for the longest tenth of them.
@@ -118,8 +126,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             f,
-            "short on time {:.2}, long served {:.2}, longest tenth {:.2}, by tokens {:.2}, orders {}",
+            "short on time {:.2}, served {:.2}, long served {:.2}, longest tenth {:.2}, by tokens {:.2}, orders {}",
             self.short_on_time,
+            self.short_served,
             self.long_served,
             self.longest_served,
             self.long_tokens_served,
@@ -154,10 +163,12 @@
 struct SimRunner {
     registered: Arc<Runner>,
     slowness: f64,
-    /// End of the last read in the queue.
-    free_us: u64,
-    /// Reads as their ends and the indices of their requests.
-    reads: Vec<(u64, usize)>,
+    /// Requests whose prompts are read in turn.
+    regular: VecDeque<usize>,
+    /// Requests whose prompts are read after those.
+    deferred: VecDeque<usize>,
+    /// Request whose prompt is read now, and the time at which it has been read.
+    reading: Option<(u64, usize)>,
     streams: Vec<usize>,
     ordered: Option<Stage>,
     switched_us: Option<u64>,
@@ -200,8 +211,9 @@
             SimRunner {
                 registered: runner(&format!("r{i}"), zone, Some(stage)),
                 slowness: if is_slow { 1.3 } else { 1.0 },
-                free_us: 0,
-                reads: Vec::new(),
+                regular: VecDeque::new(),
+                deferred: VecDeque::new(),
+                reading: None,
                 streams: Vec::new(),
                 ordered: None,
                 switched_us: None,
@@ -275,31 +287,71 @@
         let now_us = self.now_us;
         let readers = self.runners.iter_mut();
         let readers = readers.filter(|r| r.accepts(Stage::Prefill));
-        let Some(reader) = readers.min_by_key(|r| r.free_us) else {
+        let Some(reader) = readers.min_by_key(|r| r.regular.len()) else {
             return;
         };
-        let took_us = kind.prompt_tokens() as f64 * READ_US_PER_TOKEN * reader.slowness + 15_000.0;
-        let expected_us = reader.free_us.saturating_sub(now_us) as f64 + took_us + HANDOVER_US;
-        let queue = &mut self.stage_load.queue;
-        let is_refused = queue.on_request(expected_us, OBJECTIVE_US as f64, now_us);
-        if is_refused && self.load.has_admission {
-            return;
+        let read_us = |request: &Request| request.kind.read_us() * reader.slowness;
+        let queued = |queue: &VecDeque<usize>| -> f64 {
+            queue.iter().map(|i| read_us(&self.requests[*i])).sum()
+        };
+        let busy_us = reader
+            .reading
+            .map_or(0, |(end_us, _)| end_us.saturating_sub(now_us)) as f64;
+        let own_us = read_us(&self.requests[index]) + HANDOVER_US;
+        let in_turn_us = busy_us + queued(&reader.regular) + own_us;
+        let candidate = Candidate {
+            objective_us: OBJECTIVE_US as f64,
+            first_event_left_us: kind.timeout_us() as f64,
+            left_us: kind.timeout_us() as f64,
+            first_event: FirstEvent {
+                in_turn_us,
+                deferred_us: in_turn_us + queued(&reader.deferred),
+            },
+            decode: &Placement {
+                runner: Arc::clone(&reader.registered),
+                wait_us: 0.0,
+                deferred_wait_us: 0.0,
+                read_us: 0.0,
+                read_tokens: 0,
+                fetches_from: None,
+                nominal_us: 0.0,
+                generation_us: 0.0,
+            },
+        };
+        match candidate.check() {
+            Ok(Turn::Deferred) if self.load.has_deferral => reader.deferred.push_back(index),
+            Ok(Turn::Regular | Turn::Deferred) => reader.regular.push_back(index),
+            Err(_infeasible) => {}
         }
-        reader.free_us = reader.free_us.max(now_us) + took_us as u64;
-        let end_us = reader.free_us;
-        reader.reads.push((end_us, index));
     }
 
-    /// Hands prompts that have been read to decode runners.
+    /// Hands prompts that have been read to decode runners, and begins the next reads.
     fn end_reads(&mut self) {
         let now_us = self.now_us;
         let mut read = Vec::new();
-        for reader in &mut self.runners {
-            for (_end_us, index) in reader.reads.extract_if(.., |(end_us, _)| *end_us <= now_us) {
-                read.push(index);
-            }
-            if !read.is_empty() && reader.registered.stage == Some(Stage::Prefill) {
-                self.stage_load.on_reads(report(reader.reads.len()), now_us);
+        for runner in &mut self.runners {
+            while runner
+                .reading
+                .is_none_or(|(end_us, _index)| end_us <= now_us)
+            {
+                let ended = runner.reading.take();
+                let free_us = ended.map_or(now_us, |(end_us, _index)| end_us);
+                if let Some((_end_us, index)) = ended {
+                    read.push(index);
+                    let left = runner.regular.len() + runner.deferred.len();
+                    self.stage_load.on_reads(report(left), now_us);
+                }
+                let next = runner.regular.pop_front();
+                let Some(index) = next.or_else(|| runner.deferred.pop_front()) else {
+                    break;
+                };
+                let request = &self.requests[index];
+                let took_us = request.kind.read_us() * runner.slowness;
+                let end_us = free_us + took_us as u64;
+                // A runner drops what it cannot read in time.
+                if end_us + (HANDOVER_US as u64) < request.arrived_us + request.kind.timeout_us() {
+                    runner.reading = Some((end_us, index));
+                }
             }
         }
         for index in read {
@@ -353,6 +405,7 @@
         view.on_request_start(Work {
             read_tokens: 0,
             kv_tokens,
+            is_deferred: false,
         });
         view.on_report(report(view.own_requests() as usize), now_us);
         self.stats.on_placed(0, kv_tokens);
@@ -397,6 +450,7 @@
         view.on_request_end(Work {
             read_tokens: 0,
             kv_tokens,
+            is_deferred: false,
         });
         let events = (request.written_tokens.min(request.tokens) / TOKENS_PER_EVENT).ceil() as u64;
         let took_us = self.now_us.saturating_sub(request.first_event_us);
@@ -457,7 +511,7 @@
             let Some(stage) = runner.ordered else {
                 continue;
             };
-            if !runner.reads.is_empty() || !runner.streams.is_empty() {
+            if !runner.is_idle() {
                 continue;
             }
             let switched_us = runner
@@ -486,6 +540,7 @@
         let short: Vec<&Request> = of_kind(Kind::Short, self.now_us - 2 * SECOND_US).collect();
         Outcome {
             short_on_time: share(&short, Request::is_on_time),
+            short_served: share(&short, Request::is_served),
             long_served: share(&long, Request::is_served),
             longest_served: share(longest, Request::is_served),
             long_tokens_served: tokens(&long, Request::is_served) / tokens(&long, |_request| true),
@@ -495,6 +550,12 @@
 }
 
 impl SimRunner {
+    fn is_idle(&self) -> bool {
+        let has_reads =
+            self.reading.is_some() || !self.regular.is_empty() || !self.deferred.is_empty();
+        !has_reads && self.streams.is_empty()
+    }
+
     fn accepts(&self, stage: Stage) -> bool {
         self.registered.stage == Some(stage) && self.ordered.is_none()
     }
