--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -41,8 +41,6 @@
 const MAX_UNSENT_PREFILLS: usize = 3;
 /// Steps of urgency by which the reads of deferred requests come after others.
 const DEFERRAL: u32 = 4;
-/// Time before its deadline at which a deferred request has to have its first event, as expected when its read begins.
-const DEFERRED_MARGIN: Duration = Duration::from_millis(50);
 /// Largest answer of a prefill runner.
 const MAX_HANDLE_BYTES: usize = 4 << 10;
 /// Timeout of a call that frees the KV cache of a handle.
@@ -314,24 +312,13 @@
         self.route.priority + deferral
     }
 
-    /// Time that the prefill runner has. A deferred read has to begin so early that its result is still in time, since
-    /// what the runner reads too late would keep it from those that wait.
-    fn time_to_read(&self, placement: &Placement) -> Duration {
-        let remaining = self.first_event_remaining();
-        if !self.state.is_deferred() {
-            return remaining;
-        }
-        let after_queue = micros(placement.until_first_event_us() - placement.wait_us);
-        remaining.saturating_sub(after_queue + DEFERRED_MARGIN)
-    }
-
     /// Metadata of a request to the prefill runner.
     fn prefill_metadata<'a>(&self, placement: &'a Placement) -> SendMetadata<'a> {
         SendMetadata {
             urgency: Some(self.read_urgency()),
             is_prefill_only: true,
             fetches_from: placement.fetches_from.as_ref().map(|source| source.address),
-            remaining: self.time_to_read(placement),
+            remaining: self.first_event_remaining(),
             ..self.send_metadata(&placement.runner.id)
         }
     }
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -154,10 +154,6 @@
                     continue;
                 };
                 self.kv_guard = call.prefill(engine, prefill).await;
-                if self.kv_guard.is_none() && call.state.is_deferred() {
-                    // No runner came to read the prompt, and a decode runner would take longer.
-                    return Err((GatewayAnswer::DeadlineInfeasible, Duration::ZERO));
-                }
             }
             // The prompt may have been read for long.
             call.check_quarantine()?;
