Ask other nodes where a stream goes on unless the own knowledge of versions is current

What callers would see: a node that is out of step for some seconds while runners of a new software version register takes a stream up that began on one of them, and goes on at the old version: it knows one version only, and takes that for granted. Cause: gateway::versions had no age of what it knows.

Change: a node whose knowledge of the store is older than 100 ms asks the nodes that would have been told of the stream, also if it knows one version only. It goes on if they do not know the stream, and without their answers only if its knowledge is not in doubt; otherwise it refuses before anything runs.

--- a/crates/tealsaddle-core/src/fleet/continuation.rs
+++ b/crates/tealsaddle-core/src/fleet/continuation.rs
@@ -171,6 +171,30 @@
     pub told: Option<Name>,
     /// Number of those that do not know it, and have run for longer than a stream lives.
     pub denials: usize,
+    /// Whether as many have answered as would have been told of a stream of another version.
+    pub is_quorum: bool,
+}
+
+/// How old a node's knowledge of the registered versions is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Currency {
+    /// So new that no runner of a version that the node does not know can have begun a stream.
+    Current,
+    /// A version may have come that the node does not know, but only just now.
+    Recent,
+    /// The node may have been out of step with the others for long.
+    Doubtful,
+}
+
+/// What a node knows of the versions of a service.
+#[derive(Debug, Clone, Copy)]
+pub struct VersionKnowledge<'a> {
+    /// Versions that may have begun a stream that lives now.
+    pub history: &'a VersionHistory,
+    /// Whether the node knows of all versions that have served within the life of a stream.
+    pub is_complete: bool,
+    /// How old the knowledge of the registered versions is.
+    pub currency: Currency,
 }
 
 /// Where a stream may go on.
@@ -184,20 +208,25 @@
     AskOthers,
 }
 
-/// Decides where a stream may go on. `remembered` is what this node knows of the stream, `answers` what the others say if
-/// they were asked, and `is_complete` whether this node knows of all versions that have served within its life.
+/// Decides where a stream may go on. `remembered` is what this node knows of the stream, and `answers` what the others say
+/// if they were asked.
 pub fn continuation(
     remembered: Option<&Name>,
-    history: &VersionHistory,
-    is_complete: bool,
+    knowledge: VersionKnowledge<'_>,
     answers: Option<&Answers>,
 ) -> Continuation {
+    let VersionKnowledge {
+        history,
+        is_complete,
+        currency,
+    } = knowledge;
     if let Some(version) = remembered {
         return Continuation::At(Name::clone(version));
     }
     let live = history.live();
-    if let [only] = live.as_slice()
-        && is_complete
+    let only = live.first().filter(|_| live.len() == 1 && is_complete);
+    if let Some(only) = only
+        && currency == Currency::Current
     {
         return Continuation::At(Name::clone(only));
     }
@@ -207,6 +236,11 @@
     if let Some(version) = &answers.told {
         return Continuation::At(Name::clone(version));
     }
+    if let Some(only) = only
+        && (answers.is_quorum || currency == Currency::Recent)
+    {
+        return Continuation::At(Name::clone(only));
+    }
     // Streams of other versions than the base are passed on only once a quorum knows of them.
     match history.base() {
         Some(base) if is_complete && answers.denials >= QUORUM => {
--- a/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
@@ -11,7 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::continuation::{
-    Answers, Continuation, HOLDERS, QUORUM, StreamMemory, Times, VersionHistory, continuation,
+    Answers, Continuation, Currency, HOLDERS, QUORUM, StreamMemory, Times, VersionHistory,
+    VersionKnowledge, continuation,
 };
 use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::name::Name;
@@ -258,7 +259,12 @@
                 });
                 let remembered = this.memory.get(&stream.id);
                 let answers = (way == Way::Told).then_some(answers);
-                continuation(remembered, &this.history, true, answers.as_ref())
+                let knowledge = VersionKnowledge {
+                    history: &this.history,
+                    is_complete: true,
+                    currency: Currency::Current,
+                };
+                continuation(remembered, knowledge, answers.as_ref())
             }
         };
         if let Continuation::At(version) = decided
@@ -357,3 +363,35 @@
     assert_eq!(QUORUM * 2, HOLDERS + 1);
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a node that was out of step while runners of a new version registered: it knows one version only, and
+/// takes the streams of the other one for streams of that.
+#[parameterized(
+    current = { Currency::Current, None, Continuation::At("v1".into()) },
+    recent = { Currency::Recent, None, Continuation::AskOthers },
+    recent_without_answers = { Currency::Recent, Some((None, false)), Continuation::At("v1".into()) },
+    recent_and_told = { Currency::Recent, Some((Some("v2"), false)), Continuation::At("v2".into()) },
+    doubtful = { Currency::Doubtful, None, Continuation::AskOthers },
+    doubtful_and_told = { Currency::Doubtful, Some((Some("v2"), false)), Continuation::At("v2".into()) },
+    doubtful_and_denied = { Currency::Doubtful, Some((None, true)), Continuation::At("v1".into()) },
+    doubtful_without_answers = { Currency::Doubtful, Some((None, false)), Continuation::Unknown },
+)]
+fn node_out_of_step_does_not_take_its_only_version_for_granted(
+    currency: Currency,
+    answers: Option<(Option<&str>, bool)>,
+    expected: Continuation,
+) {
+    let mut history = VersionHistory::default();
+    history.on_registered(vec!["v1".into()], times(0));
+    let knowledge = VersionKnowledge {
+        history: &history,
+        is_complete: true,
+        currency,
+    };
+    let answers = answers.map(|(told, is_quorum)| Answers {
+        told: told.map(Into::into),
+        is_quorum,
+        ..Answers::default()
+    });
+    assert_eq!(continuation(None, knowledge, answers.as_ref()), expected);
+}
--- a/crates/tealsaddle-gateway/src/knowledge.rs
+++ b/crates/tealsaddle-gateway/src/knowledge.rs
@@ -3,10 +3,15 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
+use tealsaddle_core::fleet::continuation::Currency;
 use tealsaddle_core::fleet::knowledge::{FreshnessTerms, Knowledge};
 
 use crate::clock;
 
+/// Time from the registration of a runner within which no caller has got the first event of a stream from it, and has lost
+/// its connection and come back.
+const CURRENT_AGE: Duration = Duration::from_millis(100);
+
 /// The age of the knowledge, written by the control thread and read by requests.
 #[derive(Debug)]
 pub struct KnowledgeClock {
@@ -54,6 +59,17 @@
         self.knowledge().is_doubtful(&self.terms, clock::now_us())
     }
 
+    /// How far runners may have registered that this node does not know.
+    pub fn currency(&self) -> Currency {
+        if self.age() <= CURRENT_AGE {
+            Currency::Current
+        } else if self.is_doubtful() {
+            Currency::Doubtful
+        } else {
+            Currency::Recent
+        }
+    }
+
     fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
         self.knowledge.lock().expect("no holder of the lock panics")
     }
--- a/crates/tealsaddle-gateway/src/stream_version.rs
+++ b/crates/tealsaddle-gateway/src/stream_version.rs
@@ -16,7 +16,10 @@
         }
         let resumes = self.metadata.resumed_id();
         let versions = &self.gateway.versions;
-        let decided = versions.continuation(resumes, &self.service).await;
+        let currency = self.gateway.knowledge.currency();
+        let decided = versions
+            .continuation(resumes, &self.service, currency)
+            .await;
         let answer = match &decided {
             Continuation::At(version) => {
                 self.state.bind_version(version);
--- a/crates/tealsaddle-gateway/src/versions.rs
+++ b/crates/tealsaddle-gateway/src/versions.rs
@@ -13,8 +13,8 @@
 use hyper::StatusCode;
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::continuation::{
-    Answers, Continuation, HOLDERS, QUORUM, StreamMemory, Times, VersionHistory, VersionRecord,
-    continuation,
+    Answers, Continuation, Currency, HOLDERS, QUORUM, StreamMemory, Times, VersionHistory,
+    VersionKnowledge, VersionRecord, continuation,
 };
 use tealsaddle_core::fleet::rendezvous::sort_nodes;
 use tealsaddle_core::name::Name;
@@ -284,8 +284,13 @@
 
     /// Decides at which version a stream may go on whose first event the request `id` has brought; `None` if the caller
     /// does not say which.
-    pub async fn continuation(&self, id: Option<&str>, service: &Name) -> Continuation {
-        let decided = self.decide(id, service, None);
+    pub async fn continuation(
+        &self,
+        id: Option<&str>,
+        service: &Name,
+        currency: Currency,
+    ) -> Continuation {
+        let decided = self.decide(id, service, currency, None);
         if decided != Continuation::AskOthers {
             return decided;
         }
@@ -293,18 +298,28 @@
             Some(id) => self.ask_holders(id).await,
             None => Answers::default(),
         };
-        let decided = self.decide(id, service, Some(&answers));
+        let decided = self.decide(id, service, currency, Some(&answers));
         log::info!(id:% = id.unwrap_or("-"), service:%, told:? = answers.told, denials = answers.denials,
-            decided:?; "version of a stream asked of other nodes");
+            is_quorum = answers.is_quorum, currency:?, decided:?; "version of a stream asked of other nodes");
         decided
     }
 
-    fn decide(&self, id: Option<&str>, service: &Name, answers: Option<&Answers>) -> Continuation {
+    fn decide(
+        &self,
+        id: Option<&str>,
+        service: &Name,
+        currency: Currency,
+        answers: Option<&Answers>,
+    ) -> Continuation {
         let state = self.state();
         let remembered = id.and_then(|id| state.memory.get(id));
         let unknown = VersionHistory::default();
-        let history = state.histories.get(service).unwrap_or(&unknown);
-        continuation(remembered, history, state.is_complete(), answers)
+        let knowledge = VersionKnowledge {
+            history: state.histories.get(service).unwrap_or(&unknown),
+            is_complete: state.is_complete(),
+            currency,
+        };
+        continuation(remembered, knowledge, answers)
     }
 
     /// Asks the nodes that would have been told of a stream.
@@ -317,13 +332,18 @@
         };
         let question = StreamVersionQuestion { id: id.to_owned() };
         let mut answers = Answers::default();
+        let others = holders
+            .iter()
+            .filter(|node| Some(**node) != self.own_address);
+        let quorum = QUORUM.min(others.count());
+        let mut answered = 0;
         let mut asked: FuturesUnordered<_> = holders
             .iter()
             .map(|node| {
                 let (question, own) = (&question, &own);
                 async move {
                     if Some(*node) == self.own_address {
-                        return Some(own.clone());
+                        return (false, Some(own.clone()));
                     }
                     let (upstreams, path) = (&self.upstreams, QUESTION_PATH);
                     let sent = peer_message::send(
@@ -334,20 +354,22 @@
                         ASK_TIMEOUT,
                         Connection::Keep,
                     );
-                    sent.await
+                    (true, sent.await)
                 }
             })
             .collect();
-        while let Some(reply) = asked.next().await {
+        while let Some((is_other, reply)) = asked.next().await {
             let Some(StreamVersionReply { version, uptime_us }) = reply else {
                 continue;
             };
+            answered += usize::from(is_other);
             if let Some(version) = version {
                 answers.told = Some(Name::from(version.as_str()));
                 return answers;
             }
             answers.denials += usize::from(uptime_us >= life_us);
         }
+        answers.is_quorum = answered >= quorum;
         answers
     }
 
