Avoid a runner for longer the more often it refuses in a row

What callers saw: after an order to read prompts, a decode runner refuses all requests until its streams have ended. Change: each refusal in a row doubles the time, up to 2.4 s; an answer ends it. The new test failed before (a refusal each 150 ms).

--- a/crates/tealsaddle-core/src/fleet/load.rs
+++ b/crates/tealsaddle-core/src/fleet/load.rs
@@ -42,8 +42,11 @@
 const REPORT_HALF_LIFE_US: f64 = 1e6;
 /// Time for which a runner is avoided after it was unreachable once.
 const UNREACHABLE_BACKOFF_US: u64 = 1_000_000;
-/// Time for which a runner is avoided after it refused a request.
+/// Time for which a runner is avoided after it refused a request; each refusal in a row doubles it. A runner that changes
+/// its stage refuses all requests for seconds, and looks idle meanwhile.
 const REFUSED_BACKOFF_US: u64 = 150_000;
+/// Largest number of times that this time is doubled.
+const MAX_REFUSED_DOUBLINGS: u32 = 4;
 /// Longest backoff of an unreachable runner; each failure in a row doubles the backoff.
 const MAX_UNREACHABLE_BACKOFF_US: u64 = 8_000_000;
 
@@ -65,6 +68,7 @@
     failure_rate: f64,
     failed_at_us: u64,
     consecutive_unreachable: u32,
+    consecutive_refused: u32,
     avoid_until_us: u64,
     answered_at_us: u64,
     unreachable_at_us: u64,
@@ -87,6 +91,7 @@
             failure_rate: 0.0,
             failed_at_us: 0,
             consecutive_unreachable: 0,
+            consecutive_refused: 0,
             avoid_until_us: 0,
             answered_at_us: 0,
             unreachable_at_us: 0,
@@ -184,6 +189,7 @@
         self.answered_at_us = now_us;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
         self.consecutive_unreachable = 0;
+        self.consecutive_refused = 0;
         self.unreachable_at_us = 0;
         self.avoid_until_us = 0;
     }
@@ -194,9 +200,15 @@
         self.failed_at_us = now_us;
     }
 
-    /// Records a refusal: the runner is full or is changing its stage.
+    /// Records a refusal: the runner is full or is changing its stage. During a backoff further ones do not extend it: the
+    /// requests that were sent before are refused together.
     pub fn on_refused(&mut self, now_us: u64) {
-        self.avoid_until_us = self.avoid_until_us.max(now_us + REFUSED_BACKOFF_US);
+        if self.is_avoided(now_us) {
+            return;
+        }
+        let doublings = self.consecutive_refused.min(MAX_REFUSED_DOUBLINGS);
+        self.consecutive_refused += 1;
+        self.avoid_until_us = now_us + (REFUSED_BACKOFF_US << doublings);
     }
 
     /// Records a connection that was refused or reset, or on which no answer came. During a backoff further
--- a/crates/tealsaddle-core/tests/it/fleet/load.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/load.rs
@@ -92,3 +92,21 @@
     assert_eq!(view.cached_parts.cached_tokens(&parts), 0);
     assert_eq!(view.own_requests(), 1);
 }
+
+/// Guards against sending one request after another to a runner that is changing its stage: it refuses them for seconds,
+/// and looks idle. One that is full for a moment gets requests again soon.
+#[test]
+fn backoff_after_refusals_in_a_row_doubles() {
+    let mut view = RunnerView::default();
+    let mut refused_at_ms = Vec::new();
+    for now_ms in 1_000..10_000 {
+        if !view.is_avoided(now_ms * 1_000) {
+            view.on_refused(now_ms * 1_000);
+            refused_at_ms.push(now_ms - 1_000);
+        }
+    }
+    assert_eq!(refused_at_ms, [0, 150, 450, 1_050, 2_250, 4_650, 7_050]);
+    view.on_success(SECOND_US);
+    view.on_refused(20 * SECOND_US);
+    assert!(!view.is_avoided(20 * SECOND_US + 150_000));
+}
