Weigh the time to generate an answer by the part of the time left that it takes

Change: the cost of a decode runner has the time to generate weighted by its ratio to the time left; a long answer still goes where it ends first.

--- a/crates/tealsaddle-core/src/fleet/decode.rs
+++ b/crates/tealsaddle-core/src/fleet/decode.rs
@@ -1,8 +1,9 @@
 //! Choice of the runner that generates the output of a request.
 //!
 //! The decode runner is chosen before the prompt is read, so that no prompt is read for a request that no decode runner
-//! can take. The cost of a runner is the expected time until it has ended the answer: a long answer weighs the batch and
-//! the speed of a runner more than a short one, and so gets the runners that generate faster.
+//! can take. The cost of a runner includes the expected time to generate the answer, the more so the larger a part of the
+//! time left that is: a long answer weighs the batch and the speed of a runner more than a short one, and so gets the
+//! runners that generate faster.
 
 use std::sync::Arc;
 
@@ -99,7 +100,9 @@
             .generation_us(request.output_tokens, active + 1.0)
             * view.slowdown();
         let batch_us = (active + EMPTY_BATCH_REQUESTS) * BATCH_PENALTY_US * view.slowdown();
-        let mut cost = wait_us + queued_us + read_us + batch_us.max(generation_us);
+        // An answer that takes a small part of the time left ends in time at any runner.
+        let weight = (generation_us / request.left_us.max(1.0)).min(1.0);
+        let mut cost = wait_us + queued_us + read_us + batch_us.max(generation_us * weight);
         cost += view.failure_rate_at(now_us) * FAILURE_PENALTY_US;
         cost += request.zone_penalty_us(runner);
         if request.is_doubtful {
--- a/crates/tealsaddle-core/src/fleet/placement.rs
+++ b/crates/tealsaddle-core/src/fleet/placement.rs
@@ -100,6 +100,8 @@
     pub kv_tokens: u64,
     /// Expected output, in tokens; 0 if it is not known or the service generates none.
     pub output_tokens: u64,
+    /// Time until the deadline of the answer, in microseconds.
+    pub left_us: f64,
     /// Availability zone of the node that places the request.
     pub zone: &'a str,
     /// Size of the request's body, in bytes.
--- a/crates/tealsaddle-core/tests/it/fleet/placement.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/placement.rs
@@ -32,6 +32,7 @@
         parts,
         kv_tokens: 1_000,
         output_tokens: 0,
+        left_us: 1e7,
         zone,
         body_bytes: 1_000,
         is_doubtful: false,
--- a/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/pool_sim.rs
@@ -87,6 +87,7 @@
             parts: &parts,
             kv_tokens: 0,
             output_tokens: 0,
+            left_us: 1e7,
             zone: "a",
             body_bytes: 0,
             is_doubtful: false,
--- a/crates/tealsaddle-core/tests/it/fleet/stage_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/stage_sim.rs
@@ -374,6 +374,7 @@
             parts: &parts,
             kv_tokens,
             output_tokens: request.expected_tokens,
+            left_us: (request.arrived_us + request.kind.timeout_us() - now_us) as f64,
             zone: "a",
             body_bytes: 0,
             is_doubtful: false,
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -365,6 +365,7 @@
             parts: &self.metadata.parts,
             kv_tokens: prompt_tokens(&self.metadata.parts) + self.metadata.output_tokens,
             output_tokens: self.metadata.expected_output_tokens(),
+            left_us: self.remaining().as_micros() as f64,
             zone: &self.gateway.config.zone,
             body_bytes: self.request.body_bytes(),
             is_doubtful: self.state.trial().is_some(),
