--- a/crates/tealsaddle-core/src/fleet/split.rs
+++ b/crates/tealsaddle-core/src/fleet/split.rs
@@ -4,7 +4,7 @@
 //! first requests the split follows a default. Then it follows the [needs](super::needs) of both stages: runners move
 //! to the stage that lacks time if that gains more than the other stage loses and than the change costs. A change takes
 //! a runner out of both stages until its requests have ended and it has switched, so a gain counts only for the rest of
-//! [`PAYBACK_MS`]. Too few decode runners block the whole service, so there is a minimum of them.
+//! `PAYBACK_MS`. Too few decode runners block the whole service, so there is a minimum of them.
 
 use std::sync::Arc;
 
--- a/crates/tealsaddle-core/src/fleet/stage_load.rs
+++ b/crates/tealsaddle-core/src/fleet/stage_load.rs
@@ -108,7 +108,7 @@
         class.allowed_us += need.allowed_us;
     }
 
-    /// Returns the stream that needs shorter times between events than all but [`TIGHTEST_SHARE`] of the output; `None`
+    /// Returns the stream that needs shorter times between events than nine tenths of the output; `None`
     /// if none was recorded lately.
     pub fn tightest(&self, now_us: u64) -> Option<StreamNeed> {
         if now_us.saturating_sub(self.at_us) >= STALE_US {
