Write the store less often at a common start of many nodes

Two of a node's three writes are not needed: it registers again as the first listing, which may be stale, lacks its key, and all nodes apply for the authority to order as that listing names no holder.

Change: a key that is younger than the lag of a stale listing is not written again; of more than sixteen nodes the sixteen first by rank apply at once, the others if two listings in a row name no holder. Before a node serves anyone it pauses for 1.8 s between two waits for changes.

--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -31,6 +31,9 @@
 const START_BATCH_PAUSE: Duration = Duration::from_millis(700);
 /// Length of that time.
 const START_TIME: Duration = Duration::from_secs(3);
+/// The same before this node serves anyone: at a common start the registered nodes are listed meanwhile, so that most
+/// nodes hear of the following changes from others.
+const UNREADY_BATCH_PAUSE: Duration = Duration::from_millis(1_800);
 /// Longest pause while all sources have failed. A store that recovers may hang for one who does not ask again.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
 
@@ -234,13 +237,7 @@
                 self.must_list = false;
                 self.control.on_store_call(None);
                 if heard.has_changes {
-                    let is_starting = self.started.elapsed() < START_TIME;
-                    let pause = if is_starting {
-                        START_BATCH_PAUSE
-                    } else {
-                        BATCH_PAUSE
-                    };
-                    tokio::time::sleep(pause).await;
+                    tokio::time::sleep(self.batch_pause()).await;
                 }
             }
             Source::Peer(peer) => {
@@ -249,6 +246,17 @@
         }
     }
 
+    /// Pause after changes from the store.
+    fn batch_pause(&self) -> Duration {
+        if !self.control.gateway.snapshot.load().is_ready() {
+            UNREADY_BATCH_PAUSE
+        } else if self.started.elapsed() < START_TIME {
+            START_BATCH_PAUSE
+        } else {
+            BATCH_PAUSE
+        }
+    }
+
     async fn on_failure(&mut self, source: Source, failure: &Failure) {
         match failure {
             Failure::Store(StoreError::HistoryGone) => {
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -18,12 +18,15 @@
 use crate::scheduler::ASSUMED_NODES;
 
 /// Prefix of the keys under which nodes register.
-const NODES: &str = "tealsaddle/nodes/";
+pub const NODES: &str = "tealsaddle/nodes/";
 /// Time after the last renewal at which the store ends a node's lease.
 pub const LEASE_TTL: Duration = Duration::from_secs(8);
 /// Time after the last accepted count for which a lower one is ignored.
 const LOWER_COUNT_DELAY_US: u64 = 10_000_000;
 
+/// Largest age of a listing that the store may give without asking its replicas.
+const LISTING_LAG_US: u64 = 4_000_000;
+
 /// The node's lease.
 #[derive(Debug, Clone, Copy)]
 pub struct Lease {
@@ -39,6 +42,8 @@
     control: Arc<Control>,
     lease: Option<Lease>,
     nodes: NodeCount,
+    /// When the node last wrote its key.
+    registered_us: u64,
 }
 
 /// Number of nodes that share the retry budgets. A lower number is accepted only after a delay: after a
@@ -70,6 +75,7 @@
                 nodes: ASSUMED_NODES,
                 accepted_us: clock::now_us(),
             },
+            registered_us: 0,
         }
     }
 
@@ -111,7 +117,8 @@
         Ok(())
     }
 
-    async fn register(&self, lease: u64) -> Result<(), StoreError> {
+    async fn register(&mut self, lease: u64) -> Result<(), StoreError> {
+        self.registered_us = clock::now_us();
         let config = &self.control.gateway.config;
         let node = &config.node;
         let peer_address = config.peer_listen.map(|address| address.to_string());
@@ -138,8 +145,11 @@
         self.count_nodes(items);
         let own = format!("{NODES}{}", self.control.gateway.config.node);
         match self.lease {
-            // The store may have lost the key without ending the lease.
-            Some(lease) if !items.iter().any(|item| item.key == own) => {
+            // The store may have lost the key without ending the lease. A listing may be older than the key.
+            Some(lease)
+                if clock::now_us() >= self.registered_us + LISTING_LAG_US
+                    && !items.iter().any(|item| item.key == own) =>
+            {
                 self.register(lease.id).await
             }
             Some(_) | None => Ok(()),
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -7,6 +7,7 @@
 //! how many orders the runner must have accepted before, a number that the runner has just reported. A
 //! delayed copy of an order is therefore refused once the runner has accepted any other order.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::lease::{Authority, LeaseTerms};
 use tealsaddle_core::fleet::needs::StageNeeds;
+use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::fleet::split::{self, Pool, StageMove};
 use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
@@ -22,7 +24,7 @@
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
 use crate::external::{Item, KeyRevision, Put, StageOrder, Transaction};
-use crate::membership::{LEASE_TTL, Lease};
+use crate::membership::{self, LEASE_TTL, Lease};
 use crate::upstream::{Reuse, Upstreams};
 
 /// Prefix of the keys of intents, one per runner.
@@ -40,6 +42,13 @@
 /// Time for which an order without a visible effect may still be executed.
 const PENDING_TIMEOUT_US: u64 = 15_000_000;
 
+/// Number of nodes that apply for the authority as soon as no node holds it.
+const APPLICANTS: usize = 16;
+/// Number of listings in a row without a holder from which every node applies.
+const MISSED_HOLDERS: u32 = 2;
+/// What the nodes are ranked for.
+const HOLDER_RANK: u64 = 1;
+
 /// Record of an order in the store, written before the order is sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Intent {
@@ -79,6 +88,8 @@
     upstreams: Arc<Upstreams>,
     authority: Option<Authority>,
     pending: HashMap<String, Pending>,
+    /// Number of listings in a row without a holder.
+    missed_holders: u32,
 }
 
 impl Orders {
@@ -89,6 +100,7 @@
             upstreams: Upstreams::open(),
             authority: None,
             pending: HashMap::default(),
+            missed_holders: 0,
         }
     }
 
@@ -132,14 +144,36 @@
     ) -> Result<(), StoreError> {
         self.adopt_intents(items);
         let has_holder = items.iter().any(|item| item.key == HOLDER_KEY);
+        if has_holder {
+            self.missed_holders = 0;
+            return Ok(());
+        }
+        self.missed_holders += 1;
         match lease {
-            Some(lease) if self.authority.is_none() && !has_holder && !self.is_stopping() => {
+            Some(lease)
+                if self.authority.is_none() && !self.is_stopping() && self.may_apply(items) =>
+            {
                 self.acquire_authority(lease).await
             }
             Some(_) | None => Ok(()),
         }
     }
 
+    /// Whether this node is one of the few that apply for the authority at once, or none of them has got it. If all nodes
+    /// wrote at the same time, the number of writes would grow with the number of nodes.
+    fn may_apply(&self, items: &[Item]) -> bool {
+        let mut nodes: Vec<&str> = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(membership::NODES))
+            .collect();
+        let own = &*self.control.gateway.config.node;
+        nodes.push(own);
+        nodes.sort_by_cached_key(|node| Reverse(rendezvous_weight(HOLDER_RANK, node)));
+        nodes.dedup();
+        let applicants = &nodes[..nodes.len().min(APPLICANTS)];
+        self.missed_holders >= MISSED_HOLDERS || applicants.contains(&own)
+    }
+
     fn is_stopping(&self) -> bool {
         self.control.gateway.is_stopping()
     }
