--- /dev/null
+++ b/review/standin/runner.rs
@@ -0,0 +1,258 @@
+//! Stand-in for a runner: a process of a service that registers itself in the store.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime};
+
+use crate::http::{self, Message};
+use crate::json;
+use crate::record::Record;
+use crate::store::Store;
+
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time from the acceptance of an order until the runner has changed its stage.
+const SWITCH: Duration = Duration::from_secs(3);
+
+/// A request that has arrived.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    pub id: String,
+}
+
+/// An order that has arrived.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub at: Instant,
+    pub holder: String,
+    pub fence: u64,
+}
+
+struct State {
+    stage: Option<&'static str>,
+    orders_accepted: u64,
+    is_busy: bool,
+    is_leaving: bool,
+    /// Orders get no answer and are carried out after this time.
+    orders_late: Option<Duration>,
+    limit: Option<u32>,
+    running: usize,
+    arrivals: Vec<Arrival>,
+    orders: Vec<Order>,
+    first_limited: Option<Instant>,
+}
+
+#[derive(Clone)]
+pub struct Runner {
+    pub id: String,
+    service: String,
+    zone: String,
+    work: Duration,
+    pub address: SocketAddr,
+    born: u64,
+    state: Arc<Mutex<State>>,
+    store: Store,
+    record: Record,
+}
+
+impl Runner {
+    /// Starts a runner, which registers at once. `stage` is set for a model runner.
+    pub fn start(id: &str, service: &str, stage: Option<&'static str>, work: Duration, store: &Store, record: &Record) -> Result<Self, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+        let runner = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: "hall-1".to_owned(),
+            work,
+            address: listener.local_addr().map_err(|error| error.to_string())?,
+            born,
+            state: Arc::new(Mutex::new(State {
+                stage,
+                orders_accepted: 0,
+                is_busy: false,
+                is_leaving: false,
+                orders_late: None,
+                limit: None,
+                running: 0,
+                arrivals: Vec::new(),
+                orders: Vec::new(),
+                first_limited: None,
+            })),
+            store: store.clone(),
+            record: record.clone(),
+        };
+        runner.register();
+        let beating = runner.clone();
+        std::thread::spawn(move || loop {
+            std::thread::sleep(HEARTBEAT);
+            beating.register();
+        });
+        let accepting = runner.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let runner = accepting.clone();
+                std::thread::spawn(move || runner.serve(stream));
+            }
+        });
+        Ok(runner)
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    fn register(&self) {
+        let state = self.state.lock().unwrap();
+        let stage = state.stage.map_or(String::new(), |stage| format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"));
+        let word = if state.is_leaving { "draining" } else { "ready" };
+        let value = format!(
+            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\"state\":\"{word}\",\
+             \"cold_left_ms\":0,{stage}\"seq\":1,\"born\":{}}}",
+            self.service, self.address, self.zone, self.born
+        );
+        drop(state);
+        self.store.beat(&self.key(), &value, HEARTBEAT * 3);
+    }
+
+    /// Leaves orders unanswered from now on, and carries them out after this time.
+    pub fn set_orders_late(&self, late: Option<Duration>) {
+        self.state.lock().unwrap().orders_late = late;
+    }
+
+    /// Names a limit in all answers from now on.
+    pub fn set_limit(&self, limit: Option<u32>) {
+        self.state.lock().unwrap().limit = limit;
+    }
+
+    pub fn orders(&self) -> Vec<Order> {
+        self.state.lock().unwrap().orders.clone()
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.lock().unwrap().arrivals.clone()
+    }
+
+    /// When the runner first named its limit in an answer.
+    pub fn first_limited(&self) -> Option<Instant> {
+        self.state.lock().unwrap().first_limited
+    }
+
+    pub fn stage(&self) -> Option<&'static str> {
+        self.state.lock().unwrap().stage
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = http::read(&mut reader) {
+            if !self.respond(&request, &mut writer) {
+                return;
+            }
+        }
+    }
+
+    fn respond(&self, request: &Message, writer: &mut TcpStream) -> bool {
+        if request.header("tealsaddle-expect-instance").is_some_and(|id| id != self.id) {
+            let headers = format!("Tealsaddle-Not-Executed: 1\r\nTealsaddle-Instance-Id: {}\r\n", self.id);
+            return http::answer(writer, "421 Misdirected Request", &headers, "");
+        }
+        match (request.method(), request.path()) {
+            ("GET", "/report") => {
+                let state = self.state.lock().unwrap();
+                let body = format!(
+                    "{{\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":{},\"seq\":{},\
+                     \"queue_len\":0,\"num_running\":{},\"kv_used\":0,\"kv_total\":555723,\"kv_handles\":0,\"born\":{}}}",
+                    state.stage.unwrap_or("decode"), state.is_busy, state.orders_accepted, state.running, self.born
+                );
+                drop(state);
+                http::answer(writer, "200 OK", "Content-Type: application/json\r\n", &body)
+            }
+            ("POST", "/order") => self.on_order(request, writer),
+            ("DELETE", _) => http::answer(writer, "200 OK", "", ""),
+            _ => self.run(request, writer),
+        }
+    }
+
+    fn on_order(&self, request: &Message, writer: &mut TcpStream) -> bool {
+        let Some(body) = json::parse(&request.text()) else {
+            return http::answer(writer, "400 Bad Request", "", "");
+        };
+        let stage = if body.get("stage").text() == "prefill" { "prefill" } else { "decode" };
+        let order = Order { at: Instant::now(), holder: body.get("holder").text().to_owned(), fence: body.get("fence").number() };
+        let expected = body.get("precondition").clone();
+        let mut state = self.state.lock().unwrap();
+        let late = state.orders_late;
+        self.record.add(&format!(
+            "runner {}: order to {stage} by {} with fence {}, expects {expected:?}{}",
+            self.id, order.holder, order.fence, late.map_or(String::new(), |late| format!(", unanswered and carried out {late:?} later"))
+        ));
+        state.orders.push(order);
+        drop(state);
+        if let Some(late) = late {
+            let runner = self.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(late);
+                let status = runner.accept(stage, &expected);
+                runner.record.add(&format!("runner {}: late order to {stage}: {status}", runner.id));
+            });
+            // The connection returns nothing further.
+            std::thread::sleep(late);
+            return false;
+        }
+        let status = self.accept(stage, &expected);
+        http::answer(writer, status, "", "")
+    }
+
+    fn accept(&self, stage: &'static str, expected: &json::Json) -> &'static str {
+        let mut state = self.state.lock().unwrap();
+        if state.stage == Some(stage) {
+            return "200 OK";
+        }
+        let is_expected = matches!(expected, json::Json::Null) || expected.number() == state.orders_accepted;
+        if state.is_busy || !is_expected {
+            return "409 Conflict";
+        }
+        state.orders_accepted += 1;
+        state.is_busy = true;
+        let runner = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(SWITCH);
+            let mut state = runner.state.lock().unwrap();
+            state.stage = Some(stage);
+            state.is_busy = false;
+            drop(state);
+            runner.record.add(&format!("runner {}: serves {stage} now", runner.id));
+            runner.register();
+        });
+        "202 Accepted"
+    }
+
+    fn run(&self, request: &Message, writer: &mut TcpStream) -> bool {
+        let id = request.header("tealsaddle-request-id").unwrap_or("").to_owned();
+        let mut state = self.state.lock().unwrap();
+        state.arrivals.push(Arrival { at: Instant::now(), id: id.clone() });
+        state.running += 1;
+        drop(state);
+        std::thread::sleep(self.work);
+        let mut state = self.state.lock().unwrap();
+        state.running -= 1;
+        let limit = state.limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
+        if state.limit.is_some() {
+            state.first_limited.get_or_insert_with(Instant::now);
+        }
+        let load = format!("Tealsaddle-Server-Load: {},0,64\r\n", state.running);
+        drop(state);
+        let headers = format!("Tealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\n{load}{limit}");
+        if request.header("tealsaddle-serving-stage").is_some() {
+            let body = format!("{{\"handle\":\"h{id}\",\"tokens\":100,\"version\":1}}");
+            return http::answer(writer, "200 OK", &format!("{headers}Content-Type: application/json\r\n"), &body);
+        }
+        let body = format!("answer of {} to {id}\n", self.id);
+        http::answer(writer, "200 OK", &headers, &body) && writer.flush().is_ok()
+    }
+}
