--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod deadly;
 mod drill;
 mod limit;
 
@@ -8,6 +9,7 @@
 
 pub fn run(case: &str, directory: &Path, has_trouble: bool) -> Result<bool, String> {
     match case {
+        "deadly" => deadly::run(directory, has_trouble),
         "drill" => drill::run(directory, has_trouble),
         "limit" => limit::run(directory, has_trouble),
         other => Err(format!("no case is named {other}")),
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -44,19 +44,22 @@
     }
 }
 
-fn free(ip: &str) -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind(format!("{ip}:0")).map_err(|error| error.to_string())?;
-    listener.local_addr().map_err(|error| error.to_string())
-}
-
-/// Loopback addresses on which nobody serves metrics, one for each node.
+/// Ports of a node, below those that the kernel picks for connections.
+const FRONT: u16 = 8_149;
+const READY: u16 = 8_141;
+const CONTROL: u16 = 8_144;
+/// Port on which a node serves its metrics, as in the deploy file.
+const METRICS: u16 = 9_464;
+
+/// Loopback addresses on which the ports of a node are free, one for each node.
 fn addresses(count: usize) -> Vec<String> {
     let seed = std::process::id();
     let mut found = Vec::new();
     for number in 0..10_000_u32 {
         let mixed = (seed.wrapping_mul(2_654_435_761)).wrapping_add(number * 7);
         let ip = format!("127.{}.{}.{}", 1 + (mixed >> 8) % 250, 1 + (mixed >> 16) % 250, 2 + mixed % 250);
-        if !found.contains(&ip) && TcpListener::bind(format!("{ip}:9464")).is_ok() {
+        let is_free = |port: &u16| TcpListener::bind(format!("{ip}:{port}")).is_ok();
+        if !found.contains(&ip) && [FRONT, READY, CONTROL, METRICS].iter().all(is_free) {
             found.push(ip);
         }
         if found.len() == count {
@@ -67,8 +70,13 @@
 }
 
 impl Nodes {
-    /// Writes the settings of nodes and starts them.
+    /// Writes the settings of nodes in one zone and starts them.
     pub fn start(count: usize, store: &Store, record: &Record) -> Result<Self, String> {
+        Self::start_in(1, count, store, record)
+    }
+
+    /// Writes the settings of nodes, in turn in each of some zones, and starts them.
+    pub fn start_in(zones: usize, count: usize, store: &Store, record: &Record) -> Result<Self, String> {
         if !Path::new(PROGRAM).exists() {
             return Err(format!("{PROGRAM} is not built"));
         }
@@ -80,17 +88,20 @@
         }
         let mut places = Vec::new();
         for ip in &ips {
-            places.push((free(ip)?, free(ip)?, free(ip)?));
+            let at = |port: u16| format!("{ip}:{port}").parse::<SocketAddr>().map_err(|error| error.to_string());
+            places.push((at(FRONT)?, at(READY)?, at(CONTROL)?));
         }
         let seeds: Vec<String> = places.iter().take(3).map(|(_, _, control)| format!("  - \"{control}\"\n")).collect();
         let seeds = seeds.concat();
+        let names: Vec<String> = (1..=zones).map(|zone| format!("  hall-{zone}: \"r\"\n")).collect();
+        let names = names.concat();
         let mut nodes = Vec::new();
         for (number, (front, ready, control)) in places.iter().enumerate() {
             let name = format!("front-hall-{}", number + 1);
             let settings = directory.join(format!("{name}.yaml"));
             let text = format!(
                 "node: \"{name}\"\nrole: \"front\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\nip: \"{ip}\"\n\
-                 zone: \"hall-1\"\nregion: \"r\"\nzones:\n  hall-1: \"r\"\nlisten:\n  front: \"{front}\"\n  ready: \"{ready}\"\n  control: \"{control}\"\n\
+                 zone: \"hall-{zone}\"\nregion: \"r\"\nzones:\n{names}listen:\n  front: \"{front}\"\n  ready: \"{ready}\"\n  control: \"{control}\"\n\
                  port_range:\n  - 7380\n  - 7395\nseeds:\n{seeds}bootstrap: true\nloss_counts: false\nlimits:\n  cpu_share: 0.25\n  cores: 1\n  \
                  memory_mb: 260\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\n\
                  heartbeat_ms: 1200\nbounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  \
@@ -98,7 +109,7 @@
                  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  budget_slack: 54\n  recovery_s: 12\n  transit_ms: 120\n  retry_after_s: 8.5\n  \
                  require_fence: false\n  lease_ms: 3000\n  thaw_slack_ms: 300\nplatform:\n  addr: \"{store}\"\n  form: \"kv\"\n  \
                  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  min_ttl_ms: 1000\n",
-                ip = ips[number], store = store.address
+                ip = ips[number], store = store.address, zone = 1 + number % zones
             );
             fs::write(&settings, text).map_err(|error| error.to_string())?;
             let log = settings.with_extension("log");
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -41,6 +41,12 @@
     arrivals: Vec<Arrival>,
     orders: Vec<Order>,
     first_limited: Option<Instant>,
+    /// Start of the process, in Unix milliseconds; 0 while it is down.
+    born: u64,
+    connections: Vec<TcpStream>,
+    /// Requests to a path that ends with this crash the process, which is back after this time.
+    deadly: Option<(&'static str, Duration)>,
+    crashes: Vec<Instant>,
 }
 
 #[derive(Clone)]
@@ -50,24 +56,31 @@
     zone: String,
     work: Duration,
     pub address: SocketAddr,
-    born: u64,
     state: Arc<Mutex<State>>,
     store: Store,
     record: Record,
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
+
 impl Runner {
     /// Starts a runner, which registers at once. `stage` is set for a model runner.
     pub fn start(id: &str, service: &str, stage: Option<&'static str>, work: Duration, store: &Store, record: &Record) -> Result<Self, String> {
+        Self::start_in("hall-1", id, service, stage, work, store, record)
+    }
+
+    /// Starts a runner in a zone.
+    pub fn start_in(zone: &str, id: &str, service: &str, stage: Option<&'static str>, work: Duration, store: &Store, record: &Record) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+        listener.set_nonblocking(true).map_err(|error| error.to_string())?;
         let runner = Self {
             id: id.to_owned(),
             service: service.to_owned(),
-            zone: "hall-1".to_owned(),
+            zone: zone.to_owned(),
             work,
             address: listener.local_addr().map_err(|error| error.to_string())?,
-            born,
             state: Arc::new(Mutex::new(State {
                 stage,
                 orders_accepted: 0,
@@ -79,6 +92,10 @@
                 arrivals: Vec::new(),
                 orders: Vec::new(),
                 first_limited: None,
+                born: unix_ms(),
+                connections: Vec::new(),
+                deadly: None,
+                crashes: Vec::new(),
             })),
             store: store.clone(),
             record: record.clone(),
@@ -90,13 +107,67 @@
             beating.register();
         });
         let accepting = runner.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let runner = accepting.clone();
-                std::thread::spawn(move || runner.serve(stream));
+        std::thread::spawn(move || accepting.accept_connections(listener));
+        Ok(runner)
+    }
+
+    /// Accepts connections while the process runs, and listens again when it is back.
+    fn accept_connections(&self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            let is_down = self.state.lock().unwrap().born == 0;
+            if is_down {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
+                let listens = listener.as_ref().is_some_and(|listener| listener.set_nonblocking(true).is_ok());
+                if listens {
+                    self.record.add(&format!("runner {}: is back", self.id));
+                    self.register();
+                }
             }
+            match listener.as_ref().map(TcpListener::accept) {
+                Some(Ok((stream, _))) => {
+                    let _ = stream.set_nonblocking(false);
+                    let runner = self.clone();
+                    std::thread::spawn(move || runner.serve(stream));
+                }
+                _ => std::thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+
+    /// Ends the process: its connections end, nothing listens, and it is back after some time with another start.
+    pub fn crash(&self, back_after: Duration) {
+        let mut state = self.state.lock().unwrap();
+        if state.born == 0 {
+            return;
+        }
+        state.born = 0;
+        state.running = 0;
+        state.crashes.push(Instant::now());
+        for connection in state.connections.drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        drop(state);
+        self.record.add(&format!("runner {}: crashes", self.id));
+        let runner = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(back_after);
+            let mut state = runner.state.lock().unwrap();
+            state.born = unix_ms();
+            state.orders_accepted = 0;
+            state.is_busy = false;
         });
-        Ok(runner)
+    }
+
+    /// Requests to a path that ends with `path` crash the process from now on.
+    pub fn set_deadly(&self, path: &'static str, back_after: Duration) {
+        self.state.lock().unwrap().deadly = Some((path, back_after));
+    }
+
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().crashes.clone()
     }
 
     fn key(&self) -> String {
@@ -105,12 +176,15 @@
 
     fn register(&self) {
         let state = self.state.lock().unwrap();
+        if state.born == 0 {
+            return;
+        }
         let stage = state.stage.map_or(String::new(), |stage| format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"));
         let word = if state.is_leaving { "draining" } else { "ready" };
         let value = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\"state\":\"{word}\",\
              \"cold_left_ms\":0,{stage}\"seq\":1,\"born\":{}}}",
-            self.service, self.address, self.zone, self.born
+            self.service, self.address, self.zone, state.born
         );
         drop(state);
         self.store.beat(&self.key(), &value, HEARTBEAT * 3);
@@ -148,6 +222,13 @@
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
+        {
+            let mut state = self.state.lock().unwrap();
+            if state.born == 0 {
+                return;
+            }
+            state.connections.extend(stream.try_clone());
+        }
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read(&mut reader) {
             if !self.respond(&request, &mut writer) {
@@ -167,7 +248,7 @@
                 let body = format!(
                     "{{\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":{},\"seq\":{},\
                      \"queue_len\":0,\"num_running\":{},\"kv_used\":0,\"kv_total\":555723,\"kv_handles\":0,\"born\":{}}}",
-                    state.stage.unwrap_or("decode"), state.is_busy, state.orders_accepted, state.running, self.born
+                    state.stage.unwrap_or("decode"), state.is_busy, state.orders_accepted, state.running, state.born
                 );
                 drop(state);
                 http::answer(writer, "200 OK", "Content-Type: application/json\r\n", &body)
@@ -237,9 +318,19 @@
         let mut state = self.state.lock().unwrap();
         state.arrivals.push(Arrival { at: Instant::now(), id: id.clone() });
         state.running += 1;
+        let born = state.born;
+        let deadly = state.deadly.filter(|(path, _)| request.path().ends_with(path));
         drop(state);
+        if let Some((_, back_after)) = deadly {
+            self.record.add(&format!("runner {}: begins to run {id}, which crashes it", self.id));
+            self.crash(back_after);
+            return false;
+        }
         std::thread::sleep(self.work);
         let mut state = self.state.lock().unwrap();
+        if state.born != born {
+            return false;
+        }
         state.running -= 1;
         let limit = state.limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
         if state.limit.is_some() {
