--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -14,6 +14,15 @@
 /// Time from the acceptance of an order until the runner has changed its stage.
 const SWITCH: Duration = Duration::from_secs(3);
 
+/// Number of pieces of an answer without a length, and the pause before each.
+pub const UNFRAMED_PIECES: usize = 10;
+const UNFRAMED_PAUSE: Duration = Duration::from_millis(150);
+
+/// A piece of an answer without a length.
+pub fn unframed_piece(id: &str, piece: usize) -> String {
+    format!("piece {piece} of {UNFRAMED_PIECES} for {id}\n")
+}
+
 /// A request that has arrived.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -313,6 +322,25 @@
         "202 Accepted"
     }
 
+    /// Answers with a body that has neither a length nor chunks, in pieces.
+    fn run_unframed(&self, id: &str, born: u64, writer: &mut TcpStream) {
+        let head = format!("HTTP/1.1 200 OK\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\nConnection: close\r\n\r\n");
+        let mut sent = writer.write_all(head.as_bytes()).is_ok();
+        for piece in 1..=UNFRAMED_PIECES {
+            std::thread::sleep(UNFRAMED_PAUSE);
+            let is_same = self.state.lock().unwrap().born == born;
+            sent = sent && is_same && writer.write_all(unframed_piece(id, piece).as_bytes()).is_ok();
+        }
+        let mut state = self.state.lock().unwrap();
+        if state.born == born {
+            state.running -= 1;
+        }
+        if sent {
+            // The answer ends with its connection.
+            let _ = writer.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     fn run(&self, request: &Message, writer: &mut TcpStream) -> bool {
         let id = request.header("tealsaddle-request-id").unwrap_or("").to_owned();
         let mut state = self.state.lock().unwrap();
@@ -326,6 +354,10 @@
             self.crash(back_after);
             return false;
         }
+        if request.path().ends_with("/unframed") {
+            self.run_unframed(&id, born, writer);
+            return false;
+        }
         std::thread::sleep(self.work);
         let mut state = self.state.lock().unwrap();
         if state.born != born {
