--- a/review/standin/cases/deadly.rs
+++ b/review/standin/cases/deadly.rs
@@ -13,7 +13,8 @@
 /// `bounds.contact_ms` in the settings.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time after which a runner that has crashed is back: some seconds.
-const BACK_AFTER: [Duration; 3] = [Duration::from_millis(3_000), Duration::from_millis(3_500), Duration::from_millis(4_000)];
+const BACK_AFTER: Duration = Duration::from_millis(2_400);
+const RUNNERS: usize = 3;
 const LENGTH: Duration = Duration::from_secs(40);
 const PAUSE: Duration = Duration::from_millis(300);
 const MOST: usize = 3;
@@ -28,13 +29,13 @@
         let (zone, id) = (format!("hall-{number}"), format!("l-{number}"));
         Runner::start_in(&zone, &id, "ladder", None, Duration::from_millis(20), &store, &record)
     };
-    let runners = (1..=BACK_AFTER.len()).map(start).collect::<Result<Vec<_>, _>>()?;
+    let runners = (1..=RUNNERS).map(start).collect::<Result<Vec<_>, _>>()?;
     let nodes = Nodes::start_in(ZONES, NODES, &store, &record)?;
     nodes.wait_ready(Duration::from_secs(15))?;
     std::thread::sleep(Duration::from_secs(10));
     if has_trouble {
-        for (runner, back_after) in runners.iter().zip(BACK_AFTER) {
-            runner.set_deadly("/deadly", back_after);
+        for runner in &runners {
+            runner.set_deadly("/deadly", BACK_AFTER);
         }
     }
     let began = Instant::now();
--- a/review/standin/cases/several.rs
+++ b/review/standin/cases/several.rs
@@ -13,13 +13,13 @@
 /// `bounds.contact_ms` in the settings.
 const CONTACT: Duration = Duration::from_secs(3);
 const BACK_AFTER: Duration = Duration::from_secs(3);
-const REQUESTS: usize = 6;
-const RUNNERS: usize = 12;
+const REQUESTS: usize = 10;
+const RUNNERS: usize = 16;
 const NODES: usize = 7;
 const ZONES: usize = 3;
 const LENGTH: Duration = Duration::from_secs(60);
 /// Time from one of the requests to the next; each comes again after all the others.
-const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(400);
 /// Retries that the rule allows.
 const MOST: usize = 3;
 
