--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -23,6 +23,15 @@
     format!("piece {piece} of {UNFRAMED_PIECES} for {id}\n")
 }
 
+/// Number of events of a stream, and the pause before each.
+pub const EVENTS: usize = 12;
+const EVENT_PAUSE: Duration = Duration::from_millis(150);
+
+/// An event of a stream.
+pub fn event(number: usize) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
+
 /// A request that has arrived.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -56,6 +65,10 @@
     /// Requests to a path that ends with this crash the process, which is back after this time.
     deadly: Option<(&'static str, Duration)>,
     crashes: Vec<Instant>,
+    /// Until when the runner sends nothing.
+    silent_until: Option<Instant>,
+    /// Requests are turned away after this time.
+    refuses_after: Option<Duration>,
 }
 
 #[derive(Clone)]
@@ -105,6 +118,8 @@
                 connections: Vec::new(),
                 deadly: None,
                 crashes: Vec::new(),
+                silent_until: None,
+                refuses_after: None,
             })),
             store: store.clone(),
             record: record.clone(),
@@ -175,6 +190,54 @@
         self.state.lock().unwrap().deadly = Some((path, back_after));
     }
 
+    /// Sends nothing for some time, and then goes on.
+    pub fn fall_silent(&self, length: Duration) {
+        self.state.lock().unwrap().silent_until = Some(Instant::now() + length);
+        self.record.add(&format!("runner {}: is silent for {length:?}", self.id));
+    }
+
+    /// Turns all requests away from now on, each after this time.
+    pub fn set_refuses_after(&self, after: Duration) {
+        self.state.lock().unwrap().refuses_after = Some(after);
+    }
+
+    /// Reports that it drains, and goes on with its work.
+    pub fn drain(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+        self.register();
+        self.record.add(&format!("runner {}: reports that it drains", self.id));
+    }
+
+    fn wait_while_silent(&self) {
+        let silent_until = self.state.lock().unwrap().silent_until;
+        if let Some(left) = silent_until.and_then(|until| until.checked_duration_since(Instant::now())) {
+            std::thread::sleep(left);
+        }
+    }
+
+    /// Sends the events of a stream in chunks, after the last one that the request names.
+    fn stream(&self, id: &str, request: &Message, writer: &mut TcpStream) -> bool {
+        let first = request.header("last-event-id").and_then(|last| last.trim().parse::<usize>().ok()).unwrap_or(0) + 1;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        if writer.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        for number in first..=EVENTS {
+            std::thread::sleep(EVENT_PAUSE);
+            self.wait_while_silent();
+            let event = event(number);
+            if writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
+                self.record.add(&format!("runner {}: the connection of {id} was closed before event {number}", self.id));
+                return false;
+            }
+        }
+        self.record.add(&format!("runner {}: sent the last event of {id}", self.id));
+        writer.write_all(b"0\r\n\r\n").is_ok()
+    }
+
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.lock().unwrap().crashes.clone()
     }
@@ -343,6 +406,13 @@
 
     fn run(&self, request: &Message, writer: &mut TcpStream) -> bool {
         let id = request.header("tealsaddle-request-id").unwrap_or("").to_owned();
+        let refuses_after = self.state.lock().unwrap().refuses_after;
+        if let Some(after) = refuses_after {
+            self.record.add(&format!("runner {}: {id} arrives and is turned away {after:?} later", self.id));
+            std::thread::sleep(after);
+            let headers = format!("Tealsaddle-Request-Id: {id}\r\nTealsaddle-Not-Executed: 1\r\n");
+            return http::answer(writer, "503 Service Unavailable", &headers, "");
+        }
         let mut state = self.state.lock().unwrap();
         state.arrivals.push(Arrival { at: Instant::now(), id: id.clone() });
         state.running += 1;
@@ -375,6 +445,9 @@
             let body = format!("{{\"handle\":\"h{id}\",\"tokens\":100,\"version\":1}}");
             return http::answer(writer, "200 OK", &format!("{headers}Content-Type: application/json\r\n"), &body);
         }
+        if self.state.lock().unwrap().stage.is_some() {
+            return self.stream(&id, request, writer);
+        }
         let body = format!("answer of {} to {id}\n", self.id);
         http::answer(writer, "200 OK", &headers, &body) && writer.flush().is_ok()
     }
