--- a/review/standin/cases/cut_short.rs
+++ b/review/standin/cases/cut_short.rs
@@ -34,7 +34,15 @@
     store.put("op/config", &config(7));
     let start = |number: usize| {
         let (zone, id) = (format!("hall-{number}"), format!("l-{number}"));
-        Runner::start_in(&zone, &id, "ladder", None, Duration::from_millis(20), &store, &record)
+        Runner::start_in(
+            &zone,
+            &id,
+            "ladder",
+            None,
+            Duration::from_millis(20),
+            &store,
+            &record,
+        )
     };
     let runners = (1..=RUNNERS).map(start).collect::<Result<Vec<_>, _>>()?;
     let nodes = Nodes::start_in(ZONES, NODES, &store, &record)?;
@@ -47,7 +55,9 @@
             let node = Arc::clone(&nodes.nodes[number % NODES]);
             let (answers, record) = (Arc::clone(&answers), record.clone());
             let id = format!("u{round:02}{number:04x}");
-            threads.push(std::thread::spawn(move || ask(&node.name, node.front, &id, &answers, &record)));
+            threads.push(std::thread::spawn(move || {
+                ask(&node.name, node.front, &id, &answers, &record)
+            }));
             std::thread::sleep(Duration::from_millis(50));
             if has_trouble && number == 20 {
                 runners[0].crash(DOWN);
@@ -65,30 +75,49 @@
     let is_broken = answers.short > 0;
     record.add(&format!(
         "{} whole answers, {} successes that look complete and are not whole, {} others: MIXED {}",
-        answers.whole, answers.short, answers.other, if is_broken { "is broken" } else { "held" }
+        answers.whole,
+        answers.short,
+        answers.other,
+        if is_broken { "is broken" } else { "held" }
     ));
     Ok(is_broken)
 }
 
-fn ask(name: &str, front: std::net::SocketAddr, id: &str, answers: &Mutex<Answers>, record: &Record) {
+fn ask(
+    name: &str,
+    front: std::net::SocketAddr,
+    id: &str,
+    answers: &Mutex<Answers>,
+    record: &Record,
+) {
     let request = format!(
         "GET /page/{id}/unframed HTTP/1.1\r\nHost: league.example\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Deadline-Ms: 5000\r\n\
          Connection: close\r\n\r\n"
     );
     // The node's answer has a length or chunks, so that one which is cut off is no whole message.
     let answer = http::call(front, &request, Duration::from_secs(6));
-    let whole: Vec<String> = (1..=UNFRAMED_PIECES).map(|piece| unframed_piece(id, piece)).collect();
+    let whole: Vec<String> = (1..=UNFRAMED_PIECES)
+        .map(|piece| unframed_piece(id, piece))
+        .collect();
     let mut answers = answers.lock().unwrap();
     match answer {
-        Some(answer) if answer.status() == 200 && answer.text() == whole.concat() => answers.whole += 1,
+        Some(answer) if answer.status() == 200 && answer.text() == whole.concat() => {
+            answers.whole += 1
+        }
         Some(answer) if answer.status() == 200 => {
             answers.short += 1;
-            let (pieces, seal) = (answer.text().lines().count(), answer.header("tealsaddle-response-seal").is_some());
+            let (pieces, seal) = (
+                answer.text().lines().count(),
+                answer.header("tealsaddle-response-seal").is_some(),
+            );
             record.add(&format!("client: {id} by {name} is answered 200 with {pieces} of {UNFRAMED_PIECES} pieces, seal {seal}: BROKEN"));
         }
         other => {
             answers.other += 1;
-            record.add(&format!("client: {id} by {name} is answered {:?}", other.map(|answer| answer.status())));
+            record.add(&format!(
+                "client: {id} by {name} is answered {:?}",
+                other.map(|answer| answer.status())
+            ));
         }
     }
 }
--- a/review/standin/cases/deadly.rs
+++ b/review/standin/cases/deadly.rs
@@ -27,7 +27,15 @@
     store.put("op/config", &config(7));
     let start = |number: usize| {
         let (zone, id) = (format!("hall-{number}"), format!("l-{number}"));
-        Runner::start_in(&zone, &id, "ladder", None, Duration::from_millis(20), &store, &record)
+        Runner::start_in(
+            &zone,
+            &id,
+            "ladder",
+            None,
+            Duration::from_millis(20),
+            &store,
+            &record,
+        )
     };
     let runners = (1..=RUNNERS).map(start).collect::<Result<Vec<_>, _>>()?;
     let nodes = Nodes::start_in(ZONES, NODES, &store, &record)?;
@@ -51,12 +59,16 @@
                 "GET /page/{path} HTTP/1.1\r\nHost: league.example\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Deadline-Ms: 2500\r\n\
                  Connection: close\r\n\r\n"
             );
-            http::call(node.front, &request, Duration::from_secs(3)).map_or(0, |answer| answer.status())
+            http::call(node.front, &request, Duration::from_secs(3))
+                .map_or(0, |answer| answer.status())
         };
         let id = format!("d{number:06x}");
         sent.push((id.clone(), Instant::now()));
         let status = call("deadly", &id);
-        record.add(&format!("client: {id} by {} is answered {status}", node.name));
+        record.add(&format!(
+            "client: {id} by {} is answered {status}",
+            node.name
+        ));
         std::thread::sleep(PAUSE / 2);
         sound += 1;
         served += usize::from(call(&format!("sound-{number}"), &format!("s{number:06x}")) == 200);
@@ -70,8 +82,15 @@
         record.add("fewer than three crashes: BUDGET held");
         return Ok(false);
     };
-    let arrived: Vec<String> = runners.iter().flat_map(Runner::arrivals).map(|arrival| arrival.id).collect();
-    let late = sent.iter().filter(|(id, at)| *at > *third + CONTACT && arrived.contains(id)).count();
+    let arrived: Vec<String> = runners
+        .iter()
+        .flat_map(Runner::arrivals)
+        .map(|arrival| arrival.id)
+        .collect();
+    let late = sent
+        .iter()
+        .filter(|(id, at)| *at > *third + CONTACT && arrived.contains(id))
+        .count();
     let is_broken = late > MOST;
     record.add(&format!(
         "{late} retries reached runners that were sent later than {CONTACT:?} after the third crash, allowed {MOST}: BUDGET {}",
--- a/review/standin/cases/late_refusal.rs
+++ b/review/standin/cases/late_refusal.rs
@@ -45,10 +45,21 @@
             let node = Arc::clone(&nodes.nodes[number % NODES]);
             let (streams, record) = (Arc::clone(&streams), record.clone());
             let is_judged = number % NODES == JUDGED;
-            std::thread::spawn(move || ask(&node.name, node.front, &format!("s{number:06x}"), is_judged, &streams, &record))
+            std::thread::spawn(move || {
+                ask(
+                    &node.name,
+                    node.front,
+                    &format!("s{number:06x}"),
+                    is_judged,
+                    &streams,
+                    &record,
+                )
+            })
         })
         .collect();
-    wait_for("the streams at the runner", Duration::from_secs(2), || (old.arrivals().len() == STREAMS).then_some(()))?;
+    wait_for("the streams at the runner", Duration::from_secs(2), || {
+        (old.arrivals().len() == STREAMS).then_some(())
+    })?;
     // The runner is replaced: the new one starts first, the old one drains.
     let new = Runner::start("d-2", "readers", Some("decode"), work, &store, &record)?;
     new.set_refuses_after(REFUSAL);
@@ -70,7 +81,14 @@
     Ok(is_broken)
 }
 
-fn ask(name: &str, front: std::net::SocketAddr, id: &str, is_judged: bool, streams: &Mutex<Streams>, record: &Record) {
+fn ask(
+    name: &str,
+    front: std::net::SocketAddr,
+    id: &str,
+    is_judged: bool,
+    streams: &Mutex<Streams>,
+    record: &Record,
+) {
     let request = format!(
         "POST /verdict/{id} HTTP/1.1\r\nHost: league.example\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Model: m\r\n\
          Tealsaddle-Token-Counts: 60,12\r\nTealsaddle-Prompt-Prefix: 5c1e07a2:40,{id}:20\r\nTealsaddle-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n"
@@ -79,9 +97,18 @@
     record.add(&format!("client: {id} is sent to {name}"));
     let answer = http::call(front, &request, Duration::from_secs(6));
     let whole: Vec<String> = (1..=EVENTS).map(event).collect();
-    let is_whole = answer.as_ref().is_some_and(|answer| answer.status() == 200 && answer.text() == whole.concat());
+    let is_whole = answer
+        .as_ref()
+        .is_some_and(|answer| answer.status() == 200 && answer.text() == whole.concat());
     let status = answer.map(|answer| answer.status());
-    record.add(&format!("client: {id} by {name}: {}", if is_whole { "whole".to_owned() } else { format!("no complete answer ({status:?})") }));
+    record.add(&format!(
+        "client: {id} by {name}: {}",
+        if is_whole {
+            "whole".to_owned()
+        } else {
+            format!("no complete answer ({status:?})")
+        }
+    ));
     let mut streams = streams.lock().unwrap();
     if is_whole {
         streams.whole += 1;
--- a/review/standin/cases/limit.rs
+++ b/review/standin/cases/limit.rs
@@ -39,10 +39,26 @@
     let store = Store::bind(&record)?;
     store.put("op/config", &config(7));
     let work = Duration::from_millis(20);
-    let start = |number: usize| Runner::start(&format!("l-{number}"), "ladder", None, work, &store, &record);
+    let start = |number: usize| {
+        Runner::start(
+            &format!("l-{number}"),
+            "ladder",
+            None,
+            work,
+            &store,
+            &record,
+        )
+    };
     let runners = (1..=RUNNERS).map(start).collect::<Result<Vec<_>, _>>()?;
     for number in 1..=2 {
-        Runner::start(&format!("a-{number}"), "archive", None, Duration::from_millis(4_800), &store, &record)?;
+        Runner::start(
+            &format!("a-{number}"),
+            "archive",
+            None,
+            Duration::from_millis(4_800),
+            &store,
+            &record,
+        )?;
     }
     let nodes = Nodes::start(NODES, &store, &record)?;
     nodes.wait_ready(Duration::from_secs(15))?;
@@ -51,7 +67,9 @@
     for runner in &runners {
         runner.set_limit(Some(LIMIT));
     }
-    record.add(&format!("each of {RUNNERS} runners names the limit {LIMIT} from now on"));
+    record.add(&format!(
+        "each of {RUNNERS} runners names the limit {LIMIT} from now on"
+    ));
     let clients = Arc::new(Mutex::new(Clients::default()));
     let is_over = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
@@ -67,7 +85,9 @@
         if has_trouble {
             node.stop();
             node.start()?;
-            let _ = crate::cases::wait_for("ready", Duration::from_secs(8), || node.is_ready().then_some(()));
+            let _ = crate::cases::wait_for("ready", Duration::from_secs(8), || {
+                node.is_ready().then_some(())
+            });
             stops.push((number, began, Instant::now() + CONTACT));
         }
         std::thread::sleep(GAP.saturating_sub(began.elapsed()));
@@ -78,17 +98,29 @@
         let _ = thread.join();
     }
     let clients = clients.lock().unwrap();
-    record.add(&format!("answers of the nodes by status: {:?}", clients.answers));
+    record.add(&format!(
+        "answers of the nodes by status: {:?}",
+        clients.answers
+    ));
     let mut is_broken = false;
     for runner in &runners {
         is_broken |= judge(runner, &clients, &stops, &record);
     }
-    record.add(if is_broken { "LIMIT is broken" } else { "LIMIT held" });
+    record.add(if is_broken {
+        "LIMIT is broken"
+    } else {
+        "LIMIT held"
+    });
     Ok(is_broken)
 }
 
 /// Sends requests to a node, one each [`PAUSE`], until the case is over.
-fn press(number: usize, node: &Arc<Node>, clients: &Arc<Mutex<Clients>>, is_over: &Arc<AtomicBool>) -> std::thread::JoinHandle<()> {
+fn press(
+    number: usize,
+    node: &Arc<Node>,
+    clients: &Arc<Mutex<Clients>>,
+    is_over: &Arc<AtomicBool>,
+) -> std::thread::JoinHandle<()> {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let (node, clients, is_over) = (Arc::clone(node), Arc::clone(clients), Arc::clone(is_over));
     std::thread::spawn(move || {
@@ -104,20 +136,31 @@
                 );
                 let answer = http::call(node.front, &request, Duration::from_secs(3));
                 let mut clients = clients.lock().unwrap();
-                *clients.answers.entry(answer.as_ref().map_or(0, http::Message::status)).or_default() += 1;
-                let Some(answer) = answer.filter(|answer| answer.header("server-limit").is_some()) else {
+                *clients
+                    .answers
+                    .entry(answer.as_ref().map_or(0, http::Message::status))
+                    .or_default() += 1;
+                let Some(answer) = answer.filter(|answer| answer.header("server-limit").is_some())
+                else {
                     return;
                 };
                 let text = answer.text();
                 let runner = text.split(' ').nth(2).unwrap_or("").to_owned();
-                clients.passed.entry((number, runner)).or_insert_with(Instant::now);
+                clients
+                    .passed
+                    .entry((number, runner))
+                    .or_insert_with(Instant::now);
             });
         }
     })
 }
 
 /// Keeps a node busy with requests that take seconds, two a second.
-fn linger(number: usize, node: &Arc<Node>, is_over: &Arc<AtomicBool>) -> std::thread::JoinHandle<()> {
+fn linger(
+    number: usize,
+    node: &Arc<Node>,
+    is_over: &Arc<AtomicBool>,
+) -> std::thread::JoinHandle<()> {
     let (node, is_over) = (Arc::clone(node), Arc::clone(is_over));
     std::thread::spawn(move || {
         let mut count = 0;
@@ -137,7 +180,12 @@
 }
 
 /// Counts the requests to a runner in all spans of four seconds, without those through nodes that were stopped around them.
-fn judge(runner: &Runner, clients: &Clients, stops: &[(usize, Instant, Instant)], record: &Record) -> bool {
+fn judge(
+    runner: &Runner,
+    clients: &Clients,
+    stops: &[(usize, Instant, Instant)],
+    record: &Record,
+) -> bool {
     let Some(first) = runner.first_limited() else {
         record.add(&format!("runner {} never named its limit", runner.id));
         return false;
@@ -149,7 +197,8 @@
         .filter_map(|arrival| {
             let node = *clients.node_of.get(&arrival.id)?;
             let passed = clients.passed.get(&(node, runner.id.clone()))?;
-            let binds = arrival.at >= *passed + Duration::from_millis(500) && arrival.at >= first + CONTACT;
+            let binds =
+                arrival.at >= *passed + Duration::from_millis(500) && arrival.at >= first + CONTACT;
             binds.then_some((arrival.at, node))
         })
         .collect();
@@ -157,8 +206,14 @@
     for (begin, _) in &arrivals {
         let end = *begin + WINDOW;
         // A restart excuses its node in each span that it touches.
-        let is_excused = |node: usize| stops.iter().any(|(stopped, from, until)| *stopped == node && *from < end && *until > *begin);
-        let counted = arrivals.iter().filter(|(at, node)| at >= begin && *at < end && !is_excused(*node));
+        let is_excused = |node: usize| {
+            stops
+                .iter()
+                .any(|(stopped, from, until)| *stopped == node && *from < end && *until > *begin)
+        };
+        let counted = arrivals
+            .iter()
+            .filter(|(at, node)| at >= begin && *at < end && !is_excused(*node));
         let nodes: Vec<usize> = counted.map(|(_, node)| *node).collect();
         if nodes.len() > worst.0 {
             worst = (nodes.len(), Some(*begin), nodes);
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -56,7 +56,12 @@
     let mut found = Vec::new();
     for number in 0..10_000_u32 {
         let mixed = (seed.wrapping_mul(2_654_435_761)).wrapping_add(number * 7);
-        let ip = format!("127.{}.{}.{}", 1 + (mixed >> 8) % 250, 1 + (mixed >> 16) % 250, 2 + mixed % 250);
+        let ip = format!(
+            "127.{}.{}.{}",
+            1 + (mixed >> 8) % 250,
+            1 + (mixed >> 16) % 250,
+            2 + mixed % 250
+        );
         let is_free = |port: &u16| TcpListener::bind(format!("{ip}:{port}")).is_ok();
         if !found.contains(&ip) && [FRONT, READY, CONTROL, METRICS].iter().all(is_free) {
             found.push(ip);
@@ -75,11 +80,17 @@
     }
 
     /// Writes the settings of nodes, in turn in each of some zones, and starts them.
-    pub fn start_in(zones: usize, count: usize, store: &Store, record: &Record) -> Result<Self, String> {
+    pub fn start_in(
+        zones: usize,
+        count: usize,
+        store: &Store,
+        record: &Record,
+    ) -> Result<Self, String> {
         if !Path::new(PROGRAM).exists() {
             return Err(format!("{PROGRAM} is not built"));
         }
-        let directory = std::env::temp_dir().join(format!("tealsaddle-review-{}", std::process::id()));
+        let directory =
+            std::env::temp_dir().join(format!("tealsaddle-review-{}", std::process::id()));
         fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
         let ips = addresses(count);
         if ips.len() < count {
@@ -87,12 +98,22 @@
         }
         let mut places = Vec::new();
         for ip in &ips {
-            let at = |port: u16| format!("{ip}:{port}").parse::<SocketAddr>().map_err(|error| error.to_string());
+            let at = |port: u16| {
+                format!("{ip}:{port}")
+                    .parse::<SocketAddr>()
+                    .map_err(|error| error.to_string())
+            };
             places.push((at(FRONT)?, at(READY)?, at(CONTROL)?));
         }
-        let seeds: Vec<String> = places.iter().take(3).map(|(_, _, control)| format!("  - \"{control}\"\n")).collect();
+        let seeds: Vec<String> = places
+            .iter()
+            .take(3)
+            .map(|(_, _, control)| format!("  - \"{control}\"\n"))
+            .collect();
         let seeds = seeds.concat();
-        let names: Vec<String> = (1..=zones).map(|zone| format!("  hall-{zone}: \"r\"\n")).collect();
+        let names: Vec<String> = (1..=zones)
+            .map(|zone| format!("  hall-{zone}: \"r\"\n"))
+            .collect();
         let names = names.concat();
         let mut nodes = Vec::new();
         for (number, (front, ready, control)) in places.iter().enumerate() {
@@ -108,11 +129,21 @@
                  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  budget_slack: 54\n  recovery_s: 12\n  transit_ms: 120\n  retry_after_s: 8.5\n  \
                  require_fence: false\n  lease_ms: 3000\n  thaw_slack_ms: 300\nplatform:\n  addr: \"{store}\"\n  form: \"kv\"\n  \
                  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  min_ttl_ms: 1000\n",
-                ip = ips[number], store = store.address, zone = 1 + number % zones
+                ip = ips[number],
+                store = store.address,
+                zone = 1 + number % zones
             );
             fs::write(&settings, text).map_err(|error| error.to_string())?;
             let log = settings.with_extension("log");
-            let node = Node { name, front: *front, ready: *ready, settings, log, process: Mutex::new(None), record: record.clone() };
+            let node = Node {
+                name,
+                front: *front,
+                ready: *ready,
+                settings,
+                log,
+                process: Mutex::new(None),
+                record: record.clone(),
+            };
             nodes.push(Arc::new(node));
         }
         let nodes = Self { nodes, directory };
@@ -141,7 +172,11 @@
 
 impl Node {
     pub fn start(&self) -> Result<(), String> {
-        let log = File::options().create(true).append(true).open(&self.log).map_err(|error| error.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .map_err(|error| error.to_string())?;
         let process = Command::new(PROGRAM)
             .arg(ROLE)
             .env("TEALSADDLE_CONFIG", &self.settings)
@@ -157,7 +192,8 @@
 
     pub fn is_ready(&self) -> bool {
         let request = "GET /ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
-        http::call(self.ready, request, Duration::from_millis(500)).is_some_and(|answer| answer.status() == 200)
+        http::call(self.ready, request, Duration::from_millis(500))
+            .is_some_and(|answer| answer.status() == 200)
     }
 
     /// SIGKILL.
@@ -172,7 +208,10 @@
     pub fn signal(&self, name: &str) {
         let process = self.process.lock().unwrap();
         if let Some(process) = process.as_ref() {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(process.id().to_string()).status();
+            let _ = Command::new("sh")
+                .arg("-c")
+                .arg(format!("kill -{name} {}", process.id()))
+                .status();
             self.record.add(&format!("{}: SIG{name}", self.name));
         }
     }
@@ -184,7 +223,9 @@
         loop {
             let has_ended = {
                 let mut process = self.process.lock().unwrap();
-                let ended = process.as_mut().is_none_or(|process| !matches!(process.try_wait(), Ok(None)));
+                let ended = process
+                    .as_mut()
+                    .is_none_or(|process| !matches!(process.try_wait(), Ok(None)));
                 if ended {
                     *process = None;
                 }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -15,7 +15,9 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+        headers
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn method(&self) -> &str {
@@ -33,11 +35,17 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.target().split_once('?')?.1;
         let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-        fields.find(|(key, _)| *key == name).map(|(_, value)| unescaped(value))
+        fields
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| unescaped(value))
     }
 
     pub fn status(&self) -> u16 {
-        self.first_line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+        self.first_line
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn text(&self) -> String {
@@ -50,7 +58,9 @@
     let mut plain = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = bytes.get(at + 1..at + 3).and_then(|digits| std::str::from_utf8(digits).ok());
+        let code = bytes
+            .get(at + 1..at + 3)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
         let code = code.and_then(|digits| u8::from_str_radix(digits, 16).ok());
         match (bytes[at], code) {
             (b'%', Some(code)) => {
@@ -84,7 +94,9 @@
         if message.first_line.is_empty() {
             message.first_line = line.to_owned();
         } else if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
 }
@@ -114,7 +126,10 @@
             message.body.extend(chunk);
         }
     }
-    let length = message.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let length = message
+        .header("content-length")
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
@@ -122,7 +137,10 @@
 
 /// Writes an answer with a body of known length.
 pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
-    let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(text.as_bytes()).is_ok()
 }
 
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -156,7 +156,10 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let bits = chunk
+            .iter()
+            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for place in 0..4 {
             if place <= chunk.len() {
                 text.push(char::from(DIGITS[(bits >> (18 - 6 * place)) as usize & 63]));
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -15,7 +15,10 @@
 impl Record {
     pub fn open(directory: &Path) -> Result<Self, String> {
         let file = File::create(directory.join("record.txt")).map_err(|error| error.to_string())?;
-        Ok(Self { file: Arc::new(Mutex::new(file)), began: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(file)),
+            began: Instant::now(),
+        })
     }
 
     pub fn since(&self, time: Instant) -> Duration {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -84,19 +84,38 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64)
 }
 
 impl Runner {
     /// Starts a runner, which registers at once. `stage` is set for a model runner.
-    pub fn start(id: &str, service: &str, stage: Option<&'static str>, work: Duration, store: &Store, record: &Record) -> Result<Self, String> {
+    pub fn start(
+        id: &str,
+        service: &str,
+        stage: Option<&'static str>,
+        work: Duration,
+        store: &Store,
+        record: &Record,
+    ) -> Result<Self, String> {
         Self::start_in("hall-1", id, service, stage, work, store, record)
     }
 
     /// Starts a runner in a zone.
-    pub fn start_in(zone: &str, id: &str, service: &str, stage: Option<&'static str>, work: Duration, store: &Store, record: &Record) -> Result<Self, String> {
+    pub fn start_in(
+        zone: &str,
+        id: &str,
+        service: &str,
+        stage: Option<&'static str>,
+        work: Duration,
+        store: &Store,
+        record: &Record,
+    ) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-        listener.set_nonblocking(true).map_err(|error| error.to_string())?;
+        listener
+            .set_nonblocking(true)
+            .map_err(|error| error.to_string())?;
         let runner = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -126,9 +145,11 @@
         };
         runner.register();
         let beating = runner.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(HEARTBEAT);
-            beating.register();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(HEARTBEAT);
+                beating.register();
+            }
         });
         let accepting = runner.clone();
         std::thread::spawn(move || accepting.accept_connections(listener));
@@ -144,7 +165,9 @@
                 listener = None;
             } else if listener.is_none() {
                 listener = TcpListener::bind(self.address).ok();
-                let listens = listener.as_ref().is_some_and(|listener| listener.set_nonblocking(true).is_ok());
+                let listens = listener
+                    .as_ref()
+                    .is_some_and(|listener| listener.set_nonblocking(true).is_ok());
                 if listens {
                     self.record.add(&format!("runner {}: is back", self.id));
                     self.register();
@@ -193,7 +216,8 @@
     /// Sends nothing for some time, and then goes on.
     pub fn fall_silent(&self, length: Duration) {
         self.state.lock().unwrap().silent_until = Some(Instant::now() + length);
-        self.record.add(&format!("runner {}: is silent for {length:?}", self.id));
+        self.record
+            .add(&format!("runner {}: is silent for {length:?}", self.id));
     }
 
     /// Turns all requests away from now on, each after this time.
@@ -205,19 +229,26 @@
     pub fn drain(&self) {
         self.state.lock().unwrap().is_leaving = true;
         self.register();
-        self.record.add(&format!("runner {}: reports that it drains", self.id));
+        self.record
+            .add(&format!("runner {}: reports that it drains", self.id));
     }
 
     fn wait_while_silent(&self) {
         let silent_until = self.state.lock().unwrap().silent_until;
-        if let Some(left) = silent_until.and_then(|until| until.checked_duration_since(Instant::now())) {
+        if let Some(left) =
+            silent_until.and_then(|until| until.checked_duration_since(Instant::now()))
+        {
             std::thread::sleep(left);
         }
     }
 
     /// Sends the events of a stream in chunks, after the last one that the request names.
     fn stream(&self, id: &str, request: &Message, writer: &mut TcpStream) -> bool {
-        let first = request.header("last-event-id").and_then(|last| last.trim().parse::<usize>().ok()).unwrap_or(0) + 1;
+        let first = request
+            .header("last-event-id")
+            .and_then(|last| last.trim().parse::<usize>().ok())
+            .unwrap_or(0)
+            + 1;
         let head = format!(
             "HTTP/1.1 200 OK\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
@@ -229,12 +260,19 @@
             std::thread::sleep(EVENT_PAUSE);
             self.wait_while_silent();
             let event = event(number);
-            if writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
-                self.record.add(&format!("runner {}: the connection of {id} was closed before event {number}", self.id));
+            if writer
+                .write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+                .is_err()
+            {
+                self.record.add(&format!(
+                    "runner {}: the connection of {id} was closed before event {number}",
+                    self.id
+                ));
                 return false;
             }
         }
-        self.record.add(&format!("runner {}: sent the last event of {id}", self.id));
+        self.record
+            .add(&format!("runner {}: sent the last event of {id}", self.id));
         writer.write_all(b"0\r\n\r\n").is_ok()
     }
 
@@ -252,7 +290,11 @@
             return;
         }
         let stage = state.stage.map_or(String::new(), |stage| format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"));
-        let word = if state.is_leaving { "draining" } else { "ready" };
+        let word = if state.is_leaving {
+            "draining"
+        } else {
+            "ready"
+        };
         let value = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\"state\":\"{word}\",\
              \"cold_left_ms\":0,{stage}\"seq\":1,\"born\":{}}}",
@@ -310,8 +352,14 @@
     }
 
     fn respond(&self, request: &Message, writer: &mut TcpStream) -> bool {
-        if request.header("tealsaddle-expect-instance").is_some_and(|id| id != self.id) {
-            let headers = format!("Tealsaddle-Not-Executed: 1\r\nTealsaddle-Instance-Id: {}\r\n", self.id);
+        if request
+            .header("tealsaddle-expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
+            let headers = format!(
+                "Tealsaddle-Not-Executed: 1\r\nTealsaddle-Instance-Id: {}\r\n",
+                self.id
+            );
             return http::answer(writer, "421 Misdirected Request", &headers, "");
         }
         match (request.method(), request.path()) {
@@ -320,10 +368,19 @@
                 let body = format!(
                     "{{\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":{},\"seq\":{},\
                      \"queue_len\":0,\"num_running\":{},\"kv_used\":0,\"kv_total\":555723,\"kv_handles\":0,\"born\":{}}}",
-                    state.stage.unwrap_or("decode"), state.is_busy, state.orders_accepted, state.running, state.born
+                    state.stage.unwrap_or("decode"),
+                    state.is_busy,
+                    state.orders_accepted,
+                    state.running,
+                    state.born
                 );
                 drop(state);
-                http::answer(writer, "200 OK", "Content-Type: application/json\r\n", &body)
+                http::answer(
+                    writer,
+                    "200 OK",
+                    "Content-Type: application/json\r\n",
+                    &body,
+                )
             }
             ("POST", "/order") => self.on_order(request, writer),
             ("DELETE", _) => http::answer(writer, "200 OK", "", ""),
@@ -335,14 +392,27 @@
         let Some(body) = json::parse(&request.text()) else {
             return http::answer(writer, "400 Bad Request", "", "");
         };
-        let stage = if body.get("stage").text() == "prefill" { "prefill" } else { "decode" };
-        let order = Order { at: Instant::now(), holder: body.get("holder").text().to_owned(), fence: body.get("fence").number() };
+        let stage = if body.get("stage").text() == "prefill" {
+            "prefill"
+        } else {
+            "decode"
+        };
+        let order = Order {
+            at: Instant::now(),
+            holder: body.get("holder").text().to_owned(),
+            fence: body.get("fence").number(),
+        };
         let expected = body.get("precondition").clone();
         let mut state = self.state.lock().unwrap();
         let late = state.orders_late;
         self.record.add(&format!(
             "runner {}: order to {stage} by {} with fence {}, expects {expected:?}{}",
-            self.id, order.holder, order.fence, late.map_or(String::new(), |late| format!(", unanswered and carried out {late:?} later"))
+            self.id,
+            order.holder,
+            order.fence,
+            late.map_or(String::new(), |late| format!(
+                ", unanswered and carried out {late:?} later"
+            ))
         ));
         state.orders.push(order);
         drop(state);
@@ -351,7 +421,10 @@
             std::thread::spawn(move || {
                 std::thread::sleep(late);
                 let status = runner.accept(stage, &expected);
-                runner.record.add(&format!("runner {}: late order to {stage}: {status}", runner.id));
+                runner.record.add(&format!(
+                    "runner {}: late order to {stage}: {status}",
+                    runner.id
+                ));
             });
             // The connection returns nothing further.
             std::thread::sleep(late);
@@ -366,7 +439,8 @@
         if state.stage == Some(stage) {
             return "200 OK";
         }
-        let is_expected = matches!(expected, json::Json::Null) || expected.number() == state.orders_accepted;
+        let is_expected =
+            matches!(expected, json::Json::Null) || expected.number() == state.orders_accepted;
         if state.is_busy || !is_expected {
             return "409 Conflict";
         }
@@ -379,7 +453,9 @@
             state.stage = Some(stage);
             state.is_busy = false;
             drop(state);
-            runner.record.add(&format!("runner {}: serves {stage} now", runner.id));
+            runner
+                .record
+                .add(&format!("runner {}: serves {stage} now", runner.id));
             runner.register();
         });
         "202 Accepted"
@@ -387,12 +463,18 @@
 
     /// Answers with a body that has neither a length nor chunks, in pieces.
     fn run_unframed(&self, id: &str, born: u64, writer: &mut TcpStream) {
-        let head = format!("HTTP/1.1 200 OK\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\nConnection: close\r\n\r\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nTealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\nConnection: close\r\n\r\n"
+        );
         let mut sent = writer.write_all(head.as_bytes()).is_ok();
         for piece in 1..=UNFRAMED_PIECES {
             std::thread::sleep(UNFRAMED_PAUSE);
             let is_same = self.state.lock().unwrap().born == born;
-            sent = sent && is_same && writer.write_all(unframed_piece(id, piece).as_bytes()).is_ok();
+            sent = sent
+                && is_same
+                && writer
+                    .write_all(unframed_piece(id, piece).as_bytes())
+                    .is_ok();
         }
         let mut state = self.state.lock().unwrap();
         if state.born == born {
@@ -405,22 +487,36 @@
     }
 
     fn run(&self, request: &Message, writer: &mut TcpStream) -> bool {
-        let id = request.header("tealsaddle-request-id").unwrap_or("").to_owned();
+        let id = request
+            .header("tealsaddle-request-id")
+            .unwrap_or("")
+            .to_owned();
         let refuses_after = self.state.lock().unwrap().refuses_after;
         if let Some(after) = refuses_after {
-            self.record.add(&format!("runner {}: {id} arrives and is turned away {after:?} later", self.id));
+            self.record.add(&format!(
+                "runner {}: {id} arrives and is turned away {after:?} later",
+                self.id
+            ));
             std::thread::sleep(after);
             let headers = format!("Tealsaddle-Request-Id: {id}\r\nTealsaddle-Not-Executed: 1\r\n");
             return http::answer(writer, "503 Service Unavailable", &headers, "");
         }
         let mut state = self.state.lock().unwrap();
-        state.arrivals.push(Arrival { at: Instant::now(), id: id.clone() });
+        state.arrivals.push(Arrival {
+            at: Instant::now(),
+            id: id.clone(),
+        });
         state.running += 1;
         let born = state.born;
-        let deadly = state.deadly.filter(|(path, _)| request.path().ends_with(path));
+        let deadly = state
+            .deadly
+            .filter(|(path, _)| request.path().ends_with(path));
         drop(state);
         if let Some((_, back_after)) = deadly {
-            self.record.add(&format!("runner {}: begins to run {id}, which crashes it", self.id));
+            self.record.add(&format!(
+                "runner {}: begins to run {id}, which crashes it",
+                self.id
+            ));
             self.crash(back_after);
             return false;
         }
@@ -434,16 +530,25 @@
             return false;
         }
         state.running -= 1;
-        let limit = state.limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
+        let limit = state
+            .limit
+            .map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
         if state.limit.is_some() {
             state.first_limited.get_or_insert_with(Instant::now);
         }
         let load = format!("Tealsaddle-Server-Load: {},0,64\r\n", state.running);
         drop(state);
-        let headers = format!("Tealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\n{load}{limit}");
+        let headers = format!(
+            "Tealsaddle-Request-Id: {id}\r\nTealsaddle-Response-Seal: s.{id}\r\n{load}{limit}"
+        );
         if request.header("tealsaddle-serving-stage").is_some() {
             let body = format!("{{\"handle\":\"h{id}\",\"tokens\":100,\"version\":1}}");
-            return http::answer(writer, "200 OK", &format!("{headers}Content-Type: application/json\r\n"), &body);
+            return http::answer(
+                writer,
+                "200 OK",
+                &format!("{headers}Content-Type: application/json\r\n"),
+                &body,
+            );
         }
         if self.state.lock().unwrap().stage.is_some() {
             return self.stream(&id, request, writer);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -68,16 +68,32 @@
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.rev += 1;
         let created = self.items.get(key).map_or(self.rev, |item| item.created);
-        let item = Item { value, rev: self.rev, created, lease };
-        self.history.push(Event { key: key.to_owned(), rev: self.rev, json: item_json(key, &item) });
+        let item = Item {
+            value,
+            rev: self.rev,
+            created,
+            lease,
+        };
+        self.history.push(Event {
+            key: key.to_owned(),
+            rev: self.rev,
+            json: item_json(key, &item),
+        });
         self.items.insert(key.to_owned(), item);
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.rev += 1;
-            let json = format!("{{\"key\":\"{key}\",\"rev\":{},\"tombstone\":true}}", self.rev);
-            self.history.push(Event { key: key.to_owned(), rev: self.rev, json });
+            let json = format!(
+                "{{\"key\":\"{key}\",\"rev\":{},\"tombstone\":true}}",
+                self.rev
+            );
+            self.history.push(Event {
+                key: key.to_owned(),
+                rev: self.rev,
+                json,
+            });
         }
     }
 
@@ -98,8 +114,20 @@
     pub fn bind(record: &Record) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
-        let state = State { era: 1, data: Data { rev: 100, ..Data::default() }, next_lease: 70_000, ..State::default() };
-        let store = Self { shared: Arc::new((Mutex::new(state), Condvar::new())), address, record: record.clone() };
+        let state = State {
+            era: 1,
+            data: Data {
+                rev: 100,
+                ..Data::default()
+            },
+            next_lease: 70_000,
+            ..State::default()
+        };
+        let store = Self {
+            shared: Arc::new((Mutex::new(state), Condvar::new())),
+            address,
+            record: record.clone(),
+        };
         let accepting = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -122,12 +150,21 @@
                 continue;
             }
             let now = Instant::now();
-            let ended: Vec<u64> = state.data.leases.iter().filter(|(_, lease)| lease.ends <= now).map(|(id, _)| *id).collect();
+            let ended: Vec<u64> = state
+                .data
+                .leases
+                .iter()
+                .filter(|(_, lease)| lease.ends <= now)
+                .map(|(id, _)| *id)
+                .collect();
             for lease in &ended {
                 self.record.add(&format!("store: lease {lease} has ended"));
                 state.data.end_lease(*lease);
             }
-            let is_due = state.copies.back().is_none_or(|(taken, _)| now >= *taken + Duration::from_millis(100));
+            let is_due = state
+                .copies
+                .back()
+                .is_none_or(|(taken, _)| now >= *taken + Duration::from_millis(100));
             if is_due {
                 let copy = state.data.clone();
                 state.copies.push_back((now, copy));
@@ -150,14 +187,21 @@
         for connection in locked.connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
-        self.record.add(&format!("store: away, era {}, revision {}", locked.era, locked.data.rev));
+        self.record.add(&format!(
+            "store: away, era {}, revision {}",
+            locked.era, locked.data.rev
+        ));
         drop(locked);
         changed.notify_all();
         std::thread::sleep(away);
         let mut locked = state.lock().unwrap();
         let now = Instant::now();
         let copies = std::mem::take(&mut locked.copies);
-        let (taken, mut data) = copies.into_iter().rev().find(|(taken, _)| now.duration_since(*taken) >= age).expect("a copy of this age");
+        let (taken, mut data) = copies
+            .into_iter()
+            .rev()
+            .find(|(taken, _)| now.duration_since(*taken) >= age)
+            .expect("a copy of this age");
         for lease in data.leases.values_mut() {
             // What was left of it at the time of the copy.
             lease.ends = now + lease.ends.saturating_duration_since(taken);
@@ -170,14 +214,22 @@
             now.duration_since(taken).as_secs_f64(),
             locked.era,
             locked.data.rev,
-            locked.data.items.get("tealsaddle/holder").map(|item| json::from_base64(&item.value))
+            locked
+                .data
+                .items
+                .get("tealsaddle/holder")
+                .map(|item| json::from_base64(&item.value))
         ));
     }
 
     /// Writes a key as the operator.
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.shared;
-        state.lock().unwrap().data.put(key, json::base64(value.as_bytes()), 0);
+        state
+            .lock()
+            .unwrap()
+            .data
+            .put(key, json::base64(value.as_bytes()), 0);
         changed.notify_all();
     }
 
@@ -190,7 +242,12 @@
         }
         let value = json::base64(value.as_bytes());
         let ends = Instant::now() + ttl;
-        let known = state.data.items.get(key).filter(|item| item.value == value).map(|item| item.lease);
+        let known = state
+            .data
+            .items
+            .get(key)
+            .filter(|item| item.value == value)
+            .map(|item| item.lease);
         if let Some(lease) = known.and_then(|lease| state.data.leases.get_mut(&lease)) {
             lease.ends = ends;
             return true;
@@ -246,7 +303,8 @@
         let (status, body) = match (request.method(), path.as_str()) {
             ("GET", "/kv-watch") => {
                 let (prefix, after) = (query("prefix"), query("after").parse().unwrap_or(0));
-                let until = Instant::now() + Duration::from_millis(query("wait_ms").parse().unwrap_or(0));
+                let until =
+                    Instant::now() + Duration::from_millis(query("wait_ms").parse().unwrap_or(0));
                 let era = state.era;
                 loop {
                     if state.is_away || state.era != era {
@@ -255,11 +313,22 @@
                     if after > state.data.rev {
                         break ("410 Gone", "{}".to_owned());
                     }
-                    let events = state.data.history.iter().filter(|event| event.rev > after && event.key.starts_with(&prefix));
+                    let events = state
+                        .data
+                        .history
+                        .iter()
+                        .filter(|event| event.rev > after && event.key.starts_with(&prefix));
                     let events: Vec<&str> = events.map(|event| event.json.as_str()).collect();
                     let now = Instant::now();
                     if !events.is_empty() || now >= until {
-                        break ("200 OK", format!("{{\"events\":[{}],\"store_revision\":{}}}", events.join(","), state.data.rev));
+                        break (
+                            "200 OK",
+                            format!(
+                                "{{\"events\":[{}],\"store_revision\":{}}}",
+                                events.join(","),
+                                state.data.rev
+                            ),
+                        );
                     }
                     state = changed.wait_timeout(state, until - now).unwrap().0;
                 }
@@ -267,9 +336,20 @@
             _ if state.is_away => return None,
             ("GET", "/kv-range") => {
                 let (prefix, after) = (query("prefix"), query("after"));
-                let items = state.data.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+                let items = state
+                    .data
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let items: Vec<String> = items.map(|(key, item)| item_json(key, item)).collect();
-                ("200 OK", format!("{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}", items.join(","), state.data.rev))
+                (
+                    "200 OK",
+                    format!(
+                        "{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}",
+                        items.join(","),
+                        state.data.rev
+                    ),
+                )
             }
             ("POST", "/kv-txn") => self.commit(&mut state, &json::parse(&request.text())?),
             ("POST", "/kv-lease") => {
@@ -277,22 +357,41 @@
                 let ttl = Duration::from_millis(ttl_ms);
                 state.next_lease += 1;
                 let lease = state.next_lease;
-                state.data.leases.insert(lease, Lease { ttl, ends: Instant::now() + ttl });
-                ("200 OK", format!("{{\"lease\":{lease},\"ttl_ms\":{ttl_ms}}}"))
+                state.data.leases.insert(
+                    lease,
+                    Lease {
+                        ttl,
+                        ends: Instant::now() + ttl,
+                    },
+                );
+                (
+                    "200 OK",
+                    format!("{{\"lease\":{lease},\"ttl_ms\":{ttl_ms}}}"),
+                )
             }
             ("POST", path) if path.starts_with("/kv-keep/") => {
                 let lease = path.trim_start_matches("/kv-keep/").parse().unwrap_or(0);
                 match state.data.leases.get_mut(&lease) {
                     Some(lease) => {
                         lease.ends = Instant::now() + lease.ttl;
-                        ("200 OK", format!("{{\"ttl_ms\":{}}}", lease.ttl.as_millis()))
+                        (
+                            "200 OK",
+                            format!("{{\"ttl_ms\":{}}}", lease.ttl.as_millis()),
+                        )
                     }
                     None => ("404 Not Found", "{}".to_owned()),
                 }
             }
             ("DELETE", path) if path.starts_with("/kv-lease-end/") => {
-                let lease = path.trim_start_matches("/kv-lease-end/").parse().unwrap_or(0);
-                if state.data.end_lease(lease) { ("200 OK", "{}".to_owned()) } else { ("404 Not Found", "{}".to_owned()) }
+                let lease = path
+                    .trim_start_matches("/kv-lease-end/")
+                    .parse()
+                    .unwrap_or(0);
+                if state.data.end_lease(lease) {
+                    ("200 OK", "{}".to_owned())
+                } else {
+                    ("404 Not Found", "{}".to_owned())
+                }
             }
             _ => ("404 Not Found", "{}".to_owned()),
         };
@@ -304,7 +403,11 @@
 
     fn commit(&self, state: &mut State, body: &Json) -> (&'static str, String) {
         for row in body.get("precondition").list() {
-            let rev = state.data.items.get(row.get("key").text()).map_or(0, |item| item.rev);
+            let rev = state
+                .data
+                .items
+                .get(row.get("key").text())
+                .map_or(0, |item| item.rev);
             if rev != row.get("rev").number() {
                 return ("412 Precondition Failed", "{\"items\":[]}".to_owned());
             }
@@ -318,10 +421,17 @@
         }
         for put in puts {
             let key = put.get("key").text();
-            state.data.put(key, put.get("value").text().to_owned(), put.get("lease").number());
+            state.data.put(
+                key,
+                put.get("value").text().to_owned(),
+                put.get("lease").number(),
+            );
             if key.starts_with("tealsaddle/") && !key.starts_with("tealsaddle/nodes/") {
                 let value = json::from_base64(put.get("value").text());
-                self.record.add(&format!("store: {key} = {value} at revision {}, era {}", state.data.rev, state.era));
+                self.record.add(&format!(
+                    "store: {key} = {value} at revision {}, era {}",
+                    state.data.rev, state.era
+                ));
             }
         }
         for key in body.get("remove").list() {
