Open another lease when the store has come back from an older copy

What callers and nodes saw: after a drill two nodes could hold one lease. Ids of leases are given out again, so a node that went on renewing the id of the earlier era renewed another node's lease and bound its registration to it. When the other node left, this node's registration, and the holder's key if it held that, went with it; and a holder's key lived on through the renewals of a node that was not the holder.

Cause: `commit` and the calls on leases gave no era back, so nobody who used a lease could know that the store had returned.

A lease belongs to the era in which it was opened: in a later one the node opens another one and registers again. The old one is not ended, as it may be another node's.

--- a/crates/tealsaddle-gateway/src/error.rs
+++ b/crates/tealsaddle-gateway/src/error.rs
@@ -49,6 +49,8 @@
     NotFound,
     /// a condition of the transaction does not hold
     Conflict,
+    /// the answer is not of the era of the store in which the call began
+    OtherEra,
     /// the store answered outside its protocol: {0}
     Protocol(String),
 }
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -86,6 +86,15 @@
     pub era: Option<u64>,
 }
 
+/// Result of a call to the store, with the era of the store that answered it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InEra<T> {
+    /// The result.
+    pub value: T,
+    /// Era of the store, as in [`Listing::era`].
+    pub era: Option<u64>,
+}
+
 /// Consistency that a read requires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -147,16 +156,20 @@
     ) -> BoxFuture<'a, Result<Changes, StoreError>>;
 
     /// Commits a transaction and returns the store revision of the write.
-    fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<u64, StoreError>>;
+    fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<InEra<u64>, StoreError>>;
 
     /// Opens a lease and returns its id.
-    fn open_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<u64, StoreError>>;
+    fn open_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<InEra<u64>, StoreError>>;
 
-    /// Renews a lease for another full lifetime.
-    fn renew_lease(&self, lease: u64) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Renews a lease for another full lifetime. In a later era than that in which it was opened, the id may be that of
+    /// another node's lease.
+    fn renew_lease(&self, lease: u64) -> BoxFuture<'_, Result<InEra<()>, StoreError>>;
 
     /// Ends a lease, which removes the keys bound to it.
     fn end_lease(&self, lease: u64) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Newest era of the store that any answer to this client has told, refusals included; `None` if none did.
+    fn era(&self) -> Option<u64>;
 }
 
 /// Keys under which the operator and the runners write.
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -2,13 +2,15 @@
 //!
 //! The registration is bound to the lease, and at one node the authority to order is bound to it as well.
 //! The store may end the lease, and it may lose the registration without ending the lease; the node then
-//! creates them again.
+//! creates them again. It also does when the store has come back from an older copy: ids of leases are given out again
+//! then, so that the node's own may be another node's by now.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tealsaddle_core::fleet::change_sources::Member;
+use tealsaddle_core::fleet::store_era::{self, EraCheck};
 use tealsaddle_schema::fleet::NodeRecord;
 
 use crate::clock;
@@ -34,6 +36,8 @@
     pub id: u64,
     /// When the call was sent that opened or last renewed the lease, on the clock of [`clock::now_us`].
     pub renewed_us: u64,
+    /// Era of the store in which it was opened; in a later one the id means nothing.
+    pub era: Option<u64>,
 }
 
 /// The node's own entries in the store.
@@ -87,15 +91,23 @@
     /// Renews the lease with a call sent at `sent_us`; returns `false` if the node has no lease or it has
     /// ended.
     pub async fn renew(&mut self, sent_us: u64) -> Result<bool, StoreError> {
+        self.drop_lease_of_earlier_era();
         let Some(lease) = &mut self.lease else {
             return Ok(false);
         };
         let renewal = self.control.store.renew_lease(lease.id);
         match with_timeout(CALL_TIMEOUT, renewal).await {
-            Ok(()) => {
-                lease.renewed_us = sent_us;
-                Ok(true)
-            }
+            Ok(renewed) => match store_era::check(lease.era, renewed.era) {
+                EraCheck::Same => {
+                    lease.renewed_us = sent_us;
+                    Ok(true)
+                }
+                EraCheck::Later => {
+                    self.drop_lease_of_earlier_era();
+                    Ok(false)
+                }
+                EraCheck::Uncertain => Err(StoreError::OtherEra),
+            },
             Err(StoreError::NotFound) => {
                 self.lease = None;
                 Ok(false)
@@ -104,15 +116,28 @@
         }
     }
 
+    /// Drops the lease if the store has come back from an older copy since it was opened. It is not ended: its id may be
+    /// that of another node's lease.
+    fn drop_lease_of_earlier_era(&mut self) {
+        let era = self.control.store.era();
+        let is_earlier = |lease: &mut Lease| store_era::check(lease.era, era) == EraCheck::Later;
+        if let Some(lease) = self.lease.take_if(is_earlier) {
+            log::warn!(lease = lease.id, lease_era = lease.era, era;
+                "this node's lease is of an earlier era of the store; it opens another one");
+            self.control.gateway.metrics.increment("lease.earlier_era");
+        }
+    }
+
     /// Opens a lease, whose lifetime is counted from `sent_us`, and registers the node.
     pub async fn join(&mut self, sent_us: u64) -> Result<(), StoreError> {
         let open = self.control.store.open_lease(LEASE_TTL);
-        let id = with_timeout(CALL_TIMEOUT, open).await?;
+        let opened = with_timeout(CALL_TIMEOUT, open).await?;
         self.lease = Some(Lease {
-            id,
+            id: opened.value,
             renewed_us: sent_us,
+            era: opened.era,
         });
-        self.register(id).await?;
+        self.register(opened.value).await?;
         self.control.gateway.send_gate.on_registered();
         Ok(())
     }
@@ -177,6 +202,7 @@
 
     /// Ends the lease; returns `None` if the node has none.
     pub async fn leave(&mut self) -> Option<Result<(), StoreError>> {
+        self.drop_lease_of_earlier_era();
         let lease = self.lease.take()?;
         let ended = self.control.store.end_lease(lease.id);
         Some(with_timeout(CALL_TIMEOUT, ended).await)
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -209,7 +209,8 @@
         };
         let acquired_us = clock::now_us();
         match with_timeout(CALL_TIMEOUT, self.control.store.commit(transaction)).await {
-            Ok(fence) => {
+            Ok(written) => {
+                let fence = written.value;
                 let terms = LeaseTerms {
                     ttl_us: us(LEASE_TTL),
                     margin_us: us(LEASE_MARGIN),
--- a/crates/tealsaddle-gateway/src/quarantine/keeper.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/keeper.rs
@@ -283,7 +283,8 @@
             ..Transaction::default()
         };
         let commit = self.control.store.commit(transaction);
-        with_timeout(CALL_TIMEOUT, commit).await
+        let committed = with_timeout(CALL_TIMEOUT, commit).await?;
+        Ok(committed.value)
     }
 
     /// Tells all peers, some at a time. A peer that cannot be reached learns from the store.
