Let the authority to order end with the era of the store, and fencing tokens grow over eras

Cause: the fencing token was the revision of the holder's key alone, and revisions are given out again when the store comes back from an older copy. The holder did not look at the era either: its lease could be in the copy, and the condition of its intents (the key has revision F) could hold for another node's key, or be tested after the return.

Change: the token is the revision plus 2^32 for each era since the first one of the system (`core::fleet::fence`), which is recorded under `tealsaddle/first-era` with the holder's key and remembered by the nodes. While the store has never come back it is the bare revision, so builds side by side give tokens of one sequence; it stays below 2^53 for readers of JSON numbers. The authority belongs to the era in which the key was written: a holder that learns of a later one, by any answer of the store, sends no more orders, not even those whose intents were written, and acquires the authority again. A node that finds its own key without holding the authority acquires it too; before, such a key kept all nodes from ordering for as long as its lease was renewed. The first order comes after the same delay as ever, which is longer than an order of the earlier era may be under way.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod decode;
 pub mod departures;
 pub mod events;
+pub mod fence;
 pub mod generation;
 pub mod knowledge;
 pub mod lease;
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -1,11 +1,15 @@
 //! Orders to runners to switch their stage, and the authority to send them.
 //!
 //! The node with the authority is the holder. The store decides which node that is: the holder's key is
-//! created only if it does not exist, it is bound to the node's membership lease, and its revision is the
-//! fencing token. Before sending orders the holder writes their intents, on condition that the key still
-//! has this revision, so a node that has lost the authority finds out before it acts. Every order states
+//! created only if it does not exist, it is bound to the node's membership lease, and the fencing token follows from its
+//! revision ([`tealsaddle_core::fleet::fence`]). Before sending orders the holder writes their intents, on condition that
+//! the key still has this revision, so a node that has lost the authority finds out before it acts. Every order states
 //! how many orders the runner must have accepted before, a number that the runner has just reported. A
 //! delayed copy of an order is therefore refused once the runner has accepted any other order.
+//!
+//! All of this holds within one era of the store. Once the store has come back from an older copy, the key may be that of
+//! another node at the same revision. The holder then sends no more orders, and any node may acquire the authority under
+//! the new era, also the one that still finds its own key.
 
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -13,17 +17,19 @@
 
 use serde::{Deserialize, Serialize};
 use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::fence::HolderPosition;
 use tealsaddle_core::fleet::lease::{Authority, LeaseTerms};
 use tealsaddle_core::fleet::needs::StageNeeds;
 use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::fleet::split::{self, Pool, StageMove};
+use tealsaddle_core::fleet::store_era::{self, EraCheck};
 use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
 
 use crate::clock;
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::error::StoreError;
-use crate::external::{Item, KeyRevision, Put, StageOrder, Transaction};
+use crate::external::{InEra, Item, KeyRevision, Put, StageOrder, Transaction};
 use crate::membership::{self, LEASE_TTL, Lease};
 use crate::upstream::{Reuse, Upstreams};
 
@@ -31,6 +37,8 @@
 const ORDERS: &str = "tealsaddle/orders/";
 /// Key of the holder; its value is the name of the node.
 const HOLDER_KEY: &str = "tealsaddle/holder";
+/// Key of the first era; its value is that number. It stays when there is no holder.
+const FIRST_ERA_KEY: &str = "tealsaddle/first-era";
 /// Time before the end of its lease at which the holder stops sending orders.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 /// Time after the write of an intent for which its order may be sent.
@@ -81,12 +89,42 @@
     orders_before: u64,
 }
 
+/// The authority of this node, with the key in the store to which it belongs.
+#[derive(Debug, Clone, Copy)]
+struct HeldAuthority {
+    authority: Authority,
+    key: HolderPosition,
+}
+
+/// The first era as a listing has it.
+#[derive(Debug, Clone, Copy, Default)]
+struct StoredFirstEra {
+    /// `None` if there is none, or it cannot be read.
+    era: Option<u64>,
+    /// Revision of its key; 0 if there is none.
+    revision: u64,
+}
+
+impl StoredFirstEra {
+    fn of(items: &[Item]) -> Self {
+        let item = items.iter().find(|item| item.key == FIRST_ERA_KEY);
+        item.map_or_else(Self::default, |item| Self {
+            era: serde_json::from_slice(&item.value)
+                .inspect_err(|error| log::warn!(error:%; "the first era cannot be parsed"))
+                .ok(),
+            revision: item.revision,
+        })
+    }
+}
+
 /// Sends stage orders while this node holds the authority.
 #[derive(Debug)]
 pub struct Orders {
     control: Arc<Control>,
     upstreams: Arc<Upstreams>,
-    authority: Option<Authority>,
+    held: Option<HeldAuthority>,
+    /// Earliest era of the store that this node has seen or found recorded. The record may be lost with a copy.
+    first_era: Option<u64>,
     pending: HashMap<String, Pending>,
     /// Number of listings in a row without a holder.
     missed_holders: u32,
@@ -98,7 +136,8 @@
         Self {
             control,
             upstreams: Upstreams::open(),
-            authority: None,
+            held: None,
+            first_era: None,
             pending: HashMap::default(),
             missed_holders: 0,
         }
@@ -106,59 +145,77 @@
 
     /// Whether this node holds the authority to send orders.
     pub const fn has_authority(&self) -> bool {
-        self.authority.is_some()
+        self.held.is_some()
     }
 
     /// Extends the authority after a successful renewal of the lease, sent at `sent_us`.
     pub const fn on_lease_renewed(&mut self, sent_us: u64) {
-        if let Some(authority) = &mut self.authority {
-            authority.on_renewed(sent_us);
+        if let Some(held) = &mut self.held {
+            held.authority.on_renewed(sent_us);
         }
     }
 
-    /// Drops the authority if the lease was not renewed in time.
+    /// Drops the authority if the lease was not renewed in time, or the store has come back from an older copy.
     pub fn expire(&mut self) {
         let now_us = clock::now_us();
-        if self
-            .authority
-            .is_some_and(|authority| authority.is_expired(now_us))
-        {
+        let Some(held) = self.held else {
+            return;
+        };
+        if held.authority.is_expired(now_us) {
             self.drop_authority("lease not renewed in time");
+        } else if !self.is_of_current_era(&held) {
+            self.drop_authority("the store has come back from an older copy");
         }
     }
 
+    /// Whether no answer of the store has told a later era than that of the holder's key.
+    fn is_of_current_era(&self, held: &HeldAuthority) -> bool {
+        store_era::check(held.key.era, self.control.store.era()) != EraCheck::Later
+    }
+
     /// Drops the authority, if this node holds it. Does not remove the holder's key, which is bound to the
     /// lease.
     pub fn drop_authority(&mut self, reason: &str) {
-        if self.authority.take().is_some() {
-            log::info!(reason; "this node no longer sends stage orders");
+        if let Some(held) = self.held.take() {
+            log::info!(reason, fence = held.authority.fence, key_era = held.key.era,
+                era = self.control.store.era(); "this node no longer sends stage orders");
         }
     }
 
-    /// Processes a listing of the nodes' keys: adopts the intents, and acquires the authority if no node
-    /// holds it and this node is not stopping.
+    /// Processes a listing of the nodes' keys: adopts the intents, and acquires the authority if this node is not stopping
+    /// and no node holds it, or the key is this node's own and it does not hold the authority.
     pub async fn on_listed(
         &mut self,
         items: &[Item],
         lease: Option<Lease>,
     ) -> Result<(), StoreError> {
         self.adopt_intents(items);
-        let has_holder = items.iter().any(|item| item.key == HOLDER_KEY);
-        if has_holder {
-            self.missed_holders = 0;
-            return Ok(());
-        }
-        self.missed_holders += 1;
+        let first_era = StoredFirstEra::of(items);
+        self.on_era_seen(first_era.era);
+        self.on_era_seen(self.control.store.era());
+        let holder = items.iter().find(|item| item.key == HOLDER_KEY);
+        self.missed_holders = match holder {
+            Some(_) => 0,
+            None => self.missed_holders + 1,
+        };
+        let own = self.control.gateway.config.node.as_bytes();
+        let may_acquire = match holder {
+            Some(item) => item.value == own,
+            None => self.may_apply(items),
+        };
         match lease {
-            Some(lease)
-                if self.authority.is_none() && !self.is_stopping() && self.may_apply(items) =>
-            {
-                self.acquire_authority(lease).await
+            Some(lease) if self.held.is_none() && !self.is_stopping() && may_acquire => {
+                let revision = holder.map_or(0, |item| item.revision);
+                self.acquire_authority(lease, revision, first_era).await
             }
             Some(_) | None => Ok(()),
         }
     }
 
+    fn on_era_seen(&mut self, era: Option<u64>) {
+        self.first_era = [self.first_era, era].into_iter().flatten().min();
+    }
+
     /// Whether this node is one of the few that apply for the authority at once, or none of them has got it. If all nodes
     /// wrote at the same time, the number of writes would grow with the number of nodes.
     fn may_apply(&self, items: &[Item]) -> bool {
@@ -196,31 +253,41 @@
         }
     }
 
-    async fn acquire_authority(&mut self, lease: Lease) -> Result<(), StoreError> {
+    /// Writes the holder's key, on condition that it has this revision, and the first era if it is not recorded as this
+    /// node knows it.
+    async fn acquire_authority(
+        &mut self,
+        lease: Lease,
+        revision: u64,
+        recorded: StoredFirstEra,
+    ) -> Result<(), StoreError> {
         let node = &self.control.gateway.config.node;
+        let mut conditions = vec![holder_at(revision)];
+        let mut puts = vec![Put {
+            key: HOLDER_KEY.to_owned(),
+            value: node.as_bytes().to_vec(),
+            lease: Some(lease.id),
+        }];
+        if let Some(first_era) = self.first_era {
+            conditions.push(KeyRevision {
+                key: FIRST_ERA_KEY.to_owned(),
+                revision: recorded.revision,
+            });
+            puts.extend((recorded.era != self.first_era).then(|| Put {
+                key: FIRST_ERA_KEY.to_owned(),
+                value: first_era.to_string().into_bytes(),
+                lease: None,
+            }));
+        }
         let transaction = Transaction {
-            conditions: vec![holder_at(0)],
-            puts: vec![Put {
-                key: HOLDER_KEY.to_owned(),
-                value: node.as_bytes().to_vec(),
-                lease: Some(lease.id),
-            }],
-            ..Transaction::default()
+            conditions,
+            puts,
+            removes: Vec::new(),
         };
         let acquired_us = clock::now_us();
         match with_timeout(CALL_TIMEOUT, self.control.store.commit(transaction)).await {
             Ok(written) => {
-                let fence = written.value;
-                let terms = LeaseTerms {
-                    ttl_us: us(LEASE_TTL),
-                    margin_us: us(LEASE_MARGIN),
-                    first_order_delay_us: us(
-                        self.control.gateway.config.max_order_delay + INTENT_VALID
-                    ),
-                    intent_valid_us: us(INTENT_VALID),
-                };
-                self.authority = Some(Authority::new(fence, acquired_us, lease.renewed_us, terms));
-                log::info!(fence; "this node now sends stage orders");
+                self.on_key_written(lease, written, acquired_us);
                 Ok(())
             }
             Err(StoreError::Conflict) => Ok(()),
@@ -228,11 +295,40 @@
         }
     }
 
+    /// Takes the authority whose key was written by a call sent at `acquired_us`, if that happened in the era of the lease.
+    /// Otherwise the key is bound to a lease that may be another node's, and is acquired again.
+    fn on_key_written(&mut self, lease: Lease, written: InEra<u64>, acquired_us: u64) {
+        let key = HolderPosition {
+            revision: written.value,
+            era: written.era,
+            first_era: self.first_era,
+        };
+        let is_lease_valid = store_era::check(lease.era, key.era) == EraCheck::Same;
+        let Some(fence) = key.fence().filter(|_fence| is_lease_valid) else {
+            log::warn!(revision = key.revision, era = key.era, first_era = key.first_era, lease_era = lease.era;
+                "the key of the holder was written in another era of the store than expected, and is not used");
+            return;
+        };
+        let terms = LeaseTerms {
+            ttl_us: us(LEASE_TTL),
+            margin_us: us(LEASE_MARGIN),
+            first_order_delay_us: us(self.control.gateway.config.max_order_delay + INTENT_VALID),
+            intent_valid_us: us(INTENT_VALID),
+        };
+        self.held = Some(HeldAuthority {
+            authority: Authority::new(fence, acquired_us, lease.renewed_us, terms),
+            key,
+        });
+        log::info!(fence, revision = key.revision, era = key.era, first_era = key.first_era;
+            "this node now sends stage orders");
+    }
+
     /// Sends the orders for the stage changes that are needed now, if this node holds the authority.
     pub async fn issue(&mut self) -> Result<(), StoreError> {
-        let Some(authority) = self.authority else {
+        let Some(held) = self.held else {
             return Ok(());
         };
+        let authority = held.authority;
         if !authority.may_order(clock::now_us()) {
             return Ok(());
         }
@@ -243,12 +339,13 @@
             return Ok(());
         }
         let intent_us = clock::now_us();
-        if !self.write_intents(&moves, authority.fence).await? {
+        if !self.write_intents(&moves, &held).await? {
             self.drop_authority("the key of the holder has changed in the store");
             return Ok(());
         }
         self.add_pending(&moves);
-        if authority.may_send(intent_us, clock::now_us()) {
+        // Other calls to the store may have told a later era meanwhile.
+        if authority.may_send(intent_us, clock::now_us()) && self.is_of_current_era(&held) {
             let orders = moves
                 .iter()
                 .map(|counted| self.send_order(counted, authority.fence));
@@ -333,8 +430,14 @@
         })
     }
 
-    /// Writes the intents; returns `false` if this node has lost the authority.
-    async fn write_intents(&self, moves: &[CountedMove], fence: u64) -> Result<bool, StoreError> {
+    /// Writes the intents; returns `false` if this node has lost the authority. In a later era of the store the condition
+    /// proves nothing, even if it holds.
+    async fn write_intents(
+        &self,
+        moves: &[CountedMove],
+        held: &HeldAuthority,
+    ) -> Result<bool, StoreError> {
+        let fence = held.authority.fence;
         let puts = moves.iter().map(|counted| {
             let step = &counted.step;
             let intent = Intent {
@@ -349,12 +452,16 @@
             }
         });
         let transaction = Transaction {
-            conditions: vec![holder_at(fence)],
+            conditions: vec![holder_at(held.key.revision)],
             puts: puts.collect(),
             removes: Vec::new(),
         };
         match with_timeout(CALL_TIMEOUT, self.control.store.commit(transaction)).await {
-            Ok(_revision) => Ok(true),
+            Ok(written) => match store_era::check(held.key.era, written.era) {
+                EraCheck::Same => Ok(true),
+                EraCheck::Later => Ok(false),
+                EraCheck::Uncertain => Err(StoreError::OtherEra),
+            },
             Err(StoreError::Conflict) => Ok(false),
             Err(error) => Err(error),
         }
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tealsaddle_core::fleet::store_era::StoreEra;
 use tokio::sync::watch;
 
 use crate::clock::{self, jittered};
@@ -22,7 +23,8 @@
 /// The nodes' keys are listed once in this many rounds: with many nodes the listing is long, and it rarely
 /// changes.
 const ROUNDS_PER_LIST: u32 = 3;
-/// Rounds below this number, counted from the start, always list the nodes' keys.
+/// Rounds below this number, counted from the start and from each return of the store from an older copy, always list the
+/// nodes' keys.
 const FIRST_ROUNDS: u32 = 4;
 /// Time to the next round after a failed one. The recovery of the store has to be noticed soon, since
 /// watches from before an outage may hang.
@@ -38,7 +40,9 @@
     control: Arc<Control>,
     membership: Membership,
     orders: Orders,
+    /// Rounds since the start, or since the store came back from an older copy.
     rounds: u32,
+    era: StoreEra,
 }
 
 impl ControlLoop {
@@ -49,6 +53,7 @@
             orders: Orders::open(Arc::clone(&control)),
             control,
             rounds: 0,
+            era: StoreEra::default(),
         }
     }
 
@@ -86,6 +91,9 @@
 
     async fn round(&mut self) -> Result<(), StoreError> {
         self.keep_lease().await?;
+        if self.era.rises_to(self.control.store.era()) {
+            self.rounds = 0;
+        }
         self.rounds += 1;
         if self.rounds < FIRST_ROUNDS || self.rounds.is_multiple_of(ROUNDS_PER_LIST) {
             self.list_node_keys().await?;
