Keep losses whose runner may have crashed until it is seen again

Cause: a loss counts only if its runner's process is known to have ended. A refused connect shows that only if another node confirms it, and that node needs another runner of the service that it reaches, so as not to take a cut of its own for a crash. With all runners down nobody can tell, and the loss was dropped for good, as if the runner were known to run.

Change: the check of a process tells "runs", "has ended" and "not known" apart. Losses that cannot be judged are kept for up to 15 s. A later start in the registration or the report shows that the process has ended, whatever the reason; the same start shows that it runs, and the losses are dropped. A node that is cut off still counts no crash. Counters `quarantine.losses_kept`, `losses_dropped` and `no_crash` and the field `kept_ms` tell which it was.

--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -11,42 +11,62 @@
 use crate::call::Call;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
-use crate::upstream::Reuse;
+use crate::upstream::{CallAnswer, Reuse};
 
 /// Time for the runner's report, and for asking other nodes whether they reach the runner.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400).saturating_add(SEARCH_TIMEOUT);
 /// How often the runner is asked, if it closes the connection without an answer.
 const CHECKS: usize = 2;
 
-/// Whether the process of a runner has ended: nothing accepts a connection, also one of another node, or it is another
-/// process.
-pub async fn has_ended(gateway: &Gateway, runner: &Runner) -> bool {
+/// What a check tells of a runner's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ProcessState {
+    /// It runs: something accepts connections, and does not say that it is another process.
+    Runs,
+    /// It has ended: nothing accepts a connection, also one of another node, or it is another process.
+    Ended,
+    /// Nothing is reached, and no other node can tell whether that is due to the runner or to the network.
+    Unknown,
+}
+
+/// Asks a runner for its report to find out whether its process has ended.
+pub async fn check(gateway: &Gateway, runner: &Runner) -> ProcessState {
     for _check in 0..CHECKS {
         let request = gateway.dialect.report_request(&runner.id);
         let report = gateway.own_calls.call(runner.address, request, Reuse::Any);
         let Ok(answer) = tokio::time::timeout(CHECK_TIMEOUT, report).await else {
-            return false;
+            return ProcessState::Unknown;
         };
         match answer {
-            Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => return true,
-            Ok(answer) => {
-                let report = gateway.dialect.runner_report(&answer.body).ok();
-                let started_unix_ms = report.and_then(|report| report.started_unix_ms);
-                return started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
-            }
+            Ok(answer) => return state_by_report(gateway, runner, &answer),
             Err(failure) => match failure.outcome {
                 // A node that is cut off cannot tell.
                 AttemptOutcome::NotRun(NotRunReason::ConnectFailed) => {
-                    return gateway.runner_paths.is_down(runner.address);
+                    return if gateway.runner_paths.is_down(runner.address) {
+                        ProcessState::Ended
+                    } else {
+                        ProcessState::Unknown
+                    };
                 }
                 AttemptOutcome::Unknown(UnknownReason::ConnectionLost) => {}
                 AttemptOutcome::NotRun(_)
                 | AttemptOutcome::Unknown(_)
-                | AttemptOutcome::Answered => return false,
+                | AttemptOutcome::Answered => return ProcessState::Runs,
             },
         }
     }
-    false
+    ProcessState::Runs
+}
+
+fn state_by_report(gateway: &Gateway, runner: &Runner, answer: &CallAnswer) -> ProcessState {
+    let report = gateway.dialect.runner_report(&answer.body).ok();
+    let started_unix_ms = report.and_then(|report| report.started_unix_ms);
+    let is_other_start = started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
+    if answer.status == StatusCode::MISDIRECTED_REQUEST || is_other_start {
+        ProcessState::Ended
+    } else {
+        ProcessState::Runs
+    }
 }
 
 impl Call {
@@ -62,7 +82,7 @@
             return read;
         }
         let is_leaving = !self.gateway.snapshot.load().accepts_requests(runner);
-        if is_leaving || !has_ended(&self.gateway, runner).await {
+        if is_leaving || check(&self.gateway, runner).await != ProcessState::Ended {
             return read;
         }
         Err(UnknownReason::ConnectionLost)
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -3,6 +3,10 @@
 //! A crash ends all streams of a runner at once. The losses of one process are gathered for a moment. Then the
 //! runner is asked for its report: a broken connection of one request is no crash, and says nothing of its prompt.
 //! The losses of a process that has ended are reported to the collectors of the service.
+//!
+//! Where all runners of a service are down, or this node is cut off, nobody can tell whether the process has ended. Its
+//! losses are then kept until the runner is seen again: a later start shows that the process has ended, whatever the
+//! reason, and the same start that it has not.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -14,11 +18,13 @@
 use tealsaddle_core::fleet::{PromptPart, Runner, shared_parts};
 use tealsaddle_core::name::Name;
 use tealsaddle_schema::fleet::{CrashReport, LostRequest};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::process_check::has_ended;
+use crate::process_check::{self, ProcessState};
 use crate::quarantine::peer_clock::{self, ClockReading};
 use crate::quarantine::{collector, messages};
 
@@ -33,6 +39,15 @@
 /// Time for a collector to answer.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which losses are kept whose process may have ended. Runners that crash are back after some seconds.
+const KEEP_TIME: Duration = Duration::from_secs(15);
+/// Interval at which the registration of a runner is looked at whose losses are kept.
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which such a runner is asked again.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest number of processes whose losses are kept at a time.
+const MAX_KEPT: usize = 64;
+
 /// An attempt at a runner whose connection was lost.
 #[derive(Debug, Clone, Copy)]
 pub struct LostAttempt {
@@ -57,13 +72,27 @@
 /// A runner's process: its id and its start.
 type ProcessKey = (Name, u64);
 
-/// Losses that are being gathered, by process.
-#[derive(Debug, Default)]
-pub struct PendingLosses(Mutex<HashMap<ProcessKey, Vec<PendingLoss>>>);
+/// Losses that are not reported yet.
+#[derive(Debug)]
+pub struct PendingLosses {
+    /// Those that are being gathered, by process.
+    gathered: Mutex<HashMap<ProcessKey, Vec<PendingLoss>>>,
+    /// A place for each process whose losses are kept until it is known whether it has ended.
+    places: Semaphore,
+}
+
+impl Default for PendingLosses {
+    fn default() -> Self {
+        Self {
+            gathered: Mutex::default(),
+            places: Semaphore::new(MAX_KEPT),
+        }
+    }
+}
 
 impl PendingLosses {
     fn lock(&self) -> MutexGuard<'_, HashMap<ProcessKey, Vec<PendingLoss>>> {
-        self.0.lock().expect("no holder of the lock panics")
+        self.gathered.lock().expect("no holder of the lock panics")
     }
 
     /// Adds a loss; returns whether it is the first one of its process.
@@ -113,15 +142,63 @@
 async fn report(gateway: Arc<Gateway>, runner: Arc<Runner>, process: ProcessKey) {
     tokio::time::sleep(GATHER_TIME).await;
     let lost = gateway.quarantine.losses.take(&process);
-    if !has_ended(&gateway, &runner).await {
-        log::info!(runner:% = runner.id, lost = lost.len(); "runner has not crashed; its lost requests do not count");
-        return;
+    let began_us = clock::now_us();
+    let state = match process_check::check(&gateway, &runner).await {
+        ProcessState::Unknown => await_certainty(&gateway, &runner, lost.len()).await,
+        state => state,
+    };
+    let kept_ms = clock::now_us().saturating_sub(began_us) / 1_000;
+    match state {
+        ProcessState::Ended => {
+            gateway.metrics.increment("quarantine.crash_seen");
+            log::info!(runner:% = runner.id, started_unix_ms = runner.started_unix_ms, lost = lost.len(), kept_ms;
+                "runner crashed with requests that had just begun");
+            send(&gateway, &Crash { runner, lost }).await;
+        }
+        ProcessState::Runs => {
+            gateway.metrics.increment("quarantine.no_crash");
+            log::info!(runner:% = runner.id, lost = lost.len(), kept_ms;
+                "runner has not crashed; its lost requests do not count");
+        }
+        ProcessState::Unknown => {
+            gateway.metrics.increment("quarantine.losses_dropped");
+            log::warn!(runner:% = runner.id, lost = lost.len(), kept_ms;
+                "not known whether the runner has crashed; its lost requests do not count");
+        }
+    }
+}
+
+/// Waits until it is known whether the process of a runner has ended: by its registration, by its report or by nodes that
+/// reach it.
+async fn await_certainty(gateway: &Gateway, runner: &Runner, lost: usize) -> ProcessState {
+    let Ok(_place) = gateway.quarantine.losses.places.try_acquire() else {
+        return ProcessState::Unknown;
+    };
+    gateway.metrics.increment("quarantine.losses_kept");
+    log::info!(runner:% = runner.id, started_unix_ms = runner.started_unix_ms, lost;
+        "no node can tell whether the runner has crashed; its lost requests are kept");
+    let until = Instant::now() + KEEP_TIME;
+    while Instant::now() < until {
+        let next_check = Instant::now() + CHECK_INTERVAL;
+        while Instant::now() < next_check {
+            if has_later_start(gateway, runner) {
+                return ProcessState::Ended;
+            }
+            tokio::time::sleep(REGISTRATION_INTERVAL).await;
+        }
+        let state = process_check::check(gateway, runner).await;
+        if state != ProcessState::Unknown {
+            return state;
+        }
     }
-    gateway.metrics.increment("quarantine.crash_seen");
-    log::info!(runner:% = runner.id, started_unix_ms = runner.started_unix_ms, lost = lost.len();
-        "runner crashed with requests that had just begun");
-    let crash = Crash { runner, lost };
-    send(&gateway, &crash).await;
+    ProcessState::Unknown
+}
+
+/// Whether a later process of the runner is registered.
+fn has_later_start(gateway: &Gateway, runner: &Runner) -> bool {
+    let snapshot = gateway.snapshot.load();
+    let mut registered = snapshot.runners_of(&runner.service).iter();
+    registered.any(|r| r.id == runner.id && r.started_unix_ms > runner.started_unix_ms)
 }
 
 /// The end of a process and the requests that were lost with it.
