Take an answer without a length for whole only if its runner is known to run

Change: such an answer is complete only if its runner runs (something accepts connections there and is not another process) or was leaving; in doubt it was broken off. The check was made before, so this adds no call. A sound answer without a length whose runner cannot be reached on any way just after it is lost now; the counter `body.end_not_confirmed` has such ends and those of crashes.

Evidence: `answer_that_the_crash_of_the_last_runner_cuts_off_does_not_look_complete` failed in both forms without the change and passes; `unframed`, `cut_from_runners` and `joined_streams` pass as they were.

--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -71,7 +71,7 @@
 
 impl Call {
     /// Turns the end of a body that is not complete into the loss of its connection: it has ended with its
-    /// connection, and the runner's process has crashed. A process that was leaving ends after its answers.
+    /// connection, and the runner's process is not known to run. A process that was leaving ends after its answers.
     pub async fn check_body_end(
         &self,
         runner: &Runner,
@@ -82,9 +82,10 @@
             return read;
         }
         let is_leaving = !self.gateway.snapshot.load().accepts_requests(runner);
-        if is_leaving || check(&self.gateway, runner).await != ProcessState::Ended {
+        if is_leaving || check(&self.gateway, runner).await == ProcessState::Runs {
             return read;
         }
+        self.gateway.metrics.increment("body.end_not_confirmed");
         Err(UnknownReason::ConnectionLost)
     }
 }
