Limit what a runner may answer to a node's own calls to the size of reports

Report: a faulty runner sent bytes without end, and the node that had called it ran out of memory.

Cause: calls of a node to runners shared the limit of 16 MiB with pages of the store. A holder asks up to 24 runners for their reports at a time, and each loss, silence or prefill adds calls: ten such answers fill the 160 MB of the smallest machine.

Change: a pool knows what it connects to; an answer of a runner has 128 KiB at most, less in tiny chunks. Reports have one short entry for each of some 64 requests.

--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -135,7 +135,7 @@
     pub fn open(control: Arc<Control>) -> Self {
         Self {
             control,
-            upstreams: Upstreams::open(),
+            upstreams: Upstreams::open_to_runners(),
             held: None,
             first_era: None,
             pending: HashMap::default(),
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -49,8 +49,12 @@
 
 /// Largest head of an answer, and size of the buffer in which it arrives.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Largest answer to a call of the gateway itself. The largest ones are pages of the store and the state of a peer.
+/// Largest answer of the store or a peer to a call of the gateway itself: pages of the store, the state of a peer. Few of
+/// them are read at a time.
 pub const MAX_CALL_BYTES: usize = 16 << 20;
+/// Largest answer of a runner to a call of the gateway itself. Reports are the largest ones, with one short entry for each
+/// request that runs; many of them are read at a time.
+pub const MAX_RUNNER_CALL_BYTES: usize = 128 << 10;
 /// What a frame of such an answer counts beside its bytes: tiny chunks cost the node more than their bytes do.
 const FRAME_COST_BYTES: usize = 256;
 
@@ -91,11 +95,13 @@
 }
 
 /// Pool of idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Upstreams {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     /// Ways to runners; `None` for a pool that only connects directly.
     paths: Option<Arc<RunnerPaths>>,
+    /// Largest answer to a call.
+    max_call_bytes: usize,
 }
 
 /// The answer to a request. Its body owns the connection.
@@ -131,16 +137,26 @@
 }
 
 impl Upstreams {
-    /// Creates an empty pool.
+    /// Creates an empty pool of connections to the store or to peers.
     pub fn open() -> Arc<Self> {
-        Arc::new(Self::default())
+        Self::with(None, MAX_CALL_BYTES)
+    }
+
+    /// Creates an empty pool of direct connections to runners.
+    pub fn open_to_runners() -> Arc<Self> {
+        Self::with(None, MAX_RUNNER_CALL_BYTES)
     }
 
     /// Creates an empty pool whose connections lead to runners, some through other nodes.
     pub fn open_by(paths: Arc<RunnerPaths>) -> Arc<Self> {
+        Self::with(Some(paths), MAX_RUNNER_CALL_BYTES)
+    }
+
+    fn with(paths: Option<Arc<RunnerPaths>>, max_call_bytes: usize) -> Arc<Self> {
         Arc::new(Self {
             idle: Mutex::default(),
-            paths: Some(paths),
+            paths,
+            max_call_bytes,
         })
     }
 
@@ -179,8 +195,8 @@
         }
     }
 
-    /// Sends a call of the gateway itself and reads the whole answer, which has at most [`MAX_CALL_BYTES`], less if it
-    /// comes in tiny chunks.
+    /// Sends a call of the gateway itself and reads the whole answer, which has at most [`MAX_CALL_BYTES`], of a runner at
+    /// most [`MAX_RUNNER_CALL_BYTES`], and less if it comes in tiny chunks.
     pub async fn call(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -205,7 +221,7 @@
         while let Some(data) = body.next().await {
             cost_bytes += FRAME_COST_BYTES + data.as_ref().map_or(0, Bytes::len);
             match data {
-                Ok(_) if cost_bytes > MAX_CALL_BYTES => {
+                Ok(_) if cost_bytes > self.max_call_bytes => {
                     return Err(SendFailure {
                         outcome: AttemptOutcome::Unknown(UnknownReason::InvalidAnswer),
                     });
