Bound what all streams of a node hold of incomplete events

Report: bytes that are no answer, without end, in a body; the node that keeps them runs out of memory, and the requests of other callers end with it.

Cause: a stream that may be resumed is passed on in whole events, so its last event is held, up to 1 MiB. The limit is that of one stream; 200 streams of runners in trouble hold 200 MiB on a machine with 160 MB.

Change: all streams together hold 16 MiB at most, beside 16 KiB for each (`gateway::held_bytes`). A stream that exceeds both has failed as one does with an event above the limit; streams with events of usual size go on whatever others hold.

--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -1,8 +1,10 @@
 //! The events of one answer, on their way from its runners to the caller.
 //!
 //! A stream that may be resumed is passed on in whole events; another one as it arrives. A stream of events is
-//! complete only if it ends between two events, however its runner frames it. A limit on the size of an event keeps
-//! one without end out of memory.
+//! complete only if it ends between two events, however its runner frames it. A limit on the size of an event, and one on
+//! what all streams of the node hold, keep events without end out of memory.
+
+use std::sync::Arc;
 
 use bytes::Bytes;
 use hyper::header::CONTENT_TYPE;
@@ -12,6 +14,7 @@
 use tealsaddle_core::retry::UnknownReason;
 
 use crate::framing::Framing;
+use crate::held_bytes::{HeldBytes, HeldShare};
 
 /// Largest event. A runner that sends more bytes without the end of an event has failed.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -22,6 +25,8 @@
     /// Splits the stream after complete events; `None` if the stream must not be resumed.
     splitter: Option<EventSplitter>,
     boundary: EventBoundary,
+    /// What the splitter holds back.
+    held: HeldShare,
     /// Whether the answer consists of events, so that its end inside of one means that it was broken off.
     has_events: bool,
     /// Whether the caller has got any event.
@@ -31,12 +36,18 @@
 }
 
 impl EventStream {
-    /// Begins the stream of an answer with this head.
-    pub fn begin(repeat: RepeatPolicy, head: &Parts, framing: Framing) -> Self {
+    /// Begins the stream of an answer with this head. `of_all_streams` is what the streams of the node hold.
+    pub fn begin(
+        repeat: RepeatPolicy,
+        head: &Parts,
+        framing: Framing,
+        of_all_streams: &Arc<HeldBytes>,
+    ) -> Self {
         let is_success = head.status.is_success();
         Self {
             splitter: (repeat.may_repeat() && is_success).then(EventSplitter::default),
             boundary: EventBoundary::default(),
+            held: HeldShare::open(Arc::clone(of_all_streams)),
             has_events: repeat.is_stream() && is_success && has_events(head, framing),
             has_passed_events: false,
             has_continued: false,
@@ -62,6 +73,9 @@
         let events = splitter.push(&data);
         self.has_passed_events |= !events.is_empty();
         self.check_size()?;
+        if !self.held.set(self.incomplete_bytes()) {
+            return Err(UnknownReason::InvalidAnswer);
+        }
         Ok((!events.is_empty()).then(|| Bytes::from(events)))
     }
 
@@ -101,6 +115,7 @@
     /// Removes and returns the bytes that were held back.
     pub fn take_rest(&mut self) -> Option<Bytes> {
         let rest = self.splitter.as_mut()?.take_incomplete();
+        self.held.set(0);
         (!rest.is_empty()).then(|| Bytes::from(rest))
     }
 
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::borrowed_paths::lender::LentPaths;
 use crate::connector::{Connect, TcpConnector};
 use crate::external::Dialect;
+use crate::held_bytes::HeldBytes;
 use crate::knowledge::KnowledgeClock;
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
@@ -70,6 +71,8 @@
     pub runner_paths: Arc<RunnerPaths>,
     /// Paths to runners that are lent to other nodes.
     pub lent_paths: LentPaths,
+    /// Bytes of incomplete events that streams hold.
+    pub held_bytes: Arc<HeldBytes>,
     /// Connection pool for requests to runners.
     pub upstreams: Arc<Upstreams>,
     /// Connection pool for the node's own calls to runners, whose answers name no request.
@@ -130,6 +133,7 @@
             upstreams: Upstreams::open_by(Arc::clone(&runner_paths)),
             own_calls: Upstreams::open_by(Arc::clone(&runner_paths)),
             runner_paths,
+            held_bytes: Arc::default(),
             lent_paths: LentPaths::default(),
             quarantine: Quarantine::open(config.peer_listen),
             versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod framing;
 pub mod front;
 pub mod gateway;
+pub mod held_bytes;
 pub mod idle_timeout;
 pub mod knowledge;
 pub mod lifecycle;
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -40,7 +40,12 @@
     let mut head = stream.head.clone();
     strip_hop_headers(&mut head.headers, |_name| false);
     call.gateway.dialect.clean_answer(&mut head.headers);
-    let events = EventStream::begin(call.route.repeat, &head, stream.body.framing());
+    let events = EventStream::begin(
+        call.route.repeat,
+        &head,
+        stream.body.framing(),
+        &call.gateway.held_bytes,
+    );
     if events.may_resume() || events.has_events() {
         // The caller would take the stream for complete at this length, whatever is found at its end, and a resumed
         // stream may differ in length.
