Ask a runner that closes connections again only after a pause

Cause, from the nodes' logs: the answer ended in the very millisecond of the crash. The check connected twice at once; the process, or the kernel for it, still accepted and closed both connections, and a runner that accepts was taken for one that runs.

Change: up to three checks with 50 ms between them, only where a connection is closed without an answer.

Evidence: `answer_of_a_runner_that_is_crashing_does_not_look_complete` (closes two connections, then listens no more) failed before and passes.

--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -16,7 +16,10 @@
 /// Time for the runner's report, and for asking other nodes whether they reach the runner.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400).saturating_add(SEARCH_TIMEOUT);
 /// How often the runner is asked, if it closes the connection without an answer.
-const CHECKS: usize = 2;
+const CHECKS: usize = 3;
+/// Pause before it is asked again. A process that is ending closes its connections a moment before, or after, it listens no
+/// more.
+const CHECK_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a check tells of a runner's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -31,7 +34,10 @@
 
 /// Asks a runner for its report to find out whether its process has ended.
 pub async fn check(gateway: &Gateway, runner: &Runner) -> ProcessState {
-    for _check in 0..CHECKS {
+    for check in 0..CHECKS {
+        if check > 0 {
+            tokio::time::sleep(CHECK_PAUSE).await;
+        }
         let request = gateway.dialect.report_request(&runner.id);
         let report = gateway.own_calls.call(runner.address, request, Reuse::Any);
         let Ok(answer) = tokio::time::timeout(CHECK_TIMEOUT, report).await else {
