--- a/crates/tealsaddle-core/src/fleet/permit_counter.rs
+++ b/crates/tealsaddle-core/src/fleet/permit_counter.rs
@@ -11,9 +11,8 @@
 const BURST: f64 = 2.0;
 /// Smallest limit in requests a second: without any request nobody would learn that a limit has ended.
 pub const MIN_LIMIT_PER_S: f64 = 0.1;
-/// Share of the limit that all substitutes give together, beside the whole one of the counting node. Runners may get one and
-/// a half times their limit in any 4 s, and permits are used up to a second after they are given.
-const SUBSTITUTE_SHARE: f64 = 0.4;
+/// Share of the limit that all substitutes give together, beside the whole one of the counting node.
+const SUBSTITUTE_SHARE: f64 = 0.5;
 /// Smallest share of the nodes that a substitute is taken to reach, so that it gives any permit.
 const MIN_REACH: f64 = 0.001;
 /// Longest time after which a refused request is told to return.
