End the counting for limited runners when a node is told to stop

Cause: the node that counts for a runner follows from each node's list of the nodes. A stopping node gives up its registration at once but went on counting for the nodes that had not read their lists since (up to 7.5 s), while the next one counted for those that had: each gave the whole limit.

The next one is the first by its own list, or stands in with half. The stopping node asks it as well.

--- a/crates/tealsaddle-core/tests/it/fleet/permit_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/permit_histories.rs
@@ -52,6 +52,8 @@
     CutWith,
     /// The first node joins, and the others learn of it one by one.
     Join,
+    /// The first node is told to stop, and the others learn of it one by one.
+    Stop,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -95,7 +97,7 @@
 struct Node {
     gate: SendGate,
     counter: PermitCounter,
-    /// When it learns of the first node after that has registered.
+    /// When it learns of the first node after that has registered, or has given up its registration.
     learns_after_us: u64,
 }
 
@@ -232,6 +234,11 @@
             Fault::CutWith if is_in_fault && node >= third => (third, cut_off(count - third)),
             Fault::Join if now_us < FAULT_US[0] => (1, CounterRole::First),
             Fault::Join => self.joined(node, FAULT_US[0], now_us),
+            // Who still asks the first node is refused and asks the second one, which may not have learned of it itself.
+            Fault::Stop if now_us >= FAULT_US[0] + self.nodes[1].learns_after_us => {
+                (1, CounterRole::First)
+            }
+            Fault::Stop if now_us >= FAULT_US[0] => (1, ALL_REACHED),
             _ => (0, CounterRole::First),
         }
     }
@@ -352,6 +359,7 @@
         Fault::CutWithout,
         Fault::CutWith,
         Fault::Join,
+        Fault::Stop,
     ];
     for fault in faults {
         for limit_per_s in [0.0, 0.1, 1.0, 4.2, 20.0] {
@@ -386,6 +394,7 @@
     for (fault, at_least) in [
         (Fault::None, 0.85),
         (Fault::Join, 0.7),
+        (Fault::Stop, 0.7),
         (Fault::Restart, 0.6),
         (Fault::CutWithout, 0.6),
         (Fault::CutWith, 0.6),
--- a/crates/tealsaddle-gateway/src/send_gate/counting.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/counting.rs
@@ -64,10 +64,12 @@
         nodes
     }
 
-    /// Whether other nodes may not ask this one yet, or no more.
-    fn is_settling(&self, now_us: u64) -> bool {
+    /// Whether this node may count as the first one: all others know it, and it goes on unless it is alone.
+    fn may_be_first(&self, now_us: u64) -> bool {
         let registered = self.registered_us;
-        registered.is_none_or(|registered_us| now_us < registered_us + SETTLING_US)
+        let is_settled =
+            registered.is_some_and(|registered_us| registered_us + SETTLING_US <= now_us);
+        is_settled && (self.peers.is_empty() || !self.has_retired)
     }
 
     /// Number of nodes that share a limit, including this one.
@@ -144,10 +146,10 @@
             .unreachable
             .retain(|_node, until_us| *until_us > now_us);
         let mut ranked = state.ranked(runner, self.own_address, now_us);
-        let is_settling = state.is_settling(now_us);
+        let may_be_first = state.may_be_first(now_us);
         ranked.retain(|node| {
-            let may_be_unknown = is_settling && Some(*node) == self.own_address;
-            !may_be_unknown && !state.unreachable.contains_key(node)
+            let is_asked = may_be_first || Some(*node) != self.own_address;
+            is_asked && !state.unreachable.contains_key(node)
         });
         ranked.truncate(MAX_TRIED);
         ranked
@@ -218,7 +220,7 @@
             .ranked(runner, self.own_address, now_us)
             .first()
             .copied();
-        if first == self.own_address && !state.is_settling(now_us) {
+        if first == self.own_address && state.may_be_first(now_us) {
             return CounterRole::First;
         }
         if state.reach_estimated_us + REACH_US <= now_us {
--- a/crates/tealsaddle-gateway/src/send_gate/mod.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/mod.rs
@@ -84,6 +84,8 @@
     has_caught_up: bool,
     /// When this node registered; `None` before.
     registered_us: Option<u64>,
+    /// Whether this node counts for no runner any more, since it is told to stop.
+    has_retired: bool,
     /// Share of the other nodes that this one reaches, when it was last asked in place of another one.
     reach: f64,
     reach_estimated_us: u64,
@@ -241,6 +243,12 @@
         self.state().registered_us = Some(clock::now_us());
     }
 
+    /// Ends the counting for other nodes. A node that stops is in the lists of some of them for some seconds more, while
+    /// others have the next node in its place: if both counted, runners would get up to twice their limits.
+    pub fn retire(&self) {
+        self.state().has_retired = true;
+    }
+
     /// Takes over the runners and nodes of a new snapshot.
     pub fn on_snapshot(self: &Arc<Self>, snapshot: &FleetSnapshot) {
         let now_us = clock::now_us();
@@ -261,6 +269,10 @@
     /// Answers a message of a peer; `None` if the path is not one of this module.
     pub fn answer(self: &Arc<Self>, path: &str, body: &[u8]) -> Option<(StatusCode, String)> {
         let answered = match path {
+            // A peer asks the next node then, as it does if this one does not answer.
+            messages::PERMIT_PATH if self.state().has_retired => {
+                return Some((StatusCode::SERVICE_UNAVAILABLE, String::new()));
+            }
             messages::PERMIT_PATH => peer_message::parse(body)
                 .map(|request| peer_message::text_of(&self.on_permit_request(&request))),
             messages::TERMS_PATH => peer_message::parse(body).map(|notice: TermsNotice| {
