Ask on past nodes that refuse to count, without standing in for them

With two stopping nodes at the head of a runner's order (stops of several nodes at a time), each node that asked would have given half of the limit until its list was read again.

Change: only nodes that do not answer count against the two tries; one that refuses does so at once, and the next one is asked. So all that ask come to the same node.

--- a/crates/tealsaddle-gateway/src/peer_message.rs
+++ b/crates/tealsaddle-gateway/src/peer_message.rs
@@ -22,6 +22,15 @@
     Close,
 }
 
+/// Why a message has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// The peer did not answer in time, or what it answered cannot be parsed.
+    Lost,
+    /// The peer has answered, with another status than success.
+    Refused,
+}
+
 /// Sends a message to a peer and parses its answer; `None` if the peer does not answer in time.
 pub async fn send<M, A>(
     upstreams: &Arc<Upstreams>,
@@ -31,6 +40,23 @@
     limit: Duration,
     connection: Connection,
 ) -> Option<A>
+where
+    M: Serialize,
+    A: DeserializeOwned,
+{
+    let asked = ask(upstreams, peer, path, message, limit, connection).await;
+    asked.ok()
+}
+
+/// Like [`send`], and tells a peer that refuses from one that does not answer.
+pub async fn ask<M, A>(
+    upstreams: &Arc<Upstreams>,
+    peer: SocketAddr,
+    path: &str,
+    message: &M,
+    limit: Duration,
+    connection: Connection,
+) -> Result<A, NoAnswer>
 where
     M: Serialize,
     A: DeserializeOwned,
@@ -47,14 +73,17 @@
         body: Bytes::from(serde_json::to_vec(message).expect("a message has a JSON form")),
     };
     let answer = tokio::time::timeout(limit, upstreams.call(peer, call, Reuse::Any));
-    let answer = answer.await.ok()?.ok()?;
+    let Ok(Ok(answer)) = answer.await else {
+        return Err(NoAnswer::Lost);
+    };
     if answer.status != StatusCode::OK {
         log::warn!(peer:%, path, status = answer.status.as_u16(); "peer refused a message");
-        return None;
+        return Err(NoAnswer::Refused);
     }
-    serde_json::from_slice(&answer.body)
-        .inspect_err(|error| log::warn!(peer:%, path, error:%; "peer answer cannot be parsed"))
-        .ok()
+    serde_json::from_slice(&answer.body).map_err(|error| {
+        log::warn!(peer:%, path, error:%; "peer answer cannot be parsed");
+        NoAnswer::Lost
+    })
 }
 
 /// The response to a message of a peer, if it could be parsed.
--- a/crates/tealsaddle-gateway/src/send_gate/counting.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/counting.rs
@@ -19,14 +19,14 @@
 use super::messages;
 use super::{SendGate, State};
 use crate::clock;
-use crate::peer_message::{self, Connection};
+use crate::peer_message::{self, Connection, NoAnswer};
 
 /// Time for the node that counts to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a node that did not answer is passed over.
 const UNREACHABLE_US: u64 = 1_000_000;
-/// Largest number of nodes that are asked for one permit before the node stands in itself.
-const MAX_TRIED: usize = 2;
+/// Largest number of nodes that do not answer the question for one permit, before the node stands in itself.
+const MAX_LOST: usize = 2;
 /// Largest time from the registration of a node until all others have listed it, with a reserve.
 const LIST_DELAY_US: u64 = 9_000_000;
 /// Time after its registration in which a node does not count as the first one: the others list it within
@@ -117,20 +117,26 @@
     async fn exchange(self: &Arc<Self>, runner: &Runner, max_wait: Option<Duration>) -> Reply {
         let known = self.state().terms.known(runner);
         let request = messages::permit_request(&known, max_wait, clock::now_us());
+        let mut lost = 0;
         for node in self.reachable(&runner.id) {
-            if Some(node) == self.own_address {
+            if Some(node) == self.own_address || lost == MAX_LOST {
                 break;
             }
-            if let Some(reply) = self.send_to(node, &request).await {
-                let now_us = clock::now_us();
-                let terms = reply.terms.as_ref();
-                if let Some(terms) = terms.and_then(|t| messages::decode_terms(t, now_us)) {
-                    self.state().terms.on_reply(&known, &terms, now_us);
+            let no_answer = match self.send_to(node, &request).await {
+                Ok(reply) => {
+                    let now_us = clock::now_us();
+                    let terms = reply.terms.as_ref();
+                    if let Some(terms) = terms.and_then(|t| messages::decode_terms(t, now_us)) {
+                        self.state().terms.on_reply(&known, &terms, now_us);
+                    }
+                    return messages::decode_reply(&reply);
                 }
-                return messages::decode_reply(&reply);
-            }
+                Err(no_answer) => no_answer,
+            };
+            // Nodes that refuse do so at once and are no reason to stand in, which each node that asks would do.
+            lost += usize::from(no_answer == NoAnswer::Lost);
             self.metrics.increment("permit.counter_lost");
-            log::info!(runner:% = runner.id, peer:% = node; "node that counts for a runner does not answer");
+            log::info!(runner:% = runner.id, peer:% = node, no_answer:?; "node does not count for a runner");
             let until_us = clock::now_us() + UNREACHABLE_US;
             self.state().unreachable.insert(node, until_us);
         }
@@ -151,13 +157,16 @@
             let is_asked = may_be_first || Some(*node) != self.own_address;
             is_asked && !state.unreachable.contains_key(node)
         });
-        ranked.truncate(MAX_TRIED);
         ranked
     }
 
-    async fn send_to(&self, node: SocketAddr, request: &PermitRequest) -> Option<PermitReply> {
+    async fn send_to(
+        &self,
+        node: SocketAddr,
+        request: &PermitRequest,
+    ) -> Result<PermitReply, NoAnswer> {
         let (upstreams, path) = (&self.upstreams, messages::PERMIT_PATH);
-        let sent = peer_message::send(
+        let sent = peer_message::ask(
             upstreams,
             node,
             path,
