--- a/crates/tealsaddle-gateway/src/changes.rs
+++ b/crates/tealsaddle-gateway/src/changes.rs
@@ -38,6 +38,7 @@
         Connection::Keep,
     )
     .await
+    .ok()
 }
 
 /// The question for the changes after a position.
--- a/crates/tealsaddle-gateway/src/departures.rs
+++ b/crates/tealsaddle-gateway/src/departures.rs
@@ -87,6 +87,7 @@
         Connection::Close,
     )
     .await
+    .ok()
 }
 
 /// The question about the runners that are kept.
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -165,10 +165,10 @@
 
     /// Begins a stop, unless one is in progress, and returns its schedule.
     pub fn begin_stop(&self) -> Stop {
-        let plan = || Stop::plan(Instant::now(), self.config.grace);
-        let stop = *self.stop.get_or_init(plan);
-        self.send_gate.retire();
-        stop
+        *self.stop.get_or_init(|| {
+            self.send_gate.retire();
+            Stop::plan(Instant::now(), self.config.grace)
+        })
     }
 
     /// Limits on callers of the configuration in force; the defaults before the first configuration.
--- a/crates/tealsaddle-gateway/src/peer_message.rs
+++ b/crates/tealsaddle-gateway/src/peer_message.rs
@@ -31,7 +31,7 @@
     Refused,
 }
 
-/// Sends a message to a peer and parses its answer; `None` if the peer does not answer in time.
+/// Sends a message to a peer and parses its answer.
 pub async fn send<M, A>(
     upstreams: &Arc<Upstreams>,
     peer: SocketAddr,
@@ -39,23 +39,6 @@
     message: &M,
     limit: Duration,
     connection: Connection,
-) -> Option<A>
-where
-    M: Serialize,
-    A: DeserializeOwned,
-{
-    let asked = ask(upstreams, peer, path, message, limit, connection).await;
-    asked.ok()
-}
-
-/// Like [`send`], and tells a peer that refuses from one that does not answer.
-pub async fn ask<M, A>(
-    upstreams: &Arc<Upstreams>,
-    peer: SocketAddr,
-    path: &str,
-    message: &M,
-    limit: Duration,
-    connection: Connection,
 ) -> Result<A, NoAnswer>
 where
     M: Serialize,
--- a/crates/tealsaddle-gateway/src/quarantine/messages.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/messages.rs
@@ -41,7 +41,8 @@
     M: Serialize,
     A: DeserializeOwned,
 {
-    peer_message::send(upstreams, peer, path, message, limit, Connection::Close).await
+    let sent = peer_message::send(upstreams, peer, path, message, limit, Connection::Close);
+    sent.await.ok()
 }
 
 /// Answers a message of a peer.
--- a/crates/tealsaddle-gateway/src/send_gate/counting.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/counting.rs
@@ -23,7 +23,7 @@
 
 /// Time for the node that counts to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which a node that did not answer is passed over.
+/// Time for which a node that did not answer, or refused, is passed over.
 const UNREACHABLE_US: u64 = 1_000_000;
 /// Largest number of nodes that do not answer the question for one permit, before the node stands in itself.
 const MAX_LOST: usize = 2;
@@ -123,14 +123,7 @@
                 break;
             }
             let no_answer = match self.send_to(node, &request).await {
-                Ok(reply) => {
-                    let now_us = clock::now_us();
-                    let terms = reply.terms.as_ref();
-                    if let Some(terms) = terms.and_then(|t| messages::decode_terms(t, now_us)) {
-                        self.state().terms.on_reply(&known, &terms, now_us);
-                    }
-                    return messages::decode_reply(&reply);
-                }
+                Ok(reply) => return self.on_permit_reply(&known, &reply),
                 Err(no_answer) => no_answer,
             };
             // Nodes that refuse do so at once and are no reason to stand in, which each node that asks would do.
@@ -144,6 +137,16 @@
         self.count(&known, ask.as_ref()).0
     }
 
+    /// Takes over what the node that counts knows.
+    fn on_permit_reply(&self, known: &RunnerTerms, reply: &PermitReply) -> Reply {
+        let now_us = clock::now_us();
+        let terms = reply.terms.as_ref();
+        if let Some(terms) = terms.and_then(|t| messages::decode_terms(t, now_us)) {
+            self.state().terms.on_reply(known, &terms, now_us);
+        }
+        messages::decode_reply(reply)
+    }
+
     /// The nodes to ask, in order.
     fn reachable(&self, runner: &Name) -> Vec<SocketAddr> {
         let now_us = clock::now_us();
@@ -166,7 +169,7 @@
         request: &PermitRequest,
     ) -> Result<PermitReply, NoAnswer> {
         let (upstreams, path) = (&self.upstreams, messages::PERMIT_PATH);
-        let sent = peer_message::ask(
+        let sent = peer_message::send(
             upstreams,
             node,
             path,
@@ -251,8 +254,8 @@
             async move {
                 let (path, limit) = (messages::REACH_PATH, ASK_TIMEOUT);
                 let sent = peer_message::send(upstreams, peer, path, &(), limit, Connection::Close);
-                let answer: Option<serde_json::Value> = sent.await;
-                answer.is_some()
+                let answer: Result<serde_json::Value, NoAnswer> = sent.await;
+                answer.is_ok()
             }
         });
         let answers = futures::future::join_all(asked).await;
@@ -271,7 +274,7 @@
                 let (path, limit) = (messages::KNOWN_PATH, NOTICE_TIMEOUT);
                 let upstreams = &gate.upstreams;
                 let sent = peer_message::send(upstreams, peer, path, &(), limit, Connection::Close);
-                let known: Option<TermsNotice> = sent.await;
+                let known: Option<TermsNotice> = sent.await.ok();
                 gate.on_notice(&known.unwrap_or_default());
             }
         });
@@ -293,8 +296,8 @@
                 let (upstreams, limit) = (&gate.upstreams, NOTICE_TIMEOUT);
                 let sent =
                     peer_message::send(upstreams, peer, path, &notice, limit, Connection::Close);
-                let answer: Option<serde_json::Value> = sent.await;
-                answer.is_some()
+                let answer: Result<serde_json::Value, NoAnswer> = sent.await;
+                answer.is_ok()
             }
         };
         let told = stream::iter(peers.iter().map(tell)).buffer_unordered(TOLD_AT_ONCE);
--- a/crates/tealsaddle-gateway/src/send_gate/mod.rs
+++ b/crates/tealsaddle-gateway/src/send_gate/mod.rs
@@ -76,7 +76,7 @@
     first_seen_us: HashMap<SocketAddr, u64>,
     /// Number of registered nodes; 0 while unknown.
     nodes: u32,
-    /// Nodes that did not answer, with the time until which they are not asked again.
+    /// Nodes that did not answer or refused, with the time until which they are not asked again.
     unreachable: HashMap<SocketAddr, u64>,
     /// Terms that the other nodes are to be told.
     untold: Vec<RunnerTerms>,
--- a/crates/tealsaddle-gateway/src/versions.rs
+++ b/crates/tealsaddle-gateway/src/versions.rs
@@ -26,7 +26,7 @@
 use crate::clock;
 use crate::external::Item;
 use crate::metrics::Metrics;
-use crate::peer_message::{self, Connection};
+use crate::peer_message::{self, Connection, NoAnswer};
 use crate::snapshot::FleetSnapshot;
 use crate::upstream::Upstreams;
 
@@ -354,7 +354,7 @@
                         ASK_TIMEOUT,
                         Connection::Keep,
                     );
-                    (true, sent.await)
+                    (true, sent.await.ok())
                 }
             })
             .collect();
@@ -408,6 +408,6 @@
         TOLD_TIMEOUT,
         Connection::Keep,
     );
-    let answer: Option<serde_json::Value> = sent.await;
-    answer.is_some()
+    let answer: Result<serde_json::Value, NoAnswer> = sent.await;
+    answer.is_ok()
 }
