Log how the end of an answer without a length was judged, and where a stream goes on

Hypotheses A (the check of the process leaves out leaving runners), B (the runner that goes on begins elsewhere) and C (two software versions) could not be told apart: no line said whether a runner was leaving when its answer ended, nor with which event another runner went on.

What callers get is unchanged; a leaving runner is asked for its report now.

--- a/crates/tealsaddle-core/src/fleet/events.rs
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -195,8 +195,55 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let events = events.strip_prefix(BYTE_ORDER_MARK).unwrap_or(events);
-    let lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = String::from_utf8_lossy(ids.next()?);
+    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.find_map(id_of_line)
+}
+
+fn id_of_line(line: &[u8]) -> Option<String> {
+    let id = String::from_utf8_lossy(line.strip_prefix(b"id:")?);
     Some(id.trim().to_owned())
 }
+
+/// The first event of a stream that has data.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FirstEvent {
+    /// Its id; `None` if it has none.
+    pub id: Option<String>,
+}
+
+impl FirstEvent {
+    /// Finds the first event with data among complete events.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tealsaddle_core::fleet::events::FirstEvent;
+    ///
+    /// let first = FirstEvent::find(b": ping\n\nid: 4\ndata: a\n\n");
+    /// assert_eq!(first, Some(FirstEvent { id: Some("4".to_owned()) }));
+    /// ```
+    pub fn find(events: &[u8]) -> Option<Self> {
+        let events = events.strip_prefix(BYTE_ORDER_MARK).unwrap_or(events);
+        let mut id = None;
+        let mut has_data = false;
+        for line in lines(events) {
+            if line.is_empty() && has_data {
+                return Some(Self { id });
+            }
+            has_data |= line == b"data" || line.starts_with(b"data:");
+            id = id_of_line(line).or(id);
+        }
+        None
+    }
+}
+
+/// Lines of complete events, which end with LF, CR LF or CR.
+fn lines(mut rest: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let end = rest.iter().position(|b| matches!(b, b'\n' | b'\r'))?;
+        let (line, ended) = rest.split_at(end);
+        let line_end = if ended.starts_with(b"\r\n") { 2 } else { 1 };
+        rest = &ended[line_end..];
+        Some(line)
+    })
+}
--- a/crates/tealsaddle-core/tests/it/fleet/events.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/events.rs
@@ -1,7 +1,7 @@
 //! Tests of splitting a stream at event boundaries.
 
 use proptest::prelude::*;
-use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter};
+use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter, FirstEvent};
 use yare::parameterized;
 
 /// Guards against passing on an incomplete event, after which another runner would resume in the middle of
@@ -28,6 +28,25 @@
     assert_eq!(splitter.last_id(), last_id);
 }
 
+/// Guards against a wrong id of the event with which a runner goes on with a stream.
+#[parameterized(
+    nothing = { "", None },
+    one = { "id: 4\ndata: a\n\nid: 5\ndata: b\n\n", Some(Some("4")) },
+    id_after_the_data = { "data: a\nid: 4\n\n", Some(Some("4")) },
+    without_id = { "data: a\n\nid: 5\ndata: b\n\n", Some(None) },
+    empty_data = { "id: 4\ndata\n\n", Some(Some("4")) },
+    carriage_returns = { "id: 4\r\ndata: a\r\n\r\n", Some(Some("4")) },
+    bare_carriage_returns = { "id: 4\rdata: a\r\r", Some(Some("4")) },
+    comment_first = { ": ping\n\nid: 4\ndata: a\n\n", Some(Some("4")) },
+    id_without_data = { "id: 4\n\n", None },
+    byte_order_mark = { "\u{feff}id: 4\ndata: a\n\n", Some(Some("4")) },
+)]
+fn first_event_with_data_is_found(events: &str, id: Option<Option<&str>>) {
+    let first = FirstEvent::find(events.as_bytes());
+    let first_id = first.as_ref().map(|first| first.id.as_deref());
+    assert_eq!(first_id, id);
+}
+
 /// Guards against losing the bytes of an incomplete event when a stream ends normally.
 #[test]
 fn incomplete_event_can_be_taken() {
--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -75,6 +75,17 @@
     }
 }
 
+impl ProcessState {
+    /// Name in log records and counters.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Runs => "runs",
+            Self::Ended => "ended",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 impl Call {
     /// Turns the end of a body that is not complete into the loss of its connection: it has ended with its
     /// connection, and the runner's process is not known to run. A process that was leaving ends after its answers.
@@ -88,7 +99,13 @@
             return read;
         }
         let is_leaving = !self.gateway.snapshot.load().accepts_requests(runner);
-        if is_leaving || check(&self.gateway, runner).await == ProcessState::Runs {
+        let process = check(&self.gateway, runner).await;
+        let registration = if is_leaving { "leaving" } else { "ready" };
+        let metrics = &self.gateway.metrics;
+        metrics.increment(&format!("body.end.{registration}.{}", process.as_str()));
+        log::info!(id:% = self.request_id, runner:% = runner.id, is_leaving, process = process.as_str();
+            "runner asked at the end of an answer without a length");
+        if is_leaving || process == ProcessState::Runs {
             return read;
         }
         self.gateway.metrics.increment("body.end_not_confirmed");
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use hyper::header;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::config::EngineLimits;
+use tealsaddle_core::fleet::events::FirstEvent;
 use tealsaddle_core::fleet::quarantine::SURVIVAL_US;
 use tealsaddle_core::name::Name;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
@@ -59,6 +60,7 @@
         run: Run::begin(stream.runner, stream.sent_us),
         attempts,
         events,
+        has_just_continued: false,
     };
     let frames = stream::unfold(Some(relay), |relay| async move { relay?.next().await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -73,6 +75,8 @@
     run: Run,
     attempts: Attempts,
     events: EventStream,
+    /// Whether the runner goes on with the stream of another one and has sent no event yet.
+    has_just_continued: bool,
 }
 
 /// What tells whether the runner of the attempt survives the start of the answer.
@@ -249,13 +253,24 @@
         }
         self.call.on_events();
         let events = self.events.push(data)?;
+        if let Some(events) = &events
+            && std::mem::take(&mut self.has_just_continued)
+        {
+            let first_event_id = FirstEvent::find(events).and_then(|first| first.id);
+            log::info!(id:% = self.call.request_id, runner:% = self.run.runner.id, first_event_id:?;
+                "first events of the runner that goes on");
+        }
         Ok(events.map_or(Step::Incomplete, Step::Data))
     }
 
     /// Goes on with the stream of another runner. Closing the connection stops the previous one.
     fn continue_with(&mut self, stream: OpenStream) {
+        log::info!(id:% = self.call.request_id, from:% = self.run.runner.id, runner:% = stream.runner.id,
+            last_event_id:? = self.events.last_id(), version:% = stream.runner.version;
+            "stream goes on at another runner");
         self.events
             .continue_with(&stream.head, stream.body.framing());
+        self.has_just_continued = true;
         self.call.gateway.metrics.increment("stream.resumed");
         self.body = Some(stream.body);
         self.attempt = stream.attempt;
