Take the end of a leaving runner's answer for complete only if the runner still runs

Cause: the end of an answer without a length was checked against the runner's process, but not for a runner that was leaving: that such a process ends only after its answers was taken for known. It is not: a planned end may come in the middle of answers.

If it has ended, or cannot be reached, a stream that may be resumed goes on at another runner after its last event; other answers are broken off. The outcome has a name of its own, end_unconfirmed: a planned end is not reported to the quarantine as the loss of a request that may have crashed its runner.

--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -37,6 +37,8 @@
 pub enum UnknownReason {
     /// The connection was lost after bytes had been sent.
     ConnectionLost,
+    /// The connection was closed where the answer may end, and it is not known whether the target still ran.
+    EndUnconfirmed,
     /// The target did not answer in time.
     Timeout,
     /// The answer violated the protocol.
@@ -52,6 +54,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::ConnectionLost => "connection_lost",
+            Self::EndUnconfirmed => "end_unconfirmed",
             Self::Timeout => "timeout",
             Self::InvalidAnswer => "invalid_answer",
             Self::TargetFailed => "target_failed",
--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use tealsaddle_core::fleet::Runner;
+use tealsaddle_core::fleet::send_gate::HoldReason;
 use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
 
 use crate::borrowed_paths::SEARCH_TIMEOUT;
@@ -86,9 +87,28 @@
     }
 }
 
+/// Whether a runner is about to stop, or is not registered as ready any more.
+fn is_leaving(gateway: &Gateway, runner: &Runner) -> bool {
+    let hold = gateway.send_gate.hold(runner);
+    let says_so = hold.is_some_and(|withheld| withheld.reason == HoldReason::Leaving);
+    says_so || !gateway.snapshot.load().accepts_requests(runner)
+}
+
+/// Asks whether the process of a leaving runner goes on after the end of an answer. A process that stops may close its
+/// connections, and answer for some time, before it ends.
+async fn check_leaving(gateway: &Gateway, runner: &Runner) -> ProcessState {
+    let process = check(gateway, runner).await;
+    if process != ProcessState::Runs {
+        return process;
+    }
+    tokio::time::sleep(CHECK_PAUSE).await;
+    check(gateway, runner).await
+}
+
 impl Call {
-    /// Turns the end of a body that is not complete into the loss of its connection: it has ended with its
-    /// connection, and the runner's process is not known to run. A process that was leaving ends after its answers.
+    /// Turns the end of a body that is not known to be complete into a failure: it has ended with its connection, and the
+    /// runner's process is not known to run. The end of a process that was leaving was planned, so it is not the loss of a
+    /// connection, of which the quarantine is told.
     pub async fn check_body_end(
         &self,
         runner: &Runner,
@@ -98,17 +118,23 @@
         if framing != Framing::UntilClose || !matches!(read, Ok(None)) {
             return read;
         }
-        let is_leaving = !self.gateway.snapshot.load().accepts_requests(runner);
-        let process = check(&self.gateway, runner).await;
-        let registration = if is_leaving { "leaving" } else { "ready" };
+        let is_leaving = is_leaving(&self.gateway, runner);
+        let (process, registration, reason) = if is_leaving {
+            let process = check_leaving(&self.gateway, runner).await;
+            (process, "leaving", UnknownReason::EndUnconfirmed)
+        } else {
+            let process = check(&self.gateway, runner).await;
+            (process, "ready", UnknownReason::ConnectionLost)
+        };
+        let process_name = process.as_str();
         let metrics = &self.gateway.metrics;
-        metrics.increment(&format!("body.end.{registration}.{}", process.as_str()));
-        log::info!(id:% = self.request_id, runner:% = runner.id, is_leaving, process = process.as_str();
+        metrics.increment(&format!("body.end.{registration}.{process_name}"));
+        log::info!(id:% = self.request_id, runner:% = runner.id, is_leaving, process = process_name;
             "runner asked at the end of an answer without a length");
-        if is_leaving || process == ProcessState::Runs {
+        if process == ProcessState::Runs {
             return read;
         }
-        self.gateway.metrics.increment("body.end_not_confirmed");
-        Err(UnknownReason::ConnectionLost)
+        metrics.increment("body.end_not_confirmed");
+        Err(reason)
     }
 }
