Pass on a stream of another runner only if it goes on after the last event

The caller saw a number that goes back, or events twice; the same when a caller took a stream up itself.

Cause: the ids of the runner that goes on were not looked at. That a runner does what it was asked for was taken for known.

The splitter now holds events back until the first one with data or an id is known to follow the last one that was passed on, or that the caller has stated. Ids rise, so a number that is not higher, or no id at all, is out of order: the runner is given up as for any invalid answer, before a byte is passed on. An id that is too high cannot be told, since ids need not be consecutive.

--- a/crates/tealsaddle-core/src/fleet/events.rs
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -16,6 +16,9 @@
     has_released: bool,
     /// Whether the next bytes are the start of another runner's stream, whose byte order mark is dropped.
     drops_mark: bool,
+    /// Id of the event after which the present runner was asked to go on, until its first event has come.
+    goes_on_after: Option<String>,
+    is_out_of_order: bool,
 }
 
 impl EventSplitter {
@@ -42,6 +45,10 @@
         if std::mem::take(&mut self.drops_mark) && complete.starts_with(BYTE_ORDER_MARK) {
             complete.drain(..BYTE_ORDER_MARK.len());
         }
+        if !self.goes_on(&complete) {
+            self.is_out_of_order = true;
+            return Vec::new();
+        }
         self.has_released = true;
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
@@ -49,11 +56,37 @@
         complete
     }
 
+    /// Expects that the stream goes on after the event with this id, which the reader has.
+    pub fn expect_after(&mut self, id: &str) {
+        self.goes_on_after = Some(id.to_owned());
+    }
+
+    /// Whether the present runner's stream did not go on where it was expected to. Its events are not released.
+    pub const fn is_out_of_order(&self) -> bool {
+        self.is_out_of_order
+    }
+
+    fn goes_on(&mut self, events: &[u8]) -> bool {
+        if let Some(after) = &self.goes_on_after
+            && let Some(first) = FirstEvent::find(events)
+        {
+            if !first.may_follow(after) {
+                return false;
+            }
+            self.goes_on_after = None;
+        }
+        !self.is_out_of_order
+    }
+
     /// Removes and returns the bytes of the event that is not complete. What is pushed next is the start of
-    /// another stream.
+    /// another stream, which goes on after the last event released.
     pub fn take_incomplete(&mut self) -> Vec<u8> {
         self.boundary = EventBoundary::default();
         self.drops_mark = self.has_released;
+        self.is_out_of_order = false;
+        if let Some(last_id) = &self.last_id {
+            self.goes_on_after = Some(last_id.clone());
+        }
         std::mem::take(&mut self.buffered)
     }
 
@@ -204,7 +237,7 @@
     Some(id.trim().to_owned())
 }
 
-/// The first event of a stream that has data.
+/// The first event of a stream that has data or an id.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FirstEvent {
     /// Its id; `None` if it has none.
@@ -212,7 +245,7 @@
 }
 
 impl FirstEvent {
-    /// Finds the first event with data among complete events.
+    /// Finds the first event with data or an id among complete events.
     ///
     /// # Examples
     ///
@@ -227,7 +260,7 @@
         let mut id = None;
         let mut has_data = false;
         for line in lines(events) {
-            if line.is_empty() && has_data {
+            if line.is_empty() && (has_data || id.is_some()) {
                 return Some(Self { id });
             }
             has_data |= line == b"data" || line.starts_with(b"data:");
@@ -235,6 +268,18 @@
         }
         None
     }
+
+    /// Whether it may follow the event with id `last_id`. Ids rise; those that are not numbers can only be told apart.
+    /// Without an id nobody can tell.
+    pub fn may_follow(&self, last_id: &str) -> bool {
+        let Some(id) = &self.id else {
+            return false;
+        };
+        match (id.parse::<u64>(), last_id.parse::<u64>()) {
+            (Ok(number), Ok(last)) => number > last,
+            (Ok(_) | Err(_), Ok(_) | Err(_)) => id != last_id,
+        }
+    }
 }
 
 /// Lines of complete events, which end with LF, CR LF or CR.
--- a/crates/tealsaddle-core/tests/it/fleet/events.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/events.rs
@@ -38,15 +38,44 @@
     carriage_returns = { "id: 4\r\ndata: a\r\n\r\n", Some(Some("4")) },
     bare_carriage_returns = { "id: 4\rdata: a\r\r", Some(Some("4")) },
     comment_first = { ": ping\n\nid: 4\ndata: a\n\n", Some(Some("4")) },
-    id_without_data = { "id: 4\n\n", None },
+    id_without_data = { "id: 4\n\ndata: a\n\n", Some(Some("4")) },
+    nothing_but_a_retry_time = { "retry: 4\n\n", None },
     byte_order_mark = { "\u{feff}id: 4\ndata: a\n\n", Some(Some("4")) },
 )]
-fn first_event_with_data_is_found(events: &str, id: Option<Option<&str>>) {
+fn first_event_is_found(events: &str, id: Option<Option<&str>>) {
     let first = FirstEvent::find(events.as_bytes());
     let first_id = first.as_ref().map(|first| first.id.as_deref());
     assert_eq!(first_id, id);
 }
 
+/// Guards against events of a runner that goes on elsewhere than asked, and against an order that is not told.
+#[parameterized(
+    next = { "id: 3\ndata: c\n\n", true },
+    later = { "id: 10\ndata: c\n\n", true },
+    same = { "id: 2\ndata: b\n\n", false },
+    earlier = { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false },
+    without_id = { "data: c\n\n", false },
+    after_a_comment = { ": ping\n\nid: 2\ndata: b\n\n", false },
+    id_alone = { "id: 1\n\nid: 3\ndata: c\n\n", false },
+)]
+fn events_of_another_runner_follow_the_last_one(events: &str, follow: bool) {
+    let mut splitter = EventSplitter::default();
+    assert!(
+        !splitter
+            .push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3")
+            .is_empty()
+    );
+    drop(splitter.take_incomplete());
+    let released = splitter.push(events.as_bytes());
+    assert_eq!(!released.is_empty(), follow);
+    assert_eq!(splitter.is_out_of_order(), !follow);
+    if !follow {
+        assert_eq!(splitter.last_id(), Some("2"));
+        drop(splitter.take_incomplete());
+        assert!(!splitter.push(b"id: 3\ndata: c\n\n").is_empty());
+    }
+}
+
 /// Guards against losing the bytes of an incomplete event when a stream ends normally.
 #[test]
 fn incomplete_event_can_be_taken() {
--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -36,16 +36,22 @@
 }
 
 impl EventStream {
-    /// Begins the stream of an answer with this head. `of_all_streams` is what the streams of the node hold.
+    /// Begins the stream of an answer with this head. `received_id` is the id of the last event that the caller has
+    /// received before, and `of_all_streams` what the streams of the node hold.
     pub fn begin(
         repeat: RepeatPolicy,
         head: &Parts,
         framing: Framing,
+        received_id: Option<&str>,
         of_all_streams: &Arc<HeldBytes>,
     ) -> Self {
         let is_success = head.status.is_success();
+        let mut splitter = (repeat.may_repeat() && is_success).then(EventSplitter::default);
+        if let (Some(splitter), Some(id)) = (&mut splitter, received_id) {
+            splitter.expect_after(id);
+        }
         Self {
-            splitter: (repeat.may_repeat() && is_success).then(EventSplitter::default),
+            splitter,
             boundary: EventBoundary::default(),
             held: HeldShare::open(Arc::clone(of_all_streams)),
             has_events: repeat.is_stream() && is_success && has_events(head, framing),
@@ -71,6 +77,9 @@
             return Ok(Some(data));
         };
         let events = splitter.push(&data);
+        if splitter.is_out_of_order() {
+            return Err(UnknownReason::InvalidAnswer);
+        }
         self.has_passed_events |= !events.is_empty();
         self.check_size()?;
         if !self.held.set(self.incomplete_bytes()) {
@@ -86,6 +95,12 @@
         Ok(())
     }
 
+    /// Whether the present runner did not go on after the last event that the caller has received.
+    pub fn is_out_of_order(&self) -> bool {
+        let splitter = self.splitter.as_ref();
+        splitter.is_some_and(EventSplitter::is_out_of_order)
+    }
+
     /// Number of bytes after the last complete event; 0 if the answer does not consist of events.
     pub fn incomplete_bytes(&self) -> usize {
         let splitter = self.splitter.as_ref();
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -194,8 +194,8 @@
     pub output_tokens: u64,
     /// Caller's estimate of the output, in tokens; `None` if it makes none.
     pub estimated_output_tokens: Option<u64>,
-    /// Whether the caller has received events of the stream before and takes it up again.
-    pub has_received_events: bool,
+    /// Id of the last event that the caller has received, if it takes the stream up again.
+    pub last_event_id: Option<String>,
     /// Id of the request that brought the first of them; `None` if the caller does not say.
     pub resumes: Option<String>,
 }
@@ -214,7 +214,7 @@
     /// if the caller does not say.
     pub fn resumed_id(&self) -> Option<&str> {
         let resumes = self.resumes.as_deref();
-        resumes.filter(|_| self.has_received_events)
+        resumes.filter(|_| self.last_event_id.is_some())
     }
 }
 
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -45,6 +45,7 @@
         call.route.repeat,
         &head,
         stream.body.framing(),
+        call.metadata.last_event_id.as_deref(),
         &call.gateway.held_bytes,
     );
     if events.may_resume() || events.has_events() {
@@ -252,7 +253,10 @@
             self.attempt.on_outcome(AttemptOutcome::Answered, false);
         }
         self.call.on_events();
-        let events = self.events.push(data)?;
+        let events = self
+            .events
+            .push(data)
+            .inspect_err(|_reason| self.log_out_of_order())?;
         if let Some(events) = &events
             && std::mem::take(&mut self.has_just_continued)
         {
@@ -263,6 +267,14 @@
         Ok(events.map_or(Step::Incomplete, Step::Data))
     }
 
+    fn log_out_of_order(&self) {
+        if self.events.is_out_of_order() {
+            self.call.gateway.metrics.increment("stream.out_of_order");
+            log::warn!(id:% = self.call.request_id, runner:% = self.run.runner.id,
+                last_event_id:? = self.events.last_id(); "runner does not go on after the last event");
+        }
+    }
+
     /// Goes on with the stream of another runner. Closing the connection stops the previous one.
     fn continue_with(&mut self, stream: OpenStream) {
         log::info!(id:% = self.call.request_id, from:% = self.run.runner.id, runner:% = stream.runner.id,
--- a/crates/tealsaddle-gateway/src/stream_version.rs
+++ b/crates/tealsaddle-gateway/src/stream_version.rs
@@ -11,7 +11,7 @@
 impl Call {
     /// Binds a stream that the caller takes up to the version that began it, or refuses it.
     pub async fn bind_resumed_version(&self) -> Result<(), Refusal> {
-        if !self.metadata.has_received_events || !self.route.repeat.may_repeat() {
+        if self.metadata.last_event_id.is_none() || !self.route.repeat.may_repeat() {
             return Ok(());
         }
         let resumes = self.metadata.resumed_id();
