Read callers' connections in further turns before the idle timeout closes them

Cause: hyper looks at its timer before it reads. The runtime takes 1,024 sockets in one poll, so the other 176 are known to be readable only in a later turn, and where that was the turn in which the 20 ms of grace ended, the connection was closed with the request unread.

The timer now ends only after another turn of the runtime, and as long as turns come late, after further ones.

--- a/crates/tealsaddle-gateway/src/idle_timeout.rs
+++ b/crates/tealsaddle-gateway/src/idle_timeout.rs
@@ -4,7 +4,7 @@
 //! timer here follows the configuration in force, so that a raised limit also holds for connections that are
 //! already idle; a lowered one takes effect with the next wait, since the caller may still rely on the
 //! earlier limit. Once the first bytes of a head have arrived, the caller has the header timeout to complete
-//! it. Before the timer ends, the socket is read once more: after the process was paused, the timer is due
+//! it. Before the timer ends, the socket is read again: after the process was paused, the timer is due
 //! although the request has arrived.
 
 use std::io;
@@ -21,7 +21,11 @@
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
-use crate::timeout::READ_GRACE;
+use crate::timeout::{LATE, READ_GRACE};
+
+/// Pause after the grace before the timer ends. Hyper looks at the timer before it reads: without this pause, a head that
+/// the runtime finds in the same turn in which the grace is over would not be read.
+const LAST_READ: Duration = Duration::from_millis(1);
 
 /// When the first bytes of the next request arrived on a connection.
 #[derive(Debug)]
@@ -82,7 +86,7 @@
             limits,
             began,
             sleep: Box::pin(tokio::time::sleep_until(began + idle_timeout)),
-            has_read_again: false,
+            late_reads: 0,
         })
     }
 
@@ -104,8 +108,8 @@
     limits: CallerLimits,
     began: Instant,
     sleep: Pin<Box<tokio::time::Sleep>>,
-    /// Whether the socket has been read since the deadline.
-    has_read_again: bool,
+    /// How often the socket has been read since the deadline.
+    late_reads: u32,
 }
 
 impl Sleep for RequestWait {}
@@ -133,16 +137,20 @@
             ready!(self.sleep.as_mut().poll(cx));
             let now = Instant::now();
             let deadline = self.deadline();
-            let next = if deadline > now {
-                self.has_read_again = false;
-                deadline
-            } else if self.has_read_again {
-                return Poll::Ready(());
-            } else {
-                self.has_read_again = true;
-                now + READ_GRACE
+            let is_busy = now - self.sleep.deadline() > LATE;
+            let pause = match self.late_reads {
+                _ if deadline > now => {
+                    self.late_reads = 0;
+                    deadline - now
+                }
+                0 => READ_GRACE,
+                1 => LAST_READ,
+                // There are still more sockets to poll than the runtime polls in one turn.
+                _ if is_busy => LAST_READ,
+                _ => return Poll::Ready(()),
             };
-            self.sleep.as_mut().reset(next);
+            self.late_reads += u32::from(deadline <= now);
+            self.sleep.as_mut().reset(now + pause);
         }
     }
 }
--- a/crates/tealsaddle-gateway/src/timeout.rs
+++ b/crates/tealsaddle-gateway/src/timeout.rs
@@ -9,7 +9,7 @@
 use tokio::time::error::Elapsed;
 
 /// A timer that fires later than this after its deadline does so because the process was paused or busy.
-const LATE: Duration = Duration::from_millis(5);
+pub const LATE: Duration = Duration::from_millis(5);
 /// Time after a deadline in which the runtime reads what has arrived before it. It takes several turns of the
 /// runtime to poll many sockets and to pass the data on between tasks.
 pub const READ_GRACE: Duration = Duration::from_millis(20);
