--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod change_sources;
 pub mod config;
 pub mod continuation;
+pub mod customers;
 pub mod decode;
 pub mod departures;
 pub mod events;
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -76,6 +76,7 @@
         route,
         service,
         request_id,
+        customer: None,
         metadata,
         started,
         deadline: started + left,
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -11,6 +11,7 @@
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::admission::Turn;
 use tealsaddle_core::fleet::config::{FleetConfig, Route};
+use tealsaddle_core::fleet::customers::Customer;
 use tealsaddle_core::fleet::placement::PlacementRequest;
 use tealsaddle_core::fleet::quarantine::subject::RequestDigest;
 use tealsaddle_core::fleet::{prompt_tokens, shared_parts};
@@ -50,6 +51,8 @@
     pub service: Name,
     /// Id from the caller's headers.
     pub request_id: String,
+    /// The customer whose key the request bears; `None` if the configuration has no customers, or the route is open to all.
+    pub customer: Option<Arc<Customer>>,
     /// What the caller's headers say.
     pub metadata: RequestMetadata,
     /// When the head of the request had arrived.
@@ -200,6 +203,12 @@
         *self.state.digest.get_or_init(digest)
     }
 
+    /// Priority class of the request: that of its customer, or else of its route.
+    pub fn priority(&self) -> u32 {
+        let of_customer = self.customer.as_ref().and_then(|c| c.priority);
+        of_customer.unwrap_or(self.route.priority)
+    }
+
     /// The answer at the end of a stop, if no runner has answered by then.
     pub fn answer_at_stop(&self) -> Refusal {
         let own = if self.state.maybe_running.load(Ordering::Relaxed) > 0 {
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::error::StoreError;
-use crate::external::{Change, Store};
+use crate::external::{Change, DutyPlatform, Store};
 use crate::fleet_state::FleetState;
 use crate::follow::{self, StoreUpdate};
 use crate::gateway::Gateway;
@@ -28,6 +28,8 @@
     pub gateway: Arc<Gateway>,
     /// The platform's store.
     pub store: Arc<dyn Store>,
+    /// The platform's API for the duties of one node at a time; `None` if there are none.
+    pub duty_platform: Option<Arc<dyn DutyPlatform>>,
     fleet: Mutex<FleetState>,
     /// Signals that the store has recovered, so that a watch from before the outage is restarted.
     pub store_recovered: Notify,
@@ -43,12 +45,22 @@
 }
 
 impl ControlHandle {
-    /// Starts the control thread.
+    /// Starts the control thread of a node without duties toward the platform.
     pub fn spawn(gateway: Arc<Gateway>, store: Arc<dyn Store>) -> Result<Self, Error> {
+        Self::spawn_with_duties(gateway, store, None)
+    }
+
+    /// Starts the control thread.
+    pub fn spawn_with_duties(
+        gateway: Arc<Gateway>,
+        store: Arc<dyn Store>,
+        duty_platform: Option<Arc<dyn DutyPlatform>>,
+    ) -> Result<Self, Error> {
         let fleet = FleetState::open(gateway.config.registration_renewal);
         let control = Arc::new(Control {
             gateway,
             store,
+            duty_platform,
             fleet: Mutex::new(fleet),
             store_recovered: Notify::new(),
             heard: tokio::sync::watch::Sender::new(()),
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -4,6 +4,7 @@
 //! the platform's formats: header names, stored entries, and the bodies of calls to runners. Neither
 //! makes a decision.
 
+use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,10 +12,12 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use hyper::header::{HeaderMap, HeaderName};
+use serde::{Deserialize, Serialize};
 use tealsaddle_core::fleet::backpressure::Backpressure;
 use tealsaddle_core::fleet::config::FleetConfig;
 use tealsaddle_core::fleet::load::ReportedLoad;
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
+use tealsaddle_core::name::Name;
 
 use crate::error::{BadEntry, StoreError};
 
@@ -172,6 +175,65 @@
     fn era(&self) -> Option<u64>;
 }
 
+/// Outcome of a call to the platform's API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum DutyOutcome {
+    /// The platform has accepted it.
+    Accepted,
+    /// The platform has answered with this status, or was not reached (0), and has not carried it out.
+    Refused(u16),
+    /// There is no answer, or one that does not tell. The platform may have carried it out, or may do so later.
+    Unknown,
+}
+
+/// Who makes a call to the platform's API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DutyCaller<'a> {
+    /// Name of the node.
+    pub node: &'a str,
+    /// Fencing token of the holder.
+    pub fence: u64,
+}
+
+/// Use of the system in one window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Number of the window: it begins so many window lengths after the start of 1970.
+    pub window: u64,
+    /// Requests that began to run in it, by customer, sorted by name.
+    pub requests: BTreeMap<Name, u64>,
+}
+
+/// An order for a number of runners.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SizeOrder {
+    /// Service of the runners.
+    pub service: Name,
+    /// Availability zone of the runners.
+    pub zone: Name,
+    /// Number of runners of this kind that are to run there.
+    pub runners: u32,
+    /// Whether the order is for runners that cost less and may be taken away.
+    pub is_spot: bool,
+}
+
+/// The platform's API for the duties of one node at a time.
+pub trait DutyPlatform: Debug + Send + Sync {
+    /// Reports the use of a window.
+    fn report_usage<'a>(
+        &'a self,
+        caller: DutyCaller<'a>,
+        report: &'a UsageReport,
+    ) -> BoxFuture<'a, DutyOutcome>;
+
+    /// Orders a number of runners.
+    fn order_runners<'a>(
+        &'a self,
+        caller: DutyCaller<'a>,
+        order: &'a SizeOrder,
+    ) -> BoxFuture<'a, DutyOutcome>;
+}
+
 /// Keys under which the operator and the runners write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreLayout {
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::borrowed_paths::RunnerPaths;
 use crate::borrowed_paths::lender::LentPaths;
 use crate::connector::{Connect, TcpConnector};
+use crate::duties::DutyConfig;
 use crate::external::Dialect;
 use crate::held_bytes::HeldBytes;
 use crate::knowledge::KnowledgeClock;
@@ -54,6 +55,8 @@
     pub max_order_delay: Duration,
     /// Time from the signal to stop until the platform kills the process.
     pub grace: Duration,
+    /// Settings of the duties toward the platform; `None` if there are none.
+    pub duties: Option<DutyConfig>,
 }
 
 /// State that all requests of a node share.
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod connector;
 pub mod control;
 pub mod departures;
+pub mod duties;
 pub mod error;
 pub mod event_stream;
 pub mod external;
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -11,7 +11,7 @@
 
 use crate::Error;
 use crate::control::ControlHandle;
-use crate::external::{Dialect, Store};
+use crate::external::{Dialect, DutyPlatform, Store};
 use crate::front::{CallerListener, bind_text_endpoint};
 use crate::gateway::{Gateway, GatewayConfig};
 use crate::peer_server;
@@ -30,6 +30,19 @@
     fn changed(&mut self) -> Option<RetryShare>;
 }
 
+/// The systems outside the gateway.
+#[derive(Debug)]
+pub struct Platform {
+    /// The key-value store.
+    pub store: Arc<dyn Store>,
+    /// Formats of callers and runners.
+    pub dialect: Arc<dyn Dialect>,
+    /// The API for the duties of one node at a time; `None` if there are none.
+    pub duty_platform: Option<Arc<dyn DutyPlatform>>,
+    /// Source of the settings that can change.
+    pub reload: Box<dyn Reload>,
+}
+
 /// A process that handles signals and does not serve yet.
 #[derive(Debug)]
 pub struct Lifecycle {
@@ -60,20 +73,20 @@
     }
 
     /// Runs a gateway until SIGTERM, then stops it gracefully.
-    pub fn run(
-        self,
-        config: GatewayConfig,
-        store: Arc<dyn Store>,
-        dialect: Arc<dyn Dialect>,
-        reload: Box<dyn Reload>,
-    ) -> Result<(), Error> {
+    pub fn run(self, config: GatewayConfig, platform: Platform) -> Result<(), Error> {
         let Self {
             runtime,
             mut terminate,
             hang_up,
         } = self;
+        let Platform {
+            store,
+            dialect,
+            duty_platform,
+            reload,
+        } = platform;
         let result = runtime.block_on(async {
-            let (gateway, control, mut listener) = start(config, store, dialect)?;
+            let (gateway, control, mut listener) = start(config, store, dialect, duty_platform)?;
             tokio::spawn(run_housekeeping(Arc::clone(&gateway), hang_up, reload));
             log::info!(node:% = gateway.config.node, callers:% = gateway.config.caller_listen;
                 "gateway started");
@@ -95,10 +108,15 @@
     config: GatewayConfig,
     store: Arc<dyn Store>,
     dialect: Arc<dyn Dialect>,
+    duty_platform: Option<Arc<dyn DutyPlatform>>,
 ) -> Result<RunningGateway, Error> {
     let snapshot = Arc::new(ArcSwap::from_pointee(FleetSnapshot::default()));
     let gateway = Gateway::new(config, dialect, snapshot);
-    let control = Arc::new(ControlHandle::spawn(Arc::clone(&gateway), store)?);
+    let control = Arc::new(ControlHandle::spawn_with_duties(
+        Arc::clone(&gateway),
+        store,
+        duty_platform,
+    )?);
     let listener = CallerListener::bind(&gateway)?;
     bind_ready(&gateway)?;
     peer_server::bind(&gateway, &control)?;
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -25,9 +25,11 @@
 use tealsaddle_core::fleet::store_era::{self, EraCheck};
 use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
+use crate::duties::{DutyTerm, TermWatch};
 use crate::error::StoreError;
 use crate::external::{InEra, Item, KeyRevision, Put, StageOrder, Transaction};
 use crate::membership::{self, LEASE_TTL, Lease};
@@ -128,6 +130,8 @@
     pending: HashMap<String, Pending>,
     /// Number of listings in a row without a holder.
     missed_holders: u32,
+    /// Where the term of this node is published for its duties.
+    term: watch::Sender<Option<DutyTerm>>,
 }
 
 impl Orders {
@@ -135,6 +139,7 @@
     pub fn open(control: Arc<Control>) -> Self {
         Self {
             control,
+            term: watch::Sender::new(None),
             upstreams: Upstreams::open_to_runners(),
             held: None,
             first_era: None,
@@ -148,10 +153,23 @@
         self.held.is_some()
     }
 
+    /// The term in which this node performs the duties toward the platform.
+    pub fn term_watch(&self) -> TermWatch {
+        TermWatch::new(Arc::clone(&self.control), self.term.subscribe())
+    }
+
+    fn publish_term(&self) {
+        let term = self
+            .held
+            .map(|held| DutyTerm::new(held.authority, held.key));
+        self.term.send_replace(term);
+    }
+
     /// Extends the authority after a successful renewal of the lease, sent at `sent_us`.
-    pub const fn on_lease_renewed(&mut self, sent_us: u64) {
+    pub fn on_lease_renewed(&mut self, sent_us: u64) {
         if let Some(held) = &mut self.held {
             held.authority.on_renewed(sent_us);
+            self.publish_term();
         }
     }
 
@@ -177,6 +195,7 @@
     /// lease.
     pub fn drop_authority(&mut self, reason: &str) {
         if let Some(held) = self.held.take() {
+            self.publish_term();
             log::info!(reason, fence = held.authority.fence, key_era = held.key.era,
                 era = self.control.store.era(); "this node no longer sends stage orders");
         }
@@ -319,6 +338,7 @@
             authority: Authority::new(fence, acquired_us, lease.renewed_us, terms),
             key,
         });
+        self.publish_term();
         log::info!(fence, revision = key.revision, era = key.era, first_era = key.first_era;
             "this node now sends stage orders");
     }
@@ -522,7 +542,7 @@
 }
 
 /// The condition that the holder's key has this revision; 0 means that there is no holder.
-fn holder_at(revision: u64) -> KeyRevision {
+pub fn holder_at(revision: u64) -> KeyRevision {
     KeyRevision {
         key: HOLDER_KEY.to_owned(),
         revision,
--- a/crates/tealsaddle-gateway/src/permits.rs
+++ b/crates/tealsaddle-gateway/src/permits.rs
@@ -261,7 +261,7 @@
         } else {
             self.remaining()
         };
-        let urgency = URGENCY_FACTOR.powi(self.route.priority.min(9) as i32);
+        let urgency = URGENCY_FACTOR.powi(self.priority().min(9) as i32);
         let longest = left.mul_f64(WAIT_SHARE).min(MAX_WAIT);
         let objective = Duration::from_millis(self.route.objective_ms);
         let longest = if objective.is_zero() {
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -309,7 +309,7 @@
         } else {
             0
         };
-        self.route.priority + deferral
+        self.priority() + deferral
     }
 
     /// Metadata of a request to the prefill runner.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -340,7 +340,7 @@
         last_event_id: Option<&'a str>,
     ) -> SendMetadata<'a> {
         SendMetadata {
-            urgency: Some(self.route.priority),
+            urgency: Some(self.priority()),
             kv_source: kv_guard.map(KvHandleGuard::source),
             last_event_id,
             ..self.send_metadata(runner_id)
--- a/crates/tealsaddle-node/src/front.rs
+++ b/crates/tealsaddle-node/src/front.rs
@@ -4,9 +4,11 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use tealsaddle_gateway::lifecycle::Lifecycle;
+use tealsaddle_gateway::lifecycle::{Lifecycle, Platform};
 use tealsaddle_gateway::logging;
-use tealsaddle_platform::{HttpStore, PlatformDialect, PlatformSettings, SettingsFile};
+use tealsaddle_platform::{
+    HttpDutyPlatform, HttpStore, PlatformDialect, PlatformSettings, SettingsFile,
+};
 
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "TEALSADDLE_CONFIG";
@@ -23,8 +25,15 @@
         return Ok(());
     }
     logging::open(log::LevelFilter::Info)?;
-    let store = Arc::new(HttpStore::open(settings.store_address));
-    let reload = Box::new(SettingsFile::open(&file));
-    lifecycle.run(settings.gateway, store, Arc::new(PlatformDialect), reload)?;
+    let duties = settings.gateway.duties.as_ref();
+    let duty_platform =
+        duties.map(|duties| Arc::new(HttpDutyPlatform::open(duties.address)) as Arc<_>);
+    let platform = Platform {
+        store: Arc::new(HttpStore::open(settings.store_address)),
+        dialect: Arc::new(PlatformDialect),
+        duty_platform,
+        reload: Box::new(SettingsFile::open(&file)),
+    };
+    lifecycle.run(settings.gateway, platform)?;
     Ok(())
 }
