Take an answer's end for complete only if its runner gives an answer, and chunks only by their coding

- Three report connections in a row that were accepted and closed, an invalid answer, and any status but 421 counted as a process that runs.
They are a state of their own now, 'unclear': no sign of a crash for the quarantine, as before, and no proof that an answer is whole.
- An answer whose last transfer coding is not 'chunked' ends with its connection but counted as chunked, so its end was taken as it came.
- A comment or retry line before the first event ended the right to resume.
- The check is bounded by the deadline of the call.

--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -10,7 +10,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use tealsaddle_core::fleet::config::RepeatPolicy;
-use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter};
+use tealsaddle_core::fleet::events::{EventBoundary, EventSplitter, FirstEvent};
 use tealsaddle_core::retry::UnknownReason;
 
 use crate::framing::Framing;
@@ -80,7 +80,7 @@
         if splitter.is_out_of_order() {
             return Err(UnknownReason::InvalidAnswer);
         }
-        self.has_passed_events |= !events.is_empty();
+        self.has_passed_events |= FirstEvent::find(&events).is_some();
         self.check_size()?;
         if !self.held.set(self.incomplete_bytes()) {
             return Err(UnknownReason::InvalidAnswer);
--- a/crates/tealsaddle-gateway/src/framing.rs
+++ b/crates/tealsaddle-gateway/src/framing.rs
@@ -19,8 +19,16 @@
     pub fn of(head: &Parts, has_body: bool) -> Self {
         if !has_body {
             Self::Length
-        } else if head.headers.contains_key(TRANSFER_ENCODING) {
-            Self::Chunks
+        } else if let Some(codings) = head.headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+            // Only chunks have an end of their own (RFC 9112, section 6.3).
+            let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+            let is_chunked =
+                last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"));
+            if is_chunked {
+                Self::Chunks
+            } else {
+                Self::UntilClose
+            }
         } else if head.headers.contains_key(CONTENT_LENGTH) {
             Self::Length
         } else {
--- a/crates/tealsaddle-gateway/src/process_check.rs
+++ b/crates/tealsaddle-gateway/src/process_check.rs
@@ -25,8 +25,11 @@
 /// What a check tells of a runner's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum ProcessState {
-    /// It runs: something accepts connections, and does not say that it is another process.
+    /// It runs: it answers, and does not say that it is another process.
     Runs,
+    /// Something accepts connections, but gives no answer, or says that it fails. That is no sign of a crash, nor of a
+    /// process that still runs.
+    Unclear,
     /// It has ended: nothing accepts a connection, also one of another node, or it is another process.
     Ended,
     /// Nothing is reached, and no other node can tell whether that is due to the runner or to the network.
@@ -58,11 +61,11 @@
                 AttemptOutcome::Unknown(UnknownReason::ConnectionLost) => {}
                 AttemptOutcome::NotRun(_)
                 | AttemptOutcome::Unknown(_)
-                | AttemptOutcome::Answered => return ProcessState::Runs,
+                | AttemptOutcome::Answered => return ProcessState::Unclear,
             },
         }
     }
-    ProcessState::Runs
+    ProcessState::Unclear
 }
 
 fn state_by_report(gateway: &Gateway, runner: &Runner, answer: &CallAnswer) -> ProcessState {
@@ -71,8 +74,10 @@
     let is_other_start = started_unix_ms.is_some_and(|started| started != runner.started_unix_ms);
     if answer.status == StatusCode::MISDIRECTED_REQUEST || is_other_start {
         ProcessState::Ended
-    } else {
+    } else if answer.status.is_success() {
         ProcessState::Runs
+    } else {
+        ProcessState::Unclear
     }
 }
 
@@ -81,6 +86,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Runs => "runs",
+            Self::Unclear => "unclear",
             Self::Ended => "ended",
             Self::Unknown => "unknown",
         }
@@ -94,11 +100,11 @@
     says_so || !gateway.snapshot.load().accepts_requests(runner)
 }
 
-/// Asks whether the process of a leaving runner goes on after the end of an answer. A process that stops may close its
-/// connections, and answer for some time, before it ends.
-async fn check_leaving(gateway: &Gateway, runner: &Runner) -> ProcessState {
+/// Asks whether the process of a runner goes on after the end of an answer. One that is leaving is asked again: a process
+/// that stops may close its connections, and answer for some time, before it ends.
+async fn check_end(gateway: &Gateway, runner: &Runner, is_leaving: bool) -> ProcessState {
     let process = check(gateway, runner).await;
-    if process != ProcessState::Runs {
+    if process != ProcessState::Runs || !is_leaving {
         return process;
     }
     tokio::time::sleep(CHECK_PAUSE).await;
@@ -119,13 +125,14 @@
             return read;
         }
         let is_leaving = is_leaving(&self.gateway, runner);
-        let (process, registration, reason) = if is_leaving {
-            let process = check_leaving(&self.gateway, runner).await;
-            (process, "leaving", UnknownReason::EndUnconfirmed)
+        let (registration, reason) = if is_leaving {
+            ("leaving", UnknownReason::EndUnconfirmed)
         } else {
-            let process = check(&self.gateway, runner).await;
-            (process, "ready", UnknownReason::ConnectionLost)
+            ("ready", UnknownReason::ConnectionLost)
         };
+        let asked = check_end(&self.gateway, runner, is_leaving);
+        let process = tokio::time::timeout_at(self.deadline, asked).await;
+        let process = process.unwrap_or(ProcessState::Unknown);
         let process_name = process.as_str();
         let metrics = &self.gateway.metrics;
         metrics.increment(&format!("body.end.{registration}.{process_name}"));
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -155,7 +155,7 @@
                 "runner crashed with requests that had just begun");
             send(&gateway, &Crash { runner, lost }).await;
         }
-        ProcessState::Runs => {
+        ProcessState::Runs | ProcessState::Unclear => {
             gateway.metrics.increment("quarantine.no_crash");
             log::info!(runner:% = runner.id, lost = lost.len(), kept_ms;
                 "runner has not crashed; its lost requests do not count");
