--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod claim;
 pub mod collections;
 pub mod decision;
+pub mod digest;
 pub mod drain;
 pub mod error;
 pub mod fleet;
--- a/crates/tealsaddle-node/src/admin/auth.rs
+++ b/crates/tealsaddle-node/src/admin/auth.rs
@@ -2,7 +2,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
-use sha2::{Digest, Sha256};
+use tealsaddle_core::digest::sha256;
 
 /// Whether the request carries the bearer token.
 ///
@@ -16,8 +16,8 @@
     else {
         return false;
     };
-    let expected = Sha256::digest(token.as_bytes());
-    let presented = Sha256::digest(presented.as_bytes());
+    let expected = sha256(&[token.as_bytes()]);
+    let presented = sha256(&[presented.as_bytes()]);
     let difference = expected
         .iter()
         .zip(presented.iter())
--- a/crates/tealsaddle-node/src/caller/auth.rs
+++ b/crates/tealsaddle-node/src/caller/auth.rs
@@ -1,28 +1,14 @@
 //! Authentication of callers by API key.
 
-use std::fmt::Write as _;
 use std::sync::Arc;
 
 use hyper::StatusCode;
 use hyper::header::{AUTHORIZATION, HeaderMap};
-use sha2::{Digest, Sha256};
+use tealsaddle_core::digest::sha256_hex;
 use tealsaddle_core::inventory::{Customer, Inventory};
 
 use super::response::Refusal;
 
-/// Returns the SHA-256 digest of the concatenated parts in lower-case hexadecimal.
-pub fn sha256_hex(parts: &[&[u8]]) -> String {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        hasher.update(part);
-    }
-    let mut hex = String::with_capacity(64);
-    for byte in hasher.finalize() {
-        write!(hex, "{byte:02x}").expect("writing to a string cannot fail");
-    }
-    hex
-}
-
 /// Returns the customer that owns the API key of a request, or `None` if the configuration has no
 /// API keys at all.
 pub fn authenticate(
