Check the API keys of customers

No request was checked: a caller's key was passed on to runners, unknown and withdrawn keys were served, and runners were not told the customer.

A configuration may have customers, each parsed on its own, so that an invalid one affects neither the others nor the version. On a route that is not public, a request needs the key of a customer when its head has arrived, before its body is read, and again by the newest configuration when the body is complete; otherwise it is answered 401. Runners receive the name of the customer and never a key. The request digest has the customer in place of the key.

Errors of parsing no longer show values, and debug output of stored items no longer shows their contents, since configurations contain keys. A node that starts without the store takes the newest configuration that its peers have answered, not the first.

Without customers, headers and digests are as before.

--- a/crates/tealsaddle-core/src/fleet/config.rs
+++ b/crates/tealsaddle-core/src/fleet/config.rs
@@ -5,6 +5,8 @@
 use crate::collections::HashMap;
 use crate::name::Name;
 
+use super::customers::Customers;
+
 /// Whether a request may be executed more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatPolicy {
@@ -64,6 +66,8 @@
     /// Time in milliseconds without an event after which callers abandon a stream. The time also counts
     /// before the first event. `None` when the configuration sets no target for pauses.
     pub event_timeout_ms: Option<u64>,
+    /// Whether requests of the route need no API key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -140,6 +144,8 @@
     pub services: HashMap<Name, FleetService>,
     /// Limits that apply to all callers.
     pub limits: CallerLimits,
+    /// Customers, whose keys are required on routes that are not public; `None` if no key is checked.
+    pub customers: Option<Customers>,
     routes: HashMap<String, Vec<Arc<Route>>>,
 }
 
@@ -165,10 +171,18 @@
             version,
             services: services.collect(),
             limits,
+            customers: None,
             routes: by_host,
         }
     }
 
+    /// Sets the customers; `None` if no key is checked.
+    #[must_use]
+    pub fn with_customers(mut self, customers: Option<Customers>) -> Self {
+        self.customers = customers;
+        self
+    }
+
     /// Returns all routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
--- a/crates/tealsaddle-core/tests/it/fleet/config.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/config.rs
@@ -20,6 +20,7 @@
         targets: targets.iter().map(target).collect(),
         max_attempts: 1,
         event_timeout_ms: None,
+        is_public: false,
     }
 }
 
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod change_histories;
 mod change_sim;
 mod config;
+mod customers;
 mod events;
 mod generation;
 mod lease;
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of a request: turns its head and body into a [`Call`].
 //!
-//! The route is looked up first, and again after the body. The whole body is read before anything is sent to
+//! The route is looked up and the API key checked first, and both again after the body. The whole body is read before anything is sent to
 //! a runner, so that the request can be sent again and no runner receives a request whose caller disconnects
 //! halfway. Last, the deadline is set and, while the node stops, a request that can no longer be answered is
 //! refused.
@@ -18,6 +18,7 @@
 
 use crate::answer::GatewayAnswer;
 use crate::call::{Call, CallState, DeadlineSource};
+use crate::customers;
 use crate::external::RequestMetadata;
 use crate::front::CallerConnection;
 use crate::gateway::Gateway;
@@ -48,8 +49,9 @@
         let route = config.route(host, head.uri.path());
         route.cloned().ok_or(GatewayAnswer::NoRoute)
     };
-    // A request without a route is refused before its body is read.
+    // A request without a route, or without the key that its route requires, is refused before its body is read.
     let route = find_route(&config)?;
+    let identity_at_head = customers::check(&config, &route, &head.headers)?;
     let body_deadline = started + time_to_answer(&route, &metadata).0;
     let request_id = metadata
         .request_id
@@ -62,10 +64,12 @@
     // The body may have taken long, and a newer version may have come into force meanwhile.
     let config = current_config(gateway)?;
     let route = find_route(&config)?;
+    let identity = customers::check(&config, &route, &head.headers)?.or_checked(&identity_at_head);
+    let customer = identity.customer().cloned();
     let (left, deadline_source) = time_left(gateway, &route, &metadata, started)?;
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
-    let request = OutgoingRequest::new(head, body, &*gateway.dialect);
+    let request = OutgoingRequest::new(head, body, identity, &*gateway.dialect);
     // A stream that is taken up belongs to the service of the request that began it.
     let first_id = metadata.resumed_id().unwrap_or(&request_id);
     let service = Name::clone(route.service(hash(first_id)));
@@ -76,7 +80,7 @@
         route,
         service,
         request_id,
-        customer: None,
+        customer,
         metadata,
         started,
         deadline: started + left,
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -11,6 +11,7 @@
 use tealsaddle_core::fleet::send_gate::HoldReason;
 use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 
+use crate::customers::KeyProblem;
 use crate::external::AnswerMetadata;
 
 /// Error that ends the body of an answer before it is complete, which aborts the caller's connection.
@@ -41,6 +42,8 @@
     NoConfiguration,
     /// No route matches the request.
     NoRoute,
+    /// The route requires the API key of a customer, and the request bears none.
+    Unauthorized(KeyProblem),
     /// The request names no host.
     NoHost,
     /// The request has no id header.
@@ -83,6 +86,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoRoute => "no_route",
+            Self::Unauthorized(problem) => problem.as_str(),
             Self::NoHost => "no_host",
             Self::NoRequestId => "no_request_id",
             Self::OldProtocol => "old_protocol",
@@ -136,6 +140,7 @@
             | Self::Stopping
             | Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized(_) => StatusCode::UNAUTHORIZED,
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::OldProtocol => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -160,6 +165,10 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if matches!(self, Self::Unauthorized(_)) {
+            let challenge = HeaderValue::from_static("Bearer");
+            headers.insert(header::WWW_AUTHENTICATE, challenge);
+        }
         if let Some(after) = retry_after {
             let seconds = format!("{:.3}", after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -51,7 +51,8 @@
     pub service: Name,
     /// Id from the caller's headers.
     pub request_id: String,
-    /// The customer whose key the request bears; `None` if the configuration has no customers, or the route is open to all.
+    /// The customer whose key the request bears; `None` if the configuration has no customers, or for a request on a
+    /// public route without the key of a customer.
     pub customer: Option<Arc<Customer>>,
     /// What the caller's headers say.
     pub metadata: RequestMetadata,
--- a/crates/tealsaddle-gateway/src/error.rs
+++ b/crates/tealsaddle-gateway/src/error.rs
@@ -36,6 +36,29 @@
 
 impl std::error::Error for BadEntry {}
 
+impl From<serde_json::Error> for BadEntry {
+    fn from(error: serde_json::Error) -> Self {
+        Self(json_problem(&error))
+    }
+}
+
+/// Says why JSON cannot be parsed, without the values that it contains: they may be API keys.
+pub fn json_problem(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let is_value_shown = error.is_data()
+        && !text.starts_with("missing field")
+        && !text.starts_with("duplicate field");
+    if !is_value_shown {
+        return text;
+    }
+    // The value stands before what was expected, and the position is not part of either.
+    let place = format!("at line {} column {}", error.line(), error.column());
+    match text.rsplit_once(", expected ") {
+        Some((_value, expected)) => format!("invalid value, expected {expected}"),
+        None => format!("invalid value {place}"),
+    }
+}
+
 /// Why a call to the store has no result.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum StoreError {
--- a/crates/tealsaddle-gateway/src/external.rs
+++ b/crates/tealsaddle-gateway/src/external.rs
@@ -5,7 +5,7 @@
 //! makes a decision.
 
 use std::collections::BTreeMap;
-use std::fmt::Debug;
+use std::fmt::{self, Debug};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 use crate::error::{BadEntry, StoreError};
 
 /// A key of the store with its value.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Item {
     /// Full key, prefix included.
     pub key: String,
@@ -32,6 +32,17 @@
     pub revision: u64,
 }
 
+impl fmt::Debug for Item {
+    /// Leaves out the value: that of a configuration contains the keys of customers.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Item")
+            .field("key", &self.key)
+            .field("value_bytes", &self.value.len())
+            .field("revision", &self.revision)
+            .finish()
+    }
+}
+
 /// A change of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -392,6 +403,10 @@
     /// `metadata`.
     fn prepare(&self, headers: &mut HeaderMap, metadata: &SendMetadata<'_>);
 
+    /// Sets the header that names the customer of a request, or removes it if there is no customer. What the caller sent
+    /// in it is dropped.
+    fn set_customer(&self, headers: &mut HeaderMap, customer: Option<&str>);
+
     /// Removes the headers of a runner's answer that are meant for this system and not for the caller.
     fn clean_answer(&self, headers: &mut HeaderMap);
 
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -1,5 +1,6 @@
 //! Configuration, registrations and quarantined parts, as last read from the store or a peer.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use tealsaddle_core::name::Name;
 
 use crate::change_log::ChangeLog;
+use crate::customers;
 use crate::external::{Change, Changes, Dialect, Item, Listing};
 use crate::snapshot::FleetSnapshot;
 
@@ -44,6 +46,16 @@
     is_asked: bool,
 }
 
+/// A configuration as stored. It contains the keys of customers, so its debug output does not show it.
+#[derive(Default)]
+struct ConfigValue(Vec<u8>);
+
+impl fmt::Debug for ConfigValue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes", self.0.len())
+    }
+}
+
 /// State of the fleet in the control thread.
 #[derive(Debug)]
 pub struct FleetState {
@@ -64,7 +76,7 @@
     pub has_quarantine_list: bool,
     quarantine: Arc<QuarantineList>,
     config: Option<Arc<FleetConfig>>,
-    config_value: Vec<u8>,
+    config_value: ConfigValue,
     /// Registrations by their full key in the store.
     registrations: HashMap<String, Registration>,
     /// Whether the registrations have been listed at least once.
@@ -89,7 +101,7 @@
             has_quarantine_list: false,
             quarantine: Arc::default(),
             config: None,
-            config_value: Vec::new(),
+            config_value: ConfigValue::default(),
             registrations: HashMap::default(),
             has_runner_list: false,
             revision: 0,
@@ -106,8 +118,9 @@
         if let Some(current) = &self.config {
             log_changed_limits(current, &config);
         }
+        customers::log_customers(&config);
         self.config = Some(Arc::new(config));
-        value.clone_into(&mut self.config_value);
+        value.clone_into(&mut self.config_value.0);
         true
     }
 
@@ -367,7 +380,7 @@
 
     /// Newest configuration, as stored; `None` before the first one.
     pub fn config_value(&self) -> Option<&[u8]> {
-        self.config.is_some().then_some(&self.config_value)
+        self.config.is_some().then_some(&self.config_value.0)
     }
 
     /// Registrations, as stored, with the store revision that they reflect; `None` before the first listing.
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod clock;
 pub mod connector;
 pub mod control;
+pub mod customers;
 pub mod departures;
 pub mod duties;
 pub mod error;
--- a/crates/tealsaddle-gateway/src/peer_message.rs
+++ b/crates/tealsaddle-gateway/src/peer_message.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::error::json_problem;
 use crate::external::OutgoingCall;
 use crate::upstream::{Reuse, Upstreams};
 
@@ -64,7 +65,8 @@
         return Err(NoAnswer::Refused);
     }
     serde_json::from_slice(&answer.body).map_err(|error| {
-        log::warn!(peer:%, path, error:%; "peer answer cannot be parsed");
+        let problem = json_problem(&error);
+        log::warn!(peer:%, path, problem:%; "peer answer cannot be parsed");
         NoAnswer::Lost
     })
 }
@@ -73,7 +75,8 @@
 pub fn respond(path: &str, answered: Result<String, serde_json::Error>) -> (StatusCode, String) {
     answered.map_or_else(
         |error| {
-            log::warn!(path, error:%; "message of a peer cannot be parsed");
+            let problem = json_problem(&error);
+            log::warn!(path, problem:%; "message of a peer cannot be parsed");
             (StatusCode::BAD_REQUEST, String::new())
         },
         |text| (StatusCode::OK, text),
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -3,6 +3,7 @@
 //! A node that starts while the store is unavailable knows neither configuration nor runners. It fetches
 //! them from the peers in its settings; a peer answers with the entries as they are in the store.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use crate::change_log::Position;
 use crate::clock::{self, jittered};
 use crate::control::Control;
+use crate::error::json_problem;
 use crate::external::{Item, Listing, OutgoingCall};
 use crate::fleet_state::FleetState;
 use crate::quarantine::messages;
@@ -32,8 +34,9 @@
 /// Time for one peer to answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// State of a node: entries as they are in the store. Sent between peers as JSON.
-#[derive(Debug, Default, Serialize, Deserialize)]
+/// State of a node: entries as they are in the store. Sent between peers as JSON. The configuration contains the keys
+/// of customers.
+#[derive(Default, Serialize, Deserialize)]
 struct PeerState {
     config: Option<String>,
     runners: Option<Vec<PeerItem>>,
@@ -115,16 +118,31 @@
             }
             let answers = batch.iter().map(|seed| fetch(&upstreams, *seed));
             let answers = futures::future::join_all(answers).await;
-            for state in answers.into_iter().flatten() {
-                if !control.fleet().is_ready() {
-                    apply(&control, state);
-                }
-            }
+            apply_newest(&control, answers.into_iter().flatten().collect());
         }
         tokio::time::sleep(jittered(RETRY_PAUSE)).await;
     }
 }
 
+/// Takes over the fleet from the peers that have answered. One that is cut off may hold an old configuration, so the
+/// newest state comes first, and the configurations of the others count if they are newer still.
+fn apply_newest(control: &Arc<Control>, mut states: Vec<PeerState>) {
+    states.sort_by_key(|state| Reverse((state.era, state.complete_revision.max(state.revision))));
+    for state in states {
+        if !control.fleet().is_ready() {
+            apply(control, state);
+        } else if apply_config(control, &state) {
+            control.publish();
+        }
+    }
+}
+
+/// Applies the configuration that a peer holds; returns whether it is newer than that of this node.
+fn apply_config(control: &Control, state: &PeerState) -> bool {
+    let config = state.config.as_ref();
+    config.is_some_and(|config| control.apply_config(config.as_bytes()))
+}
+
 async fn fetch(upstreams: &Arc<Upstreams>, seed: SocketAddr) -> Option<PeerState> {
     let call = OutgoingCall {
         method: Method::GET,
@@ -138,7 +156,10 @@
         return None;
     }
     serde_json::from_slice(&answer.body)
-        .inspect_err(|error| log::warn!(seed:%, error:%; "peer answer cannot be parsed"))
+        .inspect_err(|error| {
+            let problem = json_problem(error);
+            log::warn!(seed:%, problem:%; "peer answer cannot be parsed");
+        })
         .ok()
 }
 
@@ -160,9 +181,7 @@
 
 fn apply(control: &Arc<Control>, state: PeerState) {
     control.take_quarantine(&state.quarantined);
-    if let Some(config) = &state.config {
-        control.apply_config(config.as_bytes());
-    }
+    apply_config(control, &state);
     if let Some(runners) = state.runners {
         let now_us = clock::now_us();
         let lapsed = lapsed_registrations(&runners, now_us);
