Take a long configuration from a peer at once while the store is away

A node that cannot reach the store and hears from a peer that a configuration is too long for a message listed the store first.

--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -281,8 +281,16 @@
         log::info!(source:?, failure:?, knowledge_ms; "source of changes has failed");
     }
 
-    /// Takes over all keys, from the store or else from the peer.
+    /// Takes over all keys, from the store or else from the peer. While the store is known to be away, the peer is asked at
+    /// once: a listing would first take the time of a call that is not answered.
     async fn on_gap(&mut self, source: Source) {
+        if let Source::Peer(peer) = source
+            && self.control.fleet().store_availability.is_unavailable()
+        {
+            self.must_list = true;
+            self.reader.take_over(peer).await;
+            return;
+        }
         let listed = self.reader.list().await;
         self.must_list = listed.is_err();
         if let (Err(_), Source::Peer(peer)) = (listed, source) {
