Check keys after a pause of the process by what has changed meanwhile

The turns of the process are now followed. The age of what is known would not do: it does not tell a pause from a cut, where waiting helps nobody. An answer of the store that was read after its time is no longer taken for a recent one.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub mod prefill;
 pub mod quarantine;
 pub mod rendezvous;
+pub mod resumption;
 pub mod send_gate;
 pub mod split;
 pub mod stage_load;
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod pool_sim;
 mod quarantine;
+mod resumption;
 mod send_gate;
 mod split;
 mod stage_histories;
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -36,7 +36,7 @@
 ) -> Result<Arc<Call>, GatewayAnswer> {
     let started = Instant::now();
     let in_flight = gateway.begin_request();
-    let config = current_config(gateway)?;
+    let config = current_config(gateway).await?;
     let (head, body) = request.into_parts();
     if head.version < Version::HTTP_11 {
         return Err(GatewayAnswer::OldProtocol);
@@ -62,7 +62,7 @@
     // A caller who sends a little now and then would otherwise hold the request open without end.
     let body = body.unwrap_or(Err(GatewayAnswer::BodyTimeout))?;
     // The body may have taken long, and a newer version may have come into force meanwhile.
-    let config = current_config(gateway)?;
+    let config = current_config(gateway).await?;
     let route = find_route(&config)?;
     let identity = customers::check(&config, &route, &head.headers)?.or_checked(&identity_at_head);
     let customer = identity.customer().cloned();
@@ -93,7 +93,21 @@
     }))
 }
 
-fn current_config(gateway: &Gateway) -> Result<Arc<FleetConfig>, GatewayAnswer> {
+/// The configuration in force. If it has customers, a key may have been withdrawn while the process was paused, so the
+/// request waits for what has changed.
+async fn current_config(gateway: &Gateway) -> Result<Arc<FleetConfig>, GatewayAnswer> {
+    let config = known_config(gateway)?;
+    if config.customers.is_none() {
+        return Ok(config);
+    }
+    if gateway.resumption.until_current(&gateway.knowledge).await {
+        gateway.metrics.increment("customers.waited_after_pause");
+        return known_config(gateway);
+    }
+    Ok(config)
+}
+
+fn known_config(gateway: &Gateway) -> Result<Arc<FleetConfig>, GatewayAnswer> {
     let snapshot = gateway.snapshot.load();
     let config = snapshot.config.as_ref();
     config.cloned().ok_or(GatewayAnswer::NoConfiguration)
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::quarantine::keeper;
 use crate::rounds::ControlLoop;
-use crate::{Error, changes, clock, departures, peers};
+use crate::{Error, changes, clock, departures, peers, resumption};
 
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -108,6 +108,7 @@
 async fn run(control: Arc<Control>, leaving: tokio::sync::watch::Receiver<bool>) {
     tokio::spawn(follow::follow(Arc::clone(&control)));
     tokio::spawn(peers::fetch_until_ready(Arc::clone(&control)));
+    tokio::spawn(resumption::record_turns(Arc::clone(&control.gateway)));
     if let Some(commands) = control.gateway.quarantine.take_commands() {
         tokio::spawn(keeper::run(Arc::clone(&control), commands));
     }
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -147,11 +147,12 @@
         let asked_us = clock::now_us();
         let store = &self.control.store;
         let watched = store.watch(ALL_KEYS, position.revision, wait);
+        let limit = wait + self.late_limit();
         let Changes {
             changes,
             revision,
             era,
-        } = with_timeout(wait + self.late_limit(), watched).await?;
+        } = with_timeout(limit, watched).await?;
         let has_changes = !changes.is_empty();
         let is_same_era = era.is_none() || position.era.is_none() || era == position.era;
         // A revision that grows without changes means that some are missing.
@@ -159,8 +160,13 @@
             return Err(StoreError::HistoryGone);
         }
         let terms = self.control.gateway.knowledge.terms();
-        let as_of_us = if has_changes {
-            terms.as_of_changes_us(asked_us, clock::now_us())
+        let heard_us = clock::now_us();
+        let is_overdue = heard_us.saturating_sub(asked_us) > limit.as_micros() as u64;
+        let as_of_us = if has_changes && is_overdue {
+            // The answer was there in time and was read after a pause of the process: it may be of any time since.
+            asked_us
+        } else if has_changes {
+            terms.as_of_changes_us(asked_us, heard_us)
         } else {
             asked_us + wait.as_micros() as u64
         };
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::knowledge::KnowledgeClock;
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
+use crate::resumption::ResumptionClock;
 use crate::scheduler::{RetryShare, Scheduler};
 use crate::send_gate::SendGate;
 use crate::snapshot::FleetSnapshot;
@@ -70,6 +71,8 @@
     pub snapshot: Arc<ArcSwap<FleetSnapshot>>,
     /// How old the knowledge is that the fleet was published with.
     pub knowledge: KnowledgeClock,
+    /// Whether the process was paused and has not heard news since.
+    pub resumption: ResumptionClock,
     /// Ways to the runners, some of them through other nodes.
     pub runner_paths: Arc<RunnerPaths>,
     /// Paths to runners that are lent to other nodes.
@@ -141,6 +144,7 @@
             quarantine: Quarantine::open(config.peer_listen),
             versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
             knowledge: KnowledgeClock::open(config.leaving_bound),
+            resumption: ResumptionClock::open(),
             metrics,
             answer_cutoff: CancellationToken::new(),
             config,
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod quarantine;
 pub mod relay;
 pub mod request;
+pub mod resumption;
 pub mod rounds;
 pub mod scheduler;
 pub mod send_gate;
