Bound what a node holds for its callers, and their connections

With `limits` in the settings, each connection reports its buffers, the body of its request and the unread part of its answer to one budget per node. Beyond the budget, the connection above an equal share that holds most for what it moves is dropped: refused with 503 while its body arrives, closed otherwise. The number of connections is bounded by max_fds, also at the listeners for the probe, the metrics and the peers. Without `limits` nothing is counted and nobody is dropped.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod backpressure;
 pub mod cached_parts;
+pub mod caller_budget;
 pub mod change_sources;
 pub mod config;
 pub mod continuation;
--- a/crates/tealsaddle-gateway/src/admit.rs
+++ b/crates/tealsaddle-gateway/src/admit.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Version, header, http};
@@ -17,7 +17,9 @@
 use tokio::time::Instant;
 
 use crate::answer::GatewayAnswer;
+use crate::body_buffer::{BodyBuffer, BudgetUsedUp};
 use crate::call::{Call, CallState, DeadlineSource};
+use crate::caller_memory::BodyShare;
 use crate::external::RequestMetadata;
 use crate::front::CallerConnection;
 use crate::gateway::Gateway;
@@ -55,7 +57,8 @@
         .request_id
         .clone()
         .ok_or(GatewayAnswer::NoRequestId)?;
-    let body = read_body(gateway, body, config.limits);
+    let body_share = caller.memory().receive();
+    let body = read_body(gateway, &body_share, body, config.limits);
     let body = timeout_at(body_deadline, body).await;
     // A caller who sends a little now and then would otherwise hold the request open without end.
     let body = body.unwrap_or(Err(GatewayAnswer::BodyTimeout))?;
@@ -65,6 +68,9 @@
     let (left, deadline_source) = time_left(gateway, &route, &metadata, started)?;
     let event_timeout = route.event_timeout_ms.map(Duration::from_millis);
     let first_event_left = event_timeout.map_or(left, |event_timeout| left.min(event_timeout));
+    if !body_share.run() {
+        return Err(GatewayAnswer::CallerMemory);
+    }
     let request = OutgoingRequest::new(head, body, &*gateway.dialect);
     // A stream that is taken up belongs to the service of the request that began it.
     let first_id = metadata.resumed_id().unwrap_or(&request_id);
@@ -83,6 +89,7 @@
         deadline_source,
         first_event_deadline: started + first_event_left,
         request,
+        body_share,
         progress: Progress::default(),
         state: CallState::default(),
         in_flight,
@@ -114,22 +121,33 @@
 
 async fn read_body(
     gateway: &Gateway,
+    share: &BodyShare,
     body: Incoming,
     limits: CallerLimits,
 ) -> Result<Bytes, GatewayAnswer> {
-    if hyper::body::Body::size_hint(&body).lower() > limits.body_bytes as u64 {
+    let size = hyper::body::Body::size_hint(&body);
+    if size.lower() > limits.body_bytes as u64 {
         return Err(GatewayAnswer::BodyTooLarge);
     }
+    let most_bytes = size
+        .exact()
+        .map_or(limits.body_bytes, |exact| exact as usize);
     let mut body = Limited::new(body, limits.body_bytes);
-    let mut bytes = BytesMut::new();
+    let mut buffer = BodyBuffer::open(most_bytes);
+    let used_up = |_: BudgetUsedUp| GatewayAnswer::CallerMemory;
     loop {
         // The limit applies to each frame, not to the body: a slow caller is served as long as data arrives and
         // the deadline has not passed.
-        match before_idle_timeout(gateway, limits, body.frame()).await? {
-            None => return Ok(bytes.freeze()),
+        let frame = tokio::select! {
+            biased;
+            () = share.dropped() => return Err(GatewayAnswer::CallerMemory),
+            frame = before_idle_timeout(gateway, limits, body.frame()) => frame?,
+        };
+        match frame {
+            None => return buffer.into_bytes(share).map_err(used_up),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
-                    bytes.extend_from_slice(&data);
+                    buffer.push(&data, share).map_err(used_up)?;
                 }
             }
             Some(Err(error)) if error.is::<LengthLimitError>() => {
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -53,6 +53,8 @@
     BodyTooLarge,
     /// The caller sent no part of the body for longer than the idle timeout.
     BodyTimeout,
+    /// The node has no memory left for the body.
+    CallerMemory,
     /// The connection ended, or became invalid, before the body was complete.
     BodyCutOff,
     /// No runner of the service accepts new requests.
@@ -89,6 +91,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_timeout",
+            Self::CallerMemory => "caller_memory",
             Self::BodyCutOff => "body_cut_off",
             Self::NoRunner => "no_runner",
             Self::StreamVersionUnknown => "stream_version_unknown",
@@ -126,6 +129,7 @@
     pub const fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration
+            | Self::CallerMemory
             | Self::NoRunner
             | Self::StreamVersionUnknown
             | Self::StreamVersionGone
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::answer::GatewayAnswer;
+use crate::caller_memory::BodyShare;
 use crate::clock::{self, jittered};
 use crate::external::{AnswerMetadata, RequestMetadata, SendMetadata};
 use crate::framing::Framing;
@@ -65,6 +66,8 @@
     pub first_event_deadline: Instant,
     /// Request as it is sent to runners.
     pub request: OutgoingRequest,
+    /// Counts the body as held until the call ends.
+    pub body_share: BodyShare,
     /// Event times of the stream.
     pub progress: Progress,
     /// State of the attempts and of the log.
--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -19,6 +19,8 @@
 use tokio::time::Instant;
 
 use crate::answer::{Body, full_body};
+use crate::caller_memory::{ConnectionShare, DropSignal};
+use crate::endpoint_connections::EndpointConnections;
 use crate::gateway::Gateway;
 use crate::upstream::set_options;
 use crate::{Error, idle_timeout, request};
@@ -31,6 +33,10 @@
 /// Read buffer of a connection, which hyper fixes when the connection is accepted; it grows up to this size as
 /// needed. It bounds the heads that a raised limit may allow on connections that are open.
 const BUFFER_BYTES: usize = 256 << 10;
+/// The same where the settings limit what is held for callers.
+const LIMITED_BUFFER_BYTES: usize = 64 << 10;
+/// Time in which a request that is refused for want of memory gets its answer.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 /// Listener for callers, which accepts connections until it is closed.
 #[derive(Debug)]
@@ -48,17 +54,24 @@
     requests: AtomicU32,
     /// Largest size of a request's head when the connection was accepted.
     header_bytes: usize,
+    memory: Arc<ConnectionShare>,
 }
 
 impl CallerConnection {
-    fn open(limits: &CallerLimits) -> Arc<Self> {
+    fn open(limits: &CallerLimits, memory: Arc<ConnectionShare>) -> Arc<Self> {
         Arc::new(Self {
             opened: Instant::now(),
             requests: AtomicU32::new(0),
             header_bytes: limits.header_bytes,
+            memory,
         })
     }
 
+    /// What the connection holds.
+    pub const fn memory(&self) -> &Arc<ConnectionShare> {
+        &self.memory
+    }
+
     /// Largest size of a request's head: the limit in force, or the earlier one on which the caller may still
     /// rely if that is larger.
     pub fn header_bytes(&self, newest: &CallerLimits) -> usize {
@@ -132,7 +145,12 @@
             open.fetch_sub(1, Ordering::Relaxed);
         });
     };
+    let max_connections = gateway.caller_memory.max_connections();
     loop {
+        if open.load(Ordering::Relaxed) >= max_connections {
+            // Lets the connections that are dropped for the accepted ones close.
+            tokio::task::yield_now().await;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _closing = closing.wait_for(|is_closing| *is_closing) => break,
@@ -165,8 +183,17 @@
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, mut closing: watch::Receiver<bool>) {
     set_options(&stream);
     let limits = gateway.caller_limits();
-    let (stream, timer) = idle_timeout::watch(stream, Arc::clone(&gateway));
-    let caller = CallerConnection::open(&limits);
+    let buffer_bytes = if gateway.caller_memory.is_limited() {
+        LIMITED_BUFFER_BYTES
+    } else {
+        BUFFER_BYTES
+    };
+    let buffer_bytes = limits.header_bytes.max(buffer_bytes);
+    let share = gateway.caller_memory.connect(&stream);
+    let dropped = Arc::clone(share.dropped());
+    let watched = Arc::clone(&share);
+    let (stream, timer) = idle_timeout::watch(stream, Arc::clone(&gateway), watched, buffer_bytes);
+    let caller = CallerConnection::open(&limits, share);
     let served = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&served);
@@ -177,24 +204,35 @@
         .timer(timer)
         // Switches the timer on, which takes the timeout from the configuration in force.
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(limits.header_bytes.max(BUFFER_BYTES))
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let budget = Arc::clone(&dropped);
     let close_signal = async move {
-        let is_closing = closing.wait_for(|is_closing| *is_closing).await.is_ok();
+        let is_closing = tokio::select! {
+            is_closing = closing.wait_for(|is_closing| *is_closing) => is_closing.is_ok(),
+            () = budget.closes_after_answer() => true,
+        };
         // On a new connection, or after the process was paused, the runtime may not have checked yet
         // whether a request has arrived.
         tokio::task::yield_now().await;
         is_closing
     };
+    let serving = async {
+        tokio::select! {
+            // Polls the connection first, so that a request that arrived before the close is served.
+            biased;
+            result = connection.as_mut() => result,
+            _closing = close_signal => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    };
     let result = tokio::select! {
-        // Polls the connection first, so that a request that arrived before the close is served.
         biased;
-        result = connection.as_mut() => result,
-        _closing = close_signal => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        result = serving => result,
+        () = drop_time(&dropped) => return,
     };
     if let Err(error) = result {
         let reason = failure_reason(&error);
@@ -203,6 +241,14 @@
     }
 }
 
+/// Waits until a connection that the node has no memory or descriptors for is to be closed.
+async fn drop_time(dropped: &DropSignal) {
+    dropped.received().await;
+    if dropped.refuses_request() {
+        tokio::time::sleep(REFUSAL_TIME).await;
+    }
+}
+
 /// Why a caller's connection failed, as in the names of the counters.
 fn failure_reason(error: &hyper::Error) -> &'static str {
     if error.is_timeout() {
@@ -219,7 +265,11 @@
 }
 
 /// Serves a text endpoint on its own address. `respond` computes the answer and must not block.
-pub fn bind_text_endpoint<F>(address: SocketAddr, respond: F) -> Result<(), Error>
+pub fn bind_text_endpoint<F>(
+    address: SocketAddr,
+    connections: Arc<EndpointConnections>,
+    respond: F,
+) -> Result<(), Error>
 where
     F: Fn(&Request<Incoming>) -> (StatusCode, String) + Send + Sync + 'static,
 {
@@ -233,13 +283,16 @@
             };
             set_options(&stream);
             let respond = Arc::clone(&respond);
+            let open = connections.add();
+            let served = Arc::clone(&open);
             let service = service_fn(move |request: Request<Incoming>| {
+                served.on_request();
                 let (status, text) = respond(&request);
                 async move { Ok::<_, Infallible>(text_response(status, text)) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // A client that disconnects is not an error.
-            tokio::spawn(async move { drop(connection.await) });
+            let builder = connections.builder();
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(async move { open.run(connection).await });
         }
     });
     Ok(())
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::borrowed_paths::RunnerPaths;
 use crate::borrowed_paths::lender::LentPaths;
+use crate::caller_memory::{CallerMemory, NodeLimits};
 use crate::connector::{Connect, TcpConnector};
 use crate::duties::DutyConfig;
 use crate::external::Dialect;
@@ -57,6 +58,8 @@
     pub grace: Duration,
     /// Settings of the duties toward the platform; `None` if there are none.
     pub duties: Option<DutyConfig>,
+    /// Limits of the machine; `None` to set none on what is held for callers.
+    pub limits: Option<NodeLimits>,
 }
 
 /// State that all requests of a node share.
@@ -76,6 +79,8 @@
     pub lent_paths: LentPaths,
     /// Bytes of incomplete events that streams hold.
     pub held_bytes: Arc<HeldBytes>,
+    /// Budget for what is held for callers.
+    pub caller_memory: Arc<CallerMemory>,
     /// Connection pool for requests to runners.
     pub upstreams: Arc<Upstreams>,
     /// Connection pool for the node's own calls to runners, whose answers name no request.
@@ -137,6 +142,7 @@
             own_calls: Upstreams::open_by(Arc::clone(&runner_paths)),
             runner_paths,
             held_bytes: Arc::default(),
+            caller_memory: CallerMemory::open(config.limits, Arc::clone(&metrics)),
             lent_paths: LentPaths::default(),
             quarantine: Quarantine::open(config.peer_listen),
             versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
--- a/crates/tealsaddle-gateway/src/idle_timeout.rs
+++ b/crates/tealsaddle-gateway/src/idle_timeout.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::caller_memory::{ConnectionShare, Part};
 use crate::gateway::Gateway;
 use crate::timeout::{LATE, READ_GRACE};
 
@@ -33,14 +34,18 @@
     opened: Instant,
     /// Time since `opened`; 0 before the first bytes.
     at_us: AtomicU64,
+    /// Bytes that have arrived since the wait for a request began.
+    bytes: AtomicUsize,
 }
 
 impl FirstRead {
     fn clear(&self) {
+        self.bytes.store(0, Ordering::Relaxed);
         self.at_us.store(0, Ordering::Relaxed);
     }
 
-    fn on_read(&self) {
+    fn on_read(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
         let now_us = (self.opened.elapsed().as_micros() as u64).max(1);
         let order = Ordering::Relaxed;
         // Later bytes of the same request change nothing.
@@ -54,16 +59,31 @@
 }
 
 /// Makes the stream and the timer of one caller connection.
-pub fn watch(stream: TcpStream, gateway: Arc<Gateway>) -> (WatchedStream, RequestTimer) {
+///
+/// `buffer_bytes` is the largest size of the buffer into which the stream is read.
+pub fn watch(
+    stream: TcpStream,
+    gateway: Arc<Gateway>,
+    share: Arc<ConnectionShare>,
+    buffer_bytes: usize,
+) -> (WatchedStream, RequestTimer) {
     let first_read = Arc::new(FirstRead {
         opened: Instant::now(),
         at_us: AtomicU64::new(0),
+        bytes: AtomicUsize::new(0),
     });
     let timer = RequestTimer {
         gateway,
         first_read: Arc::clone(&first_read),
     };
-    (WatchedStream { stream, first_read }, timer)
+    let stream = WatchedStream {
+        stream,
+        first_read,
+        share,
+        buffer_bytes,
+        free_bytes: 0,
+    };
+    (stream, timer)
 }
 
 /// Timer that hyper starts when it begins to wait for a request. It computes the deadline itself and ignores
@@ -155,11 +175,41 @@
     }
 }
 
-/// Stream of a caller that records when the first bytes of a request arrive.
+/// Stream of a caller that records when the first bytes of a request arrive, and what the connection holds.
 #[derive(Debug)]
 pub struct WatchedStream {
     stream: TcpStream,
     first_read: Arc<FirstRead>,
+    share: Arc<ConnectionShare>,
+    /// Largest size of the buffer into which the stream is read.
+    buffer_bytes: usize,
+    /// Most free space that the buffer had.
+    free_bytes: usize,
+}
+
+impl WatchedStream {
+    fn on_read(&mut self, bytes: usize) {
+        self.first_read.on_read(bytes);
+        self.share.on_moved(bytes);
+        let unread_bytes = self.first_read.bytes.load(Ordering::Relaxed);
+        // The head of a request that runs keeps the buffer in which it arrived, beside the one for the next request.
+        let buffers = 2 * self.free_bytes + unread_bytes.min(self.buffer_bytes);
+        // A connection that is dropped for it learns so by its signal.
+        let _may_hold = self.share.set(Part::Buffers, buffers);
+    }
+
+    /// Records the result of a write of this many bytes, which are held until the caller reads.
+    fn on_write(&self, bytes: usize, result: &Poll<io::Result<usize>>) {
+        let unread_bytes = match result {
+            Poll::Pending => bytes,
+            Poll::Ready(written) => {
+                let written = written.as_ref().copied().unwrap_or(0);
+                self.share.on_moved(written);
+                0
+            }
+        };
+        let _may_hold = self.share.set(Part::Unread, unread_bytes);
+    }
 }
 
 impl AsyncRead for WatchedStream {
@@ -169,9 +219,11 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
+        self.free_bytes = self.free_bytes.max(buf.remaining());
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > filled_before {
-            self.first_read.on_read();
+        let read_bytes = buf.filled().len() - filled_before;
+        if read_bytes > 0 {
+            self.on_read(read_bytes);
         }
         result
     }
@@ -183,7 +235,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.on_write(buf.len(), &result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -199,7 +253,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let bytes = bufs.iter().map(|buf| buf.len()).sum();
+        self.on_write(bytes, &result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -9,8 +9,10 @@
 
 pub mod admit;
 pub mod answer;
+pub mod body_buffer;
 pub mod borrowed_paths;
 pub mod call;
+pub mod caller_memory;
 pub mod change_log;
 pub mod changes;
 pub mod clock;
@@ -18,6 +20,7 @@
 pub mod control;
 pub mod departures;
 pub mod duties;
+pub mod endpoint_connections;
 pub mod error;
 pub mod event_stream;
 pub mod external;
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -11,6 +11,7 @@
 
 use crate::Error;
 use crate::control::ControlHandle;
+use crate::endpoint_connections::EndpointConnections;
 use crate::external::{Dialect, DutyPlatform, Store};
 use crate::front::{CallerListener, bind_text_endpoint};
 use crate::gateway::{Gateway, GatewayConfig};
@@ -124,9 +125,17 @@
     Ok((gateway, control, listener))
 }
 
+/// Limits on the connections of a listener for the probe or the metrics.
+fn text_connections(gateway: &Gateway) -> Arc<EndpointConnections> {
+    let limits = gateway.config.limits;
+    let most = limits.map(|limits| limits.text_connections());
+    EndpointConnections::open(most, Arc::clone(&gateway.metrics))
+}
+
 fn bind_ready(gateway: &Arc<Gateway>) -> Result<(), Error> {
     let probed = Arc::clone(gateway);
-    bind_text_endpoint(gateway.config.ready_listen, move |_request| {
+    let connections = text_connections(gateway);
+    bind_text_endpoint(gateway.config.ready_listen, connections, move |_request| {
         if probed.is_ready() {
             (StatusCode::OK, String::new())
         } else {
@@ -141,7 +150,8 @@
         return;
     };
     let scraped = Arc::clone(gateway);
-    let bound = bind_text_endpoint(address, move |_request| {
+    let connections = text_connections(gateway);
+    let bound = bind_text_endpoint(address, connections, move |_request| {
         (StatusCode::OK, scraped.metrics.text())
     });
     if let Err(error) = bound {
--- a/crates/tealsaddle-gateway/src/logging.rs
+++ b/crates/tealsaddle-gateway/src/logging.rs
@@ -18,6 +18,9 @@
 
 /// Capacity of the queue, in lines.
 const QUEUE_LINES: usize = 4_096;
+/// Most bytes in the queue. Ordinary lines are far shorter than the average that this allows, but callers choose the ids and
+/// paths in them.
+const MAX_QUEUED_BYTES: u64 = 4 << 20;
 /// Time for which lines are collected after the first one, to be written in one batch.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 /// Longest time that [`flush`] waits.
@@ -33,6 +36,8 @@
 struct QueueState {
     /// Number of lines that are queued or being written.
     unwritten_lines: AtomicU64,
+    /// Bytes of these lines.
+    unwritten_bytes: AtomicU64,
     /// Lines dropped since the last batch.
     dropped_lines: AtomicU64,
     /// Whether the current batch is to be written at once.
@@ -69,9 +74,17 @@
 
     /// Queues a line, or drops and counts it if the queue is full.
     pub fn push(&self, line: String) {
+        let bytes = line.len() as u64;
+        let queued_bytes = self
+            .state
+            .unwritten_bytes
+            .fetch_add(bytes, Ordering::AcqRel);
         self.state.unwritten_lines.fetch_add(1, Ordering::AcqRel);
-        if self.sender.try_send(line).is_err() {
+        if queued_bytes + bytes > MAX_QUEUED_BYTES || self.sender.try_send(line).is_err() {
             self.state.unwritten_lines.fetch_sub(1, Ordering::AcqRel);
+            self.state
+                .unwritten_bytes
+                .fetch_sub(bytes, Ordering::AcqRel);
             self.state.dropped_lines.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -187,9 +200,11 @@
 {
     while let Ok(first) = receiver.recv() {
         state.wait_for_batch(batch_time);
+        let mut bytes = first.len();
         let mut text = first + "\n";
         let mut lines = 1;
         while let Ok(line) = receiver.try_recv() {
+            bytes += line.len();
             text.push_str(&line);
             text.push('\n');
             lines += 1;
@@ -206,6 +221,9 @@
         // There is no other place to report that the output is closed.
         drop(output.write_all(text.as_bytes()));
         drop(output.flush());
+        state
+            .unwritten_bytes
+            .fetch_sub(bytes as u64, Ordering::AcqRel);
         state.unwritten_lines.fetch_sub(lines, Ordering::AcqRel);
     }
 }
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -3,29 +3,34 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use crate::Error;
 use crate::borrowed_paths::lender;
 use crate::changes::CHANGES_PATH;
 use crate::control::ControlHandle;
 use crate::departures::DEPARTURES_PATH;
+use crate::endpoint_connections::EndpointConnections;
 use crate::front::{ACCEPT_PAUSE, listen, text_response};
 use crate::gateway::Gateway;
 use crate::peers::STATE_PATH;
 use crate::quarantine::messages;
+use crate::timeout::timeout_at;
 use crate::upstream::set_options;
 
 /// Largest message of a peer.
 const MAX_MESSAGE_BYTES: usize = 256 << 10;
+/// Longest time for a message to arrive; peers give up far earlier.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Serves the peers, if the settings name an address for it.
 pub fn bind(gateway: &Arc<Gateway>, control: &Arc<ControlHandle>) -> Result<(), Error> {
@@ -38,6 +43,9 @@
 }
 
 async fn accept(listener: TcpListener, gateway: Arc<Gateway>, control: Arc<ControlHandle>) {
+    let limits = gateway.config.limits;
+    let most = limits.map(|limits| limits.peer_connections());
+    let connections = EndpointConnections::open(most, Arc::clone(&gateway.metrics));
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -46,7 +54,10 @@
         set_options(&stream);
         let gateway = Arc::clone(&gateway);
         let control = Arc::clone(&control);
+        let open = connections.add();
+        let served = Arc::clone(&open);
         let service = service_fn(move |request: Request<Incoming>| {
+            served.on_request();
             let gateway = Arc::clone(&gateway);
             let control = Arc::clone(&control);
             async move {
@@ -58,9 +69,9 @@
                 Ok::<Response<_>, Infallible>(text_response(status, text))
             }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        // A peer that disconnects is not an error.
-        tokio::spawn(async move { drop(connection.with_upgrades().await) });
+        let builder = connections.builder();
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { open.run(connection.with_upgrades()).await });
     }
 }
 
@@ -90,9 +101,10 @@
     answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
 }
 
-/// The body of a message; `None` if it is too long or cut off.
+/// The body of a message; `None` if it is too long, too late or cut off.
 async fn read(request: Request<Incoming>) -> Option<Bytes> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let collected = body.collect().await.ok()?;
+    let limit = Instant::now() + MESSAGE_TIMEOUT;
+    let collected = timeout_at(limit, body.collect()).await.ok()?.ok()?;
     Some(collected.to_bytes())
 }
