Test the budget for callers by drawn histories, and at a gateway

Shows that the sum and the number stay within their limits, that nobody within an equal share is dropped for memory, that the smallest node serves bodies of the largest size, and that a request which a runner has got is closed and never refused. Bytes moved count for 200 ms in place of 1 s: a body that had just stopped was kept while one that arrived was dropped.

--- a/crates/tealsaddle-core/src/fleet/caller_budget.rs
+++ b/crates/tealsaddle-core/src/fleet/caller_budget.rs
@@ -2,14 +2,15 @@
 //!
 //! Each connection of a caller holds bytes: its buffers, the body of its request and the part of an answer that it has not
 //! read. While the sum is within the budget nobody is refused. Beyond it, connections that hold more than an equal share
-//! are dropped, first those that hold the most for what they have moved in the last seconds. A connection whose request
+//! are dropped, first those that hold the most for what they have moved in the last moments. A connection whose request
 //! has been sent to a runner is dropped only if no other holds more than an equal share, since what has run is lost with
 //! it. The sum stays within the budget, as one of the connections holds at least an equal share.
 
 use crate::collections::HashMap;
 
-/// Time in which the weight of moved bytes halves.
-const HALF_LIFE_US: f64 = 1e6;
+/// Time in which the weight of moved bytes halves. With 1 s, a body that had just stopped counted as moving while others
+/// arrived, and these were dropped in its place.
+const HALF_LIFE_US: f64 = 200e3;
 /// Added to the bytes moved lately, so that connections that have moved nothing are compared by what they hold.
 const MOVED_OFFSET_BYTES: f64 = 4_096.0;
 
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions for a fleet whose runners register themselves.
 
 mod admission;
+mod caller_budget;
 mod change_histories;
 mod change_sim;
 mod config;
--- a/crates/tealsaddle-gateway/src/caller_memory.rs
+++ b/crates/tealsaddle-gateway/src/caller_memory.rs
@@ -220,6 +220,7 @@
             memory: Arc::clone(self),
             id,
             dropped,
+            requests: AtomicU64::new(0),
         })
     }
 
@@ -258,6 +259,8 @@
     memory: Arc<CallerMemory>,
     id: u64,
     dropped: Arc<DropSignal>,
+    /// Number of requests so far.
+    requests: AtomicU64,
 }
 
 impl ConnectionShare {
@@ -297,6 +300,7 @@
     pub fn receive(self: &Arc<Self>) -> BodyShare {
         self.set_phase(CallerPhase::Receiving);
         BodyShare {
+            request: self.requests.fetch_add(1, Ordering::Relaxed) + 1,
             connection: Arc::clone(self),
         }
     }
@@ -327,6 +331,8 @@
 /// The body of a request, which is held until its call ends. Dropping it gives its bytes back.
 #[derive(Debug)]
 pub struct BodyShare {
+    /// Number of the request on its connection.
+    request: u64,
     connection: Arc<ConnectionShare>,
 }
 
@@ -349,7 +355,10 @@
 
 impl Drop for BodyShare {
     fn drop(&mut self) {
-        self.connection.set(Part::Body, 0);
-        self.connection.set_phase(CallerPhase::Waiting);
+        // A call may still be referred to when the next request of the connection has begun.
+        if self.connection.requests.load(Ordering::Relaxed) == self.request {
+            self.connection.set(Part::Body, 0);
+            self.connection.set_phase(CallerPhase::Waiting);
+        }
     }
 }
