--- a/crates/tealsaddle-gateway/src/caller_memory.rs
+++ b/crates/tealsaddle-gateway/src/caller_memory.rs
@@ -37,9 +37,9 @@
 const MIN_CONNECTIONS: usize = 8;
 /// What a connection holds beside its buffers: its task, timer and socket.
 const CONNECTION_BYTES: usize = 8 << 10;
-/// Receive buffer of a caller's socket in the kernel, which doubles it for its own overhead. It lets a caller 1 ms away send
-/// 256 Mbit/s, more than the links of the nodes carry.
-const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Each buffer of a caller's socket in the kernel, which doubles it for its own overhead. It lets a caller 1 ms away send, or
+/// receive, 256 Mbit/s, more than the links of the nodes carry.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
 /// Time between two log lines about dropped connections.
 const LOG_INTERVAL_US: u64 = 1_000_000;
 
@@ -201,7 +201,7 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let dropped = Arc::<DropSignal>::default();
         if let Some(mut state) = self.state() {
-            limit_receive_buffer(stream);
+            limit_socket_buffers(stream);
             let open = OpenConnection {
                 dropped: Arc::clone(&dropped),
                 parts: [0; PARTS],
@@ -245,10 +245,14 @@
     }
 }
 
-/// Limits what the kernel keeps for a caller until the program reads it.
-fn limit_receive_buffer(stream: &TcpStream) {
+/// Limits what the kernel keeps for a caller until the program, or the caller, reads it.
+fn limit_socket_buffers(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
-    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+    let results = [
+        socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES),
+        socket.set_send_buffer_size(SOCKET_BUFFER_BYTES),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
         log::debug!(error:%; "a socket option was refused");
     }
 }
--- a/crates/tealsaddle-gateway/tests/logging.rs
+++ b/crates/tealsaddle-gateway/tests/logging.rs
@@ -98,3 +98,43 @@
         "{dropped}"
     );
 }
+
+/// Guards against a queue that few long lines fill with far more memory than its usual lines take: callers choose the ids
+/// and paths in them.
+#[test]
+fn long_lines_are_dropped_beyond_the_bytes_of_the_queue() {
+    const LONG_LINE_BYTES: usize = 3 << 20;
+    let (begun, begins) = channel();
+    let (permit, permits) = channel();
+    let written = Memory::default();
+    let output = BlockingOutput {
+        begun,
+        permits,
+        written: written.clone(),
+    };
+    let queue = LineQueue::open(output, 16, Duration::ZERO).expect("a thread starts");
+    queue.push("first".to_owned());
+    begins.recv().expect("the first line is being written");
+    for line in [
+        "a".repeat(LONG_LINE_BYTES),
+        "b".repeat(LONG_LINE_BYTES),
+        "last".to_owned(),
+    ] {
+        queue.push(line);
+    }
+    for _write in 0..2 {
+        permit.send(()).expect("the log thread waits");
+    }
+    assert!(queue.flush(HANG_TIMEOUT));
+    let text = written.text();
+    let lines: Vec<&str> = text.lines().collect();
+    let [_first, long, last, dropped] = lines.as_slice() else {
+        panic!("{} lines", lines.len());
+    };
+    assert!(long.starts_with('a'));
+    assert_eq!(*last, "last");
+    assert!(
+        dropped.contains("\"log lines dropped\",\"lines\":1"),
+        "{dropped}"
+    );
+}
