Count usage by customer, collect it at the holder and report it

Two deployments are charged by reports of the requests that began to run in each window of true time; nothing counted or reported them. Counts are kept in buckets by each node's monotonic clock and copied to one other node each second. The holder asks all nodes by age, estimates the true time as the median over their wall clocks, records each report under the condition on its key and on the record, and sends the record word for word until its outcome is known.

core::fleet::usage is tested with drawn histories: writes without an answer, lost answers, replaced holders and a store that loses its latest record.

--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 pub mod store_availability;
 pub mod store_era;
 pub mod store_words;
+pub mod usage;
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/crates/tealsaddle-core/src/fleet/usage/log.rs
@@ -0,0 +1,67 @@
+//! Counts of requests by customer and by time, on the monotonic clock of one node.
+
+use std::collections::BTreeMap;
+
+use super::{Requests, add};
+use crate::name::Name;
+
+/// Length of a bucket. A window takes whole buckets, so it is off by at most half of this at each end, 1% of 5 s.
+pub const BUCKET_US: u64 = 100_000;
+
+/// Counts of the last seconds or minutes, in buckets of [`BUCKET_US`].
+#[derive(Debug, Default)]
+pub struct UsageLog {
+    /// Counts by number of the bucket: its start divided by its length. Buckets without requests are absent.
+    buckets: BTreeMap<u64, Requests>,
+}
+
+/// Number of the bucket at this time.
+pub const fn bucket_at(time_us: u64) -> u64 {
+    time_us / BUCKET_US
+}
+
+impl UsageLog {
+    /// Counts a request that begins to run now.
+    pub fn count(&mut self, customer: &Name, now_us: u64) {
+        let bucket = self.buckets.entry(bucket_at(now_us)).or_default();
+        *bucket.entry(Name::clone(customer)).or_default() += 1;
+    }
+
+    /// Replaces a bucket. Counts that are told twice are therefore taken once.
+    pub fn replace(&mut self, bucket: u64, requests: Requests) {
+        self.buckets.insert(bucket, requests);
+    }
+
+    /// Counts from one time until before another. Each bucket belongs to the range that its middle lies in, so that
+    /// adjoining ranges count each request once.
+    pub fn between(&self, from_us: u64, to_us: u64) -> Requests {
+        let first_after = |time_us: u64| (time_us + BUCKET_US / 2) / BUCKET_US;
+        let (from, to) = (first_after(from_us), first_after(to_us));
+        let mut sum = Requests::default();
+        if from < to {
+            for requests in self.buckets.range(from..to).map(|(_bucket, r)| r) {
+                add(&mut sum, requests);
+            }
+        }
+        sum
+    }
+
+    /// The buckets from one number until before another.
+    pub fn buckets(&self, from: u64, to: u64) -> BTreeMap<u64, Requests> {
+        if from >= to {
+            return BTreeMap::default();
+        }
+        let range = self.buckets.range(from..to);
+        range.map(|(bucket, r)| (*bucket, r.clone())).collect()
+    }
+
+    /// Drops the buckets before a time.
+    pub fn forget_before(&mut self, time_us: u64) {
+        self.buckets = self.buckets.split_off(&bucket_at(time_us));
+    }
+
+    /// Whether there are no counts.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+}
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod stage_histories;
 mod stage_sim;
 mod store_availability;
+mod usage;
 mod version_histories;
 
 use std::net::SocketAddr;
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -129,6 +129,8 @@
     /// Whether events of this answer were passed on.
     has_begun_stream: AtomicBool,
     has_ended: AtomicBool,
+    /// Whether the request has been counted for its customer.
+    is_counted: AtomicBool,
 }
 
 /// An answer of the gateway, and the time after which the caller should retry.
@@ -389,6 +391,15 @@
         }
     }
 
+    /// Counts the request for its customer once, when it begins to run: at the first event of a stream, or the answer of a
+    /// plain service. A stream that the caller takes up was counted when it began.
+    pub fn count_usage(&self) {
+        let is_taken_up = self.metadata.last_event_id.is_some();
+        if !is_taken_up && !self.state.is_counted.swap(true, Ordering::Relaxed) {
+            self.gateway.usage.count(self.customer.as_deref());
+        }
+    }
+
     /// Deadline of the next event. Until the first event has been passed on, this is
     /// [`first_event_deadline`](Self::first_event_deadline); afterwards it is the deadline of the whole
     /// answer, also while another runner resumes the stream.
--- a/crates/tealsaddle-gateway/src/clock.rs
+++ b/crates/tealsaddle-gateway/src/clock.rs
@@ -15,11 +15,16 @@
     time.tv_sec() as u64 * 1_000_000 + time.tv_nsec() as u64 / 1_000
 }
 
-/// Unix time in milliseconds, for logs and stored records; leases and timeouts use [`now_us`].
-pub fn unix_ms() -> u64 {
+/// Unix time in microseconds, which may jump.
+pub fn unix_us() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+        .map_or(0, |elapsed| elapsed.as_micros() as u64)
+}
+
+/// Unix time in milliseconds, for logs and stored records; leases and timeouts use [`now_us`].
+pub fn unix_ms() -> u64 {
+    unix_us() / 1_000
 }
 
 /// Returns a random duration between half of `pause` and `pause`, so that nodes or callers do not act at
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::quarantine::keeper;
 use crate::rounds::ControlLoop;
+use crate::usage::reporter;
 use crate::{Error, changes, clock, departures, peers};
 
 /// Timeout of a call to the store; that of a watch is longer by the time for which it waits.
@@ -111,7 +112,9 @@
     if let Some(commands) = control.gateway.quarantine.take_commands() {
         tokio::spawn(keeper::run(Arc::clone(&control), commands));
     }
-    ControlLoop::open(Arc::clone(&control)).run(leaving).await;
+    let control_loop = ControlLoop::open(Arc::clone(&control));
+    reporter::spawn(&control, control_loop.term_watch());
+    control_loop.run(leaving).await;
 }
 
 /// Limits the time of a call to the store; a timeout counts as an unreachable store.
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::snapshot::FleetSnapshot;
 use crate::stop::Stop;
 use crate::upstream::Upstreams;
+use crate::usage::Usage;
 use crate::versions::StreamVersions;
 
 /// Settings of a gateway.
@@ -86,6 +87,8 @@
     pub send_gate: Arc<SendGate>,
     /// Which software versions began streams.
     pub versions: Arc<StreamVersions>,
+    /// Requests of each customer that began to run here.
+    pub usage: Arc<Usage>,
     /// What this node knows of crashes of runners.
     pub quarantine: Quarantine,
     /// Counters and latencies of this node.
@@ -140,6 +143,11 @@
             lent_paths: LentPaths::default(),
             quarantine: Quarantine::open(config.peer_listen),
             versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
+            usage: Usage::open(
+                config.duties.as_ref().is_some_and(|d| d.usage.is_some()),
+                config.peer_listen,
+                Arc::clone(&metrics),
+            ),
             knowledge: KnowledgeClock::open(config.leaving_bound),
             metrics,
             answer_cutoff: CancellationToken::new(),
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod stream_version;
 pub mod timeout;
 pub mod upstream;
+pub mod usage;
 pub mod versions;
 
 pub use error::Error;
--- a/crates/tealsaddle-gateway/src/lifecycle.rs
+++ b/crates/tealsaddle-gateway/src/lifecycle.rs
@@ -18,6 +18,7 @@
 use crate::scheduler::RetryShare;
 use crate::signals::BlockedSignals;
 use crate::snapshot::FleetSnapshot;
+use crate::usage::copies;
 
 /// Time between two checks of the open connections while the process stops.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
@@ -185,6 +186,7 @@
     // Even if the scheduled exit has passed, the runtime has to run once more to send the answers.
     let exits = stop.exits.max(Instant::now() + DRAIN_INTERVAL);
     wait_until_closed(gateway, listener, exits).await;
+    copies::hand_over(gateway).await;
     log_stop(gateway, listener, "gateway stopped");
 }
 
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -87,6 +87,7 @@
     }
     let answered = gateway.send_gate.answer(&path, &body);
     let answered = answered.or_else(|| gateway.versions.answer(&path, &body));
+    let answered = answered.or_else(|| gateway.usage.answer(&path, &body));
     answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
 }
 
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -181,6 +181,7 @@
 
     /// Turns a runner's answer into the response to the caller.
     fn respond(self: &Arc<Self>, answer: PlainAnswer, attempts: &Attempts) -> Response<Body> {
+        self.count_usage();
         let failed_attempts = attempts.failed();
         let PlainAnswer {
             response,
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -39,6 +39,7 @@
     attempts: Attempts,
 ) -> Response<Body> {
     let mut head = stream.head.clone();
+    let has_tokens = head.status.is_success();
     strip_hop_headers(&mut head.headers, |_name| false);
     call.gateway.dialect.clean_answer(&mut head.headers);
     let events = EventStream::begin(
@@ -62,6 +63,7 @@
         attempts,
         events,
         has_just_continued: false,
+        has_tokens,
     };
     let frames = stream::unfold(Some(relay), |relay| async move { relay?.next().await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -78,6 +80,8 @@
     events: EventStream,
     /// Whether the runner goes on with the stream of another one and has sent no event yet.
     has_just_continued: bool,
+    /// Whether the answer is one of the model: an error of the runner is no run of the request.
+    has_tokens: bool,
 }
 
 /// What tells whether the runner of the attempt survives the start of the answer.
@@ -151,6 +155,9 @@
         loop {
             match self.step().await {
                 Step::Data(data) => {
+                    if self.has_tokens {
+                        self.call.count_usage();
+                    }
                     self.call.on_first_events(&self.run.runner).await;
                     return Some((Ok(Frame::data(data)), Some(self)));
                 }
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::{self, jittered};
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
+use crate::duties::TermWatch;
 use crate::error::StoreError;
 use crate::external::{Freshness, Put, Transaction};
 use crate::membership::Membership;
@@ -57,6 +58,11 @@
         }
     }
 
+    /// The term in which this node performs the duties toward the platform.
+    pub fn term_watch(&self) -> TermWatch {
+        self.orders.term_watch()
+    }
+
     /// Runs rounds until told to leave, then ends the node's lease. Returns once the handle of the control thread is
     /// dropped.
     pub async fn run(mut self, mut leaving: watch::Receiver<bool>) {
