--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -282,11 +282,7 @@
     ) -> Result<(), StoreError> {
         let node = &self.control.gateway.config.node;
         let mut conditions = vec![holder_at(revision)];
-        let mut puts = vec![Put {
-            key: HOLDER_KEY.to_owned(),
-            value: node.as_bytes().to_vec(),
-            lease: Some(lease.id),
-        }];
+        let mut puts = Vec::new();
         if let Some(first_era) = self.first_era {
             conditions.push(KeyRevision {
                 key: FIRST_ERA_KEY.to_owned(),
@@ -298,6 +294,13 @@
                 lease: None,
             }));
         }
+        // Written last: the revision that the store returns is that of the last write, also if each write of a transaction
+        // has one of its own.
+        puts.push(Put {
+            key: HOLDER_KEY.to_owned(),
+            value: node.as_bytes().to_vec(),
+            lease: Some(lease.id),
+        });
         let transaction = Transaction {
             conditions,
             puts,
