--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -394,7 +394,7 @@
     /// Counts the request for its customer once, when it begins to run: at the first event of a stream, or the answer of a
     /// plain service. A stream that the caller takes up was counted when it began.
     pub fn count_usage(&self) {
-        let is_taken_up = self.metadata.last_event_id.is_some();
+        let is_taken_up = self.metadata.last_event_id.is_some() && self.route.repeat.may_repeat();
         if !is_taken_up && !self.state.is_counted.swap(true, Ordering::Relaxed) {
             self.gateway.usage.count(self.customer.as_deref());
         }
