Tell three nodes of a record before its report is sent

If the store came back from an older copy while the holder was lost, before it had asked all nodes again, nobody remembered the recorded window, and a successor could have sent another content.

--- a/crates/tealsaddle-gateway/src/usage/collector.rs
+++ b/crates/tealsaddle-gateway/src/usage/collector.rs
@@ -8,8 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use futures::{StreamExt, stream};
 use tealsaddle_core::collections::HashMap;
+use tealsaddle_core::fleet::rendezvous::sort_nodes;
 use tealsaddle_core::fleet::usage::true_time::TrueTime;
 use tealsaddle_core::fleet::usage::{Requests, add};
 
@@ -28,6 +30,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause before the nodes that have not answered are asked again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(500);
+/// Number of other nodes that are told of a record before its report is sent.
+const WITNESSES: usize = 3;
+/// Time for them to answer. The report has to be sent soon after its record was written.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a node that is no longer registered is still asked. It may be stopping.
 const DEPARTED_US: u64 = 15_000_000;
 
@@ -87,6 +93,35 @@
         self.true_time.offset_us(clock::now_us(), nodes.div_ceil(2))
     }
 
+    /// Tells a few nodes that the report of a window is recorded, so that they remember it if the store loses the record and
+    /// this node is lost before it asks all nodes again. Returns how many have answered.
+    pub async fn tell_recorded(&self, window: u64) -> usize {
+        let now_us = clock::now_us();
+        let range = Range {
+            from_us: now_us,
+            to_us: now_us,
+        };
+        let usage = &self.gateway.usage;
+        let inquiry = Inquiry {
+            usage: Arc::clone(usage),
+            range,
+            recorded: window,
+            missing: Vec::new(),
+        };
+        usage.answer_question(&inquiry.question());
+        let mut nodes = self.gateway.snapshot.load().peers.to_vec();
+        sort_nodes(&mut nodes, &window.to_string());
+        nodes.truncate(WITNESSES);
+        let told = nodes.into_iter().map(move |node| inquiry.clone().ask(node));
+        let told = told.map(|told| tokio::time::timeout(WITNESS_TIMEOUT, told));
+        let told = join_all(told).await;
+        let has_answered = |answer| matches!(answer, Ok((_node, Some(_answer))));
+        told.into_iter()
+            .map(has_answered)
+            .filter(|told| *told)
+            .count()
+    }
+
     /// Asks all nodes for their counts in a range, until all have answered or `deadline_us` of the own clock.
     pub async fn collect(&mut self, range: Range, recorded: u64, deadline_us: u64) -> Collected {
         let peers = Arc::clone(&self.gateway.snapshot.load().peers);
--- a/crates/tealsaddle-gateway/src/usage/reporter.rs
+++ b/crates/tealsaddle-gateway/src/usage/reporter.rs
@@ -61,6 +61,8 @@
     read_in: Option<u64>,
     /// Revision of the record, 0 if there is none; `None` if it has to be read again.
     revision: Option<u64>,
+    /// Window of the latest record that other nodes were told of.
+    told: Option<u64>,
 }
 
 /// Starts the tasks of the usage reports, if they are among the duties.
@@ -106,6 +108,7 @@
             reports: Reports::new(windows, pauses),
             read_in: None,
             revision: None,
+            told: None,
         }
     }
 
@@ -253,6 +256,10 @@
         let revision = self.write_record(term, &record).await?;
         self.revision = Some(revision);
         self.reports.on_recorded();
+        if self.told.replace(window) != Some(window) {
+            let told = self.collector.tell_recorded(window).await;
+            log::info!(window, revision, told; "usage report recorded");
+        }
         if !self.term.may_send(term, recorded_us) {
             self.control.gateway.metrics.increment("usage.not_sent");
             log::warn!(window, fence = term.fence(); "usage report is recorded too late to be sent");
