Decide and order the number of runners of a service

The node that holds the duties now asks the other nodes for their demand, a few each second, and decides in core::fleet::sizing: the need of both stages with its trend until a runner ordered now is ready, the cheapest numbers by zone and kind that bear the loss of any one zone, and the few orders that are due. Runners are ordered at once when they are lacking, and given up in steps while nothing else changes. gateway::sizing records each order on condition that the holder's key is unchanged, sends it within the term, and judges it by what registers. A duty that finds the key changed tells the orders, which acquire the authority anew.

Runners and services get the fields that this needs: spot, leaves_ms and scaling, parsed leniently.

In histories of 240 s (steady, swinging, stepping, bursting and rising demand, spot runners and a zone taken away, orders lost or late, new holders, a release) the ready runners never fall below those needed at the planned use, or 0.9 of them where a zone goes in a swing, no order is reversed within 5 s, and the price stays under the bound of each history. The gateway's tests show what is sent.

--- a/crates/tealsaddle-core/src/fleet/config.rs
+++ b/crates/tealsaddle-core/src/fleet/config.rs
@@ -1,5 +1,6 @@
 //! Configuration of a fleet: routes, services and limits on callers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::collections::HashMap;
@@ -97,6 +98,21 @@
     pub switch_ms: u64,
 }
 
+/// Bounds, times and prices by which the number of a service's runners is chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scaling {
+    /// Smallest number of runners of both kinds in a zone.
+    pub min: u32,
+    /// Largest number of runners of both kinds in a zone.
+    pub max: u32,
+    /// Time from an order to the registration of a runner, in milliseconds.
+    pub boot_ms: u64,
+    /// Price of a spot runner, as a share of that of a regular one in its zone; `None` if there are no spot runners.
+    pub spot_price: Option<f64>,
+    /// Price of a regular runner, by zone.
+    pub zone_prices: BTreeMap<Name, f64>,
+}
+
 /// A service of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetService {
@@ -104,6 +120,8 @@
     pub name: Name,
     /// Capacities of the runners; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// How the number of runners is chosen; `None` if it is not chosen here.
+    pub scaling: Option<Scaling>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod rendezvous;
 pub mod send_gate;
+pub mod sizing;
 pub mod split;
 pub mod stage_load;
 pub mod store_availability;
@@ -64,6 +65,11 @@
     pub slots: u32,
     /// Whether the runner is about to stop and accepts no new requests.
     pub is_draining: bool,
+    /// Whether the runner costs less and may be taken away with all others of its kind in its zone.
+    pub is_spot: bool,
+    /// When the platform takes the runner away, in milliseconds as the registration states it; `None` unless the
+    /// platform has announced it.
+    pub leaves_ms: Option<u64>,
     /// Stage that the runner serves; `None` for a runner of a plain service.
     pub stage: Option<Stage>,
     /// Version of the runner's software; empty if it is not stated.
--- a/crates/tealsaddle-core/src/fleet/needs.rs
+++ b/crates/tealsaddle-core/src/fleet/needs.rs
@@ -124,8 +124,42 @@
         }
     }
 
+    /// Returns the multiple of the present prefill runners with which first events come in time.
+    pub fn prefill_ratio(&self) -> f64 {
+        least_ratio(|ratio| self.prefill(ratio).pressure())
+    }
+
+    /// Returns the multiple of the present decode runners with which answers end in time.
+    pub fn decode_ratio(&self) -> f64 {
+        least_ratio(|ratio| self.decode(ratio).pressure())
+    }
+
     /// Returns the mean time, in milliseconds, until a decode runner has ended the streams that it has now.
     pub const fn drain_ms(&self) -> f64 {
         self.stream_us / 1e3
     }
 }
+
+/// Pressure that a stage should have at most; the split moves runners from a little above it.
+const SIZED_PRESSURE: f64 = 0.7;
+/// If no number of runners brings the pressure below that, what the expected time takes beyond that of idle runners.
+const IDLE_MARGIN: f64 = 1.2;
+/// A number of runners that leaves them idle, as a multiple of the present one.
+const IDLE_RATIO: f64 = 1e3;
+/// Multiples that are compared: the first one, the factor to the next one, and the largest.
+const FIRST_RATIO: f64 = 0.1;
+const RATIO_STEP: f64 = 1.08;
+const LAST_RATIO: f64 = 2.0;
+
+/// Returns the least multiple of a stage's runners with which its pressure is low enough.
+fn least_ratio<F>(pressure: F) -> f64
+where
+    F: Fn(f64) -> f64,
+{
+    let bound = SIZED_PRESSURE.max(pressure(IDLE_RATIO) * IDLE_MARGIN);
+    let mut ratio = FIRST_RATIO;
+    while ratio < LAST_RATIO && pressure(ratio) > bound {
+        ratio *= RATIO_STEP;
+    }
+    ratio.min(LAST_RATIO)
+}
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod pool_sim;
 mod quarantine;
 mod send_gate;
+mod sizing;
 mod split;
 mod stage_histories;
 mod stage_sim;
@@ -36,6 +37,8 @@
         zone: Name::from(zone),
         slots: 4,
         is_draining: false,
+        is_spot: false,
+        leaves_ms: None,
         stage,
         version: Name::from("v1"),
         started_unix_ms: 0,
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -27,6 +27,7 @@
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
 use crate::send_gate::SendPermit;
+use crate::sizing::outcomes;
 use crate::timeout::timeout_at;
 use crate::upstream::{Answer, AnswerBody, Reuse};
 
@@ -475,6 +476,9 @@
         let metrics = &self.gateway.metrics;
         metrics.increment(&format!("request.{outcome}"));
         metrics.latency("request.total", took);
+        let is_late = outcomes::is_late(&self.route, &self.progress, took);
+        let scheduler = &self.gateway.scheduler;
+        scheduler.on_request_end(&self.service, outcomes::is_lack(outcome), is_late);
         log::info!(id:% = self.request_id, route:% = self.route.name, service:% = self.service,
             config_version = self.config.version, outcome:%, runner:%, failed_attempts,
             took_ms = took.as_millis() as u64,
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -3,6 +3,7 @@
 //! [`crate::follow`] reads the keys; this module applies them. A configuration is never replaced by one
 //! with a lower version.
 
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub store: Arc<dyn Store>,
     /// The platform's API for the duties of one node at a time; `None` if there are none.
     pub duty_platform: Option<Arc<dyn DutyPlatform>>,
+    /// Fencing token of the term whose key has changed in the store, as a duty has found; 0 if none has.
+    pub lost_term: AtomicU64,
     fleet: Mutex<FleetState>,
     /// Signals that the store has recovered, so that a watch from before the outage is restarted.
     pub store_recovered: Notify,
@@ -61,6 +64,7 @@
             gateway,
             store,
             duty_platform,
+            lost_term: AtomicU64::new(0),
             fleet: Mutex::new(fleet),
             store_recovered: Notify::new(),
             heard: tokio::sync::watch::Sender::new(()),
--- a/crates/tealsaddle-gateway/src/duties/mod.rs
+++ b/crates/tealsaddle-gateway/src/duties/mod.rs
@@ -7,6 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tealsaddle_core::fleet::fence::HolderPosition;
@@ -95,6 +96,12 @@
         is_same && term.authority.may_send(recorded_us, clock::now_us())
     }
 
+    /// Records that the key of the holder is not as the term has it, so that the authority is given up and acquired anew.
+    pub fn on_conflict(&self, term: &DutyTerm) {
+        let lost = &self.control.lost_term;
+        lost.store(term.fence(), Ordering::Relaxed);
+    }
+
     fn is_of_current_era(&self, term: &DutyTerm) -> bool {
         store_era::check(term.key.era, self.control.store.era()) != EraCheck::Later
     }
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod send_gate;
 pub mod signals;
 pub mod silence;
+pub mod sizing;
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
--- a/crates/tealsaddle-gateway/src/metrics.rs
+++ b/crates/tealsaddle-gateway/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms, served as text.
+//! Counters, gauges and latency histograms, served as text.
 //!
 //! Metrics are emitted through `cadence` into a sink that keeps the sums in memory. The platform scrapes
 //! them from the metrics address; the process pushes no metrics.
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cadence::{CountedExt, MetricSink, StatsdClient, Timed};
+use cadence::{CountedExt, Gauged, MetricSink, StatsdClient, Timed};
 
 /// Upper bounds of the latency buckets, in milliseconds.
 const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 200, 300, 500, 800, 1_500, 3_000, 8_000];
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 struct Sums {
     counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, u64>,
     latencies: BTreeMap<String, Histogram>,
 }
 
@@ -45,6 +46,8 @@
             }
             histogram.count += 1;
             histogram.sum_ms += value;
+        } else if kind.starts_with('g') {
+            sums.gauges.insert(name.to_owned(), value);
         } else if let Some(sum) = sums.counters.get_mut(name) {
             *sum += value;
         } else {
@@ -77,6 +80,14 @@
         drop(self.client.incr(name));
     }
 
+    /// Sets a gauge, such as `sizing.last_order.readers.a.spot`. Other characters than letters, digits and dots become
+    /// underscores, as names of the configuration may be part of the name.
+    pub fn set(&self, name: &str, value: u64) {
+        let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_');
+        let name = name.replace(|c: char| !is_plain(c), "_");
+        drop(self.client.gauge(&name, value));
+    }
+
     /// Adds a duration to a latency histogram, such as `request.total`.
     pub fn latency(&self, name: &str, took: Duration) {
         drop(self.client.time(name, took.as_millis() as u64));
@@ -90,6 +101,9 @@
         for (name, sum) in &sums.counters {
             writeln!(text, "{}_total {sum}", plain(name)).expect("writing to a string cannot fail");
         }
+        for (name, value) in &sums.gauges {
+            writeln!(text, "{} {value}", plain(name)).expect("writing to a string cannot fail");
+        }
         for (name, histogram) in &sums.latencies {
             let name = plain(name);
             for (bucket, bound) in histogram.buckets.iter().zip(BUCKETS_MS) {
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -13,6 +13,7 @@
 
 use std::cmp::Reverse;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -128,6 +129,8 @@
     /// Earliest era of the store that this node has seen or found recorded. The record may be lost with a copy.
     first_era: Option<u64>,
     pending: HashMap<String, Pending>,
+    /// Number of pending orders, for those who wait until there are none.
+    stage_moves: watch::Sender<usize>,
     /// Number of listings in a row without a holder.
     missed_holders: u32,
     /// Where the term of this node is published for its duties.
@@ -144,6 +147,7 @@
             held: None,
             first_era: None,
             pending: HashMap::default(),
+            stage_moves: watch::Sender::new(0),
             missed_holders: 0,
         }
     }
@@ -158,6 +162,11 @@
         TermWatch::new(Arc::clone(&self.control), self.term.subscribe())
     }
 
+    /// Number of runners that have been ordered to change their stage without a visible effect yet.
+    pub fn stage_moves(&self) -> watch::Receiver<usize> {
+        self.stage_moves.subscribe()
+    }
+
     fn publish_term(&self) {
         let term = self
             .held
@@ -181,6 +190,10 @@
         };
         if held.authority.is_expired(now_us) {
             self.drop_authority("lease not renewed in time");
+        } else if self.control.lost_term.load(Ordering::Relaxed) == held.authority.fence {
+            self.drop_authority(
+                "the key of the holder has changed in the store, as a duty has found",
+            );
         } else if !self.is_of_current_era(&held) {
             self.drop_authority("the store has come back from an older copy");
         }
@@ -384,6 +397,7 @@
             let is_pending = runner.is_some_and(|runner| runner.stage != Some(pending.to));
             is_pending && now_us.saturating_sub(pending.since_us) < PENDING_TIMEOUT_US
         });
+        self.stage_moves.send_replace(self.pending.len());
     }
 
     /// Plans up to [`ORDERS_PER_ROUND`] stage changes, and fetches the order counts of their runners. Runners
@@ -496,6 +510,7 @@
             };
             self.pending.insert(step.runner.id.to_string(), pending);
         }
+        self.stage_moves.send_replace(self.pending.len());
     }
 
     async fn send_order(&self, counted: &CountedMove, fence: u64) {
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -22,6 +22,7 @@
 use crate::gateway::Gateway;
 use crate::peers::STATE_PATH;
 use crate::quarantine::messages;
+use crate::sizing::messages::{self as loads, LOADS_PATH};
 use crate::upstream::set_options;
 
 /// Largest message of a peer.
@@ -85,6 +86,9 @@
     if path == CHANGES_PATH {
         return control.answer_changes(&body).await;
     }
+    if path == LOADS_PATH {
+        return loads::answer(gateway, &body);
+    }
     let answered = gateway.send_gate.answer(&path, &body);
     let answered = answered.or_else(|| gateway.versions.answer(&path, &body));
     answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -15,6 +15,7 @@
 use crate::external::{Freshness, Put, Transaction};
 use crate::membership::Membership;
 use crate::orders::Orders;
+use crate::sizing;
 
 /// Prefix of all keys that the nodes of this system write.
 const KEY_PREFIX: &str = "tealsaddle/";
@@ -60,6 +61,11 @@
     /// Runs rounds until told to leave, then ends the node's lease. Returns once the handle of the control thread is
     /// dropped.
     pub async fn run(mut self, mut leaving: watch::Receiver<bool>) {
+        sizing::spawn(
+            &self.control,
+            self.orders.term_watch(),
+            self.orders.stage_moves(),
+        );
         while !*leaving.borrow() {
             let pause = match self.round().await {
                 Ok(()) => {
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -13,6 +13,7 @@
     self, Placement, PlacementRequest, RunnerViews, ServiceStats,
 };
 use tealsaddle_core::fleet::prefill::{self, PrefillQuery};
+use tealsaddle_core::fleet::sizing::demand::NodeLoad;
 use tealsaddle_core::fleet::stage_load::{StageLoad, StreamNeed};
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
 use tealsaddle_core::name::Name;
@@ -47,6 +48,8 @@
     service_stats: HashMap<Name, ServiceStats>,
     stage_loads: HashMap<Name, StageLoad>,
     budgets: HashMap<Name, RetryBudget>,
+    /// What this node reports of its requests, by service.
+    node_loads: HashMap<Name, NodeLoad>,
     nodes: u32,
 }
 
@@ -82,6 +85,8 @@
     service: Name,
     stage: Option<Stage>,
     work: Work,
+    /// Tokens with which the attempt counts in what this node reports.
+    kv_tokens: u64,
     started_us: u64,
     /// Requests at the runner at the start, with this one.
     batch: f64,
@@ -163,6 +168,29 @@
         StageNeeds::observed(load, service_stats, engine, batch, now_us)
     }
 
+    /// Records the end of a request: whether it was refused for lack of capacity, and whether it was late.
+    pub fn on_request_end(&self, service: &Name, is_refused: bool, is_late: bool) {
+        let mut state = self.state();
+        let node_load = state.node_loads.entry(Name::clone(service)).or_default();
+        node_load.on_request_end(is_refused, is_late);
+    }
+
+    /// What this node reports of its requests to a service. `engine` is that of a model service.
+    pub fn node_load(
+        &self,
+        service: &str,
+        runners: &[Arc<Runner>],
+        engine: Option<&EngineLimits>,
+    ) -> NodeLoad {
+        let node_load = self.state().node_loads.get(service).copied();
+        let needs = engine.and_then(|engine| self.stage_needs(runners, engine));
+        NodeLoad {
+            prefill_ratio: needs.map(|needs| needs.prefill_ratio()),
+            decode_ratio: needs.map(|needs| needs.decode_ratio()),
+            ..node_load.unwrap_or_default()
+        }
+    }
+
     /// Requests of all nodes at a runner, as far as this node knows.
     pub fn requests_at(&self, runner: &Runner) -> f64 {
         self.state().batch_of(&runner.id, clock::now_us())
@@ -219,6 +247,11 @@
             .entry(Name::clone(&runner.service))
             .or_default();
         service_stats.on_placed(work.read_tokens, work.kv_tokens);
+        let read_us = work.read_tokens as f64 * service_stats.read_us_per_token;
+        let node_load = state.node_loads.entry(Name::clone(&runner.service));
+        node_load
+            .or_default()
+            .on_attempt(runner.stage, work, read_us as u64);
         let view = state.views.entry(Name::clone(&runner.id)).or_default();
         view.on_process_start(runner.started_unix_ms);
         let is_only_prefill = view.own_read_tokens() == 0;
@@ -230,6 +263,7 @@
             service: Name::clone(&runner.service),
             stage: runner.stage,
             work,
+            kv_tokens: work.kv_tokens,
             started_us: now_us,
             batch: state.batch_of(&runner.id, now_us),
             is_only_prefill,
@@ -448,5 +482,9 @@
     fn drop(&mut self) {
         let work = self.work;
         self.with_view(|view| view.on_request_end(work));
+        let took_us = self.elapsed_us();
+        if let Some(node_load) = self.scheduler.state().node_loads.get_mut(&self.service) {
+            node_load.on_attempt_end(self.stage, self.kv_tokens, took_us);
+        }
     }
 }
