--- a/crates/tealsaddle-gateway/src/sizing/messages.rs
+++ b/crates/tealsaddle-gateway/src/sizing/messages.rs
@@ -16,7 +16,7 @@
 use crate::peer_message::{self, Connection};
 use crate::upstream::Upstreams;
 
-/// Path of a [`LoadQuestion`].
+/// Path of the question for the demand of a node.
 pub const LOADS_PATH: &str = "/loads";
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
