--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod resumption;
 mod send_gate;
+mod sizing;
 mod split;
 mod stage_histories;
 mod stage_sim;
@@ -40,6 +41,8 @@
         zone: Name::from(zone),
         slots: 4,
         is_draining: false,
+        is_spot: false,
+        leaves_ms: None,
         stage,
         version: Name::from("v1"),
         started_unix_ms: 0,
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod send_gate;
 pub mod signals;
 pub mod silence;
+pub mod sizing;
 pub mod snapshot;
 pub mod stages;
 pub mod stop;
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -24,6 +24,7 @@
 use crate::gateway::Gateway;
 use crate::peers::STATE_PATH;
 use crate::quarantine::messages;
+use crate::sizing::messages::{self as loads, LOADS_PATH};
 use crate::timeout::timeout_at;
 use crate::upstream::set_options;
 
@@ -96,6 +97,9 @@
     if path == CHANGES_PATH {
         return control.answer_changes(&body).await;
     }
+    if path == LOADS_PATH {
+        return loads::answer(gateway, &body);
+    }
     let answered = gateway.send_gate.answer(&path, &body);
     let answered = answered.or_else(|| gateway.versions.answer(&path, &body));
     let answered = answered.or_else(|| gateway.usage.answer(&path, &body));
