Divide the capacity of a service among customers, over all nodes

When a service is short of capacity, whoever sends the most gets the most, and no node knows what a customer uses at the others.

core::fleet::shares counts the work that customers ask for at a node, sums up the reports of the nodes, estimates the capacity from what runners take and turn away, and limits customers to the max-min level. The computation of the level and the decaying rate move out of core::admission, which goes on using them. gateway::shares asks it for each call of a customer, exchanges reports once a second and refuses with 503 fair_share.

--- a/crates/tealsaddle-core/src/admission.rs
+++ b/crates/tealsaddle-core/src/admission.rs
@@ -12,6 +12,8 @@
 //! The state is a few numbers per customer. Customers without recent requests are removed.
 
 use crate::collections::HashMap;
+use crate::decaying_rate::DecayingRate;
+use crate::max_min::{self, Demand};
 use crate::name::Name;
 
 /// Why a request was refused.
@@ -152,31 +154,12 @@
 /// Number of windows without a request after which a customer is removed.
 const IDLE_WINDOWS: u64 = 6;
 
-/// Exponential average of a rate.
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    per_s: f64,
-    at_us: u64,
-}
-
-impl Rate {
-    fn at(&self, now_us: u64, window_us: u64) -> f64 {
-        let age = now_us.saturating_sub(self.at_us) as f64 / window_us as f64;
-        self.per_s * (-age).exp()
-    }
-
-    fn add(&mut self, amount: f64, now_us: u64, window_us: u64) {
-        self.per_s = self.at(now_us, window_us) + amount * 1e6 / window_us as f64;
-        self.at_us = self.at_us.max(now_us);
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct CustomerState {
     share: f64,
     priority: u32,
     /// Engine time requested per second, including refused requests.
-    demand: Rate,
+    demand: DecayingRate,
     /// Engine time left in the token bucket; `None` while the customer is not limited.
     bucket_us: Option<f64>,
     /// Requests left in the token bucket of the agreed rate.
@@ -189,7 +172,7 @@
 pub struct Admission {
     config: AdmissionConfig,
     customers: HashMap<Name, CustomerState>,
-    admitted: Rate,
+    admitted: DecayingRate,
     overloaded_until_us: u64,
     /// Engine time per second and unit of weight, by priority class.
     levels: Vec<(u32, f64)>,
@@ -202,7 +185,7 @@
         Self {
             config,
             customers: HashMap::default(),
-            admitted: Rate::default(),
+            admitted: DecayingRate::default(),
             overloaded_until_us: 0,
             levels: Vec::new(),
             levels_updated_us: None,
@@ -242,7 +225,7 @@
             .or_insert_with(|| CustomerState {
                 share: request.share,
                 priority: request.priority,
-                demand: Rate::default(),
+                demand: DecayingRate::default(),
                 bucket_us: None,
                 requests: request.requests_per_s.map_or(0.0, request_burst),
                 refilled_us: now_us,
@@ -303,38 +286,31 @@
         let window_us = self.config.window_us;
         let idle_us = window_us * IDLE_WINDOWS;
         self.customers
-            .retain(|_, customer| now_us.saturating_sub(customer.demand.at_us) < idle_us);
+            .retain(|_, customer| now_us.saturating_sub(customer.demand.updated_us()) < idle_us);
         let mut left = self.config.capacity_us_per_s;
         // Late requests show that the pool achieves less than its nominal capacity, for example because the
         // split of roles does not fit the mix of requests. The admitted work is then the capacity to share.
         if now_us < self.overloaded_until_us {
             left = left.min(self.admitted.at(now_us, window_us));
         }
-        let mut demands: Vec<(u32, f64, f64)> = self
+        let mut demands: Vec<(u32, Demand)> = self
             .customers
             .values()
-            .map(|c| (c.priority, c.demand.at(now_us, window_us), c.share))
+            .map(|c| {
+                let demand = Demand {
+                    per_s: c.demand.at(now_us, window_us),
+                    weight: c.share,
+                };
+                (c.priority, demand)
+            })
             .collect();
-        // Sorted by class and then by demand per weight, so that one pass finds the level of each class.
-        demands.sort_by(|a, b| {
-            let by_weight = (a.1 / a.2).total_cmp(&(b.1 / b.2));
-            a.0.cmp(&b.0).then(by_weight)
-        });
+        demands.sort_by_key(|(class, _demand)| *class);
         self.levels.clear();
         for class in demands.chunk_by(|a, b| a.0 == b.0) {
-            let mut weight: f64 = class.iter().map(|(_, _, share)| share).sum();
-            let mut level = f64::INFINITY;
-            for (_, demand, share) in class {
-                let fair = left.max(0.0) / weight;
-                if demand / share > fair {
-                    level = fair;
-                    left = 0.0;
-                    break;
-                }
-                left -= demand;
-                weight -= share;
-            }
-            self.levels.push((class[0].0, level));
+            let of_class = class.iter().map(|(_class, demand)| *demand).collect();
+            let distribution = max_min::distribute(of_class, left);
+            left = distribution.left_per_s;
+            self.levels.push((class[0].0, distribution.level));
         }
     }
 }
--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod rendezvous;
 pub mod send_gate;
+pub mod shares;
 pub mod split;
 pub mod stage_load;
 pub mod store_availability;
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -14,6 +14,8 @@
 mod pool_sim;
 mod quarantine;
 mod send_gate;
+mod share_histories;
+mod share_sim;
 mod split;
 mod stage_histories;
 mod stage_sim;
--- /dev/null
+++ b/crates/tealsaddle-core/tests/it/fleet/share_histories.rs
@@ -0,0 +1,230 @@
+//! Drawn histories of customers that share the capacity of a service over many nodes.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tealsaddle_core::name::Name;
+use yare::parameterized;
+
+use super::SECOND_US;
+use super::share_sim::{Fault, History, Load, Outcome, play, true_shares};
+
+/// Length of the windows in which the bounds hold.
+const WINDOW_US: u64 = 10 * SECOND_US;
+/// Time from the beginning of a shortage until all nodes know of it and of the demand.
+const SETTLING_US: u64 = 8 * SECOND_US;
+/// Requests in a window from which the part that is served is meaningful: runners turn away single requests at random.
+const MIN_REQUESTS: usize = 100;
+
+/// Customers with demands by Zipf's law with exponent 1.2, as in the kiln booking, whose callers reach `reach` nodes each in
+/// uneven parts. All together ask for `load` times the capacity.
+fn skewed(seed: u64, nodes: usize, customers: usize, reach: usize, load: f64) -> History {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let capacity_us_per_s = 40e6;
+    let weights: Vec<f64> = (1..=customers)
+        .map(|rank| (rank as f64).powf(-1.2))
+        .collect();
+    let sum: f64 = weights.iter().sum();
+    let loads = weights.iter().enumerate().map(|(i, weight)| Load {
+        name: Name::from(format!("c{i}")),
+        per_s: capacity_us_per_s * load * weight / sum,
+        active_us: [0, u64::MAX],
+        nodes: uneven_nodes(&mut rng, nodes, reach),
+    });
+    History {
+        seed,
+        nodes,
+        capacity_us_per_s,
+        request_us: 50_000.0,
+        loads: loads.collect(),
+        fault: Fault::None,
+        fault_us: [25 * SECOND_US, 50 * SECOND_US],
+        end_us: 70 * SECOND_US,
+        retries: false,
+    }
+}
+
+fn uneven_nodes(rng: &mut ChaCha8Rng, nodes: usize, reach: usize) -> Vec<(usize, f64)> {
+    let parts: Vec<f64> = (0..reach).map(|_| rng.random_range(0.2..1.0)).collect();
+    let sum: f64 = parts.iter().sum();
+    let parts = parts.into_iter().map(|part| part / sum);
+    parts
+        .map(|part| (rng.random_range(0..nodes), part))
+        .collect()
+}
+
+fn in_window(outcomes: &[Outcome], from_us: u64) -> &[Outcome] {
+    let start = outcomes.partition_point(|outcome| outcome.at_us < from_us);
+    let end = outcomes.partition_point(|outcome| outcome.at_us < from_us + WINDOW_US);
+    &outcomes[start..end]
+}
+
+/// Checks the bounds in all windows that begin between two times, one second apart.
+fn check_bounds(history: &History, outcomes: &[Outcome], from_us: u64, to_us: u64) {
+    let mut failures: Vec<String> = Vec::new();
+    let mut begin_us = from_us;
+    while begin_us + WINDOW_US <= to_us {
+        failures.extend(failures_in(
+            history,
+            in_window(outcomes, begin_us),
+            begin_us,
+        ));
+        begin_us += SECOND_US;
+    }
+    assert!(
+        failures.is_empty(),
+        "{} failures:\n{}",
+        failures.len(),
+        failures.join("\n")
+    );
+}
+
+fn failures_in(history: &History, window: &[Outcome], begin_us: u64) -> Vec<String> {
+    let mut failures = Vec::new();
+    let shares = true_shares(history, begin_us);
+    let level = shares.iter().copied().fold(0.0, f64::max);
+    let at_s = begin_us / SECOND_US;
+    let work = |outcomes: &[&Outcome]| outcomes.iter().map(|o| o.work_us).sum::<f64>();
+    for (customer, share) in shares.iter().enumerate() {
+        let of_customer = window.iter().filter(|o| o.customer == customer);
+        let (first, _retries): (Vec<&Outcome>, Vec<&Outcome>) =
+            of_customer.clone().partition(|o| !o.is_retry);
+        let served: Vec<&Outcome> = of_customer.clone().filter(|o| o.served).collect();
+        let asked = work(&first);
+        let got = work(&served);
+        let share = &share_asked(history, *share, asked / 10.0, level);
+        let most = 1.5 * share * 10.0 + share + history.request_us;
+        let load = &history.loads[customer];
+        if got > most {
+            failures.push(format!(
+                "{} at {at_s} s got {got:.0} of at most {most:.0}, share {share:.0}, asks {:.0}",
+                load.name, load.per_s
+            ));
+        }
+        let is_below = load.per_s <= *share * 1.000_1;
+        let part = got / asked;
+        if is_below && first.len() >= MIN_REQUESTS && part < 0.8 {
+            let refused = first.iter().filter(|o| o.refused).count();
+            failures.push(format!(
+                "{} at {at_s} s got {part:.2} of {asked:.0} that it asked for, {refused} requests of {} refused",
+                load.name,
+                first.len()
+            ));
+        }
+    }
+    failures
+}
+
+/// The share of a customer that happens to ask for more than its mean in a window.
+fn share_asked(history: &History, share: f64, asked: f64, level: f64) -> f64 {
+    let sum: f64 = history.loads.iter().map(|load| load.per_s).sum();
+    let level = if sum > history.capacity_us_per_s {
+        level
+    } else {
+        f64::INFINITY
+    };
+    share.max(asked.min(level))
+}
+
+/// Checks that the runners are in use while more is asked for than they can do.
+fn check_use(history: &History, outcomes: &[Outcome], from_us: u64, to_us: u64) {
+    let mut begin_us = from_us;
+    while begin_us + WINDOW_US <= to_us {
+        let served = in_window(outcomes, begin_us).iter().filter(|o| o.served);
+        let served: f64 = served.map(|o| o.work_us).sum();
+        let used = served / (history.capacity_us_per_s * 10.0);
+        let at_s = begin_us / SECOND_US;
+        assert!(
+            used >= 0.9,
+            "only {used:.2} of the capacity used at {at_s} s"
+        );
+        begin_us += SECOND_US;
+    }
+}
+
+/// Load: 77 customers of the kiln booking, a few of them large, whose callers reach few of 70 nodes each. Guards against
+/// shares at a node that are a fixed part of those in the fleet, against capacity that stays idle, and against levels that
+/// follow the number of requests sent again.
+#[parameterized(
+    few_nodes = { 01, 70, 77, 3, 2.0, false },
+    more_nodes = { 2, 70, 77, 9, 2.0, false },
+    slight = { 3, 70, 77, 3, 1.2, false },
+    heavy = { 04, 70, 77, 4, 4.0, false },
+    with_retries = { 5, 70, 77, 3, 2.0, true },
+    few_large_and_many_small = { 6, 70, 220, 3, 2.0, false },
+    one_node = { 7, 1, 20, 1, 2.0, false },
+)]
+fn customers_get_their_shares(
+    seed: u64,
+    nodes: usize,
+    customers: usize,
+    reach: usize,
+    load: f64,
+    retries: bool,
+) {
+    let mut history = skewed(seed, nodes, customers, reach, load);
+    history.retries = retries;
+    let outcomes = play(&history);
+    check_bounds(&history, &outcomes, SETTLING_US, history.end_us);
+    check_use(&history, &outcomes, SETTLING_US, history.end_us);
+}
+
+/// Load: the same, with faults of nodes from 25 s to 50 s. Guards against nodes that, hearing nothing from others, give each
+/// customer its whole share once more or refuse customers below it, and against reports of nodes that are gone.
+#[parameterized(
+    silent = { 11, 70, 3, Fault::Silent },
+    silent_wide = { 12, 70, 12, Fault::Silent },
+    cut_third = { 13, 70, 3, Fault::CutThird },
+    cut_third_wide = { 14, 70, 12, Fault::CutThird },
+    killed = { 15, 70, 3, Fault::Killed },
+    joined = { 16, 70, 3, Fault::Joined },
+    summer_killed = { 17, 70, 3, Fault::SummerKilled },
+    small_fleet = { 18, 9, 3, Fault::Silent },
+)]
+fn customers_get_their_shares_beside_faults(seed: u64, nodes: usize, reach: usize, fault: Fault) {
+    let mut history = skewed(seed, nodes, 77, reach, 2.0);
+    history.fault = fault;
+    let outcomes = play(&history);
+    check_bounds(&history, &outcomes, SETTLING_US, history.end_us);
+    check_use(&history, &outcomes, SETTLING_US, history.end_us);
+}
+
+/// Load: a large customer that begins and ends, and small ones that go on. Guards against a level of earlier customers that
+/// stays in force: capacity would stay idle after the large one, and small ones suffer beside it.
+#[test]
+fn shares_follow_customers_that_come_and_go() {
+    let mut history = skewed(21, 70, 40, 3, 1.3);
+    let large = [20 * SECOND_US, 45 * SECOND_US];
+    history.loads[0].active_us = large;
+    history.loads[0].per_s = history.capacity_us_per_s;
+    let outcomes = play(&history);
+    check_bounds(&history, &outcomes, large[0] + SETTLING_US, large[1]);
+    check_use(&history, &outcomes, large[0] + SETTLING_US, large[1]);
+    let after = large[1] + SETTLING_US;
+    check_bounds(&history, &outcomes, after, history.end_us);
+}
+
+/// Load: demand within the capacity, in bursts. Guards against limits without a shortage.
+#[parameterized(
+    normal = { 31, 0.7 },
+    near = { 32, 0.9 },
+)]
+fn nobody_is_limited_without_a_shortage(seed: u64, load: f64) {
+    let history = skewed(seed, 70, 77, 3, load);
+    let outcomes = play(&history);
+    let refused = outcomes.iter().filter(|outcome| outcome.refused).count();
+    assert_eq!(refused, 0, "requests refused");
+}
+
+/// Load: demand that falls below the capacity. Guards against limits that outlast the shortage.
+#[test]
+fn limits_end_with_the_shortage() {
+    let mut history = skewed(41, 70, 77, 3, 2.0);
+    for load in history.loads.iter_mut().step_by(2) {
+        load.active_us[1] = 30 * SECOND_US;
+    }
+    let outcomes = play(&history);
+    let refused = outcomes.iter().filter(|outcome| outcome.refused);
+    let last_us = refused.map(|outcome| outcome.at_us).max().unwrap_or(0);
+    assert!(last_us > 25 * SECOND_US, "no shortage before");
+    assert!(last_us < 42 * SECOND_US, "refused at {last_us} us");
+}
--- a/crates/tealsaddle-gateway/src/answer.rs
+++ b/crates/tealsaddle-gateway/src/answer.rs
@@ -65,6 +65,8 @@
     Withheld(HoldReason),
     /// The request is not expected to be answered by its deadline.
     DeadlineInfeasible,
+    /// The customer has used its share of a service that is short of capacity.
+    FairShare,
     /// A part of the prompt crashes the runners.
     QuarantinedPart,
     /// The request crashes the runners.
@@ -95,6 +97,7 @@
             Self::StreamVersionGone => "stream_version_gone",
             Self::Withheld(reason) => reason.as_str(),
             Self::DeadlineInfeasible => "deadline_infeasible",
+            Self::FairShare => "fair_share",
             Self::QuarantinedPart => "quarantined_part",
             Self::QuarantinedRequest => "quarantined_request",
             Self::Stopping => "stopping",
@@ -131,6 +134,7 @@
             | Self::StreamVersionGone
             | Self::Withheld(_)
             | Self::DeadlineInfeasible
+            | Self::FairShare
             | Self::QuarantinedPart
             | Self::QuarantinedRequest
             | Self::Stopping
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -406,14 +406,15 @@
     }
 
     /// `Retry-After` of a refusal: the expected wait `wait` for a runner, within limits, and jittered so that
-    /// callers do not return at the same time. The whole time is told for what is quarantined, and while the runners
+    /// callers do not return at the same time. The whole time is told for what is quarantined, for a customer that
+    /// has used its share, and while the runners
     /// have asked for no request: it would be refused again before.
     pub fn retry_after(&self, answer: GatewayAnswer, wait: Duration) -> Duration {
         let is_quarantined = matches!(
             answer,
             GatewayAnswer::QuarantinedPart | GatewayAnswer::QuarantinedRequest
         );
-        if is_quarantined {
+        if is_quarantined || answer == GatewayAnswer::FairShare {
             return wait + jittered(MIN_RETRY_AFTER);
         }
         if matches!(answer, GatewayAnswer::Withheld(_)) {
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::Quarantine;
 use crate::scheduler::{RetryShare, Scheduler};
 use crate::send_gate::SendGate;
+use crate::shares::Shares;
 use crate::snapshot::FleetSnapshot;
 use crate::stop::Stop;
 use crate::upstream::Upstreams;
@@ -84,6 +85,8 @@
     pub scheduler: Arc<Scheduler>,
     /// What runners ask of those who send to them.
     pub send_gate: Arc<SendGate>,
+    /// Shares of the customers.
+    pub shares: Arc<Shares>,
     /// Which software versions began streams.
     pub versions: Arc<StreamVersions>,
     /// What this node knows of crashes of runners.
@@ -126,8 +129,16 @@
             Name::clone(&config.zone),
             config.peer_listen,
         );
+        let scheduler = Scheduler::open(config.retry);
         Arc::new(Self {
-            scheduler: Scheduler::open(config.retry),
+            shares: Shares::open(
+                Name::clone(&config.node),
+                config.peer_listen,
+                Arc::clone(&metrics),
+                Arc::clone(&scheduler),
+                Arc::clone(&snapshot),
+            ),
+            scheduler,
             send_gate: SendGate::open(
                 config.peer_listen,
                 Arc::clone(&metrics),
@@ -170,6 +181,7 @@
     pub fn begin_stop(&self) -> Stop {
         *self.stop.get_or_init(|| {
             self.send_gate.retire();
+            self.shares.retire();
             Stop::plan(Instant::now(), self.config.grace)
         })
     }
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod rounds;
 pub mod scheduler;
 pub mod send_gate;
+pub mod shares;
 pub mod signals;
 pub mod silence;
 pub mod snapshot;
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -86,6 +86,7 @@
         return control.answer_changes(&body).await;
     }
     let answered = gateway.send_gate.answer(&path, &body);
+    let answered = answered.or_else(|| gateway.shares.answer(&path, &body));
     let answered = answered.or_else(|| gateway.versions.answer(&path, &body));
     answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
 }
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -93,6 +93,18 @@
     }
 
     async fn answer(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Response<Body>, Refusal> {
+        let taken = self.take_share()?;
+        let answered = self.answer_admitted(attempts).await;
+        if let (Some(taken), Err((answer, _wait))) = (&taken, &answered) {
+            self.on_refused_with_share(taken, answer.given_attempts(attempts));
+        }
+        answered
+    }
+
+    async fn answer_admitted(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Refusal> {
         self.pass_quarantine().await?;
         let engine = self.config.services.get(&self.service);
         let engine = engine.and_then(|service| service.engine.clone());
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -176,6 +176,13 @@
         times.generation_us(output_tokens, batch)
     }
 
+    /// Time that a prefill runner of a service takes to read a prompt token, in microseconds.
+    pub fn read_us_per_token(&self, service: &Name) -> f64 {
+        let state = self.state();
+        let service_stats = state.service_stats.get(service).copied();
+        service_stats.unwrap_or_default().read_us_per_token
+    }
+
     /// Records what a stream needs that has been placed: the expected output, and the time from its first event to its
     /// deadline.
     pub fn on_stream_placed(&self, service: &Name, output_tokens: u64, allowed: Duration) {
