--- a/crates/tealsaddle-core/src/fleet/shares/capacity.rs
+++ b/crates/tealsaddle-core/src/fleet/shares/capacity.rs
@@ -17,7 +17,7 @@
 const GROWTH_PER_S: f64 = 0.03;
 const MAX_AHEAD: f64 = 1.05;
 /// Addition to both for the share of places that are free beyond that, so that new runners are in use after a few seconds.
-const GROWTH_BY_PLACES: f64 = 0.5;
+const GROWTH_BY_PLACES: f64 = 0.3;
 /// Part of the work served that is given out while runners turn work away, so that their queues shrink. Otherwise their
 /// refusals, which know no shares, would go on.
 const BACK_OFF: f64 = 0.95;
@@ -41,8 +41,9 @@
 }
 
 impl Capacity {
-    /// Updates the estimate and returns it; `None` while the service is not short of capacity.
-    pub(super) fn update(&mut self, total: &Report, now_us: u64) -> Option<f64> {
+    /// Updates the estimate and returns it; `None` while the service is not short of capacity. `silent_ratio` is the ratio of
+    /// the nodes that run to those that report.
+    pub(super) fn update(&mut self, total: &Report, silent_ratio: f64, now_us: u64) -> Option<f64> {
         let elapsed_s = now_us.saturating_sub(self.updated_us).min(1_000_000) as f64 / 1e6;
         self.updated_us = now_us;
         if self.take_over_until_us == 0 {
@@ -66,7 +67,7 @@
         let most = most.max(us_per_s * (1.0 - MAX_DECREASE_PER_S * elapsed_s));
         let growth = (GROWTH_PER_S + by_places) * elapsed_s;
         let grown = (us_per_s * (1.0 + growth)).min(most);
-        let is_over = calm_us > CALM_US && total.asked_us_per_s <= grown;
+        let is_over = calm_us > CALM_US && total.asked_us_per_s * silent_ratio <= grown;
         self.us_per_s = (!is_over).then_some(grown);
         self.us_per_s
     }
--- a/crates/tealsaddle-core/src/fleet/shares/collector.rs
+++ b/crates/tealsaddle-core/src/fleet/shares/collector.rs
@@ -11,6 +11,8 @@
 const STALE_US: u64 = 2_300_000;
 /// Time for which a silent node may still be running. Later, its registration has ended if it is gone.
 const SILENT_US: u64 = 30_000_000;
+/// Time in which all nodes send a first report.
+const FIRST_REPORTS_US: u64 = 1_200_000;
 /// Smallest time between two summaries.
 const SUMMARY_INTERVAL_US: u64 = 250_000;
 /// Largest number of customers in a report of several nodes, and in a summary.
@@ -23,6 +25,13 @@
 /// Smallest share of the capacity for the customers that are listed.
 const MIN_FOR_LISTED: f64 = 0.25;
 
+/// Weight of the newest level in the mean of the levels.
+const USUAL_WEIGHT: f64 = 0.1;
+/// Use of the runners' places below which the level may rise while nodes are silent, and the factor by which it does with
+/// each summary.
+const PLACES_BUSY: f64 = 0.5;
+const RISE_WITH_PLACES: f64 = 1.01;
+
 #[derive(Debug)]
 struct Received {
     report: Report,
@@ -35,12 +44,23 @@
     reports: HashMap<Name, Received>,
     capacity: Capacity,
     summary: Summary,
+    /// Mean of the levels while no node was silent.
+    usual_level: Option<f64>,
     summed_us: Option<u64>,
+    /// When the first of the present reports was received.
+    began_us: u64,
 }
 
 impl Collector {
     /// Records the report of a node, in place of its last one.
     pub fn on_report(&mut self, node: Name, report: Report, now_us: u64) {
+        if !self.is_in_use(now_us) {
+            // The capacity of an earlier time is out of date; the reports tell that of the node that summed up since.
+            self.capacity = Capacity::default();
+            self.summary = Summary::default();
+            self.usual_level = None;
+            self.began_us = now_us;
+        }
         let at_us = now_us;
         self.reports.insert(node, Received { report, at_us });
     }
@@ -83,10 +103,12 @@
         total
     }
 
-    /// Returns the summary for all nodes, of which `registered` are registered; 0 if that is not known.
+    /// Returns the summary for all nodes, of which `registered` are registered; 0 if that is not known. It covers no node
+    /// before all have had the time to report.
     pub fn summary(&mut self, registered: u32, now_us: u64) -> &Summary {
         let is_recent = |at_us: u64| now_us < at_us + SUMMARY_INTERVAL_US;
-        if !self.summed_us.is_some_and(is_recent) {
+        let has_all = now_us >= self.began_us + FIRST_REPORTS_US;
+        if has_all && !self.summed_us.is_some_and(is_recent) {
             self.summed_us = Some(now_us);
             self.sum_up(registered, now_us);
         }
@@ -97,7 +119,8 @@
         self.reports
             .retain(|_node, received| now_us < received.at_us + SILENT_US);
         let total = self.total(now_us);
-        let capacity = self.capacity.update(&total, now_us);
+        let silent_ratio = self.silent_ratio(total.nodes, registered, now_us);
+        let capacity = self.capacity.update(&total, silent_ratio, now_us);
         self.summary.nodes = total.nodes;
         self.summary.capacity_us_per_s = capacity;
         let Some(capacity_us_per_s) = capacity else {
@@ -117,8 +140,7 @@
         });
         let level = max_min::distribute(demands.collect(), for_listed).level;
         // The reports lack the demand at the silent nodes, and the capacity that those use.
-        let silent_ratio = self.silent_ratio(total.nodes, registered, now_us);
-        let level = level * silent_ratio;
+        let level = self.bounded(level * silent_ratio, silent_ratio, &total);
         self.summary.silent_ratio = silent_ratio;
         self.summary.level_us_per_s = level.is_finite().then_some(level);
         self.summary.customers = total.customers;
@@ -126,6 +148,22 @@
         self.summary.customers.retain(is_near);
     }
 
+    /// The level, which does not rise while nodes are silent unless runners have places: customers that use most of their
+    /// shares at the silent nodes would get much of them once more.
+    fn bounded(&mut self, level: f64, silent_ratio: f64, total: &Report) -> f64 {
+        if silent_ratio <= 1.0 {
+            let usual = self.usual_level.filter(|usual| usual.is_finite());
+            let usual = usual.unwrap_or(level);
+            self.usual_level = Some(usual + USUAL_WEIGHT * (level - usual));
+            return level;
+        }
+        let usual = self.usual_level.unwrap_or(f64::INFINITY);
+        if total.busy < PLACES_BUSY {
+            self.usual_level = Some(usual * RISE_WITH_PLACES);
+        }
+        level.min(usual)
+    }
+
     /// Ratio of the nodes that are running to those that report, as far as it can be told.
     fn silent_ratio(&self, nodes: u32, registered: u32, now_us: u64) -> f64 {
         let silent = self.reports.values();
--- a/crates/tealsaddle-core/src/fleet/shares/node.rs
+++ b/crates/tealsaddle-core/src/fleet/shares/node.rs
@@ -24,26 +24,28 @@
 const KEEP_US: u64 = 60_000_000;
 /// Ratio of the measured demand of a customer to its share from which the customer is limited. Demand is measured over few
 /// requests; without a margin, a customer that asks for no more than its share would be refused now and then.
-const MEASURED_ABOVE: f64 = 1.1;
+const MEASURED_ABOVE: f64 = 1.15;
+/// The same while nodes are silent, which give the customer a part of its share as well.
+const MEASURED_ABOVE_BESIDE_SILENT: f64 = 1.05;
 /// Part of the level by which a customer is far above it.
-const FAR_ABOVE: f64 = 0.5;
+const FAR_ABOVE: f64 = 0.25;
 /// Age of a level from which the mean of the last levels is used in its place: summaries come once a second.
 const LEVEL_AGE_US: u64 = 1_500_000;
 /// Weight of the newest level in the mean of the levels.
 const MEAN_WEIGHT: f64 = 0.2;
 /// Part of its share here that a customer far above the level gets from a node that hears nothing: the other nodes give it
 /// up to two thirds of the level even if most of its callers reach silent nodes.
-const UNHEARD_PART: f64 = 0.7;
+const UNHEARD_PART: f64 = 0.6;
 /// Use of the runners' places below which a node that hears nothing raises the level. Refusals alone don't tell: the other
 /// nodes keep the runners just below their capacity.
-const UNHEARD_BUSY: f64 = 0.8;
-/// Factor per second on the level then.
-const UNHEARD_GROWTH: f64 = 1.1;
-/// Work that a customer whose demand in the fleet is unknown may ask for at a node that hears nothing, as a factor on what
-/// it asked for here before.
-const UNHEARD_MARGIN: f64 = 1.5;
-/// The same beyond that factor, as a factor on an equal part of the level for each node. A new customer that reaches a
-/// third of the nodes gets half of the level there.
+const UNHEARD_BUSY: f64 = 0.5;
+/// Factor per second on [`UNHEARD_PART`] then, and on the level once that is 1.
+const UNHEARD_GROWTH: f64 = 1.02;
+/// Work that a customer below the level may ask for at a node that hears nothing, beyond what it asked for here before, as a
+/// part of the level.
+const UNHEARD_MARGIN: f64 = 0.25;
+/// Work that a new customer may ask for there, as a factor on an equal part of the level for each node. One that reaches a
+/// third of the nodes gets half of the level.
 const NEWCOMER_PARTS: f64 = 1.5;
 /// Shortest and longest time until a refused customer is asked to return.
 const MIN_WAIT_US: f64 = 100_000.0;
@@ -87,6 +89,8 @@
     elsewhere: HashMap<Name, f64>,
     /// Whether the summary covered most nodes.
     is_complete: bool,
+    /// Part of its share here that a customer far above the level gets while no further summary is heard.
+    unheard_part: f64,
     heard_us: u64,
 }
 
@@ -201,8 +205,12 @@
 
     /// Applies a summary of a fleet with `registered` nodes; 0 if that is not known. A summary of few nodes is used only
     /// by a node that knows no level of most nodes; returns whether it is used.
+    /// One that covers no node is not.
     pub fn on_summary(&mut self, summary: &Summary, registered: u32, now_us: u64) -> bool {
         self.registered = registered;
+        if summary.nodes == 0 {
+            return false;
+        }
         let is_complete = summary.nodes * 3 >= registered * 2;
         let is_better = |known: &Known| {
             let is_recent = now_us < known.heard_us + KEEP_US;
@@ -236,6 +244,7 @@
             silent_ratio: summary.silent_ratio,
             elsewhere,
             is_complete,
+            unheard_part: UNHEARD_PART,
             heard_us: now_us,
         });
         true
@@ -259,7 +268,12 @@
             && has_places
             && let Some(level) = &mut known.mean_level_us_per_s
         {
-            *level *= UNHEARD_GROWTH.powf(elapsed_s);
+            let growth = UNHEARD_GROWTH.powf(elapsed_s);
+            if known.unheard_part < 1.0 {
+                known.unheard_part = (known.unheard_part * growth).min(1.0);
+            } else {
+                *level *= growth;
+            }
         }
     }
 }
@@ -277,6 +291,14 @@
         }
     }
 
+    fn measured_above(&self) -> f64 {
+        if self.silent_ratio > 1.0 {
+            MEASURED_ABOVE_BESIDE_SILENT
+        } else {
+            MEASURED_ABOVE
+        }
+    }
+
     /// Work per second of a customer that the nodes of the summary together may admit. With silent nodes, a customer up to
     /// the level gets all that it asks for, since it may reach no silent node. One that asks for much more gets the silent
     /// nodes' part of its share there.
@@ -298,18 +320,22 @@
         if let Some(elsewhere) = self.elsewhere.get(customer) {
             let asked = elsewhere + here;
             let part = if self.is_silent(now_us) && asked > level * (1.0 + FAR_ABOVE) {
-                UNHEARD_PART
+                self.unheard_part
             } else {
                 1.0
             };
-            return (asked > level * MEASURED_ABOVE)
+            return (asked > level * self.measured_above())
                 .then(|| self.share_of(level, asked) * part * here / asked);
         }
         // The customer asked for less than the level, or is new.
         let most = if self.is_silent(now_us) {
             let part = level / f64::from(registered.max(1));
-            let known = account.asked_when_heard * UNHEARD_MARGIN;
-            part.mul_add(NEWCOMER_PARTS, known).min(level)
+            let known = account.asked_when_heard;
+            if known > 0.0 {
+                (known + level * UNHEARD_MARGIN).min(level)
+            } else {
+                part * NEWCOMER_PARTS
+            }
         } else {
             level
         };
