--- a/crates/tealsaddle-core/tests/it/fleet/share_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/share_histories.rs
@@ -2,6 +2,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tealsaddle_core::fleet::shares::{Collector, CustomerDemand, Report};
 use tealsaddle_core::name::Name;
 use yare::parameterized;
 
@@ -237,6 +238,39 @@
     check_bounds(&history, &outcomes, after, history.end_us);
 }
 
+/// Load: nodes in groups, as in a fleet of 360. Guards against sums of groups that differ from those of all nodes.
+#[test]
+fn groups_sum_up_like_all_nodes() {
+    let now_us = SECOND_US;
+    let report = |node: u32| Report {
+        nodes: 1,
+        asked_us_per_s: 300.0,
+        served_us_per_s: 200.0,
+        tried_us_per_s: 250.0,
+        turned_away_us_per_s: 50.0,
+        busy: 0.5,
+        capacity_us_per_s: Some(1_000.0),
+        customers: ["a", "b"]
+            .map(|name| CustomerDemand {
+                customer: Name::from(format!("{name}{}", node % 3)),
+                asked_us_per_s: 150.0,
+            })
+            .to_vec(),
+    };
+    let mut flat = Collector::default();
+    let mut of_groups = Collector::default();
+    for group in 0..4 {
+        let mut of_group = Collector::default();
+        for node in (0..36).filter(|node| node % 4 == group) {
+            flat.on_report(Name::from(format!("n{node}")), report(node), now_us);
+            of_group.on_report(Name::from(format!("n{node}")), report(node), now_us);
+        }
+        let total = of_group.total(now_us);
+        of_groups.on_report(Name::from(format!("g{group}")), total, now_us);
+    }
+    assert_eq!(flat.total(now_us), of_groups.total(now_us));
+}
+
 /// Load: demand within the capacity, in bursts. Guards against limits without a shortage.
 #[parameterized(
     normal = { 31, 0.7 },
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -73,7 +73,8 @@
 }
 
 impl Call {
-    async fn run(self: &Arc<Self>) -> Response<Body> {
+    /// Answers the call; every failure becomes an answer of the gateway.
+    pub async fn run(self: &Arc<Self>) -> Response<Body> {
         let mut attempts =
             Attempts::with_max_executions(self.route.repeat.may_repeat(), self.route.max_attempts);
         let answered = self.answer(&mut attempts);
