--- a/crates/tealsaddle-core/tests/it/fleet/share_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/share_histories.rs
@@ -204,12 +204,13 @@
     }
 }
 
-/// Load: as above, in the four of 285 drawn histories in which a bound was exceeded. Guards against the same as above.
+/// Load: as above, in drawn histories in which a bound was exceeded. Guards against the same as above.
 #[parameterized(
     callers_mostly_at_silent_nodes = { 1_102, 70, 3, Fault::Silent },
     callers_that_move_to_new_nodes = { 1_604, 70, 3, Fault::Joined },
     small_fleet = { 1_811, 9, 3, Fault::Silent },
     summer_killed = { 1_714, 70, 3, Fault::SummerKilled },
+    killed = { 1_510, 70, 3, Fault::Killed },
 )]
 fn bounds_hold_in_histories_that_exceeded_them(
     seed: u64,
@@ -221,6 +222,7 @@
     history.fault = fault;
     let outcomes = play(&history);
     check_bounds(&history, &outcomes, SETTLING_US, history.end_us);
+    check_use(&history, &outcomes, SETTLING_US, history.end_us);
 }
 
 /// Load: a large customer that begins and ends, and small ones that go on. Guards against a level of earlier customers that
