Count requests that runners asked not to get as a shortage, whatever places they have

A runner that names a limit has free places and turned calls away all the same; the shortage went unnoticed, as its places were not half used.

--- a/crates/tealsaddle-gateway/src/shares/call.rs
+++ b/crates/tealsaddle-gateway/src/shares/call.rs
@@ -10,6 +10,7 @@
 
 use crate::answer::GatewayAnswer;
 use crate::call::{Call, Refusal};
+use crate::shares::TurnedAway;
 
 /// Work of a request for a plain service: the requests of a service count alike.
 const PLAIN_REQUEST_US: f64 = 40_000.0;
@@ -52,11 +53,11 @@
 
     /// Gives back the share of a call that no runner has taken, if that is for want of capacity.
     pub fn on_refused_with_share(&self, taken: &TakenShare, answer: GatewayAnswer) {
-        if is_for_want_of_capacity(answer) {
+        if let Some(reason) = turned_away(answer) {
             let name = &taken.customer.name;
             self.gateway
                 .shares
-                .on_turned_away(&self.service, name, taken.work_us);
+                .on_turned_away(&self.service, name, taken.work_us, reason);
         }
     }
 
@@ -85,15 +86,17 @@
     }
 }
 
-/// Whether a call was refused since runners had no capacity for it.
-const fn is_for_want_of_capacity(answer: GatewayAnswer) -> bool {
-    matches!(
-        answer,
+/// Why a call was refused, if its runners had no capacity for it.
+const fn turned_away(answer: GatewayAnswer) -> Option<TurnedAway> {
+    match answer {
         GatewayAnswer::DeadlineInfeasible
-            | GatewayAnswer::NoRunner
-            | GatewayAnswer::Withheld(_)
-            | GatewayAnswer::Refused(
-                NotRunReason::TargetRefused | NotRunReason::NoTarget | NotRunReason::Withheld
-            )
-    )
+        | GatewayAnswer::NoRunner
+        | GatewayAnswer::Refused(NotRunReason::TargetRefused | NotRunReason::NoTarget) => {
+            Some(TurnedAway::Full)
+        }
+        GatewayAnswer::Withheld(_) | GatewayAnswer::Refused(NotRunReason::Withheld) => {
+            Some(TurnedAway::Withheld)
+        }
+        _ => None,
+    }
 }
--- a/crates/tealsaddle-gateway/src/shares/exchange.rs
+++ b/crates/tealsaddle-gateway/src/shares/exchange.rs
@@ -114,6 +114,11 @@
         let mut state = self.state();
         let shares = state.services.get_mut(service)?;
         shares.costs = costs;
+        let busy = if std::mem::take(&mut shares.is_withheld) {
+            1.0
+        } else {
+            busy
+        };
         Some(shares.node.report(busy, clock::now_us()))
     }
 
--- a/crates/tealsaddle-gateway/src/shares/mod.rs
+++ b/crates/tealsaddle-gateway/src/shares/mod.rs
@@ -34,11 +34,22 @@
     generate_us_per_token: f64,
 }
 
+/// Why no runner has taken a request, for want of capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TurnedAway {
+    /// No runner would answer in time, or those that were asked refused.
+    Full,
+    /// The runners have asked for no request now, or for fewer.
+    Withheld,
+}
+
 /// Shares of the customers of one service.
 #[derive(Debug, Default)]
 struct ServiceShares {
     node: NodeShares,
     costs: Costs,
+    /// Whether runners have asked for no request since the last report. They are full then, whatever places they have.
+    is_withheld: bool,
     /// Reports of the nodes of a group.
     of_group: Collector,
     /// Reports of all nodes, or of all groups.
@@ -112,11 +123,18 @@
     }
 
     /// Records that no runner has taken an admitted request, for want of capacity.
-    pub fn on_turned_away(&self, service: &Name, customer: &Name, work_us: f64) {
+    pub fn on_turned_away(
+        &self,
+        service: &Name,
+        customer: &Name,
+        work_us: f64,
+        reason: TurnedAway,
+    ) {
         let now_us = clock::now_us();
         let mut state = self.state();
         if let Some(shares) = state.services.get_mut(service) {
             shares.node.on_turned_away(customer, work_us, now_us);
+            shares.is_withheld |= reason == TurnedAway::Withheld;
         }
         drop(state);
         self.metrics.increment("shares.turned_away");
