--- a/crates/tealsaddle-core/src/fleet/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 pub mod rendezvous;
 pub mod resumption;
 pub mod send_gate;
+pub mod shares;
 pub mod sizing;
 pub mod split;
 pub mod stage_load;
--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -17,6 +17,8 @@
 mod quarantine;
 mod resumption;
 mod send_gate;
+mod share_histories;
+mod share_sim;
 mod sizing;
 mod split;
 mod stage_histories;
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod rounds;
 pub mod scheduler;
 pub mod send_gate;
+pub mod shares;
 pub mod signals;
 pub mod silence;
 pub mod sizing;
--- a/crates/tealsaddle-gateway/src/peer_server.rs
+++ b/crates/tealsaddle-gateway/src/peer_server.rs
@@ -101,6 +101,7 @@
         return loads::answer(gateway, &body);
     }
     let answered = gateway.send_gate.answer(&path, &body);
+    let answered = answered.or_else(|| gateway.shares.answer(&path, &body));
     let answered = answered.or_else(|| gateway.versions.answer(&path, &body));
     let answered = answered.or_else(|| gateway.usage.answer(&path, &body));
     answered.unwrap_or_else(|| messages::answer(gateway, &path, &body))
--- a/crates/tealsaddle-gateway/src/request.rs
+++ b/crates/tealsaddle-gateway/src/request.rs
@@ -73,7 +73,8 @@
 }
 
 impl Call {
-    async fn run(self: &Arc<Self>) -> Response<Body> {
+    /// Answers the call; every failure becomes an answer of the gateway.
+    pub async fn run(self: &Arc<Self>) -> Response<Body> {
         let mut attempts =
             Attempts::with_max_executions(self.route.repeat.may_repeat(), self.route.max_attempts);
         let answered = self.answer(&mut attempts);
@@ -93,6 +94,18 @@
     }
 
     async fn answer(self: &Arc<Self>, attempts: &mut Attempts) -> Result<Response<Body>, Refusal> {
+        let taken = self.take_share()?;
+        let answered = self.answer_admitted(attempts).await;
+        if let (Some(taken), Err((answer, _wait))) = (&taken, &answered) {
+            self.on_refused_with_share(taken, answer.given_attempts(attempts));
+        }
+        answered
+    }
+
+    async fn answer_admitted(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+    ) -> Result<Response<Body>, Refusal> {
         self.pass_quarantine().await?;
         let engine = self.config.services.get(&self.service);
         let engine = engine.and_then(|service| service.engine.clone());
