Read callers into buffers of 32 KiB where their memory is limited

Each connection is counted with two of its buffers. With 64 KiB, a running stream with a body of 68 KB counted 204 KB, and the smallest node had room for 200 of them; now 140 KB and 290.

--- a/crates/tealsaddle-gateway/src/front.rs
+++ b/crates/tealsaddle-gateway/src/front.rs
@@ -33,8 +33,9 @@
 /// Read buffer of a connection, which hyper fixes when the connection is accepted; it grows up to this size as
 /// needed. It bounds the heads that a raised limit may allow on connections that are open.
 const BUFFER_BYTES: usize = 256 << 10;
-/// The same where the settings limit what is held for callers.
-const LIMITED_BUFFER_BYTES: usize = 64 << 10;
+/// The same where the settings limit what is held for callers, twice the largest head of the deployments. A stream with a long
+/// prompt is counted with two such buffers while it runs.
+const LIMITED_BUFFER_BYTES: usize = 32 << 10;
 /// Time in which a request that is refused for want of memory gets its answer.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
