--- a/crates/tealsaddle-core/tests/it/fleet/sizing/decisions.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/sizing/decisions.rs
@@ -198,8 +198,8 @@
 
 /// Guards against runners given up while something else changes, or the demand is not known.
 #[parameterized(
-    shortage = { |seen: &mut Seen| { seen.demand.refused_share = 0.1; seen.demand.running = 130.0; } },
-    late = { |seen: &mut Seen| { seen.demand.late_share = 0.3; seen.demand.running = 130.0; } },
+    shortage = { |seen: &mut Seen| seen.demand.refused_share = 0.02 },
+    late = { |seen: &mut Seen| seen.demand.late_share = 0.3 },
     few_nodes = { |seen: &mut Seen| seen.demand.known_share = 0.4 },
     no_requests = { |seen: &mut Seen| seen.demand.requests_per_s = 0.0 },
     runner_leaving = { |seen: &mut Seen| { let leaving = draining(&seen.runners[0]); seen.runners.push(leaving); } },
@@ -208,7 +208,8 @@
 fn nothing_is_given_up(change: fn(&mut Seen)) {
     let mut seen = Seen {
         runners: regular(40),
-        demand: demand(10.0),
+        // More than half of the runners are needed, and some can be spared.
+        demand: demand(122.0),
         has_stage_moves: false,
     };
     let scaling = Scaling {
