--- a/crates/tealsaddle-core/src/fleet/sizing/need.rs
+++ b/crates/tealsaddle-core/src/fleet/sizing/need.rs
@@ -18,6 +18,10 @@
 const MIN_PER_STAGE: f64 = 2.0;
 /// Largest multiple of a stage's runners that nodes may ask for at a time; the effect of one step has to show first.
 const MAX_RATIO: f64 = 1.5;
+/// Largest number of runners that nodes may ask for by times, as a multiple of what the work needs. While a stage uses less
+/// than a quarter of what is planned, its times have other causes than the number of its runners, and following them would
+/// end at the most that may be ordered.
+const MAX_TIME_SHARE: f64 = 4.0;
 /// Share of refused requests from which more runners are needed than the requests that are served keep busy.
 pub const REFUSED_SHARE: f64 = 0.01;
 /// Share of refused requests from which they are taken for a lack of runners, if most runners are in use as well.
@@ -60,17 +64,17 @@
 
 /// Runners of a model service that are needed for the requests that are served: the sum of both stages.
 fn needed_of_stages(demand: &ServiceDemand, engine: &EngineLimits, ready: &ReadyRunners) -> f64 {
-    let by_time =
-        |ratio: Option<f64>, runners: u32| ratio.unwrap_or(0.0).min(MAX_RATIO) * f64::from(runners);
-    let prefill = (demand.reading / READING_SHARE)
-        .max(by_time(demand.prefill_ratio, ready.prefill))
-        .max(MIN_PER_STAGE);
-    let places = f64::from(engine.slots.max(1));
-    let in_memory = engine.kv_tokens.max(1) as f64;
-    let decode = (demand.running / places).max(demand.kv_tokens / in_memory) / DECODE_SHARE;
-    let decode = decode
-        .max(by_time(demand.decode_ratio, ready.decode))
-        .max(MIN_PER_STAGE);
+    let needed_of_stage = |by_work: f64, ratio: Option<f64>, runners: u32| {
+        let by_work = by_work.max(MIN_PER_STAGE);
+        let by_time = ratio.unwrap_or(0.0).min(MAX_RATIO) * f64::from(runners);
+        by_work.max(by_time.min(by_work * MAX_TIME_SHARE))
+    };
+    let reading = demand.reading / READING_SHARE;
+    let prefill = needed_of_stage(reading, demand.prefill_ratio, ready.prefill);
+    let places = demand.running / f64::from(engine.slots.max(1));
+    let in_memory = demand.kv_tokens / engine.kv_tokens.max(1) as f64;
+    let generating = places.max(in_memory) / DECODE_SHARE;
+    let decode = needed_of_stage(generating, demand.decode_ratio, ready.decode);
     prefill + decode
 }
 
--- a/crates/tealsaddle-core/tests/it/fleet/sizing/demand.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/sizing/demand.rs
@@ -1,7 +1,10 @@
 //! Tests of the demand that nodes report.
 
-use tealsaddle_core::fleet::sizing::demand::{FleetDemand, NodeLoad};
+use tealsaddle_core::fleet::sizing::demand::{FleetDemand, NodeLoad, ServiceDemand};
+use tealsaddle_core::fleet::sizing::need::{ReadyRunners, needed};
+use yare::parameterized;
 
+use super::engine;
 use crate::fleet::SECOND_US;
 
 /// Load of a node that keeps `busy` places in use, after some seconds.
@@ -54,3 +57,34 @@
     assert!(close(later.running, 6.0), "{later:?}");
     assert_eq!(demand.total(1, 40 * SECOND_US), None);
 }
+
+/// Guards against a need by work alone where answers would come late, and against one that follows times without end although
+/// the runners are idle.
+#[parameterized(
+    in_time = { 0.2, 10.0 / 0.6 + 15.0 / 0.7 },
+    late = { 1.2, 1.2 * 60.0 },
+    very_late = { 2.0, 1.5 * 60.0 },
+)]
+fn times_count_beside_work(ratio: f64, expected: f64) {
+    let demand = ServiceDemand {
+        reading: 10.0,
+        running: 15.0 * 32.0,
+        prefill_ratio: Some(ratio),
+        decode_ratio: Some(ratio),
+        ..ServiceDemand::default()
+    };
+    let ready = ReadyRunners {
+        all: 60,
+        prefill: 30,
+        decode: 30,
+        slots: 60 * 32,
+    };
+    let need = needed(&demand, Some(&engine()), &ready);
+    assert!(close(need, expected), "{need}");
+    let idle = ServiceDemand {
+        reading: 0.1,
+        running: 1.0,
+        ..demand
+    };
+    assert!(needed(&idle, Some(&engine()), &ready) <= 16.0);
+}
