Tell the holder copies of nodes that it does not ask itself

A node that stops is no longer registered, so a holder that has just begun does not know it; its counts now come from the node that has its copies.

--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -140,6 +140,7 @@
         self.gateway.scheduler.on_snapshot(&snapshot);
         self.gateway.send_gate.on_snapshot(&snapshot);
         self.gateway.versions.on_snapshot(&snapshot);
+        self.gateway.usage.on_snapshot(&snapshot);
         self.gateway.snapshot.store(Arc::new(snapshot));
     }
 
--- a/crates/tealsaddle-gateway/src/usage/copies.rs
+++ b/crates/tealsaddle-gateway/src/usage/copies.rs
@@ -57,6 +57,7 @@
         }
         let chosen = nodes[failures % nodes.len()];
         if keeper.replace(chosen) != Some(chosen) {
+            log::info!(node:% = chosen, failures; "counts of usage are told to another node from now on");
             usage.tell_again();
         }
         let copy = usage.untold(own, false);
--- a/crates/tealsaddle-gateway/src/usage/mod.rs
+++ b/crates/tealsaddle-gateway/src/usage/mod.rs
@@ -22,6 +22,7 @@
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::peer_message::{parse, respond, text_of};
+use crate::snapshot::FleetSnapshot;
 use crate::upstream::Upstreams;
 use messages::{
     COPY_PATH, CopiedRequests, CopyReply, CountAnswer, CountCopy, CountQuestion, QUESTION_PATH,
@@ -60,6 +61,8 @@
     recorded: u64,
     /// Number of the first bucket that no other node has been told.
     untold_from: u64,
+    /// Addresses of the other registered nodes.
+    peers: Arc<[SocketAddr]>,
 }
 
 /// Counts of this node and copies of those of others.
@@ -109,6 +112,11 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// Takes over the nodes of a new snapshot.
+    pub fn on_snapshot(&self, snapshot: &FleetSnapshot) {
+        self.state().peers = Arc::clone(&snapshot.peers);
+    }
+
     /// Counts a request of a customer that begins to run now.
     pub fn count(&self, customer: Option<&Customer>) {
         if let Some(customer) = customer.filter(|_customer| self.is_counting) {
@@ -141,7 +149,9 @@
         state.recorded = state.recorded.max(question.recorded);
         let kept = state.kept.iter().filter(|(_process, kept)| {
             let is_silent = kept.heard_us + SILENT_US <= now_us;
-            kept.has_ended || is_silent || question.missing.contains(&kept.node)
+            // A node that stops is no longer registered, so a new holder does not ask it.
+            let is_asked = state.peers.contains(&kept.node);
+            kept.has_ended || is_silent || !is_asked || question.missing.contains(&kept.node)
         });
         let copies = kept.map(|(process, kept)| CopiedRequests {
             process: *process,
