--- a/crates/tealsaddle-gateway/src/sizing/outcomes.rs
+++ b/crates/tealsaddle-gateway/src/sizing/outcomes.rs
@@ -10,9 +10,10 @@
 use crate::progress::Progress;
 
 /// Answers that are given for lack of runners.
-const LACKS: [GatewayAnswer; 7] = [
+const LACKS: [GatewayAnswer; 8] = [
     GatewayAnswer::NoRunner,
     GatewayAnswer::DeadlineInfeasible,
+    GatewayAnswer::FairShare,
     GatewayAnswer::Withheld(HoldReason::Leaving),
     GatewayAnswer::Withheld(HoldReason::Paused),
     GatewayAnswer::Withheld(HoldReason::Limited),
