Take a peer's whole state at once only in fleets with customers

Cause: since a node that hears from a peer and has a gap takes the peer's whole state while the store does not answer, also where no key can be withdrawn. At 300 nodes the store is slow at the start, and all nodes sent their state to each other.

It is done only where the configuration has customers now.

--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -281,11 +281,21 @@
         log::info!(source:?, failure:?, knowledge_ms; "source of changes has failed");
     }
 
-    /// Takes over all keys, from the store or else from the peer. While the store is known to be away, the peer is asked at
-    /// once: a listing would first take the time of a call that is not answered.
+    /// Whether a peer is asked before the store: a withdrawn key has to be refused soon, and a listing would first take the
+    /// time of a call that is not answered. Other fleets do not send their whole state among the nodes for it.
+    fn may_take_over_at_once(&self) -> bool {
+        let snapshot = self.control.gateway.snapshot.load();
+        let has_customers = snapshot
+            .config
+            .as_ref()
+            .is_some_and(|c| c.customers.is_some());
+        has_customers && self.control.fleet().store_availability.is_unavailable()
+    }
+
+    /// Takes over all keys, from the store or else from the peer.
     async fn on_gap(&mut self, source: Source) {
         if let Source::Peer(peer) = source
-            && self.control.fleet().store_availability.is_unavailable()
+            && self.may_take_over_at_once()
         {
             self.must_list = true;
             self.reader.take_over(peer).await;
