--- a/crates/tealsaddle-node/tests/it/framing.rs
+++ b/crates/tealsaddle-node/tests/it/framing.rs
@@ -5,7 +5,7 @@
 use hyper::Method;
 use tealsaddle_node::traffic::PeerEndpoint;
 use tealsaddle_testkit::platform;
-use tealsaddle_testkit::process::free_address;
+use tealsaddle_testkit::process::unused_ip;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use yare::parameterized;
@@ -18,7 +18,7 @@
 
 /// A server that answers each request with these bytes and closes the connection.
 async fn closing_server(response: String) -> SocketAddr {
-    let listener = TcpListener::bind(free_address())
+    let listener = TcpListener::bind((unused_ip(), 0))
         .await
         .expect("a free port");
     let address = listener.local_addr().expect("a bound address");
--- a/crates/tealsaddle-testkit/src/process.rs
+++ b/crates/tealsaddle-testkit/src/process.rs
@@ -14,21 +14,26 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
-/// Returns a loopback address with a free port.
+/// Returns a loopback address with a free port, for a process that binds it later.
 ///
-/// Each call uses a different IP address in 127.0.0.0/8. On 127.0.0.1 an outgoing connection of any
-/// process could take the port before the node binds it.
+/// Another socket may take the port before that; who can bind a port itself uses [`unused_ip`].
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(1);
-    let [low, high] = NEXT.fetch_add(1, Ordering::Relaxed).to_le_bytes();
-    let [pid, more, ..] = std::process::id().to_le_bytes();
-    let address = Ipv4Addr::new(127, 1 + pid % 200, more.wrapping_add(high), low.max(1));
-    let listener = TcpListener::bind((address, 0)).expect("loopback has a free port");
+    let listener = TcpListener::bind((unused_ip(), 0)).expect("loopback has a free port");
     listener
         .local_addr()
         .expect("a bound listener has an address")
 }
 
+/// Returns a loopback IP address, in 127.0.0.0/8, that differs from call to call.
+///
+/// On 127.0.0.1 an outgoing connection of any process could take a port before it is bound.
+pub fn unused_ip() -> Ipv4Addr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [low, high] = NEXT.fetch_add(1, Ordering::Relaxed).to_le_bytes();
+    let [pid, more, ..] = std::process::id().to_le_bytes();
+    Ipv4Addr::new(127, 1 + pid % 200, more.wrapping_add(high), low.max(1))
+}
+
 /// Settings of a node under test.
 #[derive(Debug, Clone)]
 pub struct NodeConfig {
