Answer nodes that lack more changes than fit with the first ones, in place of a listing

Cause: a node whose peer lacked changes, or had more than fit into an answer, listed the store; at 300 nodes 260 of them did so within half a second after a burst of registrations, and watchers were answered up to 3.5 s late. Change: an answer holds the first changes and says that there are more (`has_more`); a node with a gap asks its other sources, the history of the store among them.

--- a/crates/tealsaddle-core/tests/it/fleet/change_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/change_sim.rs
@@ -367,9 +367,9 @@
                 let peer = self.place(address);
                 let is_due = asked_for_us >= question.wait_us;
                 let other = &self.nodes[peer];
-                let has_news = other.known > question.after
+                let has_update = other.known > question.after
                     || other.knowledge.as_of_us() != question.seen_as_of_us;
-                (self.reach_each_other(place, peer) && (is_due || has_news))
+                (self.reach_each_other(place, peer) && (is_due || has_update))
                     .then(|| self.hear_peer(place, peer, question))
             }
         }
@@ -438,8 +438,8 @@
         let own_us = as_of_answer_us(question.asked_us, held_us, age_us);
         node.knowledge.on_confirmed(own_us);
         node.seen_as_of_us.insert(peer, as_of_us);
-        let is_news = as_of_us != question.seen_as_of_us || has_changes;
-        let is_of_use = is_news && terms.patience_us(node.knowledge.age_us(now_us)).is_some();
+        let is_update = as_of_us != question.seen_as_of_us || has_changes;
+        let is_of_use = is_update && terms.patience_us(node.knowledge.age_us(now_us)).is_some();
         node.words.on_word(word(own_us, now_us - age_us));
         self.judge(place, known_before, Some(peer));
         is_of_use
--- a/crates/tealsaddle-gateway/src/change_log.rs
+++ b/crates/tealsaddle-gateway/src/change_log.rs
@@ -77,7 +77,8 @@
     }
 }
 
-fn value_bytes(change: &Change) -> usize {
+/// Size of a change's value.
+pub fn value_bytes(change: &Change) -> usize {
     match change {
         Change::Put(item) => item.value.len(),
         Change::Removed { .. } => 0,
--- a/crates/tealsaddle-gateway/src/changes.rs
+++ b/crates/tealsaddle-gateway/src/changes.rs
@@ -9,7 +9,7 @@
 use hyper::StatusCode;
 use tealsaddle_schema::fleet::{ChangesQuestion, ChangesReply, StoredChange};
 
-use crate::change_log::Position;
+use crate::change_log::{Position, value_bytes};
 use crate::clock;
 use crate::control::Control;
 use crate::external::{Change, Item};
@@ -19,8 +19,11 @@
 
 /// Path of a [`ChangesQuestion`].
 pub const CHANGES_PATH: &str = "/changes";
-/// Largest size of the values in one answer. A node that lacks more reads them from the store.
+/// Largest size of the values in one answer. Further changes follow in the next one.
 const MAX_VALUE_BYTES: usize = 16 << 10;
+/// The same of an answer with the changes of one revision alone, such as a long configuration. A node that lacks a larger value
+/// reads it from the store: sixteen nodes may ask this one at the same time, through a link of 10 Mbit/s.
+const MAX_LONE_VALUE_BYTES: usize = 64 << 10;
 
 /// Asks a peer for the changes after a position; `None` if it does not answer in time.
 pub async fn ask(
@@ -80,14 +83,14 @@
     let mut heard = control.heard.subscribe();
     let longest = control.gateway.knowledge.terms().source_timeout_us;
     let wait = Duration::from_micros(question.wait_us.min(longest));
-    let has_news = heard.wait_for(|()| has_news(control, &question));
+    let has_update = heard.wait_for(|()| has_update(control, &question));
     // What is known at the end of the wait is told all the same.
-    drop(tokio::time::timeout(wait, has_news).await);
+    drop(tokio::time::timeout(wait, has_update).await);
     let reply = reply(control, &question, asked_us);
     (StatusCode::OK, peer_message::text_of(&reply))
 }
 
-fn has_news(control: &Control, question: &ChangesQuestion) -> bool {
+fn has_update(control: &Control, question: &ChangesQuestion) -> bool {
     if control.gateway.knowledge.as_of_us() != question.seen_as_of_us {
         return true;
     }
@@ -107,27 +110,82 @@
     let as_of_us = control.gateway.knowledge.as_of_us();
     let fleet = control.fleet();
     let since = fleet.changes.since(position_of(question));
-    let changes = since.and_then(|changes| encode(changes, &fleet));
+    let told = since.and_then(|changes| ToldChanges::first_of(changes, &fleet));
     let position = fleet.changes.position();
+    let own_revision = position.map_or(0, |position| position.revision);
     let now_us = clock::now_us();
+    let is_gap = told.is_none();
+    let ToldChanges {
+        changes,
+        cut_at_revision,
+    } = told.unwrap_or_default();
+    let has_more = cut_at_revision.is_some();
     ChangesReply {
-        revision: position.map_or(0, |position| position.revision),
-        is_gap: changes.is_none(),
-        changes: changes.unwrap_or_default(),
+        revision: cut_at_revision.unwrap_or(own_revision),
+        is_gap,
+        changes,
         as_of_us,
-        age_us: now_us.saturating_sub(as_of_us),
+        age_us: if has_more {
+            u64::MAX
+        } else {
+            now_us.saturating_sub(as_of_us)
+        },
         held_us: now_us.saturating_sub(asked_us),
+        has_more,
     }
 }
 
-/// The changes as they are sent; `None` if a value is not text, or there is too much of it. Why a registration was
-/// removed is told as it is known by now.
-fn encode<'a, I>(changes: I, fleet: &FleetState) -> Option<Vec<StoredChange>>
-where
-    I: Iterator<Item = &'a Change>,
-{
+/// The changes of an answer: all after the position of the question, or the first ones.
+#[derive(Debug, Default)]
+struct ToldChanges {
+    changes: Vec<StoredChange>,
+    /// Revision of the last one if later ones do not fit into the answer.
+    cut_at_revision: Option<u64>,
+}
+
+impl ToldChanges {
+    /// The first of the changes, as many as fit into an answer; `None` if none does, or a value is not text.
+    fn first_of<'a, I>(changes: I, fleet: &FleetState) -> Option<Self>
+    where
+        I: Iterator<Item = &'a Change>,
+    {
+        let all: Vec<&Change> = changes.collect();
+        let (fitting, left) = all.split_at(fitting(&all));
+        let cut_at_revision = match (fitting.last(), left) {
+            (_, []) => None,
+            (None, _) => return None,
+            (Some(last), _) => Some(last.revision()),
+        };
+        let changes = fitting.iter().map(|change| encode(change, fleet));
+        Some(Self {
+            changes: changes.collect::<Option<_>>()?,
+            cut_at_revision,
+        })
+    }
+}
+
+/// Number of the changes that fit into an answer. Those of a revision stay together.
+pub fn fitting(changes: &[&Change]) -> usize {
     let mut bytes = 0;
-    let encode = |change: &Change| match change {
+    let mut count = 0;
+    for of_revision in changes.chunk_by(|a, b| a.revision() == b.revision()) {
+        bytes += of_revision.iter().copied().map(value_bytes).sum::<usize>();
+        let limit = if count == 0 {
+            MAX_LONE_VALUE_BYTES
+        } else {
+            MAX_VALUE_BYTES
+        };
+        if bytes > limit {
+            break;
+        }
+        count += of_revision.len();
+    }
+    count
+}
+
+/// A change as it is sent; `None` if its value is not text. Why a registration was removed is told as it is known by now.
+fn encode(change: &Change, fleet: &FleetState) -> Option<StoredChange> {
+    match change {
         Change::Removed {
             key,
             revision,
@@ -139,17 +197,12 @@
             value: String::new(),
             has_left: *has_left || fleet.has_left(key, revision.saturating_sub(1)),
         }),
-        Change::Put(item) => {
-            bytes += item.value.len();
-            let value = std::str::from_utf8(&item.value).ok()?;
-            (bytes <= MAX_VALUE_BYTES).then(|| StoredChange {
-                key: item.key.clone(),
-                revision: item.revision,
-                is_removed: false,
-                value: value.to_owned(),
-                has_left: false,
-            })
-        }
-    };
-    changes.map(encode).collect()
+        Change::Put(item) => Some(StoredChange {
+            key: item.key.clone(),
+            revision: item.revision,
+            is_removed: false,
+            value: std::str::from_utf8(&item.value).ok()?.to_owned(),
+            has_left: false,
+        }),
+    }
 }
--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -281,29 +281,26 @@
         log::info!(source:?, failure:?, knowledge_ms; "source of changes has failed");
     }
 
-    /// Whether a peer is asked before the store: a withdrawn key has to be refused soon, and a listing would first take the
-    /// time of a call that is not answered. Other fleets do not send their whole state among the nodes for it.
-    fn may_take_over_at_once(&self) -> bool {
+    /// Whether callers are told apart by keys. A withdrawn key has to be refused soon.
+    fn has_customers(&self) -> bool {
         let snapshot = self.control.gateway.snapshot.load();
-        let has_customers = snapshot
-            .config
-            .as_ref()
-            .is_some_and(|c| c.customers.is_some());
-        has_customers && self.control.fleet().store_availability.is_unavailable()
+        let config = snapshot.config.as_ref();
+        config.is_some_and(|config| config.customers.is_some())
     }
 
-    /// Takes over all keys, from the store or else from the peer.
+    /// Takes over all keys while the store is away, from the peer if no listing succeeds. Otherwise the other sources are asked,
+    /// the store's history among them, which is far shorter than a listing.
     async fn on_gap(&mut self, source: Source) {
-        if let Source::Peer(peer) = source
-            && self.may_take_over_at_once()
-        {
-            self.must_list = true;
-            self.reader.take_over(peer).await;
+        let Source::Peer(peer) = source else {
+            return;
+        };
+        if !self.control.fleet().store_availability.is_unavailable() {
             return;
         }
-        let listed = self.reader.list().await;
-        self.must_list = listed.is_err();
-        if let (Err(_), Source::Peer(peer)) = (listed, source) {
+        // A listing would first take the time of a call that is not answered. Fleets without customers do not send their whole
+        // state among the nodes for it.
+        self.must_list = self.has_customers() || self.reader.list().await.is_err();
+        if self.must_list {
             self.reader.take_over(peer).await;
         }
     }
--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -196,6 +196,14 @@
             return Err(PeerFailure::Gap);
         }
         let has_changes = !reply.changes.is_empty();
+        if reply.has_more {
+            // The answer says nothing of the age of what is known.
+            self.apply(changes::decode(reply.changes), reply.revision);
+            return Ok(Heard {
+                has_changes,
+                peer_as_of_us: 0,
+            });
+        }
         let as_of_us = as_of_answer_us(asked_us, reply.held_us, reply.age_us);
         self.control.fleet().store_words.on_word(StoreWord {
             from_us: as_of_us,
