Adjoin the windows of usage reports in the counts of each node

Cause: each question placed the start of its window anew, by when it arrived, apart from the end of the window before; copies of a killed node's counts were placed by another node. Requests at an edge were counted twice or not at all. Change: a node remembers where each window begins, tells it with its copies, and takes the difference of clocks from the quickest of four messages.

--- a/crates/tealsaddle-core/src/fleet/usage/log.rs
+++ b/crates/tealsaddle-core/src/fleet/usage/log.rs
@@ -1,6 +1,7 @@
 //! Counts of requests by customer and by time, on the monotonic clock of one node.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use super::{Requests, add};
 use crate::name::Name;
@@ -20,6 +21,11 @@
     time_us / BUCKET_US
 }
 
+/// Number of the first bucket of a range that begins at this time: the first one whose middle is not before it.
+pub const fn first_bucket_from(time_us: u64) -> u64 {
+    (time_us + BUCKET_US / 2) / BUCKET_US
+}
+
 impl UsageLog {
     /// Counts a request that begins to run now.
     pub fn count(&mut self, customer: &Name, now_us: u64) {
@@ -32,16 +38,14 @@
         self.buckets.insert(bucket, requests);
     }
 
-    /// Counts from one time until before another. Each bucket belongs to the range that its middle lies in, so that
-    /// adjoining ranges count each request once.
-    pub fn between(&self, from_us: u64, to_us: u64) -> Requests {
-        let first_after = |time_us: u64| (time_us + BUCKET_US / 2) / BUCKET_US;
-        let (from, to) = (first_after(from_us), first_after(to_us));
+    /// Sum of the counts in a range of buckets.
+    pub fn sum(&self, buckets: Range<u64>) -> Requests {
         let mut sum = Requests::default();
-        if from < to {
-            for requests in self.buckets.range(from..to).map(|(_bucket, r)| r) {
-                add(&mut sum, requests);
-            }
+        if buckets.is_empty() {
+            return sum;
+        }
+        for requests in self.buckets.range(buckets).map(|(_bucket, r)| r) {
+            add(&mut sum, requests);
         }
         sum
     }
--- a/crates/tealsaddle-core/tests/it/fleet/usage.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/usage.rs
@@ -5,12 +5,14 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tealsaddle_core::fleet::usage::log::{BUCKET_US, UsageLog};
+use tealsaddle_core::fleet::usage::clock_difference::ClockDifference;
+use tealsaddle_core::fleet::usage::log::{BUCKET_US, UsageLog, first_bucket_from};
 use tealsaddle_core::fleet::usage::reports::{
     ReportPauses, Reports, SendOutcome, SkipReason, Step, WindowUse,
 };
 use tealsaddle_core::fleet::usage::true_time::TrueTime;
 use tealsaddle_core::fleet::usage::window::WindowTerms;
+use tealsaddle_core::fleet::usage::window_starts::WindowStarts;
 use tealsaddle_core::fleet::usage::{Requests, add};
 use tealsaddle_core::name::Name;
 use yare::parameterized;
@@ -75,7 +77,10 @@
         let mut from_us = random.random_range(0..9 * SECOND_US);
         while from_us < 45 * SECOND_US {
             let to_us = from_us + random.random_range(1..7 * SECOND_US);
-            add(&mut sum, &log.between(from_us, to_us));
+            add(
+                &mut sum,
+                &log.sum(first_bucket_from(from_us)..first_bucket_from(to_us)),
+            );
             from_us = to_us;
         }
         assert_eq!(sum, counts(total));
@@ -96,7 +101,8 @@
         }
         let from_us = random.random_range(SECOND_US..10 * SECOND_US);
         let to_us = from_us + 5 * SECOND_US;
-        let counted = log.between(from_us, to_us).values().sum::<u64>();
+        let buckets = first_bucket_from(from_us)..first_bucket_from(to_us);
+        let counted = log.sum(buckets).values().sum::<u64>();
         let within = |margin_us: i64| {
             let from_us = from_us.saturating_add_signed(-margin_us);
             let to_us = to_us.saturating_add_signed(margin_us);
@@ -114,7 +120,7 @@
     let mut log = UsageLog::default();
     log.replace(7, counts(3));
     log.replace(7, counts(3));
-    assert_eq!(log.between(0, 10 * BUCKET_US), counts(3));
+    assert_eq!(log.sum(0..10), counts(3));
     log.forget_before(8 * BUCKET_US);
     assert!(log.is_empty());
 }
@@ -384,3 +390,49 @@
     }
     assert!(accepted > 10_000, "{accepted}");
 }
+
+/// Guards against requests that windows count twice or not at all when questions are late, are repeated or come from several
+/// nodes with other estimates of the time.
+#[test]
+fn windows_count_each_request_once_whatever_their_questions_say() {
+    let mut random = ChaCha8Rng::seed_from_u64(6);
+    for _case in 0..200 {
+        let mut log = UsageLog::default();
+        let mut starts = WindowStarts::default();
+        let total = random.random_range(1..400_u64);
+        for _request in 0..total {
+            let at_us = random.random_range(10 * SECOND_US..40 * SECOND_US);
+            log.count(&Name::from("kettle"), at_us);
+        }
+        let mut sum = Requests::default();
+        for window in 0..12 {
+            let mut asked = || {
+                let shift_us = random.random_range(0..3 * SECOND_US);
+                let from_us = WINDOWS.start_us(window) + shift_us;
+                first_bucket_from(from_us)..first_bucket_from(from_us + WINDOWS.length_us)
+            };
+            let buckets = starts.buckets_of(window, asked());
+            assert_eq!(starts.buckets_of(window, asked()), buckets);
+            add(&mut sum, &log.sum(buckets));
+        }
+        assert_eq!(sum, counts(total));
+    }
+}
+
+/// Guards against counts that shift because some messages are late, and against differences that no longer follow a clock.
+#[test]
+fn late_messages_do_not_move_the_difference_of_clocks() {
+    let mut difference = ClockDifference::default();
+    let delays_us = [200_000, 300, 700_000, 450_000, 90_000, 400, 250_000];
+    let mut own_times_us = Vec::new();
+    for (second, delay_us) in (1..).zip(delays_us) {
+        let sent_us = second * SECOND_US;
+        difference.on_message(sent_us, sent_us + 5 * SECOND_US + delay_us);
+        own_times_us.push(difference.to_own(0));
+    }
+    let expected_us = [
+        5_200_000, 5_000_300, 5_000_300, 5_000_300, 5_000_300, 5_000_400, 5_000_400,
+    ];
+    assert_eq!(own_times_us, expected_us);
+    assert_eq!(difference.to_other(difference.to_own(SECOND_US)), SECOND_US);
+}
--- a/crates/tealsaddle-gateway/src/duties/mod.rs
+++ b/crates/tealsaddle-gateway/src/duties/mod.rs
@@ -96,7 +96,7 @@
         is_same && term.authority.may_send(recorded_us, clock::now_us())
     }
 
-    /// Records that the key of the holder is not as the term has it, so that the authority is given up and acquired anew.
+    /// Records that the key of the holder is not as the term has it, so that the authority is given up and acquired again.
     pub fn on_conflict(&self, term: &DutyTerm) {
         let lost = &self.control.lost_term;
         lost.store(term.fence(), Ordering::Relaxed);
--- a/crates/tealsaddle-gateway/src/usage/collector.rs
+++ b/crates/tealsaddle-gateway/src/usage/collector.rs
@@ -16,8 +16,8 @@
 use tealsaddle_core::fleet::usage::{Requests, add};
 
 use super::Usage;
-use super::copies::keepers;
-use super::messages::{CountAnswer, CountQuestion, QUESTION_PATH};
+use super::copies::replicas;
+use super::messages::{CountAnswer, CountQuestion, QUESTION_PATH, SendTime};
 use crate::clock::{self, jittered};
 use crate::gateway::Gateway;
 use crate::peer_message::{self, Connection};
@@ -26,26 +26,40 @@
 const ASKED_AT_ONCE: usize = 16;
 /// Longest pause before a question, so that answers do not arrive all at once: 360 nodes are asked within 2 s.
 const SPREAD: Duration = Duration::from_millis(20);
-/// Time for a node to answer. A node answers by its clock when the question arrives, so a late answer is off by its delay.
+/// Time for a node to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause before the nodes that have not answered are asked again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(500);
 /// Number of other nodes that are told of a record before its report is sent.
-const WITNESSES: usize = 3;
+const RECORD_REPLICAS: usize = 3;
 /// Time for them to answer. The report has to be sent soon after its record was written.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(150);
+const RECORD_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a node that is no longer registered is still asked. It may be stopping.
 const DEPARTED_US: u64 = 15_000_000;
 
 /// A range of the own monotonic clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Range {
+    /// Window that it stands for; `None` if only the clocks are asked for.
+    pub window: Option<u64>,
     /// Start.
     pub from_us: u64,
     /// End, which does not belong to the range.
     pub to_us: u64,
 }
 
+impl Range {
+    /// An empty range, for questions in which only the clocks, or what is recorded, are of interest.
+    pub fn empty() -> Self {
+        let now_us = clock::now_us();
+        Self {
+            window: None,
+            from_us: now_us,
+            to_us: now_us,
+        }
+    }
+}
+
 /// Counts of all nodes that answered.
 #[derive(Debug, Default)]
 pub struct Collected {
@@ -96,24 +110,19 @@
     /// Tells a few nodes that the report of a window is recorded, so that they remember it if the store loses the record and
     /// this node is lost before it asks all nodes again. Returns how many have answered.
     pub async fn tell_recorded(&self, window: u64) -> usize {
-        let now_us = clock::now_us();
-        let range = Range {
-            from_us: now_us,
-            to_us: now_us,
-        };
         let usage = &self.gateway.usage;
         let inquiry = Inquiry {
             usage: Arc::clone(usage),
-            range,
+            range: Range::empty(),
             recorded: window,
             missing: Vec::new(),
         };
         usage.answer_question(&inquiry.question());
         let mut nodes = self.gateway.snapshot.load().peers.to_vec();
         sort_nodes(&mut nodes, &window.to_string());
-        nodes.truncate(WITNESSES);
+        nodes.truncate(RECORD_REPLICAS);
         let told = nodes.into_iter().map(move |node| inquiry.clone().ask(node));
-        let told = told.map(|told| tokio::time::timeout(WITNESS_TIMEOUT, told));
+        let told = told.map(|told| tokio::time::timeout(RECORD_TIMEOUT, told));
         let told = join_all(told).await;
         let has_answered = |answer| matches!(answer, Ok((_node, Some(_answer))));
         told.into_iter()
@@ -146,7 +155,7 @@
         if !missing.is_empty() {
             let mut holders: Vec<SocketAddr> = missing
                 .iter()
-                .flat_map(|node| keepers(&all, *node))
+                .flat_map(|node| replicas(&all, *node))
                 .filter(|node| !missing.contains(node))
                 .collect();
             holders.sort_unstable();
@@ -177,6 +186,11 @@
         CountQuestion {
             from_age_us: now_us.saturating_sub(self.range.from_us),
             to_age_us: now_us.saturating_sub(self.range.to_us),
+            window: self.range.window,
+            sent: Some(SendTime {
+                process: self.usage.process,
+                now_us,
+            }),
             recorded: self.recorded,
             missing: self.missing.clone(),
         }
--- a/crates/tealsaddle-gateway/src/usage/copies.rs
+++ b/crates/tealsaddle-gateway/src/usage/copies.rs
@@ -6,7 +6,7 @@
 
 use futures::future::join_all;
 use tealsaddle_core::fleet::rendezvous::sort_nodes;
-use tealsaddle_core::fleet::usage::log::{BUCKET_US, bucket_at};
+use tealsaddle_core::fleet::usage::log::bucket_at;
 
 use super::Usage;
 use super::messages::{COPY_PATH, CopyReply, CountCopy};
@@ -19,20 +19,20 @@
 /// Time for the other node to answer.
 const COPY_TIMEOUT: Duration = Duration::from_millis(600);
 /// Number of nodes that may have copies of a node's counts: the first by rendezvous, and the next ones if it does not answer.
-pub const KEEPERS: usize = 3;
+pub const REPLICAS: usize = 3;
 /// Time before now whose counts are told again when another node gets the copies.
 const RETOLD_US: u64 = 30_000_000;
 /// Number of nodes that are told the last counts of a process that ends.
-const LAST_KEEPERS: usize = 2;
+const LAST_REPLICAS: usize = 2;
 /// Time for a last message. The process may have to end soon.
 const LAST_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The nodes that may keep copies of the counts of `node`, best first.
-pub fn keepers(peers: &[SocketAddr], node: SocketAddr) -> Vec<SocketAddr> {
+/// The nodes that may hold copies of the counts of `node`, best first.
+pub fn replicas(peers: &[SocketAddr], node: SocketAddr) -> Vec<SocketAddr> {
     let mut nodes = peers.to_vec();
     nodes.retain(|peer| *peer != node);
     sort_nodes(&mut nodes, &node.to_string());
-    nodes.truncate(KEEPERS);
+    nodes.truncate(REPLICAS);
     nodes
 }
 
@@ -46,22 +46,22 @@
         );
         return;
     };
-    let mut keeper = None;
+    let mut replica = None;
     let mut failures = 0;
     loop {
         tokio::time::sleep(COPY_INTERVAL).await;
         usage.forget_old();
-        let nodes = keepers(&gateway.snapshot.load().peers, own);
+        let nodes = replicas(&gateway.snapshot.load().peers, own);
         if nodes.is_empty() {
             continue;
         }
         let chosen = nodes[failures % nodes.len()];
-        if keeper.replace(chosen) != Some(chosen) {
+        if replica.replace(chosen) != Some(chosen) {
             log::info!(node:% = chosen, failures; "counts of usage are told to another node from now on");
             usage.tell_again();
         }
         let copy = usage.untold(own, false);
-        if copy.buckets.is_empty() {
+        if usage.is_known(&copy) {
             continue;
         }
         if usage.tell(chosen, &copy, COPY_TIMEOUT).await {
@@ -77,7 +77,14 @@
     /// Has all recent counts told again, as another node gets them from now on.
     fn tell_again(&self) {
         let from_us = crate::clock::now_us().saturating_sub(RETOLD_US);
-        self.state().untold_from = bucket_at(from_us);
+        let mut state = self.state();
+        state.untold_from = bucket_at(from_us);
+        state.told_window = 0;
+    }
+
+    /// Whether another node has been told of all that a copy has.
+    fn is_known(&self, copy: &CountCopy) -> bool {
+        copy.buckets.is_empty() && copy.latest_window() <= self.state().told_window
     }
 
     async fn tell(&self, node: SocketAddr, copy: &CountCopy, limit: Duration) -> bool {
@@ -88,7 +95,8 @@
 
     fn on_told(&self, copy: &CountCopy) {
         let mut state = self.state();
-        state.untold_from = state.untold_from.max(copy.now_us / BUCKET_US);
+        state.untold_from = state.untold_from.max(bucket_at(copy.now_us));
+        state.told_window = state.told_window.max(copy.latest_window());
     }
 }
 
@@ -103,8 +111,8 @@
     if copy.buckets.is_empty() {
         return;
     }
-    let mut nodes = keepers(&gateway.snapshot.load().peers, own);
-    nodes.truncate(LAST_KEEPERS);
+    let mut nodes = replicas(&gateway.snapshot.load().peers, own);
+    nodes.truncate(LAST_REPLICAS);
     let told = nodes
         .iter()
         .map(|node| usage.tell(*node, &copy, LAST_TIMEOUT));
--- a/crates/tealsaddle-gateway/src/usage/messages.rs
+++ b/crates/tealsaddle-gateway/src/usage/messages.rs
@@ -11,7 +11,7 @@
 /// Path of a [`CountCopy`].
 pub const COPY_PATH: &str = "/usage-copy";
 
-/// Question of the holder for counts, by age on the monotonic clock of whoever answers.
+/// Question of the holder for counts, by age when it is sent.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CountQuestion {
     /// Age of the start of the range.
@@ -20,6 +20,12 @@
     /// Age of the end of the range.
     #[serde(rename = "t")]
     pub to_age_us: u64,
+    /// Window that the range stands for; `None` if only the clocks are asked for.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub window: Option<u64>,
+    /// When the question was sent; `None` from builds that do not tell it.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub sent: Option<SendTime>,
     /// Highest window that is recorded; 0 if none is known.
     #[serde(rename = "r")]
     pub recorded: u64,
@@ -28,6 +34,17 @@
     pub missing: Vec<SocketAddr>,
 }
 
+/// When a message was sent, by the monotonic clock of the process that sent it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct SendTime {
+    /// Id of the process.
+    #[serde(rename = "p")]
+    pub process: u64,
+    /// Its clock.
+    #[serde(rename = "n")]
+    pub now_us: u64,
+}
+
 /// Answer to a [`CountQuestion`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CountAnswer {
@@ -77,11 +94,22 @@
     /// Buckets with requests by number, as in [`tealsaddle_core::fleet::usage::log::UsageLog`].
     #[serde(rename = "b")]
     pub buckets: BTreeMap<u64, Requests>,
+    /// First buckets of the latest windows that the process has answered for.
+    #[serde(rename = "e", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub window_starts: BTreeMap<u64, u64>,
     /// Whether the process is about to end.
     #[serde(rename = "l", default)]
     pub is_last: bool,
 }
 
+impl CountCopy {
+    /// Latest window whose start is told; 0 if there is none.
+    pub fn latest_window(&self) -> u64 {
+        let latest = self.window_starts.last_key_value();
+        latest.map_or(0, |(window, _start)| *window)
+    }
+}
+
 /// Answer to a [`CountCopy`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CopyReply;
--- a/crates/tealsaddle-gateway/src/usage/mod.rs
+++ b/crates/tealsaddle-gateway/src/usage/mod.rs
@@ -17,7 +17,10 @@
 use hyper::StatusCode;
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::customers::Customer;
-use tealsaddle_core::fleet::usage::log::{UsageLog, bucket_at};
+use tealsaddle_core::fleet::usage::Requests;
+use tealsaddle_core::fleet::usage::clock_difference::ClockDifference;
+use tealsaddle_core::fleet::usage::log::{UsageLog, bucket_at, first_bucket_from};
+use tealsaddle_core::fleet::usage::window_starts::WindowStarts;
 
 use crate::clock;
 use crate::metrics::Metrics;
@@ -26,6 +29,7 @@
 use crate::upstream::Upstreams;
 use messages::{
     COPY_PATH, CopiedRequests, CopyReply, CountAnswer, CountCopy, CountQuestion, QUESTION_PATH,
+    SendTime,
 };
 use wall_clock::{SystemWallClock, WallClock};
 
@@ -34,37 +38,89 @@
 /// A process that has told no counts for this long may have ended, so its copy is told to the holder without being asked for.
 /// Two and a half times the interval of the copies.
 const SILENT_US: u64 = 2_500_000;
+/// Number of latest windows whose starts are told with a copy. Only the end of the latest answer matters; the ones before are
+/// for answers that are asked for again.
+const TOLD_STARTS: usize = 4;
+
+/// Counts of one process and their division into windows.
+#[derive(Debug, Default)]
+struct ProcessCounts {
+    log: UsageLog,
+    starts: WindowStarts,
+}
+
+impl ProcessCounts {
+    /// Requests of a window, or of a range that stands for none, between two times of the process's clock.
+    fn requests(&mut self, window: Option<u64>, from_us: u64, to_us: u64) -> Requests {
+        let asked = first_bucket_from(from_us)..first_bucket_from(to_us);
+        let buckets = match window {
+            Some(window) => self.starts.buckets_of(window, asked),
+            None => asked,
+        };
+        self.log.sum(buckets)
+    }
+
+    fn forget_before(&mut self, time_us: u64) {
+        self.log.forget_before(time_us);
+        self.starts.forget_before(bucket_at(time_us));
+    }
+}
 
 /// Counts that another process has told.
 #[derive(Debug)]
 struct Kept {
     node: SocketAddr,
-    log: UsageLog,
-    /// Monotonic clock of this node minus that of the process.
-    ahead_us: i64,
+    counts: ProcessCounts,
+    clock: ClockDifference,
     heard_us: u64,
     has_ended: bool,
 }
 
-impl Kept {
-    fn to_its_clock(&self, time_us: u64) -> u64 {
-        (time_us as i64).saturating_sub(self.ahead_us).max(0) as u64
-    }
+/// The process that asks for counts, and its clock.
+#[derive(Debug, Default)]
+struct Asker {
+    process: u64,
+    clock: ClockDifference,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    own: UsageLog,
+    own: ProcessCounts,
+    /// The process that has asked last.
+    asker: Asker,
     /// Counts of other processes by their id.
     kept: HashMap<u64, Kept>,
     /// Highest window known to be recorded.
     recorded: u64,
     /// Number of the first bucket that no other node has been told.
     untold_from: u64,
+    /// Highest window whose start another node has been told; 0 if there is none.
+    told_window: u64,
     /// Addresses of the other registered nodes.
     peers: Arc<[SocketAddr]>,
 }
 
+impl State {
+    /// The own clock when a question was sent that has arrived now.
+    fn sent_us(&mut self, sent: Option<SendTime>, now_us: u64) -> u64 {
+        let Some(SendTime {
+            process,
+            now_us: sent_us,
+        }) = sent
+        else {
+            return now_us;
+        };
+        if self.asker.process != process {
+            self.asker = Asker {
+                process,
+                clock: ClockDifference::default(),
+            };
+        }
+        self.asker.clock.on_message(sent_us, now_us);
+        self.asker.clock.to_own(sent_us)
+    }
+}
+
 /// Counts of this node and copies of those of others.
 #[derive(Debug)]
 pub struct Usage {
@@ -120,7 +176,7 @@
     /// Counts a request of a customer that begins to run now.
     pub fn count(&self, customer: Option<&Customer>) {
         if let Some(customer) = customer.filter(|_customer| self.is_counting) {
-            self.state().own.count(&customer.name, clock::now_us());
+            self.state().own.log.count(&customer.name, clock::now_us());
         }
     }
 
@@ -142,30 +198,36 @@
 
     fn answer_question(&self, question: &CountQuestion) -> CountAnswer {
         let now_us = clock::now_us();
-        let from_us = now_us.saturating_sub(question.from_age_us);
-        let to_us = now_us.saturating_sub(question.to_age_us);
         let unix_us = self.unix_us();
         let mut state = self.state();
+        let state = &mut *state;
+        let sent_us = state.sent_us(question.sent, now_us);
+        let from_us = sent_us.saturating_sub(question.from_age_us);
+        let to_us = sent_us.saturating_sub(question.to_age_us);
         state.recorded = state.recorded.max(question.recorded);
-        let kept = state.kept.iter().filter(|(_process, kept)| {
+        let peers = &state.peers;
+        let kept = state.kept.iter_mut().filter(|(_process, kept)| {
             let is_silent = kept.heard_us + SILENT_US <= now_us;
             // A node that stops is no longer registered, so a new holder does not ask it.
-            let is_asked = state.peers.contains(&kept.node);
+            let is_asked = peers.contains(&kept.node);
             kept.has_ended || is_silent || !is_asked || question.missing.contains(&kept.node)
         });
         let copies = kept.map(|(process, kept)| CopiedRequests {
             process: *process,
-            requests: kept
-                .log
-                .between(kept.to_its_clock(from_us), kept.to_its_clock(to_us)),
+            requests: kept.counts.requests(
+                question.window,
+                kept.clock.to_other(from_us),
+                kept.clock.to_other(to_us),
+            ),
         });
+        let copies = copies.filter(|copy| !copy.requests.is_empty()).collect();
         CountAnswer {
             process: self.process,
             uptime_us: now_us.saturating_sub(self.started_us),
             unix_us,
             recorded: state.recorded,
-            requests: state.own.between(from_us, to_us),
-            copies: copies.filter(|copy| !copy.requests.is_empty()).collect(),
+            requests: state.own.requests(question.window, from_us, to_us),
+            copies,
         }
     }
 
@@ -175,17 +237,18 @@
         let mut state = self.state();
         let kept = state.kept.entry(copy.process).or_insert_with(|| Kept {
             node: copy.node,
-            log: UsageLog::default(),
-            ahead_us: 0,
+            counts: ProcessCounts::default(),
+            clock: ClockDifference::default(),
             heard_us: now_us,
             has_ended: false,
         });
-        kept.ahead_us = (now_us as i64).saturating_sub(copy.now_us as i64);
+        kept.clock.on_message(copy.now_us, now_us);
         kept.heard_us = now_us;
         kept.has_ended |= copy.is_last;
         for (bucket, requests) in copy.buckets {
-            kept.log.replace(bucket, requests);
+            kept.counts.log.replace(bucket, requests);
         }
+        kept.counts.starts.on_told(copy.window_starts);
     }
 
     /// Drops counts that are older than [`KEEP_US`].
@@ -194,10 +257,12 @@
         let mut state = self.state();
         state.own.forget_before(before_us);
         for kept in state.kept.values_mut() {
-            let before_us = kept.to_its_clock(before_us);
-            kept.log.forget_before(before_us);
+            let before_us = kept.clock.to_other(before_us);
+            kept.counts.forget_before(before_us);
         }
-        state.kept.retain(|_process, kept| !kept.log.is_empty());
+        state
+            .kept
+            .retain(|_process, kept| !kept.counts.log.is_empty());
     }
 
     /// What is to be told to another node. The current bucket is left out unless this is the last message, as more may be
@@ -210,7 +275,8 @@
             node,
             process: self.process,
             now_us,
-            buckets: state.own.buckets(state.untold_from, end),
+            buckets: state.own.log.buckets(state.untold_from, end),
+            window_starts: state.own.starts.latest(TOLD_STARTS),
             is_last,
         }
     }
--- a/crates/tealsaddle-gateway/src/usage/reporter.rs
+++ b/crates/tealsaddle-gateway/src/usage/reporter.rs
@@ -179,13 +179,8 @@
     /// The true time; `None` if too few nodes have told theirs.
     async fn true_us(&mut self) -> Option<u64> {
         if self.collector.true_offset_us().is_none() {
-            // A range without counts: only the clocks are of interest.
-            let now_us = clock::now_us();
-            let range = Range {
-                from_us: now_us,
-                to_us: now_us,
-            };
             let recorded = self.reports.recorded().unwrap_or(0);
+            let (range, now_us) = (Range::empty(), clock::now_us());
             let collected = self.collector.collect(range, recorded, now_us).await;
             self.on_collected(&collected);
         }
@@ -203,6 +198,7 @@
         };
         let to_own = |true_us| to_other(true_us, -offset_us);
         let range = Range {
+            window: Some(window),
             from_us: to_own(self.windows.start_us(window)),
             to_us: to_own(self.windows.end_us(window)),
         };
