Ask a runner several times whether its process outlasts the end of a connection

Callers saw streams that ended as whole before their last event, or went back by a number. Cause: a process that stops or crashes closes its connections and may give its report for some time before it ends, so one report at the end of an answer without a length proves nothing. Change: the runner is asked again until its process has ended or has run on for long enough; an answer of events that ends without one is not complete.

--- a/crates/tealsaddle-core/src/fleet/events.rs
+++ b/crates/tealsaddle-core/src/fleet/events.rs
@@ -61,6 +61,11 @@
         self.goes_on_after = Some(id.to_owned());
     }
 
+    /// Whether the present runner was asked to go on after an event and has sent none yet.
+    pub const fn is_expected_to_go_on(&self) -> bool {
+        self.goes_on_after.is_some()
+    }
+
     /// Whether the present runner's stream did not go on where it was expected to. Its events are not released.
     pub const fn is_out_of_order(&self) -> bool {
         self.is_out_of_order
@@ -270,7 +275,7 @@
     }
 
     /// Whether it may follow the event with id `last_id`. Ids rise; those that are not numbers can only be told apart.
-    /// Without an id nobody can tell.
+    /// Without an id this cannot be told.
     pub fn may_follow(&self, last_id: &str) -> bool {
         let Some(id) = &self.id else {
             return false;
--- a/crates/tealsaddle-gateway/src/event_stream.rs
+++ b/crates/tealsaddle-gateway/src/event_stream.rs
@@ -122,6 +122,14 @@
         self.has_events
     }
 
+    /// Whether the answer consists of events and none of them has come, in this attempt or before. A complete run has one.
+    pub fn is_without_events(&self) -> bool {
+        let has_begun = self.has_passed_events || self.boundary.events() > 0;
+        let splitter = self.splitter.as_ref();
+        let is_taken_up = splitter.is_some_and(EventSplitter::is_expected_to_go_on);
+        self.has_events && !has_begun && !is_taken_up
+    }
+
     /// Whether the stream is complete if it ends here.
     pub fn may_end(&self) -> bool {
         !self.has_events || self.incomplete_bytes() == 0
--- a/crates/tealsaddle-gateway/src/plain.rs
+++ b/crates/tealsaddle-gateway/src/plain.rs
@@ -24,6 +24,7 @@
 use crate::call::{Call, MIN_RETRY_AFTER, OwnAnswer, Refusal};
 use crate::clock;
 use crate::permits::{Candidates, PermittedPlacement};
+use crate::process_check::Outlasting;
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::send_gate::SendPermit;
@@ -324,7 +325,8 @@
         let mut is_complete = false;
         while !is_complete && bytes.len() <= MAX_BUFFERED_BYTES {
             let next = body.next_until(self.deadline).await;
-            match self.check_body_end(runner, framing, next).await {
+            let checked = self.check_body_end(runner, framing, next, Outlasting::Short);
+            match checked.await {
                 Ok(Some(data)) => bytes.extend_from_slice(&data),
                 Ok(None) => is_complete = true,
                 Err(reason) => {
@@ -364,7 +366,10 @@
     async fn next(mut self) -> Option<(Result<Frame<Bytes>, Aborted>, Option<Self>)> {
         let framing = self.body.framing();
         let read = self.body.next_until(self.call.deadline).await;
-        let read = self.call.check_body_end(&self.runner, framing, read).await;
+        let checked = self
+            .call
+            .check_body_end(&self.runner, framing, read, Outlasting::Short);
+        let read = checked.await;
         let (outcome, step) = match read {
             Ok(Some(data)) => return Some((Ok(Frame::data(data)), Some(self))),
             Ok(None) => {
--- a/crates/tealsaddle-gateway/src/quarantine/losses.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/losses.rs
@@ -4,7 +4,7 @@
 //! runner is asked for its report: a broken connection of one request is no crash, and says nothing of its prompt.
 //! The losses of a process that has ended are reported to the collectors of the service.
 //!
-//! Where all runners of a service are down, or this node is cut off, nobody can tell whether the process has ended. Its
+//! Where all runners of a service are down, or this node is cut off, it is not known whether the process has ended. Its
 //! losses are then kept until the runner is seen again: a later start shows that the process has ended, whatever the
 //! reason, and the same start that it has not.
 
@@ -24,7 +24,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::process_check::{self, ProcessState};
+use crate::process_check::{self, Outlasting, ProcessState};
 use crate::quarantine::peer_clock::{self, ClockReading};
 use crate::quarantine::{collector, messages};
 
@@ -143,7 +143,7 @@
     tokio::time::sleep(GATHER_TIME).await;
     let lost = gateway.quarantine.losses.take(&process);
     let began_us = clock::now_us();
-    let state = match process_check::check(&gateway, &runner).await {
+    let state = match state_after_loss(&gateway, &runner).await {
         ProcessState::Unknown => await_certainty(&gateway, &runner, lost.len()).await,
         state => state,
     };
@@ -168,6 +168,15 @@
     }
 }
 
+/// State of a runner's process after losses. One that was leaving is asked only once: its end a moment later is planned.
+async fn state_after_loss(gateway: &Gateway, runner: &Runner) -> ProcessState {
+    if process_check::is_leaving(gateway, runner) {
+        process_check::check(gateway, runner).await
+    } else {
+        process_check::check_outlasts(gateway, runner, Outlasting::Short).await
+    }
+}
+
 /// Waits until it is known whether the process of a runner has ended: by its registration, by its report or by nodes that
 /// reach it.
 async fn await_certainty(gateway: &Gateway, runner: &Runner, lost: usize) -> ProcessState {
--- a/crates/tealsaddle-gateway/src/relay.rs
+++ b/crates/tealsaddle-gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::event_stream::EventStream;
 use crate::framing::Framing;
+use crate::process_check::Outlasting;
 use crate::quarantine::losses::LostAttempt;
 use crate::scheduler::RunnerAttempt;
 use crate::silence::{Resumption, STREAM_SILENCE_LIMIT, Waited};
@@ -199,12 +200,7 @@
             Waited::Heard((body, read)) => {
                 let framing = body.framing();
                 self.body = Some(body);
-                let read = if self.events.may_end() {
-                    let runner = &self.run.runner;
-                    self.call.check_body_end(runner, framing, read).await
-                } else {
-                    read
-                };
+                let read = self.check_end(framing, read).await;
                 self.on_read(runner, framing, read)
             }
             Waited::Replaced(stream) => {
@@ -215,6 +211,27 @@
         }
     }
 
+    /// Turns an end that is not known to be that of the stream into a failure.
+    async fn check_end(
+        &self,
+        framing: Framing,
+        read: Result<Option<Bytes>, UnknownReason>,
+    ) -> Result<Option<Bytes>, UnknownReason> {
+        if !self.events.may_end() {
+            return read;
+        }
+        let runner = &self.run.runner;
+        // All events have been passed on; only the mark of the end waits.
+        let checked = self
+            .call
+            .check_body_end(runner, framing, read, Outlasting::Long);
+        let read = checked.await?;
+        if read.is_none() && framing == Framing::UntilClose && self.events.is_without_events() {
+            return Err(UnknownReason::EndUnconfirmed);
+        }
+        Ok(read)
+    }
+
     fn on_read(
         &mut self,
         runner: Name,
