--- a/crates/tealsaddle-core/src/fleet/caller_budget.rs
+++ b/crates/tealsaddle-core/src/fleet/caller_budget.rs
@@ -1,7 +1,7 @@
 //! Budget for what a node holds for its callers, and the choice of who is dropped when it is used up.
 //!
 //! Each connection of a caller holds bytes: its buffers, the body of its request and the part of an answer that it has not
-//! read. While the sum is within the budget nobody is refused. Beyond it, connections that hold more than an equal share
+//! read. While the sum is within the budget, no request is refused. Beyond it, connections that hold more than an equal share
 //! are dropped, first those that hold the most for what they have moved in the last moments. A connection whose request
 //! has been sent to a runner is dropped only if no other holds more than an equal share, since what has run is lost with
 //! it. The sum stays within the budget, as one of the connections holds at least an equal share.
--- a/crates/tealsaddle-core/src/fleet/permit_counter.rs
+++ b/crates/tealsaddle-core/src/fleet/permit_counter.rs
@@ -9,7 +9,7 @@
 
 /// Requests that a bucket takes at once.
 const BURST: f64 = 2.0;
-/// Smallest limit in requests a second: without any request nobody would learn that a limit has ended.
+/// Smallest limit in requests a second: without any request it would not show that a limit has ended.
 pub const MIN_LIMIT_PER_S: f64 = 0.1;
 /// Share of the limit that all substitutes give together, beside the whole one of the counting node.
 const SUBSTITUTE_SHARE: f64 = 0.5;
--- a/crates/tealsaddle-core/src/fleet/shares/mod.rs
+++ b/crates/tealsaddle-core/src/fleet/shares/mod.rs
@@ -61,7 +61,7 @@
     pub nodes: u32,
     /// Estimated capacity; `None` while the service is not short of it.
     pub capacity_us_per_s: Option<f64>,
-    /// Largest work per second of a customer, in microseconds of runner time; `None` if nobody is limited.
+    /// Largest work per second of a customer, in microseconds of runner time; `None` if no customer is limited.
     pub level_us_per_s: Option<f64>,
     /// Ratio of the running nodes to those that the summary covers; 1 if no node is silent.
     pub silent_ratio: f64,
--- a/crates/tealsaddle-core/src/fleet/shares/node.rs
+++ b/crates/tealsaddle-core/src/fleet/shares/node.rs
@@ -159,7 +159,7 @@
         self.turned_away.add(work_us, now_us, TURNED_AWAY_WINDOW_US);
     }
 
-    /// Returns the level by which customers are limited; `None` if nobody is.
+    /// Returns the level by which customers are limited; `None` if none is.
     pub fn level_us_per_s(&self) -> Option<f64> {
         self.known.as_ref().and_then(|known| known.level_us_per_s)
     }
--- a/crates/tealsaddle-core/tests/it/fleet/permit_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/permit_histories.rs
@@ -449,7 +449,7 @@
     }
 }
 
-/// Guards against nodes that hold requests back after the need has ended, since nobody tells them.
+/// Guards against nodes that hold requests back after the need has ended, since no node tells them.
 #[parameterized(
     small = { 7 },
     grown = { 74 },
--- a/crates/tealsaddle-core/tests/it/fleet/resumption.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/resumption.rs
@@ -39,7 +39,7 @@
     assert_eq!(wait, Some(UNTIL_US));
 }
 
-/// Guards against each request of a node that is cut off waiting anew after one pause.
+/// Guards against each request of a node that is cut off waiting again after one pause.
 #[test]
 fn wait_ends_once_for_all_requests() {
     let mut resumption = Resumption::new(START_US);
--- a/crates/tealsaddle-core/tests/it/fleet/share_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/share_sim.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     None,
-    /// Each node of the last third hears nobody.
+    /// Each node of the last third receives no message.
     Silent,
     /// The nodes of the last third hear only each other.
     CutThird,
@@ -124,7 +124,7 @@
         for (_at, customer, work_us) in due {
             self.request(customer, work_us, true, now_us);
         }
-        // The runners' queue has no room for all; nobody comes first at it in every step.
+        // The runners' queue has no room for all; no node comes first at it in every step.
         let mut order: Vec<usize> = (0..self.history.loads.len()).collect();
         order.shuffle(&mut self.rng);
         for customer in order {
--- a/crates/tealsaddle-core/tests/it/fleet/sizing/demand.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/sizing/demand.rs
@@ -38,7 +38,7 @@
     assert!(close(total.known_share, 0.5), "{total:?}");
 }
 
-/// Guards against rates from totals that began anew, which would be taken for a jump of the demand.
+/// Guards against rates from totals that began again, which would be taken for a jump of the demand.
 #[test]
 fn restart_of_a_node_gives_no_rates() {
     let mut demand = FleetDemand::default();
--- a/crates/tealsaddle-gateway/src/caller_memory.rs
+++ b/crates/tealsaddle-gateway/src/caller_memory.rs
@@ -3,7 +3,7 @@
 //! Each connection has a [`ConnectionShare`], which reports what the connection holds to the budget of the node
 //! ([`CallerBudget`]). A connection that the budget drops is told so through a token: a request whose body is still
 //! arriving is refused, as it has not been run; any other connection is closed, which states nothing about its request.
-//! Without limits in the settings nothing is counted and nobody is dropped.
+//! Without limits in the settings nothing is counted and no connection is dropped.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -76,7 +76,7 @@
     pub snapshot: Arc<ArcSwap<FleetSnapshot>>,
     /// How old the knowledge is that the fleet was published with.
     pub knowledge: KnowledgeClock,
-    /// Whether the process was paused and has not heard news since.
+    /// Whether the process was paused and has received no update since.
     pub resumption: ResumptionClock,
     /// Ways to the runners, some of them through other nodes.
     pub runner_paths: Arc<RunnerPaths>,
--- a/crates/tealsaddle-gateway/src/quarantine/keeper.rs
+++ b/crates/tealsaddle-gateway/src/quarantine/keeper.rs
@@ -1,7 +1,7 @@
 //! Changes of the list of quarantined parts and requests by this node, in the control thread.
 //!
 //! A change is published and told to the peers at once, and then stored. A node that was told stores the record
-//! itself if nobody else has done so after a while.
+//! itself if no other node has done so after a while.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/tealsaddle-gateway/src/resumption.rs
+++ b/crates/tealsaddle-gateway/src/resumption.rs
@@ -1,4 +1,4 @@
-//! Lets requests wait for news after the process was paused.
+//! Lets requests wait for an update of the fleet after the process was paused.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
--- a/crates/tealsaddle-node/tests/it/silence.rs
+++ b/crates/tealsaddle-node/tests/it/silence.rs
@@ -434,7 +434,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn silent_peer_goes_on_without_another_attempt(has_other: bool, counter: &str) {
-    // The budget is granted anew with each second, so that the request may get a retry before the test has taken
+    // The budget is granted again each second, so that the request may get a retry before the test has taken
     // it. The peers and the node are started again then.
     while !goes_on_without_another_attempt(has_other, counter).await {}
 }
