Date the start of the oldest process by the arrival of its answer

What callers saw: requests of a fleet's first moments are in no usage report. Cause: the holder subtracted the uptime that a process had told from the time at which all answers had come, up to 0.7 s later, so that a window in which the fleet already ran was taken for one from before its start. Change: the time since which the fleet runs is worked out as each answer arrives.

--- a/crates/tealsaddle-gateway/src/usage/collector.rs
+++ b/crates/tealsaddle-gateway/src/usage/collector.rs
@@ -61,7 +61,7 @@
 }
 
 /// Counts of all nodes that answered.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Collected {
     /// Requests of all nodes.
     pub requests: Requests,
@@ -71,8 +71,8 @@
     pub missing: usize,
     /// Highest window that a node knows to be recorded; 0 if none does.
     pub recorded: u64,
-    /// Longest time for which a process that answered has run.
-    pub uptime_us: u64,
+    /// Own clock when the first of the processes that answered was started, or somewhat later.
+    pub running_since_us: u64,
 }
 
 impl Collected {
@@ -221,8 +221,8 @@
     inquiry: Inquiry,
     /// Highest window that a node knows to be recorded.
     recorded: u64,
-    /// Longest time for which a process that answered has run.
-    uptime_us: u64,
+    /// Own clock when the first of the processes that answered was started; too late by the time that its answer took.
+    running_since_us: u64,
     /// Counts by process as told by itself.
     told: HashMap<u64, Requests>,
     /// Counts by process as kept by others.
@@ -233,7 +233,7 @@
     fn begin(inquiry: Inquiry, true_time: &mut TrueTime) -> Self {
         let mut round = Self {
             recorded: 0,
-            uptime_us: 0,
+            running_since_us: u64::MAX,
             told: HashMap::default(),
             copied: HashMap::default(),
             inquiry,
@@ -270,7 +270,8 @@
 
     fn merge(&mut self, answer: CountAnswer) {
         self.recorded = self.recorded.max(answer.recorded);
-        self.uptime_us = self.uptime_us.max(answer.uptime_us);
+        let since_us = clock::now_us().saturating_sub(answer.uptime_us);
+        self.running_since_us = self.running_since_us.min(since_us);
         self.told.insert(answer.process, answer.requests);
         for copy in answer.copies {
             let kept = self.copied.entry(copy.process).or_default();
@@ -296,7 +297,7 @@
             nodes,
             missing,
             recorded: self.recorded,
-            uptime_us: self.uptime_us,
+            running_since_us: self.running_since_us,
         }
     }
 }
--- a/crates/tealsaddle-gateway/src/usage/reporter.rs
+++ b/crates/tealsaddle-gateway/src/usage/reporter.rs
@@ -232,8 +232,8 @@
             return;
         };
         let now_us = clock::now_us();
-        let since_us = now_us.saturating_sub(collected.uptime_us);
-        self.reports.on_running_since(to_other(since_us, offset_us));
+        let since_us = to_other(collected.running_since_us, offset_us);
+        self.reports.on_running_since(since_us);
         let true_us = to_other(now_us, offset_us);
         if !self.reports.may_be_recorded(collected.recorded, true_us) {
             log::warn!(window = collected.recorded; "a node tells of a record of a window that has not begun");
