Count the bucket in which a process was started in its first window

What callers saw: requests of the first 50 ms of a fleet are in no usage report if it starts right after the edge of a window. Cause: counts are kept in buckets of 100 ms, and a bucket belongs to the window of its middle. The bucket in which the fleet was started may so belong to the window before its start, which is not reported. Change: a process knows the bucket of its start; if no window was asked for before, and its first one begins right after that bucket, the bucket belongs to it.

--- a/crates/tealsaddle-core/tests/it/fleet/usage.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/usage.rs
@@ -419,6 +419,27 @@
     }
 }
 
+/// Guards against requests that no window counts because the process was started in the last bucket of the window before.
+#[parameterized(
+    within_the_window = { 11, 10 },
+    in_the_first_bucket = { 10, 10 },
+    long_before = { 12, 12 },
+    after_its_start = { 9, 9 },
+)]
+fn first_window_has_the_bucket_in_which_the_process_was_started(asked: u64, expected: u64) {
+    let mut starts = WindowStarts::since(10);
+    assert_eq!(starts.buckets_of(7, asked..20), expected..20);
+    assert_eq!(starts.buckets_of(8, 21..30), 20..30);
+}
+
+/// Guards against requests of the first bucket that two windows count.
+#[test]
+fn window_before_the_first_keeps_its_last_bucket() {
+    let mut starts = WindowStarts::since(10);
+    assert_eq!(starts.buckets_of(6, 1..11), 1..11);
+    assert_eq!(starts.buckets_of(7, 11..20), 11..20);
+}
+
 /// Guards against counts that shift because some messages are late, and against differences that no longer follow a clock.
 #[test]
 fn late_messages_do_not_move_the_difference_of_clocks() {
--- a/crates/tealsaddle-gateway/src/usage/mod.rs
+++ b/crates/tealsaddle-gateway/src/usage/mod.rs
@@ -50,6 +50,14 @@
 }
 
 impl ProcessCounts {
+    /// Counts of a process that starts now.
+    fn open() -> Self {
+        Self {
+            log: UsageLog::default(),
+            starts: WindowStarts::since(bucket_at(clock::now_us())),
+        }
+    }
+
     /// Requests of a window, or of a range that stands for none, between two times of the process's clock.
     fn requests(&mut self, window: Option<u64>, from_us: u64, to_us: u64) -> Requests {
         let asked = first_bucket_from(from_us)..first_bucket_from(to_us);
@@ -149,7 +157,10 @@
             wall_clock: RwLock::new(Arc::new(SystemWallClock)),
             upstreams: Upstreams::open(),
             metrics,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                own: ProcessCounts::open(),
+                ..State::default()
+            }),
         })
     }
 
