Keep the start of the oldest process that has answered, by the own clock

What callers saw: none; found in reading. Cause: each collection replaced the time since which the fleet runs, so if most nodes did not answer, the oldest among them, the window that was to be counted again was left out as older than the fleet. The time was kept in true time, of which estimates differ. Change: the earliest start is kept, by the holder's own clock; what the oldest process knew of recorded windows is known to the holder once it has answered.

Evidence: windows_since_the_start_of_a_process_that_has_ended_are_counted failed before (window 99 left out as too old). The test of a common restart told one state of two fleets one after another, which replaced each other; it now has a state each, with the same expectations.

--- a/crates/tealsaddle-core/src/fleet/usage/reports.rs
+++ b/crates/tealsaddle-core/src/fleet/usage/reports.rs
@@ -104,8 +104,8 @@
     /// Next window to count; `None` before the record was read and if there was none.
     next: Option<u64>,
     open: Option<Open>,
-    /// True time since which some process that knows what was recorded has run.
-    running_since_us: u64,
+    /// Own clock when the first of the processes that knew what was recorded was started; `None` before any is known.
+    running_since_us: Option<u64>,
     failures: u32,
     /// No call before this time.
     not_before_us: u64,
@@ -119,7 +119,7 @@
             pauses,
             next: None,
             open: None,
-            running_since_us: 0,
+            running_since_us: None,
             failures: 0,
             not_before_us: 0,
         }
@@ -190,10 +190,12 @@
         })
     }
 
-    /// Takes over since when, in true time, the oldest process of the fleet has run. No process has counted windows that ended
-    /// before, and after a power loss none knows whether they were reported, as the record may be lost too.
-    pub const fn on_running_since(&mut self, true_us: u64) {
-        self.running_since_us = true_us;
+    /// Takes over since when, by the own clock, a process of the fleet has run. No process has counted windows that ended before
+    /// the start of the oldest one, and after a power loss none knows whether they were reported, as the record may be lost too.
+    /// What the oldest process knew is known to this node once it has answered, so its end changes nothing.
+    pub fn on_running_since(&mut self, since_us: u64) {
+        let earlier_us = self.running_since_us.unwrap_or(u64::MAX);
+        self.running_since_us = Some(since_us.min(earlier_us));
     }
 
     /// What to do at `now_us`, if the true time is `true_us`; also the windows that are given up.
@@ -210,7 +212,7 @@
         let next = self.next;
         let window = next.unwrap_or_else(|| self.windows.first_in_time(true_us));
         let first_kept = self.windows.first_kept(true_us);
-        let first_kept = first_kept.max(self.windows.at(self.running_since_us));
+        let first_kept = first_kept.max(self.first_of_fleet(now_us, true_us));
         // Without a record there is nothing to go on with, so nothing is left out.
         let skipped = (next.is_some() && window < first_kept).then(|| Skipped {
             from: window,
@@ -228,6 +230,15 @@
         (step, skipped)
     }
 
+    /// The window in which the oldest process was started; 0 before any is known.
+    fn first_of_fleet(&self, now_us: u64, true_us: u64) -> u64 {
+        let Some(running_since_us) = self.running_since_us else {
+            return 0;
+        };
+        let uptime_us = now_us.saturating_sub(running_since_us);
+        self.windows.at(true_us.saturating_sub(uptime_us))
+    }
+
     /// Takes over the counts of a window; they are its report from now on. Counts of another window than the next one are
     /// left out.
     pub fn on_counted(&mut self, counted: WindowUse) {
--- a/crates/tealsaddle-core/tests/it/fleet/usage.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/usage.rs
@@ -255,20 +255,38 @@
     assert!(WINDOWS.start_us(skipped.to + 1) + WINDOWS.keep_us >= later_us);
 }
 
+/// State of the first holder of a fleet whose oldest process was started this long ago.
+fn first_of_fleet(uptime_us: u64) -> Reports {
+    let mut first = Reports::new(WINDOWS, PAUSES);
+    first.on_record(None);
+    first.on_running_since(NOW_US - uptime_us);
+    first
+}
+
 /// Guards against a second report for a window that was reported before all processes and the record were lost.
 #[test]
 fn windows_from_before_a_common_restart_are_not_counted() {
-    let mut first = Reports::new(WINDOWS, PAUSES);
-    first.on_record(None);
-    first.on_running_since(NOW_US - 2 * SECOND_US);
+    let mut first = first_of_fleet(2 * SECOND_US);
     let (step, skipped) = first.next_step(NOW_US, NOW_US);
     assert_eq!((step, skipped), (Step::Count(99), None));
-    first.on_running_since(NOW_US - SECOND_US / 2);
+    let mut first = first_of_fleet(SECOND_US / 2);
     assert_eq!(first.next_step(NOW_US, NOW_US).0, Step::Wait);
     let later_us = NOW_US + 5 * SECOND_US;
     assert_eq!(first.next_step(later_us, later_us).0, Step::Count(100));
 }
 
+/// Guards against windows that are left out because the oldest process does not answer when they are counted again.
+#[test]
+fn windows_since_the_start_of_a_process_that_has_ended_are_counted() {
+    let mut first = first_of_fleet(2 * SECOND_US);
+    assert_eq!(first.next_step(NOW_US, NOW_US).0, Step::Count(99));
+    first.on_running_since(NOW_US - SECOND_US / 2);
+    first.on_failure(NOW_US);
+    let later_us = NOW_US + SECOND_US;
+    let step = first.next_step(later_us, later_us);
+    assert_eq!(step, (Step::Count(99), None));
+}
+
 /// Guards against a second report for a window whose record was lost when the store came back from an older copy.
 #[test]
 fn window_whose_record_is_lost_is_not_counted_again() {
--- a/crates/tealsaddle-gateway/src/usage/reporter.rs
+++ b/crates/tealsaddle-gateway/src/usage/reporter.rs
@@ -231,10 +231,8 @@
         let Some(offset_us) = self.collector.true_offset_us() else {
             return;
         };
-        let now_us = clock::now_us();
-        let since_us = to_other(collected.running_since_us, offset_us);
-        self.reports.on_running_since(since_us);
-        let true_us = to_other(now_us, offset_us);
+        self.reports.on_running_since(collected.running_since_us);
+        let true_us = to_other(clock::now_us(), offset_us);
         if !self.reports.may_be_recorded(collected.recorded, true_us) {
             log::warn!(window = collected.recorded; "a node tells of a record of a window that has not begun");
             return;
