Count windows from a moment before the start of the fleet

Cause: a fleet that starts right after the edge of a window may be dated to either side of it, as estimates of the true time differ a little; the window before, if it was to be counted first, was then left out. Change: windows are counted from 100 ms before the start of the oldest process. A window that was reported before a common restart has ended at least 300 ms before it.

Evidence: estimates_of_the_true_time_may_differ_at_the_start_of_the_fleet failed before (window 99 left out as too old).

--- a/crates/tealsaddle-core/src/fleet/usage/reports.rs
+++ b/crates/tealsaddle-core/src/fleet/usage/reports.rs
@@ -88,6 +88,10 @@
 /// A report is given up after the platform has rejected it so often: a report that it never takes must not hold up the rest.
 const MAX_REJECTIONS: u32 = 6;
 
+/// Time before the start of the oldest process from which windows are counted. Estimates of the true time may differ by this,
+/// and a window that was reported before a common restart has ended longer ago.
+const START_SLACK_US: u64 = 100_000;
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Open {
     report: WindowUse,
@@ -235,7 +239,7 @@
         let Some(running_since_us) = self.running_since_us else {
             return 0;
         };
-        let uptime_us = now_us.saturating_sub(running_since_us);
+        let uptime_us = now_us.saturating_sub(running_since_us) + START_SLACK_US;
         self.windows.at(true_us.saturating_sub(uptime_us))
     }
 
--- a/crates/tealsaddle-core/tests/it/fleet/usage.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/usage.rs
@@ -275,6 +275,17 @@
     assert_eq!(first.next_step(later_us, later_us).0, Step::Count(100));
 }
 
+/// Guards against a window that is left out because the estimate of the true time moves a little.
+#[test]
+fn estimates_of_the_true_time_may_differ_at_the_start_of_the_fleet() {
+    let mut first = first_of_fleet(SECOND_US);
+    let earlier_us = NOW_US - 40_000;
+    let step = first.next_step(NOW_US, earlier_us);
+    assert_eq!(step, (Step::Count(99), None));
+    let step = first.next_step(NOW_US, NOW_US + 40_000);
+    assert_eq!(step, (Step::Count(99), None));
+}
+
 /// Guards against windows that are left out because the oldest process does not answer when they are counted again.
 #[test]
 fn windows_since_the_start_of_a_process_that_has_ended_are_counted() {
