--- a/crates/tealsaddle-core/tests/it/fleet/usage.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/usage.rs
@@ -62,17 +62,23 @@
     reports
 }
 
+/// A log of requests at drawn times from 10 s until 40 s, and their number.
+fn drawn_log(random: &mut ChaCha8Rng) -> (UsageLog, u64) {
+    let mut log = UsageLog::default();
+    let total = random.random_range(1..400_u64);
+    for _request in 0..total {
+        let at_us = random.random_range(10 * SECOND_US..40 * SECOND_US);
+        log.count(&Name::from("kettle"), at_us);
+    }
+    (log, total)
+}
+
 /// Guards against requests that adjoining windows count twice or not at all.
 #[test]
 fn adjoining_ranges_count_each_request_once() {
     let mut random = ChaCha8Rng::seed_from_u64(1);
     for _case in 0..200 {
-        let mut log = UsageLog::default();
-        let total = random.random_range(1..400_u64);
-        for _request in 0..total {
-            let at_us = random.random_range(10 * SECOND_US..40 * SECOND_US);
-            log.count(&Name::from("kettle"), at_us);
-        }
+        let (log, total) = drawn_log(&mut random);
         let mut sum = Requests::default();
         let mut from_us = random.random_range(0..9 * SECOND_US);
         while from_us < 45 * SECOND_US {
@@ -426,13 +432,8 @@
 fn windows_count_each_request_once_whatever_their_questions_say() {
     let mut random = ChaCha8Rng::seed_from_u64(6);
     for _case in 0..200 {
-        let mut log = UsageLog::default();
+        let (log, total) = drawn_log(&mut random);
         let mut starts = WindowStarts::default();
-        let total = random.random_range(1..400_u64);
-        for _request in 0..total {
-            let at_us = random.random_range(10 * SECOND_US..40 * SECOND_US);
-            log.count(&Name::from("kettle"), at_us);
-        }
         let mut sum = Requests::default();
         for window in 0..12 {
             let mut asked = || {
