Log what of a request's sends the retry budget has paid for

Callers and runners see no change. Cause: a request said how often it had failed, not how often it was sent, nor what was deducted for it, so hypotheses on repeats could not be told apart. Change: each call counts its sends, the first prompt that a runner reads for another one, and the deductions; repeats are logged as they are sent and in total at the end of the request. Tests: core arrivals.

--- a/crates/tealsaddle-core/src/lib.rs
+++ b/crates/tealsaddle-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! can tell how long it was paused.
 
 pub mod admission;
+pub mod arrivals;
 pub mod authority;
 pub mod claim;
 pub mod collections;
--- a/crates/tealsaddle-core/tests/it/main.rs
+++ b/crates/tealsaddle-core/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the decision logic.
 
 mod admission;
+mod arrivals;
 mod authority;
 mod claim;
 mod decision;
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -27,6 +27,7 @@
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::outgoing::OutgoingRequest;
 use crate::progress::Progress;
+use crate::repeats::SharedArrivals;
 use crate::send_gate::SendPermit;
 use crate::sizing::outcomes;
 use crate::timeout::timeout_at;
@@ -120,6 +121,8 @@
 /// State of a call that changes while it runs.
 #[derive(Debug, Default)]
 pub struct CallState {
+    /// What was sent to runners.
+    pub arrivals: SharedArrivals,
     /// Number of runners that may run the request. A runner whose attempt has failed does not count.
     maybe_running: AtomicU32,
     /// Whether prefill runners read the prompt after those of requests that can be on time.
@@ -268,6 +271,13 @@
             Err(give_up) => format!("retry.{}", give_up.as_str()),
         };
         self.gateway.metrics.increment(&name);
+        let was_sent = !matches!(
+            outcome,
+            AttemptOutcome::NotRun(NotRunReason::ConnectFailed | NotRunReason::Withheld)
+        );
+        if decision.is_ok() && was_sent {
+            self.state.arrivals.lock().on_deducted();
+        }
         log::info!(id:% = self.request_id, runner:%, outcome:? = outcome, decision:% = name,
             made = attempts.failed(), has_begun = self.progress.has_begun(),
             shared_parts = self.shared_parts_text(); "attempt failed");
@@ -297,6 +307,9 @@
     /// Takes the attempt at another runner than a silent one out of the retry budget.
     pub fn may_ask_other(&self) -> bool {
         let is_granted = self.gateway.scheduler.try_consume_retry(&self.service);
+        if is_granted {
+            self.state.arrivals.lock().on_deducted();
+        }
         let name = if is_granted {
             "silence.granted"
         } else {
@@ -325,6 +338,7 @@
             return Err(AttemptOutcome::NotRun(NotRunReason::Withheld));
         }
         let sent_us = clock::now_us();
+        self.on_send(runner, metadata.is_prefill_only);
         let sent = upstreams.send(runner.address, request, reuse);
         let running = u32::from(!metadata.is_prefill_only);
         let maybe_running = &self.state.maybe_running;
@@ -343,6 +357,9 @@
         };
         // From here on, `Attempts` tracks whether the request may have run.
         maybe_running.fetch_sub(running, Ordering::Relaxed);
+        if matches!(result, AttemptOutcome::NotRun(_)) {
+            self.state.arrivals.lock().on_unsent();
+        }
         Err(result)
     }
 
@@ -496,8 +513,10 @@
         let is_late = outcomes::is_late(&self.route, &self.progress, took);
         let scheduler = &self.gateway.scheduler;
         scheduler.on_request_end(&self.service, outcomes::is_lack(outcome), is_late);
+        let arrivals = *self.state.arrivals.lock();
         log::info!(id:% = self.request_id, route:% = self.route.name, service:% = self.service,
             config_version = self.config.version, outcome:%, runner:%, failed_attempts,
+            sent = arrivals.sent(), repeats = arrivals.repeats(), deducted = arrivals.deducted(),
             took_ms = took.as_millis() as u64,
             first_event_ms = self.progress.first_event_ms(),
             longest_pause_ms = self.progress.longest_pause_ms(), left_ms = self.remaining().as_millis() as u64;
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod progress;
 pub mod quarantine;
 pub mod relay;
+pub mod repeats;
 pub mod request;
 pub mod resumption;
 pub mod rounds;
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -208,6 +208,9 @@
     /// Takes a further prefill out of the retry budget; returns `false` if nothing is left there.
     fn may_read_again(&self) -> bool {
         let is_granted = self.gateway.scheduler.try_consume_retry(&self.service);
+        if is_granted {
+            self.state.arrivals.lock().on_deducted();
+        }
         self.gateway.metrics.increment(if is_granted {
             "read.again"
         } else {
@@ -336,6 +339,7 @@
             fetched_from:% = placement.fetches_from.as_ref().map_or("-", |r| &r.id);
             "prompt read");
         self.state.on_prompt_read();
+        self.state.arrivals.lock().on_read_accepted();
         attempt.on_prefill_time(placement.nominal_us);
         attempt.on_prefill_end(&self.metadata.parts, engine.kv_tokens);
         attempt.on_outcome(AttemptOutcome::Answered, false);
