Take every arrival of a request at runners but the exempt ones out of the retry budget

Cause: a call that only has the prompt read was exempt whatever became of it, and so was the run after it; several places decided on their own what a repeat is.

Change: each send passes Call::begin_send, which counts it and takes what is a repeat out of the budget: all but the first arrival and the first read that a runner accepts (core arrivals). Decisions ask the same count before (Call::may_send), so a request for which nothing is left ends at once with 503, retry_budget and Retry-After. A second read is deducted with its run, so that no prompt is read for a run that may not be sent; a deduction that was not used for a send is kept. A read that is answered in any way but by a refusal was accepted. After three runners a failed connect ends the search for a prefill runner, also while budget is left.

--- a/crates/tealsaddle-core/src/arrivals.rs
+++ b/crates/tealsaddle-core/src/arrivals.rs
@@ -5,6 +5,15 @@
 //! runner refuses it or never answers: whether a runner that did not answer has accepted a prompt is not known, so
 //! such a read counts like a refused one.
 
+/// What a request sends next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextSend {
+    /// A runner is to run the request.
+    Run,
+    /// A runner is to read the prompt for another one, which runs the request afterwards.
+    Read,
+}
+
 /// What one request has sent to runners.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Arrivals {
@@ -49,9 +58,14 @@
         self.sent.saturating_sub(self.not_repeats())
     }
 
-    /// Whether one more send would be a repeat that was not taken out of the retry budget.
-    pub const fn must_deduct(&self) -> bool {
-        (self.sent + 1).saturating_sub(self.not_repeats()) > self.deducted
+    /// Number of retries that have to be taken out of the retry budget before the next send. A read is taken out with
+    /// the run that follows it: a prompt is not read for a run that may not be sent.
+    pub const fn missing_deductions(&self, next: NextSend) -> u32 {
+        let repeats = match next {
+            NextSend::Run => (self.sent + 1).saturating_sub(self.not_repeats()),
+            NextSend::Read => self.sent,
+        };
+        repeats.saturating_sub(self.deducted)
     }
 
     const fn not_repeats(&self) -> u32 {
--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -17,6 +17,8 @@
     NodeStopping,
     /// The target had asked for no request now, before this one was sent.
     Withheld,
+    /// The retry budget had nothing left before the request was sent once more.
+    RetryBudget,
 }
 
 impl NotRunReason {
@@ -28,6 +30,7 @@
             Self::NoTarget => "no_target",
             Self::NodeStopping => "node_stopping",
             Self::Withheld => "withheld",
+            Self::RetryBudget => "retry_budget",
         }
     }
 }
@@ -147,11 +150,7 @@
         budget: &mut RetryBudget,
         now_us: u64,
     ) -> Result<(), GiveUp> {
-        self.count(outcome);
-        if self.unknown.is_some() && !self.is_repeatable {
-            return Err(GiveUp::NotRepeatable);
-        }
-        self.check_limits(0)?;
+        self.on_failed(outcome)?;
         // A request that has reached no target adds no load when it is sent to another one.
         let is_unsent = matches!(
             outcome,
@@ -164,6 +163,16 @@
         }
     }
 
+    /// Counts a failed attempt and decides whether another one may follow, as far as the request is concerned. A retry
+    /// has to be taken out of the budget as well.
+    pub const fn on_failed(&mut self, outcome: AttemptOutcome) -> Result<(), GiveUp> {
+        self.count(outcome);
+        if self.unknown.is_some() && !self.is_repeatable {
+            return Err(GiveUp::NotRepeatable);
+        }
+        self.check_limits(0)
+    }
+
     /// Counts a failed attempt.
     pub const fn count(&mut self, outcome: AttemptOutcome) {
         self.failed += 1;
--- a/crates/tealsaddle-core/tests/it/arrivals.rs
+++ b/crates/tealsaddle-core/tests/it/arrivals.rs
@@ -1,6 +1,6 @@
 //! Tests of what counts as a repeat of a request.
 
-use tealsaddle_core::arrivals::Arrivals;
+use tealsaddle_core::arrivals::{Arrivals, NextSend};
 use yare::parameterized;
 
 /// What becomes of one send of a request.
@@ -58,5 +58,8 @@
     unsent = { &[Unsent], true },
 )]
 fn a_send_without_a_deduction_is_no_repeat(sends: &[Fate], expected: bool) {
-    assert_eq!(!after(sends).must_deduct(), expected);
+    assert_eq!(
+        after(sends).missing_deductions(NextSend::Run) == 0,
+        expected
+    );
 }
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::http;
+use tealsaddle_core::arrivals::NextSend;
 use tealsaddle_core::fleet::Runner;
 use tealsaddle_core::fleet::admission::Turn;
 use tealsaddle_core::fleet::config::{FleetConfig, RepeatPolicy, Route};
@@ -127,8 +128,6 @@
     maybe_running: AtomicU32,
     /// Whether prefill runners read the prompt after those of requests that can be on time.
     is_deferred: AtomicBool,
-    /// Whether a prefill runner has read the prompt. Reading it once more is a retry.
-    has_been_read: AtomicBool,
     /// The trial that this request is; empty for all other requests.
     trial: OnceLock<Trial>,
     digest: OnceLock<RequestDigest>,
@@ -170,11 +169,6 @@
         self.is_deferred.load(Ordering::Relaxed)
     }
 
-    /// Records that a prefill runner has read the prompt.
-    pub fn on_prompt_read(&self) {
-        self.has_been_read.store(true, Ordering::Relaxed);
-    }
-
     /// Records that this request is a trial.
     pub fn begin_trial(&self, trial: Trial) {
         self.trial.get_or_init(|| trial);
@@ -199,11 +193,6 @@
     pub fn trial(&self) -> Option<&Trial> {
         self.trial.get()
     }
-
-    /// Whether a prefill runner has read the prompt before.
-    pub fn has_been_read(&self) -> bool {
-        self.has_been_read.load(Ordering::Relaxed)
-    }
 }
 
 impl Call {
@@ -260,24 +249,19 @@
         outcome: AttemptOutcome,
         runner: &str,
     ) -> Result<(), AttemptOutcome> {
-        let scheduler = &self.gateway.scheduler;
-        let mut decision = scheduler.on_failure(&self.service, attempts, outcome);
+        let mut decision = attempts.on_failed(outcome);
         let is_unknown = matches!(outcome, AttemptOutcome::Unknown(_));
         if is_unknown && self.state.trial().is_some() {
             decision = Err(GiveUp::Attempts);
         }
+        if decision.is_ok() && !self.may_send(NextSend::Run) {
+            decision = Err(GiveUp::Budget);
+        }
         let name = match decision {
             Ok(()) => "retry.granted".to_owned(),
             Err(give_up) => format!("retry.{}", give_up.as_str()),
         };
         self.gateway.metrics.increment(&name);
-        let was_sent = !matches!(
-            outcome,
-            AttemptOutcome::NotRun(NotRunReason::ConnectFailed | NotRunReason::Withheld)
-        );
-        if decision.is_ok() && was_sent {
-            self.state.arrivals.lock().on_deducted();
-        }
         log::info!(id:% = self.request_id, runner:%, outcome:? = outcome, decision:% = name,
             made = attempts.failed(), has_begun = self.progress.has_begun(),
             shared_parts = self.shared_parts_text(); "attempt failed");
@@ -306,10 +290,7 @@
 
     /// Takes the attempt at another runner than a silent one out of the retry budget.
     pub fn may_ask_other(&self) -> bool {
-        let is_granted = self.gateway.scheduler.try_consume_retry(&self.service);
-        if is_granted {
-            self.state.arrivals.lock().on_deducted();
-        }
+        let is_granted = self.may_send(NextSend::Run);
         let name = if is_granted {
             "silence.granted"
         } else {
@@ -338,7 +319,9 @@
             return Err(AttemptOutcome::NotRun(NotRunReason::Withheld));
         }
         let sent_us = clock::now_us();
-        self.on_send(runner, metadata.is_prefill_only);
+        if !self.begin_send(runner, metadata.is_prefill_only) {
+            return Err(AttemptOutcome::NotRun(NotRunReason::RetryBudget));
+        }
         let sent = upstreams.send(runner.address, request, reuse);
         let running = u32::from(!metadata.is_prefill_only);
         let maybe_running = &self.state.maybe_running;
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tealsaddle_core::arrivals::NextSend;
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::load::Work;
 use tealsaddle_core::fleet::placement::Placement;
@@ -36,8 +37,7 @@
 const MIN_PREFILL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A prefill runner counts as responsive if it has answered any request of this node within this time.
 const RESPONSIVE_WINDOW: Duration = Duration::from_millis(1_500);
-/// After a failure to connect, a further prefill attempt is not deducted from the retry budget while fewer
-/// than this many attempts have failed.
+/// Runners that were asked after which a failure to connect ends the search for a prefill runner.
 const MAX_UNSENT_PREFILLS: usize = 3;
 /// Steps of urgency by which the reads of deferred requests come after others.
 const DEFERRAL: u32 = 4;
@@ -173,7 +173,7 @@
         // A decode runner reads at half the speed.
         let own_read = micros(first.placement.read_us * 2.0);
         let mut placed = first;
-        if self.state.has_been_read() && !self.may_read_again() {
+        if !self.may_read() {
             return None;
         }
         loop {
@@ -195,9 +195,9 @@
             if self.first_event_remaining().is_zero() {
                 return None;
             }
-            let is_budget_exempt = is_unsent && asked.len() < MAX_UNSENT_PREFILLS;
+            let may_ask_other = !is_unsent || asked.len() < MAX_UNSENT_PREFILLS;
             let other = self.place_prefill(engine, &asked).await;
-            let other = other.filter(|_other| is_budget_exempt || self.may_read_again());
+            let other = other.filter(|_other| may_ask_other && self.may_read());
             let Some(other) = other else {
                 return self.wait_for_silent_prefill(&mut running, own_read).await;
             };
@@ -206,10 +206,11 @@
     }
 
     /// Takes a further prefill out of the retry budget; returns `false` if nothing is left there.
-    fn may_read_again(&self) -> bool {
-        let is_granted = self.gateway.scheduler.try_consume_retry(&self.service);
-        if is_granted {
-            self.state.arrivals.lock().on_deducted();
+    fn may_read(&self) -> bool {
+        let is_first = self.state.arrivals.lock().sent() == 0;
+        let is_granted = self.may_send(NextSend::Read);
+        if is_first {
+            return is_granted;
         }
         self.gateway.metrics.increment(if is_granted {
             "read.again"
@@ -338,8 +339,6 @@
             is_deferred = self.state.is_deferred(),
             fetched_from:% = placement.fetches_from.as_ref().map_or("-", |r| &r.id);
             "prompt read");
-        self.state.on_prompt_read();
-        self.state.arrivals.lock().on_read_accepted();
         attempt.on_prefill_time(placement.nominal_us);
         attempt.on_prefill_end(&self.metadata.parts, engine.kv_tokens);
         attempt.on_outcome(AttemptOutcome::Answered, false);
@@ -363,12 +362,13 @@
         if !head.status.is_success() {
             body.forbid_reuse();
             let outcome = classify_answer(head.status, &metadata, &self.request_id);
-            return Err(if outcome == AttemptOutcome::Answered {
-                invalid
-            } else {
-                outcome
-            });
+            if outcome != AttemptOutcome::Answered {
+                return Err(outcome);
+            }
+            self.state.arrivals.lock().on_read_accepted();
+            return Err(invalid);
         }
+        self.state.arrivals.lock().on_read_accepted();
         let bytes = self.read_handle_body(body).await;
         let bytes = bytes.map_err(AttemptOutcome::Unknown)?;
         let handle = self.gateway.dialect.kv_handle(&bytes).map_err(|error| {
--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -17,7 +17,7 @@
 use tealsaddle_core::fleet::stage_load::{StageLoad, StreamNeed};
 use tealsaddle_core::fleet::{PromptPart, Runner, Stage};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, GiveUp, NotRunReason, RetryBudget};
+use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, RetryBudget};
 
 use crate::clock;
 use crate::snapshot::FleetSnapshot;
@@ -283,19 +283,6 @@
         self.with_budget(service, |budget| budget.on_first_attempt(now_us));
     }
 
-    /// Counts a failed attempt and decides whether the request may be retried.
-    pub fn on_failure(
-        &self,
-        service: &Name,
-        attempts: &mut Attempts,
-        outcome: AttemptOutcome,
-    ) -> Result<(), GiveUp> {
-        let now_us = clock::now_us();
-        self.with_budget(service, |budget| {
-            attempts.on_failure(outcome, budget, now_us)
-        })
-    }
-
     /// Whether a runner has answered this node within `window`.
     pub fn has_answered_within(&self, runner: &str, window: Duration) -> bool {
         let since_us = clock::now_us().saturating_sub(window.as_micros() as u64);
@@ -469,7 +456,7 @@
             AttemptOutcome::Answered if is_failure_status => view.on_failure(now_us),
             AttemptOutcome::Answered => view.on_success(now_us),
             AttemptOutcome::NotRun(NotRunReason::TargetRefused) => view.on_refused(now_us),
-            AttemptOutcome::NotRun(NotRunReason::Withheld) => {}
+            AttemptOutcome::NotRun(NotRunReason::Withheld | NotRunReason::RetryBudget) => {}
             AttemptOutcome::NotRun(_) => view.on_unreachable(now_us),
             AttemptOutcome::Unknown(_) => view.on_failure(now_us),
         });
--- a/crates/tealsaddle-gateway/src/shares/call.rs
+++ b/crates/tealsaddle-gateway/src/shares/call.rs
@@ -93,9 +93,9 @@
     match answer {
         GatewayAnswer::DeadlineInfeasible
         | GatewayAnswer::NoRunner
-        | GatewayAnswer::Refused(NotRunReason::TargetRefused | NotRunReason::NoTarget) => {
-            Some(TurnedAway::Full)
-        }
+        | GatewayAnswer::Refused(
+            NotRunReason::TargetRefused | NotRunReason::NoTarget | NotRunReason::RetryBudget,
+        ) => Some(TurnedAway::Full),
         GatewayAnswer::Withheld(_) | GatewayAnswer::Refused(NotRunReason::Withheld) => {
             Some(TurnedAway::Withheld)
         }
--- a/crates/tealsaddle-gateway/src/sizing/outcomes.rs
+++ b/crates/tealsaddle-gateway/src/sizing/outcomes.rs
@@ -10,7 +10,7 @@
 use crate::progress::Progress;
 
 /// Answers that are given for lack of runners.
-const LACKS: [GatewayAnswer; 8] = [
+const LACKS: [GatewayAnswer; 9] = [
     GatewayAnswer::NoRunner,
     GatewayAnswer::DeadlineInfeasible,
     GatewayAnswer::FairShare,
@@ -19,6 +19,7 @@
     GatewayAnswer::Withheld(HoldReason::Limited),
     GatewayAnswer::Refused(NotRunReason::TargetRefused),
     GatewayAnswer::Refused(NotRunReason::NoTarget),
+    GatewayAnswer::Refused(NotRunReason::RetryBudget),
 ];
 
 /// Whether the outcome of a request, as it is logged, is a refusal for lack of runners.
--- a/crates/tealsaddle-gateway/src/stages.rs
+++ b/crates/tealsaddle-gateway/src/stages.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::http;
+use tealsaddle_core::arrivals::NextSend;
 use tealsaddle_core::fleet::admission::{Candidate, FirstEvent};
 use tealsaddle_core::fleet::config::EngineLimits;
 use tealsaddle_core::fleet::decode::should_read_itself;
@@ -15,7 +16,7 @@
 use tealsaddle_core::fleet::placement::Placement;
 use tealsaddle_core::fleet::{Runner, Stage};
 use tealsaddle_core::name::Name;
-use tealsaddle_core::retry::{AttemptOutcome, Attempts, UnknownReason};
+use tealsaddle_core::retry::{AttemptOutcome, Attempts, NotRunReason, UnknownReason};
 use tokio::time::Instant;
 
 use crate::answer::{GatewayAnswer, classify_answer};
@@ -154,6 +155,8 @@
                     continue;
                 };
                 self.kv_guard = call.prefill(engine, prefill).await;
+                call.check_retry_budget()
+                    .map_err(|refused| (refused, call.decode_wait(engine)))?;
             }
             // The prompt may have been read for long.
             call.check_quarantine()?;
@@ -380,6 +383,15 @@
         placement.ok_or((GatewayAnswer::NoRunner, Duration::ZERO))
     }
 
+    /// Returns an error if the request has been sent to runners and the retry budget has nothing left for another one.
+    fn check_retry_budget(&self) -> Result<(), GatewayAnswer> {
+        if self.may_send(NextSend::Run) {
+            return Ok(());
+        }
+        self.gateway.metrics.increment("retry.budget_used_up");
+        Err(GatewayAnswer::Refused(NotRunReason::RetryBudget))
+    }
+
     /// Expected wait for a decode runner, as the time after which the caller should retry.
     fn decode_wait(&self, engine: &EngineLimits) -> Duration {
         let placement = self.choose_decode(engine, true, &[]);
