Divide the fixed part of the retry budget by the largest fleet while the number of nodes is unknown

Cause: without a listing of the nodes each one took a tenth of the fixed part, however many there are; at 67 nodes that is 6.7 times what all may use together, at 360 nodes 36 times. It can happen when all nodes start without the store. Change: until the number is known it counts as 360. The part of the budget that grows with requests is as before. Test: nodes_that_do_not_know_their_number_share_the_fixed_part, which failed before with 134 and 720 retries at once, where 20 are allowed.

--- a/crates/tealsaddle-gateway/src/scheduler.rs
+++ b/crates/tealsaddle-gateway/src/scheduler.rs
@@ -33,11 +33,20 @@
 
 /// Number of nodes that is assumed while the actual number is not known.
 pub const ASSUMED_NODES: u32 = 10;
+/// Number of nodes of the largest fleet. While the actual number is not known, each node takes the part of a common limit
+/// that would be its own there, as all nodes may be without that knowledge at the same time.
+const LARGEST_FLEET: u32 = 360;
 
 fn nodes_sharing(nodes: u32) -> f64 {
     f64::from(if nodes == 0 { ASSUMED_NODES } else { nodes })
 }
 
+/// The node's part of the retries that all nodes share.
+fn share_of_floor_per_s(retry: RetryShare, nodes: u32) -> f64 {
+    let nodes = if nodes == 0 { LARGEST_FLEET } else { nodes };
+    retry.floor_per_s / f64::from(nodes)
+}
+
 /// Share of a runner's KV cache that is assumed to hold prompt parts beside running requests. It is divided
 /// by the number of nodes, since the requests of the other nodes evict parts at the same rate.
 const CACHE_SHARE: f64 = 0.8;
@@ -316,7 +325,7 @@
     {
         let retry = self.retry();
         let mut state = self.state();
-        let floor_per_s = retry.floor_per_s / nodes_sharing(state.nodes);
+        let floor_per_s = share_of_floor_per_s(retry, state.nodes);
         let budget = state
             .budgets
             .entry(Name::clone(service))
@@ -327,7 +336,7 @@
     /// Applies a new snapshot of the fleet: drops runners that are no longer registered, and divides the
     /// retry budget by the number of nodes.
     pub fn on_snapshot(&self, snapshot: &FleetSnapshot) {
-        let floor_per_s = self.retry().floor_per_s / nodes_sharing(snapshot.nodes);
+        let floor_per_s = share_of_floor_per_s(self.retry(), snapshot.nodes);
         let mut state = self.state();
         state.nodes = snapshot.nodes;
         let registered = snapshot.runners.values().flatten();
