Break off a success without a length that ends while its request is still being sent

What callers got: a part of an answer as a complete 200, when a runner answers a long upload at once without a length, closes its side and resets the upload. Cause: the end was taken for that of the answer, as the runner's process outlasts it; that the request was still being sent was not looked at. Change: bytes handed to the system are counted on each connection (tokio-util InspectWriter), whose send buffer is 64 KB; the own front counts the frames that its client takes. A failure that ends so is passed on as before.

--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -7,6 +7,7 @@
 //! probes, since a network path may stop delivering packets without a reset.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -17,11 +18,13 @@
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode, http};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::retry::{AttemptOutcome, NotRunReason, UnknownReason};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use tokio_util::io::InspectWriter;
 
 use crate::borrowed_paths::{BorrowedPath, RunnerPaths};
 use crate::connector::{TcpConnector, connect_in_time};
@@ -58,6 +61,10 @@
 /// What a frame of such an answer counts beside its bytes: tiny chunks cost the node more than their bytes do.
 const FRAME_COST_BYTES: usize = 256;
 
+/// Size of the send buffer of a connection. What is in it counts as sent, so a large one would hide that a runner has given
+/// up a request.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// Which idle connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -79,6 +86,33 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     borrowed: Option<BorrowedPath>,
+    progress: Arc<SendProgress>,
+}
+
+/// How far the request on a connection has been sent.
+#[derive(Debug, Default)]
+struct SendProgress {
+    /// Bytes that the system has taken for sending since the connection was opened.
+    written_bytes: AtomicU64,
+    /// Value from which the request counts as sent. Its head is left out.
+    sent_at_bytes: AtomicU64,
+}
+
+impl SendProgress {
+    fn on_written(&self, bytes: usize) {
+        self.written_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Begins to send a request with a body of this length.
+    fn begin_request(&self, body_bytes: u64) {
+        let sent_at_bytes = self.written_bytes.load(Ordering::Relaxed) + body_bytes;
+        self.sent_at_bytes.store(sent_at_bytes, Ordering::Relaxed);
+    }
+
+    fn is_sent(&self) -> bool {
+        self.written_bytes.load(Ordering::Relaxed) >= self.sent_at_bytes.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for Connection {
@@ -130,6 +164,9 @@
     incoming: Incoming,
     framing: Framing,
     is_borrowed: bool,
+    is_success: bool,
+    /// Whether the connection has ended before the request was sent.
+    was_given_up: bool,
     connection: Option<Connection>,
     upstreams: Arc<Upstreams>,
     address: SocketAddr,
@@ -181,6 +218,8 @@
                 }
                 continue;
             }
+            let body_bytes = request.body().size_hint().lower();
+            connection.progress.begin_request(body_bytes);
             let mut failure = match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answer(address, connection, response)),
                 Err(failure) => failure,
@@ -254,6 +293,8 @@
             usable_for: usable_for(&head.headers).filter(|_| connection.borrowed.is_none()),
             framing: Framing::of(&head, !incoming.is_end_stream()),
             is_borrowed: connection.borrowed.is_some(),
+            is_success: head.status.is_success(),
+            was_given_up: false,
             incoming,
             connection: Some(connection),
             upstreams: Arc::clone(self),
@@ -327,10 +368,11 @@
         self.framing
     }
 
-    /// Whether the end of the body may be that of the node that lent its path: a body without a length ends in the same way
-    /// if that node ends.
+    /// Whether the end of a body without a length may be due to something else than a whole answer: the end of the node that
+    /// lent its path, or a runner that has given up a request which is still being sent.
     pub fn has_uncertain_end(&self) -> bool {
-        self.is_borrowed && self.framing == Framing::UntilClose
+        let was_given_up = self.is_success && self.was_given_up;
+        self.framing == Framing::UntilClose && (self.is_borrowed || was_given_up)
     }
 
     /// The next bytes; `None` after the end of the body.
@@ -379,6 +421,7 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
+        self.was_given_up = !connection.progress.is_sent();
         if let Some(usable_for) = self.usable_for {
             self.upstreams
                 .put_idle(self.address, connection, usable_for);
@@ -409,6 +452,12 @@
     borrowed: Option<BorrowedPath>,
 ) -> Result<Connection, SendFailure> {
     set_options(&stream);
+    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!(error:%; "the size of the send buffer was refused");
+    }
+    let progress = Arc::new(SendProgress::default());
+    let written = Arc::clone(&progress);
+    let stream = InspectWriter::new(stream, move |bytes: &[u8]| written.on_written(bytes.len()));
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -424,12 +473,13 @@
         sender,
         driver: driver.abort_handle(),
         borrowed,
+        progress,
     })
 }
 
 /// Sets the socket options that close a connection whose peer does not respond, and `TCP_NODELAY`.
 pub fn set_options(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
+    let socket = SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
--- a/crates/tealsaddle-node/src/caller/forward.rs
+++ b/crates/tealsaddle-node/src/caller/forward.rs
@@ -138,7 +138,8 @@
     forward: &ForwardedRequest,
     peer: &PeerEndpoint,
 ) -> Request<Body> {
-    let mut request = Request::new(Payload::Whole(forward.body.clone()).body());
+    let (body, _sent) = Payload::Whole(forward.body.clone()).body();
+    let mut request = Request::new(body);
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = format!("http://{}{}", peer.caller_address, forward.path)
         .parse()
--- a/crates/tealsaddle-node/src/caller/proxy.rs
+++ b/crates/tealsaddle-node/src/caller/proxy.rs
@@ -1,12 +1,13 @@
 //! HTTP client and request bodies for calls to targets and for forwarded requests.
 
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -29,6 +30,10 @@
 /// Timeout for the next frame of a request body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Size of the send buffer of a connection. What is in it counts as sent, so a large one would hide that a target has given
+/// up a call.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// HTTP client for the targets of plain services and for peers.
 #[derive(Debug)]
 pub struct TargetClient {
@@ -42,6 +47,7 @@
     pub fn open(stop_signals: StopSignals) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES));
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         connector.set_keepalive(Some(TCP_USER_TIMEOUT / 2));
@@ -168,6 +174,21 @@
     has_been_read: bool,
 }
 
+/// Whether all of a request's body has been taken for sending by the connection of an attempt.
+#[derive(Debug, Clone, Default)]
+pub struct BodySent(Arc<AtomicBool>);
+
+impl BodySent {
+    fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it has.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 impl Payload {
     /// Creates a payload that is relayed while it arrives, up to `limit_bytes`.
     pub fn stream(body: Incoming, limit_bytes: usize) -> Self {
@@ -190,18 +211,66 @@
         }
     }
 
-    /// Returns the body for one attempt.
-    pub fn body(&self) -> Body {
-        match self {
-            Self::Whole(bytes) => Full::new(bytes.clone())
-                .map_err(|never| match never {})
-                .boxed_unsync(),
-            Self::Stream(body) => SharedBody(Arc::clone(body)).boxed_unsync(),
+    /// Returns the body for one attempt, and what tells when it has been sent.
+    pub fn body(&self) -> (Body, BodySent) {
+        let sent = BodySent::default();
+        if matches!(self, Self::Whole(bytes) if bytes.is_empty()) {
+            sent.set();
+        }
+        let body = match self {
+            Self::Whole(bytes) => WholeBody {
+                rest: bytes.clone(),
+                sent: sent.clone(),
+            }
+            .boxed_unsync(),
+            Self::Stream(body) => SharedBody {
+                body: Arc::clone(body),
+                sent: sent.clone(),
+            }
+            .boxed_unsync(),
+        };
+        (body, sent)
+    }
+}
+
+/// Longest frame of a body in memory. A connection takes a few frames ahead of those that it has sent.
+const MAX_FRAME_BYTES: usize = 16 << 10;
+
+/// A body in memory, which is sent in short frames so that it is known how far it has been sent.
+struct WholeBody {
+    rest: Bytes,
+    sent: BodySent,
+}
+
+impl HttpBody for WholeBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let length = self.rest.len().min(MAX_FRAME_BYTES);
+        let frame = self.rest.split_to(length);
+        if self.rest.is_empty() {
+            self.sent.set();
         }
+        Poll::Ready((!frame.is_empty()).then(|| Ok(Frame::data(frame))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
     }
 }
 
-struct SharedBody(Arc<Mutex<StreamedBody>>);
+struct SharedBody {
+    body: Arc<Mutex<StreamedBody>>,
+    sent: BodySent,
+}
 
 impl HttpBody for SharedBody {
     type Data = Bytes;
@@ -211,13 +280,17 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let mut shared = self.0.lock().expect("no holder of the lock panics");
+        let mut shared = self.body.lock().expect("no holder of the lock panics");
         shared.has_been_read = true;
-        Pin::new(&mut shared.body).poll_frame(cx)
+        let polled = Pin::new(&mut shared.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) || shared.body.is_end_stream() {
+            self.sent.set();
+        }
+        polled
     }
 
     fn size_hint(&self) -> SizeHint {
-        let shared = self.0.lock().expect("no holder of the lock panics");
+        let shared = self.body.lock().expect("no holder of the lock panics");
         shared.body.size_hint()
     }
 }
--- a/crates/tealsaddle-node/src/caller/service.rs
+++ b/crates/tealsaddle-node/src/caller/service.rs
@@ -25,7 +25,7 @@
 use super::completion;
 use super::dispatch::{HOPS, RequestContext};
 use super::forward::{self, ForwardedRequest};
-use super::proxy::{BodyPermit, Payload, read_body};
+use super::proxy::{BodyPermit, BodySent, Payload, read_body};
 use super::response::{Body, BodyError, OUTCOME, REQUEST_ID, Refusal, RunState, full};
 use crate::clock;
 use crate::traffic::{Snapshot, Traffic};
@@ -414,16 +414,18 @@
     }
 
     async fn send(&self, target: &Target) -> Result<Response<Incoming>, AttemptOutcome> {
-        let mut request = Request::new(self.payload.body());
+        let (body, sent) = self.payload.body();
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = format!("http://{}{}", target.address, self.path)
             .parse()
             .map_err(|_invalid| AttemptOutcome::NotRun(NotRunReason::NoTarget))?;
         *request.headers_mut() = self.headers.clone();
         let client = &self.traffic.targets;
-        client
-            .send(request, self.is_repeatable, self.deadline)
-            .await
+        let response = client.send(request, self.is_repeatable, self.deadline);
+        let mut response = response.await?;
+        response.extensions_mut().insert(sent);
+        Ok(response)
     }
 
     /// Returns the outcome of a response that counts as a failed attempt, or `None` for a response to
@@ -446,18 +448,26 @@
 
     fn relay_response(&self, response: Response<Incoming>) -> Response<Body> {
         let (mut head, body) = response.into_parts();
-        head.extensions
-            .insert(Framing::of(&head, !body.is_end_stream()));
+        let framing = Framing::of(&head, !body.is_end_stream());
+        head.extensions.insert(framing);
+        let sent = head.extensions.remove::<BodySent>();
+        let ends_with_connection = framing == Framing::UntilClose && head.status.is_success();
+        let sent = sent.filter(|_sent| ends_with_connection);
         strip_hop_headers(&mut head.headers, |_name| false);
         let end = BodyEnd::begin(&mut head.headers);
         let deadline = self.deadline;
         let stop_signals = self.traffic.stop_signals.clone();
         // A body that is cut off closes the caller's connection, so that the caller does not take
         // it for a whole one.
-        let first = Some((body, end, stop_signals));
+        let first = Some((body, end, sent, stop_signals));
         let frames = stream::unfold(first, move |state| async move {
-            let (mut body, mut end, stop_signals) = state?;
+            let (mut body, mut end, sent, stop_signals) = state?;
             match stop_signals.wait(deadline, body.frame()).await {
+                // The target has given up a call that is still being sent, so nothing shows that its answer is whole.
+                Ok(None) if sent.as_ref().is_some_and(|sent| !sent.get()) => Some((
+                    Err(BodyError::from("the answer ended before the call was sent")),
+                    None,
+                )),
                 Ok(None) if end.is_between_events() => None,
                 Ok(None) => Some((
                     Err(BodyError::from("the stream ended inside an event")),
@@ -465,7 +475,7 @@
                 )),
                 Ok(Some(Ok(frame))) => {
                     end.on_frame(&frame);
-                    Some((Ok(frame), Some((body, end, stop_signals))))
+                    Some((Ok(frame), Some((body, end, sent, stop_signals))))
                 }
                 Ok(Some(Err(error))) => Some((Err(BodyError::from(error)), None)),
                 Err(reason) => Some((Err(BodyError::from(reason.as_str())), None)),
--- a/crates/tealsaddle-node/tests/it/framing.rs
+++ b/crates/tealsaddle-node/tests/it/framing.rs
@@ -1,6 +1,7 @@
 //! Tests of responses that end with their connection, or inside an event, on the paths that relay them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hyper::Method;
 use tealsaddle_node::traffic::PeerEndpoint;
@@ -143,3 +144,90 @@
     let body = if outcome.is_empty() { "receipt 7" } else { "" };
     assert_eq!(repeated.body, body);
 }
+
+/// Far more than the buffers of a connection hold, so that a target answers while it is being sent.
+const UPLOAD_BYTES: usize = 3_500_000;
+/// Calls of a case; each of them is reset at another moment.
+const CALLS: u64 = 8;
+/// Step by which the pause before the reset grows.
+const PAUSE_STEP: Duration = Duration::from_millis(5);
+
+/// A server that answers each request when its head has arrived, and then resets the connection; before that it ends the
+/// answer as after a whole one if `closes_first` is set.
+async fn resetting_server(response: String, closes_first: bool) -> SocketAddr {
+    let listener = TcpListener::bind((unused_ip(), 0))
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        let mut calls = 0;
+        while let Ok((mut stream, _from)) = listener.accept().await {
+            let response = response.clone();
+            let pause = PAUSE_STEP * (calls % CALLS) as u32;
+            calls += 1;
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                if stream.read(&mut request).await.is_ok_and(|count| count > 0) {
+                    drop(stream.write_all(response.as_bytes()).await);
+                    if closes_first {
+                        drop(stream.shutdown().await);
+                    }
+                    tokio::time::sleep(pause).await;
+                    drop(stream.set_zero_linger());
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a part of an answer that looks complete, since its target resets the connection while it is still being
+/// sent the call.
+#[parameterized(
+    text = { "text/plain", "part", false },
+    events = { "text/event-stream", EVENT, false },
+    head = { "text/plain", "", false },
+    closed_text = { "text/plain", "part", true },
+    closed_events = { "text/event-stream", EVENT, true },
+    closed_head = { "text/plain", "", true },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn early_answer_that_is_reset_does_not_look_complete(
+    content_type: &str,
+    part: &str,
+    closes_first: bool,
+) {
+    let text = response(Framed::UntilClose, content_type, part);
+    let node = node_with_target(resetting_server(text, closes_first).await).await;
+    for method in [Method::POST, Method::PUT] {
+        for _call in 0..CALLS {
+            let upload = "u".repeat(UPLOAD_BYTES);
+            let path = "/services/ladder/upload";
+            let sent = node
+                .client
+                .call(method.clone(), node.address, path, &[], upload);
+            if let Ok(answer) = sent.await {
+                assert_eq!(answer.status, 502, "{:?}", answer.body);
+            }
+        }
+    }
+}
+
+/// Guards against an answer that is passed on although its status is none that an answer may have.
+#[parameterized(
+    zero = { "000 None" },
+    below_100 = { "099 Odd" },
+    interim = { "100 Continue" },
+    unknown_interim = { "199 Odd" },
+    two_digits = { "20 OK" },
+)]
+#[test_macro(tokio::test)]
+async fn answer_without_a_valid_status_is_not_passed_on(status: &str) {
+    let text = response(Framed::Length, "text/plain", "part").replace("200 OK", status);
+    let node = node_with_target(closing_server(text).await).await;
+    for method in [Method::GET, Method::POST] {
+        let answer = call(&node, method, "/services/ladder/x", &[], "").await;
+        assert_eq!(answer.status, 502, "{:?}", answer.body);
+        assert!(!answer.body.windows(4).any(|bytes| bytes == b"part"));
+    }
+}
