--- a/crates/tealsaddle-core/src/retry.rs
+++ b/crates/tealsaddle-core/src/retry.rs
@@ -150,7 +150,7 @@
         budget: &mut RetryBudget,
         now_us: u64,
     ) -> Result<(), GiveUp> {
-        self.on_failed(outcome)?;
+        self.allows_after(outcome)?;
         // A request that has reached no target adds no load when it is sent to another one.
         let is_unsent = matches!(
             outcome,
@@ -163,9 +163,9 @@
         }
     }
 
-    /// Counts a failed attempt and decides whether another one may follow, as far as the request is concerned. A retry
-    /// has to be taken out of the budget as well.
-    pub const fn on_failed(&mut self, outcome: AttemptOutcome) -> Result<(), GiveUp> {
+    /// Counts a failed attempt and returns whether another one may follow, as far as the request is concerned. A retry has
+    /// to be taken out of the budget as well.
+    pub const fn allows_after(&mut self, outcome: AttemptOutcome) -> Result<(), GiveUp> {
         self.count(outcome);
         if self.unknown.is_some() && !self.is_repeatable {
             return Err(GiveUp::NotRepeatable);
--- a/crates/tealsaddle-gateway/src/call.rs
+++ b/crates/tealsaddle-gateway/src/call.rs
@@ -249,7 +249,7 @@
         outcome: AttemptOutcome,
         runner: &str,
     ) -> Result<(), AttemptOutcome> {
-        let mut decision = attempts.on_failed(outcome);
+        let mut decision = attempts.allows_after(outcome);
         let is_unknown = matches!(outcome, AttemptOutcome::Unknown(_));
         if is_unknown && self.state.trial().is_some() {
             decision = Err(GiveUp::Attempts);
--- a/crates/tealsaddle-gateway/src/lib.rs
+++ b/crates/tealsaddle-gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod rounds;
 pub mod scheduler;
 pub mod send_gate;
+pub mod send_progress;
 pub mod shares;
 pub mod signals;
 pub mod silence;
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -205,18 +205,17 @@
         }
     }
 
-    /// Takes a further prefill out of the retry budget; returns `false` if nothing is left there.
+    /// Whether a prefill runner may be asked. After the first send that is taken out of the retry budget.
     fn may_read(&self) -> bool {
-        let is_first = self.state.arrivals.lock().sent() == 0;
         let is_granted = self.may_send(NextSend::Read);
-        if is_first {
-            return is_granted;
-        }
-        self.gateway.metrics.increment(if is_granted {
+        let name = if is_granted {
             "read.again"
         } else {
             "read.budget_used_up"
-        });
+        };
+        if self.state.arrivals.lock().sent() > 0 {
+            self.gateway.metrics.increment(name);
+        }
         is_granted
     }
 
--- a/crates/tealsaddle-gateway/src/upstream.rs
+++ b/crates/tealsaddle-gateway/src/upstream.rs
@@ -7,7 +7,6 @@
 //! probes, since a network path may stop delivering packets without a reset.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -30,6 +29,7 @@
 use crate::connector::{TcpConnector, connect_in_time};
 use crate::external::OutgoingCall;
 use crate::framing::Framing;
+use crate::send_progress::SendProgress;
 use crate::timeout::timeout_at;
 
 /// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`).
@@ -89,32 +89,6 @@
     progress: Arc<SendProgress>,
 }
 
-/// How far the request on a connection has been sent.
-#[derive(Debug, Default)]
-struct SendProgress {
-    /// Bytes that the system has taken for sending since the connection was opened.
-    written_bytes: AtomicU64,
-    /// Value from which the request counts as sent. Its head is left out.
-    sent_at_bytes: AtomicU64,
-}
-
-impl SendProgress {
-    fn on_written(&self, bytes: usize) {
-        self.written_bytes
-            .fetch_add(bytes as u64, Ordering::Relaxed);
-    }
-
-    /// Begins to send a request with a body of this length.
-    fn begin_request(&self, body_bytes: u64) {
-        let sent_at_bytes = self.written_bytes.load(Ordering::Relaxed) + body_bytes;
-        self.sent_at_bytes.store(sent_at_bytes, Ordering::Relaxed);
-    }
-
-    fn is_sent(&self) -> bool {
-        self.written_bytes.load(Ordering::Relaxed) >= self.sent_at_bytes.load(Ordering::Relaxed)
-    }
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/tealsaddle-node/src/caller/mod.rs
+++ b/crates/tealsaddle-node/src/caller/mod.rs
@@ -17,6 +17,7 @@
 pub mod generation;
 pub mod liveness;
 pub mod openai;
+pub mod payload;
 pub mod peer_attempts;
 pub mod proxy;
 pub mod response;
