Test deductions before reads, and rename a local that shares its name with a method

Cause: the doc of a test of arrivals claimed cases that it did not have: nothing checked what a read needs, or what was deducted before. Change: seven cases of missing_deductions; that doc says what its cases check, which are the same; the local in Call::prefill does not bear the name of Call::may_ask_other any more.

--- a/crates/tealsaddle-core/tests/it/arrivals.rs
+++ b/crates/tealsaddle-core/tests/it/arrivals.rs
@@ -48,8 +48,7 @@
     assert_eq!(after(sends).repeats(), expected);
 }
 
-/// Guards against repeats beyond those that were taken out of the budget, also where a read is accepted only after
-/// it was deducted.
+/// Guards against a run beyond what was taken out of the budget.
 #[parameterized(
     nothing = { &[], true },
     failed_read = { &[FailedRead], false },
@@ -63,3 +62,22 @@
         expected
     );
 }
+
+/// Guards against a read for which the run that follows is not taken out of the budget, and against a deduction that is made
+/// twice, also where a read is accepted only after it was deducted.
+#[parameterized(
+    first_read = { &[], 0, NextSend::Read, 0 },
+    read_after_a_failed_one = { &[FailedRead], 0, NextSend::Read, 1 },
+    read_for_a_second_run = { &[Read, Run], 0, NextSend::Read, 2 },
+    read_for_a_second_run_that_is_deducted = { &[Read, Run], 1, NextSend::Read, 1 },
+    run_after_a_deducted_read = { &[FailedRead, Read], 1, NextSend::Run, 0 },
+    run_after_a_deducted_read_that_failed = { &[FailedRead, FailedRead], 1, NextSend::Run, 1 },
+    run_after_a_deducted_send_that_was_not_made = { &[FailedRead, Unsent], 1, NextSend::Run, 0 },
+)]
+fn deductions_are_missing(sends: &[Fate], deducted: u32, next: NextSend, expected: u32) {
+    let mut arrivals = after(sends);
+    for _retry in 0..deducted {
+        arrivals.on_deducted();
+    }
+    assert_eq!(arrivals.missing_deductions(next), expected);
+}
--- a/crates/tealsaddle-gateway/src/prefill.rs
+++ b/crates/tealsaddle-gateway/src/prefill.rs
@@ -195,9 +195,9 @@
             if self.first_event_remaining().is_zero() {
                 return None;
             }
-            let may_ask_other = !is_unsent || asked.len() < MAX_UNSENT_PREFILLS;
+            let may_go_on = !is_unsent || asked.len() < MAX_UNSENT_PREFILLS;
             let other = self.place_prefill(engine, &asked).await;
-            let other = other.filter(|_other| may_ask_other && self.may_read());
+            let other = other.filter(|_other| may_go_on && self.may_read());
             let Some(other) = other else {
                 return self.wait_for_silent_prefill(&mut running, own_read).await;
             };
