--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -4,7 +4,7 @@
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::net::{read_chunk, send};
 use crate::node::{Common, Node};
@@ -28,27 +28,48 @@
     is_complete: bool,
 }
 
-pub fn play(case: &Case) -> Outcome {
-    let record = &case.record;
-    let common = Common {
+fn common() -> Common {
+    Common {
         more: "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  \
                drain_ms: 2000\n  grace_s: 8\n  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n  \
                max_skew_ms: 5000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  budget_slack: 54\n  \
                recovery_s: 12\n  transit_ms: 120\n  retry_after_s: 8.5\n  require_fence: false\n  lease_ms: 3000\n  \
                thaw_slack_ms: 300\n"
             .to_owned(),
-    };
-    let store = Store::open();
-    store.put("op/config", CONFIG);
-    let runner = |id: &str, version| Terms {
+    }
+}
+
+fn terms(id: &str, version: &'static str) -> Terms {
+    Terms {
         id: id.to_owned(),
         service: "readers",
         version,
         is_model: true,
         events: 20,
         pause: Duration::from_millis(150),
-    };
-    Runner::start(runner("i-1", "v1"), &store, record);
+    }
+}
+
+/// Judges what the clients have got by ORDER (versions): more than two streams.
+fn judge(got: &[Got], record: &Record) -> Outcome {
+    let complete = got.iter().filter(|got| got.is_complete).count();
+    let mixed = got.iter().filter(|got| got.versions.len() > 1).count();
+    record.add(&format!("{STREAMS} streams, {complete} complete, {mixed} with events of two versions"));
+    if got.iter().all(|got| got.last_id == 0) {
+        Outcome::CouldNotRun
+    } else if mixed > 2 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
+}
+
+pub fn play(case: &Case) -> Outcome {
+    let record = &case.record;
+    let common = common();
+    let store = Store::open();
+    store.put("op/config", CONFIG);
+    Runner::start(terms("i-1", "v1"), &store, record);
     let mut nodes: Vec<Node> = (1..=4).map(|n| Node::new(n, &case.folder, record)).collect();
     let seeds: Vec<SocketAddr> = nodes[..3].iter().map(|node| node.control).collect();
     let stores: Vec<SocketAddr> = nodes.iter().map(|_| store.listen()).collect();
@@ -61,7 +82,7 @@
     // Until then the nodes refuse what they cannot know, as they may have missed streams of before their start.
     sleep(STREAM_LIFE + Duration::from_secs(2));
     record.add("a runner of v2 starts beside that of v1");
-    Runner::start(runner("i-2", "v2"), &store, record);
+    Runner::start(terms("i-2", "v2"), &store, record);
     sleep(Duration::from_secs(3));
     if case.has_trouble {
         record.add("the store turns the fourth machine away");
@@ -85,21 +106,64 @@
     }
     let got: Vec<Got> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
     store.set_treatment(stores[3], Treatment::Serve);
-    let complete = got.iter().filter(|got| got.is_complete).count();
-    let mixed = got.iter().filter(|got| got.versions.len() > 1).count();
-    record.add(&format!("{STREAMS} streams, {complete} complete, {mixed} with events of two versions"));
-    if got.iter().all(|got| got.last_id == 0) {
+    judge(&got, record)
+}
+
+/// All machines lose power at the moment at which the store comes back from an older copy, beside two software versions.
+pub fn play_return(case: &Case) -> Outcome {
+    let record = &case.record;
+    let common = common();
+    let store = Store::open();
+    store.put("op/config", CONFIG);
+    let first = Runner::start(terms("i-1", "v1"), &store, record);
+    let mut nodes: Vec<Node> = (1..=3).map(|n| Node::new(n, &case.folder, record)).collect();
+    let seeds: Vec<SocketAddr> = nodes.iter().map(|node| node.control).collect();
+    let stores: Vec<SocketAddr> = nodes.iter().map(|_| store.listen()).collect();
+    for (node, store) in nodes.iter_mut().zip(&stores) {
+        node.start(*store, &seeds, &common);
+    }
+    if !nodes.iter().all(|node| node.wait_ready(Duration::from_secs(10))) {
         return Outcome::CouldNotRun;
     }
-    // ORDER (versions): more than two streams.
-    if mixed > 2 {
-        Outcome::Broken
-    } else {
-        Outcome::Held
+    sleep(STREAM_LIFE + Duration::from_secs(2));
+    let copy = store.copy();
+    record.add("a copy of the store is taken; a runner of v2 starts beside that of v1");
+    let second = Runner::start(terms("i-2", "v2"), &store, record);
+    sleep(Duration::from_secs(3));
+    let fronts: Vec<SocketAddr> = nodes.iter().map(|node| node.front).collect();
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let (record, fronts) = (record.clone(), fronts.clone());
+            std::thread::spawn(move || client(number, fronts[number % 3], &fronts, &record))
+        })
+        .collect();
+    sleep(Duration::from_millis(1_200));
+    if case.has_trouble {
+        record.add("the store goes away, and all machines lose power");
+        store.go_away();
+        for node in &mut nodes {
+            node.crash();
+        }
+        sleep(Duration::from_millis(1_000));
+        store.come_back(copy);
+        record.add("the store is back from the copy");
+        for (node, store) in nodes.iter_mut().zip(&stores) {
+            node.start(*store, &seeds, &common);
+        }
+        store.put("op/config", CONFIG);
+        first.register(&store);
+        sleep(Duration::from_millis(1_500));
+        second.register(&store);
+        record.add("the runner of v2 is registered again");
     }
+    let got: Vec<Got> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    judge(&got, record)
 }
 
-/// Reads a stream, and takes it up once at another node if its connection breaks.
+/// Time that a client waits for a stream.
+const DEADLINE: Duration = Duration::from_millis(6_000);
+
+/// Reads a stream, and takes it up at other nodes if its connection breaks, until one goes on or the deadline has passed.
 fn client(number: usize, front: SocketAddr, others: &[SocketAddr], record: &Record) -> Got {
     let mut got = Got::default();
     let first_id = format!("q{number:02}-1");
@@ -113,26 +177,38 @@
              tealsaddle-deadline-ms: 6000\r\n{prompt}{more}"
         )
     };
+    let began = Instant::now();
     read_stream(front, &first_id, &head(&first_id, ""), &mut got, record);
-    if got.is_complete || got.last_id == 0 {
-        return got;
+    for attempt in 2.. {
+        let left = DEADLINE.saturating_sub(began.elapsed());
+        if got.is_complete || got.last_id == 0 || left.is_zero() {
+            break;
+        }
+        let id = format!("q{number:02}-{attempt}");
+        let more = format!("last-event-id: {}\r\nresumes: {first_id}\r\n", got.last_id);
+        let other = others[(number + attempt) % others.len()];
+        if read_stream(other, &id, &head(&id, &more), &mut got, record) {
+            break;
+        }
+        sleep(Duration::from_millis(300));
     }
-    let id = format!("q{number:02}-2");
-    let more = format!("last-event-id: {}\r\nresumes: {first_id}\r\n", got.last_id);
-    let other = others[number % others.len()];
-    read_stream(other, &id, &head(&id, &more), &mut got, record);
     got
 }
 
-fn read_stream(front: SocketAddr, id: &str, head: &str, got: &mut Got, record: &Record) {
+/// Reads an answer; returns whether it has begun.
+fn read_stream(front: SocketAddr, id: &str, head: &str, got: &mut Got, record: &Record) -> bool {
     record.add(&format!("client sends {id} to {front}, has events up to {}", got.last_id));
     let answer = send(front, head, b"", Duration::from_secs(6));
     let (answer, mut reader) = match answer {
         Ok(answer) => answer,
-        Err(error) => return record.add(&format!("client of {id} gets no answer: {error}")),
+        Err(error) => {
+            record.add(&format!("client of {id} gets no answer: {error}"));
+            return false;
+        }
     };
     if answer.status() != 200 {
-        return record.add(&format!("client of {id} gets {}", answer.first));
+        record.add(&format!("client of {id} gets {}", answer.first));
+        return false;
     }
     let ended = read_events(&mut reader, got);
     let end = match ended {
@@ -146,6 +222,7 @@
         versions.join(" and "),
         got.is_out_of_order
     ));
+    true
 }
 
 fn read_events(reader: &mut BufReader<TcpStream>, got: &mut Got) -> std::io::Result<()> {
