--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -16,7 +16,7 @@
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/verdict/","kind":"streaming","timeout_ms":6000,"slo_ms":500,"priority":1,"service":"readers","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":400}],"services":[{"name":"readers","health_path":"/healthz","max_conns":360,"protocol":"h1","tls":false,"engine":{"slots":16,"kv_tokens":400000,"kv_bytes":18432,"link_mbps":370000.0,"handle_ttl_s":5.0,"switch_s":3.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 /// Longest time for a stream in which a node may have to tell others of it: timeout of the route and two seconds more.
 const STREAM_LIFE: Duration = Duration::from_millis(8_000);
-const STREAMS: usize = 12;
+const STREAMS: usize = 18;
 
 /// What a client has got of a stream, over all of its tries.
 #[derive(Debug, Default)]
