--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
     echo "build the program and run review/build-2.sh first" >&2
     exit 2
 fi
-exec "$program" versions review/6
+exec "$program" versions-shorter review/6
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -110,6 +110,13 @@
         self.0 .1.notify_all();
     }
 
+    /// Removes a key, as the platform does with the entry of a runner.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.0 .0.lock().unwrap();
+        state.content.remove(key);
+        self.0 .1.notify_all();
+    }
+
     /// Takes a copy.
     pub fn copy(&self) -> Copy {
         let state = self.0 .0.lock().unwrap();
--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -13,10 +13,23 @@
 use crate::store::{Store, Treatment};
 use crate::{Case, Outcome};
 
+fn config(version: u32, timeout_ms: u32) -> String {
+    CONFIG
+        .replace("\"version\":7", &format!("\"version\":{version}"))
+        .replace(
+            "\"timeout_ms\":6000",
+            &format!("\"timeout_ms\":{timeout_ms}"),
+        )
+}
+
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/verdict/","kind":"streaming","timeout_ms":6000,"slo_ms":500,"priority":1,"service":"readers","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":400}],"services":[{"name":"readers","health_path":"/healthz","max_conns":360,"protocol":"h1","tls":false,"engine":{"slots":16,"kv_tokens":400000,"kv_bytes":18432,"link_mbps":370000.0,"handle_ttl_s":5.0,"switch_s":3.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 /// Longest time for a stream in which a node may have to tell others of it: timeout of the route and two seconds more.
 const STREAM_LIFE: Duration = Duration::from_millis(8_000);
 const STREAMS: usize = 18;
+/// Number of machines, of which the last one is added later in the case of that name.
+const MACHINES: u8 = 7;
+/// Place of the machine that is added.
+const ADDED: usize = 6;
 
 /// What a client has got of a stream, over all of its tries.
 #[derive(Debug, Default)]
@@ -72,15 +85,15 @@
     let store = Store::open();
     store.put("op/config", CONFIG);
     Runner::start(terms("i-1", "v1"), &store, record);
-    let mut nodes: Vec<Node> = (1..=4)
+    let mut nodes: Vec<Node> = (1..=MACHINES)
         .map(|n| Node::new(n, &case.folder, record))
         .collect();
     let seeds: Vec<SocketAddr> = nodes[..3].iter().map(|node| node.control).collect();
     let stores: Vec<SocketAddr> = nodes.iter().map(|_| store.listen()).collect();
-    for (node, store) in nodes[..3].iter_mut().zip(&stores) {
+    for (node, store) in nodes[..ADDED].iter_mut().zip(&stores) {
         node.start(*store, &seeds, &common);
     }
-    if !nodes[..3]
+    if !nodes[..ADDED]
         .iter()
         .all(|node| node.wait_ready(Duration::from_secs(10)))
     {
@@ -92,33 +105,33 @@
     Runner::start(terms("i-2", "v2"), &store, record);
     sleep(Duration::from_secs(3));
     if case.has_trouble {
-        record.add("the store turns the fourth machine away");
-        store.set_treatment(stores[3], Treatment::TurnAway);
+        record.add("the store turns the last machine away");
+        store.set_treatment(stores[ADDED], Treatment::TurnAway);
     }
-    nodes[3].start(stores[3], &seeds, &common);
-    if !nodes[3].wait_ready(Duration::from_secs(5)) {
+    nodes[ADDED].start(stores[ADDED], &seeds, &common);
+    if !nodes[ADDED].wait_ready(Duration::from_secs(5)) {
         return Outcome::CouldNotRun;
     }
     sleep(Duration::from_secs(2));
-    let front = nodes[3].front;
+    let front = nodes[ADDED].front;
     let clients: Vec<_> = (0..STREAMS)
         .map(|number| {
             let (record, others) = (
                 record.clone(),
-                nodes[..3].iter().map(|n| n.front).collect::<Vec<_>>(),
+                nodes[..ADDED].iter().map(|n| n.front).collect::<Vec<_>>(),
             );
-            std::thread::spawn(move || client(number, front, &others, &record))
+            std::thread::spawn(move || client(number, front, &others, DEADLINE, &record))
         })
         .collect();
     sleep(Duration::from_millis(1_200));
     if case.has_trouble {
-        nodes[3].crash();
+        nodes[ADDED].crash();
     }
     let got: Vec<Got> = clients
         .into_iter()
         .filter_map(|client| client.join().ok())
         .collect();
-    store.set_treatment(stores[3], Treatment::Serve);
+    store.set_treatment(stores[ADDED], Treatment::Serve);
     judge(&got, record)
 }
 
@@ -152,7 +165,9 @@
     let clients: Vec<_> = (0..STREAMS)
         .map(|number| {
             let (record, fronts) = (record.clone(), fronts.clone());
-            std::thread::spawn(move || client(number, fronts[number % 3], &fronts, &record))
+            std::thread::spawn(move || {
+                client(number, fronts[number % 3], &fronts, DEADLINE, &record)
+            })
         })
         .collect();
     sleep(Duration::from_millis(1_200));
@@ -181,12 +196,80 @@
     judge(&got, record)
 }
 
+/// The longest timeout is shortened, and runners of one version are replaced by those of another, while streams run that
+/// were admitted under the longer one. Then one machine fails.
+pub fn play_shorter(case: &Case) -> Outcome {
+    let record = &case.record;
+    let common = common();
+    let store = Store::open();
+    store.put("op/config", &config(7, 8_000));
+    let long = |id, version| Terms {
+        events: 40,
+        pause: Duration::from_millis(180),
+        ..terms(id, version)
+    };
+    Runner::start(long("i-1", "v1"), &store, record);
+    let mut nodes: Vec<Node> = (1..=MACHINES)
+        .map(|n| Node::new(n, &case.folder, record))
+        .collect();
+    let seeds: Vec<SocketAddr> = nodes[..3].iter().map(|node| node.control).collect();
+    let address = store.listen();
+    for node in &mut nodes {
+        node.start(address, &seeds, &common);
+    }
+    if !nodes
+        .iter()
+        .all(|node| node.wait_ready(Duration::from_secs(10)))
+    {
+        return Outcome::CouldNotRun;
+    }
+    sleep(Duration::from_secs(13));
+    let front = nodes[ADDED].front;
+    let others: Vec<SocketAddr> = nodes[..ADDED].iter().map(|node| node.front).collect();
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let (record, others) = (record.clone(), others.clone());
+            std::thread::spawn(move || client(number, front, &others, LONG_DEADLINE, &record))
+        })
+        .collect();
+    sleep(Duration::from_millis(400));
+    record.add("the timeout of the route is 3 s from now on");
+    store.put("op/config", &config(8, 3_000));
+    sleep(Duration::from_millis(200));
+    record.add("a runner of v2 starts");
+    Runner::start(long("i-2", "v2"), &store, record);
+    sleep(Duration::from_millis(200));
+    record.add("the runner of v1 leaves: its entry is removed, and it serves on");
+    store.remove("servers/i-1");
+    sleep(Duration::from_millis(5_100));
+    record.add("a second runner of v2 starts");
+    Runner::start(long("i-3", "v2"), &store, record);
+    sleep(Duration::from_millis(200));
+    if case.has_trouble {
+        nodes[ADDED].crash();
+    }
+    let got: Vec<Got> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
+    judge(&got, record)
+}
+
 /// Time that a client waits for a stream.
 const DEADLINE: Duration = Duration::from_millis(6_000);
+/// The same for the long streams of the case of the shorter timeout.
+const LONG_DEADLINE: Duration = Duration::from_millis(8_000);
 
 /// Reads a stream, and takes it up at other nodes if its connection breaks, until one goes on or the deadline has passed.
-fn client(number: usize, front: SocketAddr, others: &[SocketAddr], record: &Record) -> Got {
+fn client(
+    number: usize,
+    front: SocketAddr,
+    others: &[SocketAddr],
+    deadline: Duration,
+    record: &Record,
+) -> Got {
     let mut got = Got::default();
+    let began = Instant::now();
     let first_id = format!("q{number:02}-1");
     let prompt = format!(
         "tealsaddle-model: m\r\ntealsaddle-token-counts: 60,20\r\ntealsaddle-prompt-prefix: aa:40,{:x}:20\r\n",
@@ -195,13 +278,13 @@
     let head = |id: &str, more: &str| {
         format!(
             "POST /verdict/x HTTP/1.1\r\nhost: a.example\r\ntealsaddle-request-id: {id}\r\n\
-             tealsaddle-deadline-ms: 6000\r\n{prompt}{more}"
+             tealsaddle-deadline-ms: {}\r\n{prompt}{more}",
+            deadline.saturating_sub(began.elapsed()).as_millis()
         )
     };
-    let began = Instant::now();
     read_stream(front, &first_id, &head(&first_id, ""), &mut got, record);
     for attempt in 2.. {
-        let left = DEADLINE.saturating_sub(began.elapsed());
+        let left = deadline.saturating_sub(began.elapsed());
         if got.is_complete || got.last_id == 0 || left.is_zero() {
             break;
         }
@@ -222,7 +305,7 @@
         "client sends {id} to {front}, has events up to {}",
         got.last_id
     ));
-    let answer = send(front, head, b"", Duration::from_secs(6));
+    let answer = send(front, head, b"", LONG_DEADLINE);
     let (answer, mut reader) = match answer {
         Ok(answer) => answer,
         Err(error) => {
