--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -50,6 +50,7 @@
     let outcome = match name.as_str() {
         "versions" => versions::play(&case),
         "versions-shorter" => versions::play_shorter(&case),
+        "versions-rolled" => versions::play_rolled(&case),
         "versions-return" => versions::play_return(&case),
         "usage" => usage::play(&case),
         _ => Outcome::CouldNotRun,
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -14,6 +14,7 @@
 }
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 /// A machine with its settings, and the process that runs there.
 #[derive(Debug)]
@@ -108,6 +109,18 @@
         }
     }
 
+    /// Tells the process to stop.
+    pub fn terminate(&self) {
+        self.signal(SIGTERM);
+        self.record.add(&format!("{} gets SIGTERM", self.name));
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let process = self.process.as_mut();
+        process.is_none_or(|process| matches!(process.try_wait(), Ok(Some(_))))
+    }
+
     /// Kills the process.
     pub fn crash(&mut self) {
         self.signal(SIGKILL);
--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -255,6 +255,132 @@
     judge(&got, record)
 }
 
+/// All machines are stopped and started in turn; then, as a release begins, one of them fails.
+pub fn play_rolled(case: &Case) -> Outcome {
+    let record = &case.record;
+    let common = common();
+    let store = Store::open();
+    store.put("op/config", &config(7, 8_000));
+    Runner::start(terms("i-1", "v1"), &store, record);
+    Runner::start(terms("i-2", "v1"), &store, record);
+    let mut nodes: Vec<Node> = (1..=MACHINES)
+        .map(|n| Node::new(n, &case.folder, record))
+        .collect();
+    let seeds: Vec<SocketAddr> = nodes[..3].iter().map(|node| node.control).collect();
+    let address = store.listen();
+    let is_ready = |nodes: &[Node]| {
+        nodes
+            .iter()
+            .all(|node| node.wait_ready(Duration::from_secs(10)))
+    };
+    for node in &mut nodes {
+        node.start(address, &seeds, &common);
+    }
+    if !is_ready(&nodes) {
+        return Outcome::CouldNotRun;
+    }
+    sleep(Duration::from_secs(12));
+    let began = Instant::now();
+    let mut stopped = 0;
+    let mut is_back = [false; MACHINES as usize];
+    while !is_back.iter().all(|is_back| *is_back) {
+        if stopped < nodes.len() && began.elapsed() >= ROLL_GAP * stopped as u32 {
+            nodes[stopped].terminate();
+            stopped += 1;
+        }
+        for (node, is_back) in nodes[..stopped].iter_mut().zip(&mut is_back) {
+            if !*is_back && node.has_ended() {
+                node.start(address, &seeds, &common);
+                *is_back = true;
+            }
+        }
+        if began.elapsed() > Duration::from_secs(30) {
+            return Outcome::CouldNotRun;
+        }
+        sleep(Duration::from_millis(20));
+    }
+    if !is_ready(&nodes) {
+        return Outcome::CouldNotRun;
+    }
+    sleep(CONTACT + Duration::from_millis(200));
+    record.add("all machines are in touch again");
+    let front = nodes[ADDED].front;
+    let others: Vec<SocketAddr> = nodes[..ADDED].iter().map(|node| node.front).collect();
+    let start = |numbers: std::ops::Range<usize>, fronts: Vec<SocketAddr>| -> Vec<_> {
+        numbers
+            .map(|number| {
+                let front = fronts[number % fronts.len()];
+                let (record, others) = (record.clone(), others.clone());
+                std::thread::spawn(move || client_once(number, front, &others, &record))
+            })
+            .collect()
+    };
+    let clients = start(0..STREAMS, vec![front]);
+    sleep(Duration::from_millis(500));
+    record.add("a release begins: a runner of v2 starts beside those of v1");
+    Runner::start(terms("i-3", "v2"), &store, record);
+    sleep(Duration::from_millis(500));
+    if case.has_trouble {
+        nodes[ADDED].crash();
+    }
+    let new = start(STREAMS..2 * STREAMS, others.clone());
+    let join =
+        |clients: Vec<std::thread::JoinHandle<(Got, Option<bool>)>>| -> Vec<(Got, Option<bool>)> {
+            clients
+                .into_iter()
+                .filter_map(|client| client.join().ok())
+                .collect()
+        };
+    let (got, new) = (join(clients), join(new));
+    let taken_up = got.iter().filter(|(_, goes_on)| goes_on.is_some()).count();
+    let go_on = got
+        .iter()
+        .filter(|(_, goes_on)| *goes_on == Some(true))
+        .count();
+    let begun = new.iter().filter(|(got, _)| got.last_id > 0).count();
+    record.add(&format!(
+        "{taken_up} streams, begun at v1, taken up again, {go_on} go on; {begun} of {STREAMS} new streams begin"
+    ));
+    if got.iter().all(|(got, _)| got.last_id == 0) || begun == 0 {
+        return Outcome::CouldNotRun;
+    }
+    // LOST (versions): of 12 or more, the share that goes on is under half of the share of new streams that begin.
+    let share = |count: usize, of: usize| count as f64 / of.max(1) as f64;
+    if taken_up >= 12 && share(go_on, taken_up) < 0.5 * share(begun, STREAMS) {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
+}
+
+/// Time from one planned stop to the next.
+const ROLL_GAP: Duration = Duration::from_millis(1_000);
+/// `contact_ms` of the bounds.
+const CONTACT: Duration = Duration::from_millis(3_000);
+
+/// Reads a stream, and takes it up once if its connection breaks; also returns whether it then went on.
+fn client_once(
+    number: usize,
+    front: SocketAddr,
+    others: &[SocketAddr],
+    record: &Record,
+) -> (Got, Option<bool>) {
+    let mut got = Got::default();
+    let first_id = format!("q{number:02}-1");
+    let head = |id: &str, more: &str| head(number, id, LONG_DEADLINE, more);
+    read_stream(front, &first_id, &head(&first_id, ""), &mut got, record);
+    if got.is_complete || got.last_id == 0 {
+        return (got, None);
+    }
+    let id = format!("q{number:02}-2");
+    let before = got.last_id;
+    let more = format!("last-event-id: {before}\r\nresumes: {first_id}\r\n");
+    let other = others[number % others.len()];
+    read_stream(other, &id, &head(&id, &more), &mut got, record);
+    let goes_on = got.last_id > before;
+    (got, Some(goes_on))
+}
+
 /// Time that a client waits for a stream.
 const DEADLINE: Duration = Duration::from_millis(6_000);
 /// The same for the long streams of the case of the shorter timeout.
@@ -271,17 +397,8 @@
     let mut got = Got::default();
     let began = Instant::now();
     let first_id = format!("q{number:02}-1");
-    let prompt = format!(
-        "tealsaddle-model: m\r\ntealsaddle-token-counts: 60,20\r\ntealsaddle-prompt-prefix: aa:40,{:x}:20\r\n",
-        0x100 + number
-    );
-    let head = |id: &str, more: &str| {
-        format!(
-            "POST /verdict/x HTTP/1.1\r\nhost: a.example\r\ntealsaddle-request-id: {id}\r\n\
-             tealsaddle-deadline-ms: {}\r\n{prompt}{more}",
-            deadline.saturating_sub(began.elapsed()).as_millis()
-        )
-    };
+    let head =
+        |id: &str, more: &str| head(number, id, deadline.saturating_sub(began.elapsed()), more);
     read_stream(front, &first_id, &head(&first_id, ""), &mut got, record);
     for attempt in 2.. {
         let left = deadline.saturating_sub(began.elapsed());
@@ -299,6 +416,17 @@
     got
 }
 
+/// Head of a request for a stream, without its last line.
+fn head(number: usize, id: &str, deadline: Duration, more: &str) -> String {
+    format!(
+        "POST /verdict/x HTTP/1.1\r\nhost: a.example\r\ntealsaddle-request-id: {id}\r\n\
+         tealsaddle-deadline-ms: {}\r\ntealsaddle-model: m\r\ntealsaddle-token-counts: 60,20\r\n\
+         tealsaddle-prompt-prefix: aa:40,{:x}:20\r\n{more}",
+        deadline.as_millis(),
+        0x100 + number
+    )
+}
+
 /// Reads an answer; returns whether it has begun.
 fn read_stream(front: SocketAddr, id: &str, head: &str, got: &mut Got, record: &Record) -> bool {
     record.add(&format!(
