--- a/review/standin-2/usage.rs
+++ b/review/standin-2/usage.rs
@@ -15,7 +15,7 @@
 use crate::store::{Copy, Store};
 use crate::{Case, Outcome};
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/book/","kind":"non_idempotent","timeout_ms":1200,"slo_ms":120,"priority":1,"service":"desk","max_attempts":1,"public":false}],"services":[{"name":"desk","health_path":"/healthz","max_conns":480,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"hule930","api_keys":["kn2ftimaj3nr26tta828"]},{"name":"fida11","api_keys":["m82thhkmgjqnirth5mgj"]}]}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/book/","kind":"non_idempotent","timeout_ms":2500,"slo_ms":150,"priority":1,"service":"desk","max_attempts":1,"public":false}],"services":[{"name":"desk","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"hule930","api_keys":["kn2ftimaj3nr26tta828"]},{"name":"fida11","api_keys":["m82thhkmgjqnirth5mgj"]}]}"#;
 const KEYS: [&str; 2] = ["kn2ftimaj3nr26tta828", "m82thhkmgjqnirth5mgj"];
 const NODES: u8 = 7;
 /// Number of machines that fail: 4 of 7, where the disruption takes a share of 0.6 at most.
@@ -108,12 +108,12 @@
     let (cloud, cloud_address) = Cloud::listen(record);
     let common = Common {
         more: format!(
-            "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 4000\n  ack_ms: 6000\n  catch_up_s: 6\n  \
-             drain_ms: 3000\n  grace_s: 8\n  loss_slack_ms: 200\n  config_apply_ms: 3000\n  rollback_slack_ms: 250\n  \
-             max_skew_ms: 6000\n  strict_revoke: false\n  revoke_ms: 5000\n  retry_budget_ratio: 0.2\n  \
-             budget_window_s: 10\n  budget_slack: 180\n  require_fence: false\n  lease_ms: 3000\n  \
-             thaw_slack_ms: 300\n  report_window_s: 5\n  usage_off: 0.05\n  usage_late_s: 10\n  recovery_s: 15\n  \
-             transit_ms: 200\n  retry_after_s: 8.1\n\
+            "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  \
+             drain_ms: 2000\n  grace_s: 8\n  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n  \
+             max_skew_ms: 5000\n  strict_revoke: false\n  revoke_ms: 5000\n  retry_budget_ratio: 0.2\n  \
+             budget_window_s: 10\n  budget_slack: 54\n  require_fence: false\n  lease_ms: 3000\n  \
+             thaw_slack_ms: 300\n  report_window_s: 5\n  usage_off: 0.05\n  usage_late_s: 10\n  recovery_s: 12\n  \
+             transit_ms: 120\n  retry_after_s: 8.5\n\
              cloud:\n  addr: \"{cloud_address}\"\n  rate_per_s: 50.0\n  duties:\n    - \"usage_report\"\n  duty_per_s: 50.0\n"
         ),
     };
--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -22,7 +22,7 @@
         )
 }
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/verdict/","kind":"streaming","timeout_ms":6000,"slo_ms":500,"priority":1,"service":"readers","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":400}],"services":[{"name":"readers","health_path":"/healthz","max_conns":360,"protocol":"h1","tls":false,"engine":{"slots":16,"kv_tokens":400000,"kv_bytes":18432,"link_mbps":370000.0,"handle_ttl_s":5.0,"switch_s":3.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"a.example","prefix":"/verdict/","kind":"streaming","timeout_ms":6000,"slo_ms":500,"priority":1,"service":"readers","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":250}],"services":[{"name":"readers","health_path":"/healthz","max_conns":360,"protocol":"h1","tls":false,"engine":{"slots":16,"kv_tokens":400000,"kv_bytes":18432,"link_mbps":370000.0,"handle_ttl_s":5.0,"switch_s":3.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 /// Longest time for a stream in which a node may have to tell others of it: timeout of the route and two seconds more.
 const STREAM_LIFE: Duration = Duration::from_millis(8_000);
 const STREAMS: usize = 18;
@@ -202,10 +202,10 @@
     let record = &case.record;
     let common = common();
     let store = Store::open();
-    store.put("op/config", &config(7, 8_000));
+    store.put("op/config", &config(7, 6_000));
     let long = |id, version| Terms {
-        events: 40,
-        pause: Duration::from_millis(180),
+        events: 36,
+        pause: Duration::from_millis(150),
         ..terms(id, version)
     };
     Runner::start(long("i-1", "v1"), &store, record);
@@ -233,15 +233,15 @@
         })
         .collect();
     sleep(Duration::from_millis(400));
-    record.add("the timeout of the route is 3 s from now on");
-    store.put("op/config", &config(8, 3_000));
+    record.add("the timeout of the route is 2 s from now on");
+    store.put("op/config", &config(8, 2_000));
     sleep(Duration::from_millis(200));
     record.add("a runner of v2 starts");
     Runner::start(long("i-2", "v2"), &store, record);
     sleep(Duration::from_millis(200));
     record.add("the runner of v1 leaves: its entry is removed, and it serves on");
     store.remove("servers/i-1");
-    sleep(Duration::from_millis(5_100));
+    sleep(Duration::from_millis(4_100));
     record.add("a second runner of v2 starts");
     Runner::start(long("i-3", "v2"), &store, record);
     sleep(Duration::from_millis(200));
@@ -260,7 +260,7 @@
     let record = &case.record;
     let common = common();
     let store = Store::open();
-    store.put("op/config", &config(7, 8_000));
+    store.put("op/config", &config(7, 6_000));
     Runner::start(terms("i-1", "v1"), &store, record);
     Runner::start(terms("i-2", "v1"), &store, record);
     let mut nodes: Vec<Node> = (1..=MACHINES)
@@ -316,10 +316,10 @@
             .collect()
     };
     let clients = start(0..STREAMS, vec![front]);
-    sleep(Duration::from_millis(500));
+    sleep(Duration::from_millis(250));
     record.add("a release begins: a runner of v2 starts beside those of v1");
     Runner::start(terms("i-3", "v2"), &store, record);
-    sleep(Duration::from_millis(500));
+    sleep(Duration::from_millis(300));
     if case.has_trouble {
         nodes[ADDED].crash();
     }
@@ -384,7 +384,7 @@
 /// Time that a client waits for a stream.
 const DEADLINE: Duration = Duration::from_millis(6_000);
 /// The same for the long streams of the case of the shorter timeout.
-const LONG_DEADLINE: Duration = Duration::from_millis(8_000);
+const LONG_DEADLINE: Duration = Duration::from_millis(6_000);
 
 /// Reads a stream, and takes it up at other nodes if its connection breaks, until one goes on or the deadline has passed.
 fn client(
