Let a stream go on at a version only if it is known to have begun there, or no other can have

Change: the base version is gone. Knowledge of versions states how far back it reaches (Observation, StreamLife, era of the record); without it, a stream goes on only where a node knows that it began. A node that the store turns away takes the list of nodes from its peers.

Why it works: every way to an answer that was 'the earlier version' for want of a word is now either known or refused.

--- a/crates/tealsaddle-core/src/fleet/knowledge.rs
+++ b/crates/tealsaddle-core/src/fleet/knowledge.rs
@@ -75,17 +75,39 @@
 
 /// The time as of which a node's knowledge of the store was complete.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
 pub struct Knowledge {
     /// On the clock of the node; 0 before the first confirmation.
     as_of_us: u64,
+    /// The first such time; `None` before it.
+    begun_us: Option<u64>,
+    /// The first such time after the knowledge was last in doubt.
+    resumed_us: u64,
 }
 
 impl Knowledge {
-    /// Records that the knowledge was complete at `as_of_us`. An earlier time than one before has no effect.
-    pub fn on_confirmed(&mut self, as_of_us: u64) {
+    /// Records at `now_us` that the knowledge was complete at `as_of_us`. An earlier time than one before has no effect.
+    pub fn on_confirmed(&mut self, as_of_us: u64, terms: &FreshnessTerms, now_us: u64) {
+        if self.begun_us.is_none() || self.is_doubtful(terms, now_us) {
+            self.resumed_us = self.resumed_us.max(as_of_us);
+        }
+        self.begun_us.get_or_insert(as_of_us);
         self.as_of_us = self.as_of_us.max(as_of_us);
     }
 
+    /// Returns the time as of which the knowledge was first complete; `None` before it was.
+    pub const fn begun_us(&self) -> Option<u64> {
+        self.begun_us
+    }
+
+    /// Returns since when the knowledge has not been in doubt. What came and went before that may be missing from it.
+    pub const fn resumed_us(&self) -> u64 {
+        self.resumed_us
+    }
+
     /// Returns the time as of which the knowledge was complete.
     pub const fn as_of_us(&self) -> u64 {
         self.as_of_us
--- a/crates/tealsaddle-core/tests/it/fleet/change_sim.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/change_sim.rs
@@ -419,7 +419,8 @@
         } else {
             question.asked_us + question.wait_us
         };
-        node.knowledge.on_confirmed(as_of_us);
+        node.knowledge
+            .on_confirmed(as_of_us, &self.terms, self.now_us);
         node.words.on_word(word(as_of_us, self.now_us));
         self.judge(place, known_before, None);
         true
@@ -436,7 +437,7 @@
         let known_before = node.known;
         node.known = node.known.max(known);
         let own_us = as_of_answer_us(question.asked_us, held_us, age_us);
-        node.knowledge.on_confirmed(own_us);
+        node.knowledge.on_confirmed(own_us, &terms, now_us);
         node.seen_as_of_us.insert(peer, as_of_us);
         let is_update = as_of_us != question.seen_as_of_us || has_changes;
         let is_of_use = is_update && terms.patience_us(node.knowledge.age_us(now_us)).is_some();
--- a/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/version_histories.rs
@@ -2,17 +2,17 @@
 //!
 //! From 20 s to 60 s the runners of `v1` are replaced by those of `v2`, one after the other; a stream begins at either with
 //! the share of its runners. One stream in a hundred breaks, and all streams of the nodes that are killed. Callers take
-//! them up a moment later at a node drawn at random.
+//! them up a moment later at a node drawn at random. Beside that, nodes may be restarted in turn before the release, the
+//! timeout may be shortened, nodes may have an earlier list of the others, or the store may come back from an older copy.
 
 use std::cmp::Reverse;
 use std::fmt::Write as _;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tealsaddle_core::collections::HashMap;
 use tealsaddle_core::fleet::continuation::{
-    Answers, Continuation, Currency, HOLDERS, QUORUM, StreamMemory, Times, VersionHistory,
-    VersionKnowledge, continuation,
+    ASKED, Answers, Continuation, Coverage, HOLDERS, Observation, QUORUM, StreamLife, StreamMemory,
+    Times, VersionHistory, VersionKnowledge, VersionRecord, Word, continuation,
 };
 use tealsaddle_core::fleet::rendezvous::rendezvous_weight;
 use tealsaddle_core::name::Name;
@@ -28,9 +28,16 @@
 const LIFE_US: u64 = 7 * SECOND_US;
 /// Length of a stream.
 const STREAM_US: u64 = SECOND_US;
-/// When nodes are killed, and when they are back.
+/// When nodes are killed, unless the scenario has another time.
 const KILL_US: u64 = 40 * SECOND_US;
-const BACK_US: u64 = 41 * SECOND_US;
+/// Longest life of a stream under a shorter timeout.
+const SHORT_LIFE_US: u64 = 3 * SECOND_US;
+/// Time over which all nodes are restarted in turn.
+const RESTARTS_US: u64 = 6 * SECOND_US;
+/// Time from a return of the store until the runners that it had lost are registered again.
+const REREGISTERED_US: u64 = 2 * SECOND_US;
+/// Age from which a node counts as out of step.
+const DOUBT_US: u64 = SECOND_US + SECOND_US / 10;
 /// Time after which a node knows of a change of the registrations.
 const KNOWN_US: u64 = SECOND_US / 20;
 /// Time from the first event of a stream until other nodes know of it, if that is not awaited.
@@ -53,11 +60,86 @@
     Told,
 }
 
+/// What happens beside the release and the kills.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    /// All nodes are restarted in turn, over the seconds before the release.
+    RestartsInTurn,
+    /// The longest timeout is shortened as the last runners of the old version leave.
+    ShorterTimeout,
+    /// The nodes that are killed tell others by a list that lacks every third node.
+    PartialLists,
+    /// The store comes back from a copy of before the release as the nodes are killed; the runners of the new version are
+    /// registered again later.
+    ReturnOfStore,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Scenario {
     nodes: usize,
     streams_per_s: u64,
     killed: f64,
+    beside: Beside,
+}
+
+impl Scenario {
+    /// When the streams of the killed nodes break.
+    const fn kill_us(self) -> u64 {
+        match self.beside {
+            // The old version has left, and its last streams would not live any more by the newest configuration.
+            Beside::ShorterTimeout => RELEASE_US[1] + SHORT_LIFE_US + SECOND_US,
+            // The release has just begun.
+            Beside::RestartsInTurn => RELEASE_US[0] + SECOND_US / 5,
+            Beside::Nothing | Beside::PartialLists | Beside::ReturnOfStore => KILL_US,
+        }
+    }
+
+    const fn back_us(self) -> u64 {
+        self.kill_us() + SECOND_US
+    }
+
+    fn killed_nodes(self) -> usize {
+        ((self.nodes as f64 * self.killed).round() as usize).max(1)
+    }
+
+    /// When the process of a node was started that runs at `now_us`.
+    fn started_us(self, node: usize, now_us: u64) -> u64 {
+        if node < self.killed_nodes() && now_us >= self.back_us() {
+            return self.back_us();
+        }
+        if self.beside == Beside::RestartsInTurn {
+            let before_us = (self.nodes - node) as u64 * RESTARTS_US / self.nodes as u64;
+            return RELEASE_US[0] - before_us;
+        }
+        BEGIN_US
+    }
+
+    /// The longest life by the configuration in force.
+    fn life_us(self, now_us: u64) -> u64 {
+        if self.beside == Beside::ShorterTimeout && now_us >= RELEASE_US[1] {
+            SHORT_LIFE_US
+        } else {
+            LIFE_US
+        }
+    }
+
+    /// Length of a stream.
+    fn stream_us(self) -> u64 {
+        match self.beside {
+            Beside::ShorterTimeout => LIFE_US - SECOND_US / 2,
+            _ => STREAM_US,
+        }
+    }
+
+    /// The versions that are registered in the store.
+    fn registered(self, now_us: u64) -> Vec<Name> {
+        let is_lost = (KILL_US..KILL_US + REREGISTERED_US).contains(&now_us);
+        if self.beside == Beside::ReturnOfStore && is_lost {
+            return registered(BEGIN_US);
+        }
+        registered(now_us)
+    }
 }
 
 #[derive(Debug)]
@@ -81,9 +163,12 @@
 /// A node as its take-ups see it.
 #[derive(Debug)]
 struct Node {
+    scenario: Scenario,
     started_us: u64,
+    life: StreamLife,
     memory: StreamMemory,
     history: VersionHistory,
+    recorded_us: Option<u64>,
 }
 
 fn names() -> [Name; 2] {
@@ -115,39 +200,88 @@
 }
 
 impl Node {
-    fn open(started_us: u64) -> Self {
+    fn open(scenario: Scenario, started_us: u64) -> Self {
         let mut node = Self {
+            scenario,
             started_us,
+            life: StreamLife::open(scenario.life_us(started_us)),
             memory: StreamMemory::default(),
             history: VersionHistory::default(),
+            recorded_us: None,
         };
         if started_us > BEGIN_US {
-            // The record that earlier nodes have written.
-            let mut earlier = Self::open(BEGIN_US);
-            earlier.observe(started_us);
-            let times = times(started_us);
-            node.history.on_record(&earlier.history.record(), times);
+            node.read_record();
         }
         node
     }
 
-    /// Has the node see all registrations up to now.
+    /// Has the node read the record that earlier nodes have written, or the one in the copy from which the store came back.
+    fn read_record(&mut self) {
+        let is_copy = self.scenario.beside == Beside::ReturnOfStore;
+        let written_us = if is_copy {
+            RELEASE_US[0] - SECOND_US
+        } else {
+            self.started_us
+        };
+        let mut earlier = Self::open(self.scenario, BEGIN_US);
+        earlier.observe(written_us);
+        let record = VersionRecord {
+            versions: earlier.history.live(),
+            life_us: earlier.life.longest_us(written_us),
+            era: Some(0),
+        };
+        self.life.on_recorded(record.life_us, self.started_us);
+        let times = self.times(self.started_us);
+        self.history.on_record(&record, times);
+        let era = Some(u64::from(is_copy));
+        self.recorded_us = (record.era == era).then_some(self.started_us);
+    }
+
+    fn times(&self, now_us: u64) -> Times {
+        Times {
+            now_us,
+            life_us: self.life.longest_us(now_us),
+        }
+    }
+
+    /// Has the node see all registrations and configurations up to now.
     fn observe(&mut self, now_us: u64) {
         let [begin_us, end_us] = RELEASE_US;
-        for at_us in [self.started_us, begin_us, end_us, now_us] {
+        let registered_again_us = KILL_US + REREGISTERED_US;
+        for at_us in [
+            self.started_us,
+            begin_us,
+            KILL_US,
+            registered_again_us,
+            end_us,
+            now_us,
+        ] {
             if at_us >= self.started_us && at_us + KNOWN_US <= now_us {
-                self.history.on_registered(registered(at_us), times(at_us));
-                self.history.expire(true, times(at_us));
+                self.life.on_configured(self.scenario.life_us(at_us), at_us);
+                let times = self.times(at_us);
+                self.history.expire(at_us);
+                self.history
+                    .on_registered(&self.scenario.registered(at_us), times);
             }
         }
-        self.history.expire(true, times(now_us));
+        self.history.expire(now_us);
     }
-}
 
-const fn times(now_us: u64) -> Times {
-    Times {
-        now_us,
-        life_us: LIFE_US,
+    fn coverage(&self, now_us: u64) -> Coverage {
+        let observation = Observation {
+            begun_us: Some(self.started_us),
+            resumed_us: self.started_us,
+            recorded_us: self.recorded_us,
+        };
+        observation.coverage(self.times(now_us))
+    }
+
+    /// What the node says of a stream.
+    fn word(&self, told: Option<&Name>, now_us: u64) -> Word {
+        Word {
+            told: told.cloned(),
+            live: (self.coverage(now_us) != Coverage::Started).then(|| self.history.live()),
+        }
     }
 }
 
@@ -155,7 +289,8 @@
     let mut streams = Vec::new();
     let interval_us = SECOND_US / scenario.streams_per_s;
     let mut begun_us = BEGIN_US;
-    let killed = killed(scenario);
+    let killed = scenario.killed_nodes();
+    let (kill_us, stream_us) = (scenario.kill_us(), scenario.stream_us());
     while begun_us < END_US {
         begun_us += interval_us;
         let id = format!("s{}", streams.len());
@@ -164,10 +299,10 @@
             Way::Derived => derived(&id, begun_us),
             _ => usize::from(random.random_bool(new_share(begun_us))),
         };
-        let is_lost = node < killed && (begun_us..begun_us + STREAM_US).contains(&KILL_US);
+        let is_lost = node < killed && (begun_us..begun_us + stream_us).contains(&kill_us);
         let is_broken = random.random_bool(0.01);
         let after_us = random.random_range(SECOND_US / 20..2 * SECOND_US);
-        let broken_us = if is_lost { KILL_US } else { begun_us };
+        let broken_us = if is_lost { kill_us } else { begun_us };
         streams.push(Stream {
             id,
             node,
@@ -183,54 +318,58 @@
     streams
 }
 
-fn killed(scenario: Scenario) -> usize {
-    ((scenario.nodes as f64 * scenario.killed).round() as usize).max(1)
-}
-
-fn holders(id: &str, nodes: usize) -> Vec<usize> {
-    let mut ranked: Vec<usize> = (0..nodes).collect();
+/// The first nodes for a stream by the list of a node.
+fn ranked(id: &str, nodes: &[usize]) -> Vec<usize> {
+    let mut ranked = nodes.to_vec();
     ranked.sort_by_cached_key(|node| Reverse(rendezvous_weight(0, &format!("{id} {node}"))));
-    ranked.truncate(HOLDERS);
     ranked
 }
 
+/// The nodes that are told of a stream.
+fn holders(scenario: Scenario, stream: &Stream) -> Vec<usize> {
+    let is_partial = scenario.beside == Beside::PartialLists;
+    let is_listed = |node: &usize| *node != stream.node && !(is_partial && node.is_multiple_of(3));
+    let listed: Vec<usize> = (0..scenario.nodes).filter(is_listed).collect();
+    let mut holders = ranked(&stream.id, &listed);
+    holders.truncate(HOLDERS);
+    holders
+}
+
+/// When other nodes know of a stream; `None` if they are never told.
+fn told_us(stream: &Stream) -> Option<u64> {
+    // The old version counts until the end of the history, so that streams are told until then.
+    let [begin_us, _end_us] = RELEASE_US;
+    let known_us = begin_us + KNOWN_US;
+    if stream.begun_us + LIFE_US < known_us {
+        return None;
+    }
+    // The first event of a stream of a version that nodes may not know waits until they know of the stream.
+    let is_new = *stream.version == *"v2" && stream.begun_us < known_us + DOUBT_US;
+    let passed_us = if is_new { 0 } else { TOLD_US };
+    Some(stream.begun_us.max(known_us) + passed_us)
+}
+
 fn play(scenario: Scenario, way: Way, seed: u64) -> Outcome {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let streams = streams(scenario, way, &mut random);
     let mut outcome = Outcome::default();
-    let killed = killed(scenario);
-    let mut told: HashMap<&str, Vec<usize>> = HashMap::default();
+    let killed = scenario.killed_nodes();
     for stream in &streams {
         let is_mixed = registered(stream.begun_us).len() > 1;
-        if is_mixed && way == Way::Told {
-            // Streams of the new version are passed on once a quorum knows of them.
-            let is_killed_before = stream.node < killed
-                && *stream.version == *"v1"
-                && (stream.begun_us..stream.begun_us + TOLD_US).contains(&KILL_US);
-            if !is_killed_before {
-                told.insert(&stream.id, holders(&stream.id, scenario.nodes));
-            }
-            outcome.messages += HOLDERS;
-        }
+        outcome.messages += HOLDERS * usize::from(is_mixed && way == Way::Told);
         outcome.writes += usize::from(is_mixed && way == Way::Recorded);
     }
     let taken_up = streams.iter().filter(|stream| stream.taken_up_us > 0);
-    for stream in taken_up.filter(|stream| stream.taken_up_us < END_US) {
+    for stream in taken_up.filter(|stream| stream.taken_up_us < END_US + LIFE_US) {
         let now_us = stream.taken_up_us;
-        let is_up = |node: usize| node >= killed || !(KILL_US..BACK_US).contains(&now_us);
+        let is_down = |node: usize| {
+            node < killed && (scenario.kill_us()..scenario.back_us()).contains(&now_us)
+        };
         let node = random.random_range(0..scenario.nodes);
-        if !is_up(node) {
+        if is_down(node) {
             continue;
         }
-        let started_us = |node: usize| {
-            if node < killed && now_us >= BACK_US {
-                BACK_US
-            } else {
-                BEGIN_US
-            }
-        };
         outcome.taken_up += 1;
-        let remembers = |node: usize| started_us(node) <= stream.begun_us;
         let decided = match way {
             Way::Anywhere => {
                 let drawn = usize::from(random.random_bool(new_share(now_us)));
@@ -247,28 +386,10 @@
                 }
             }
             Way::Recorded => Continuation::At(Name::clone(&stream.version)),
-            Way::Own | Way::Told => {
-                let mut this = Node::open(started_us(node));
-                this.observe(now_us);
-                if node == stream.node && remembers(node) {
-                    let times = times(stream.begun_us);
-                    this.memory.insert(&stream.id, &stream.version, times);
-                }
-                let answers = told_answers(&told, scenario, stream, |holder| {
-                    is_up(holder).then(|| (remembers(holder), now_us - started_us(holder)))
-                });
-                let remembered = this.memory.get(&stream.id);
-                let answers = (way == Way::Told).then_some(answers);
-                let knowledge = VersionKnowledge {
-                    history: &this.history,
-                    is_complete: true,
-                    currency: Currency::Current,
-                };
-                continuation(remembered, knowledge, answers.as_ref())
-            }
+            Way::Own | Way::Told => take_up(scenario, way, stream, node, is_down),
         };
         if let Continuation::At(version) = decided
-            && registered(now_us).contains(&version)
+            && scenario.registered(now_us).contains(&version)
         {
             outcome.gone_on += 1;
             outcome.joined += usize::from(version != stream.version);
@@ -277,44 +398,93 @@
     outcome
 }
 
-/// What the holders of a stream say. `state` tells of a node whether it remembers the time of the stream, and for how
-/// long it has run; `None` if it is down.
-fn told_answers<F>(
-    told: &HashMap<&str, Vec<usize>>,
+/// Has a node decide where a stream goes on.
+fn take_up<F>(
     scenario: Scenario,
+    way: Way,
     stream: &Stream,
-    state: F,
-) -> Answers
+    node: usize,
+    is_down: F,
+) -> Continuation
 where
-    F: Fn(usize) -> Option<(bool, u64)>,
+    F: Fn(usize) -> bool,
 {
-    let knows = told.contains_key(stream.id.as_str());
-    let mut answers = Answers::default();
-    for holder in holders(&stream.id, scenario.nodes) {
-        match state(holder) {
-            Some((true, _uptime_us)) if knows => answers.told = Some(Name::clone(&stream.version)),
-            Some((_, uptime_us)) => answers.denials += usize::from(uptime_us >= LIFE_US),
-            None => {}
+    let now_us = stream.taken_up_us;
+    let state = |node: usize| {
+        let mut state = Node::open(scenario, scenario.started_us(node, now_us));
+        state.observe(now_us);
+        state
+    };
+    let mut this = state(node);
+    if node == stream.node && this.started_us <= stream.begun_us {
+        let times = this.times(stream.begun_us);
+        this.memory.insert(&stream.id, &stream.version, times);
+    }
+    let holders = holders(scenario, stream);
+    // A notice is lost with the node that was about to send it.
+    let told_us = told_us(stream).filter(|told_us| {
+        *told_us < scenario.kill_us()
+            || stream.node >= scenario.killed_nodes()
+            || stream.begun_us >= scenario.back_us()
+    });
+    let knows = |state: &Node, node: usize| {
+        let is_told = told_us.is_some_and(|at_us| state.started_us <= at_us && at_us <= now_us);
+        let has_begun = node == stream.node && state.started_us <= stream.begun_us;
+        has_begun || (is_told && holders.contains(&node))
+    };
+    let others: Vec<usize> = (0..scenario.nodes).filter(|other| *other != node).collect();
+    let mut asked = ranked(&stream.id, &others);
+    asked.truncate(ASKED);
+    let mut answers = Answers {
+        asked: asked.len(),
+        words: Vec::new(),
+    };
+    for other in asked.into_iter().filter(|other| !is_down(*other)) {
+        let state = state(other);
+        let told = knows(&state, other).then_some(&stream.version);
+        answers.words.push(state.word(told, now_us));
+    }
+    if let Some(version) = answers.told() {
+        let times = this.times(stream.begun_us);
+        let is_asked = way == Way::Told;
+        if is_asked && knows(&this, node) {
+            this.memory.insert(&stream.id, version, times);
         }
     }
-    answers
+    let knowledge = VersionKnowledge {
+        history: &this.history,
+        coverage: this.coverage(now_us),
+        is_current: true,
+    };
+    let answers = (way == Way::Told).then_some(answers);
+    continuation(this.memory.get(&stream.id), knowledge, answers.as_ref())
 }
 
 const FLEETS: [(usize, u64); 3] = [(7, 100), (74, 250), (360, 180)];
 
 /// Guards against joined streams, and against streams that are refused though their version is known to others: at least
-/// half of them have to go on, unless all nodes are killed.
+/// half of them have to go on, unless all or most nodes are killed.
 #[parameterized(
-    one_killed = { 0.0, 0.5 },
-    seven_of_ten_killed = { 0.7, 0.5 },
-    all_killed = { 1.0, 0.0 },
+    one_killed = { 0.0, Beside::Nothing, 0.5 },
+    seven_of_ten_killed = { 0.7, Beside::Nothing, 0.5 },
+    all_killed = { 1.0, Beside::Nothing, 0.0 },
+    restarts_in_turn = { 0.0, Beside::RestartsInTurn, 0.5 },
+    restarts_in_turn_and_half_killed = { 0.5, Beside::RestartsInTurn, 0.5 },
+    shorter_timeout = { 0.0, Beside::ShorterTimeout, 0.0 },
+    shorter_timeout_and_half_killed = { 0.5, Beside::ShorterTimeout, 0.0 },
+    partial_lists = { 0.0, Beside::PartialLists, 0.5 },
+    partial_lists_and_half_killed = { 0.5, Beside::PartialLists, 0.5 },
+    return_of_store = { 0.0, Beside::ReturnOfStore, 0.5 },
+    return_of_store_and_seven_of_ten_killed = { 0.7, Beside::ReturnOfStore, 0.0 },
+    return_of_store_and_all_killed = { 1.0, Beside::ReturnOfStore, 0.0 },
 )]
-fn streams_go_on_at_their_version(killed: f64, expected: f64) {
+fn streams_go_on_at_their_version(killed: f64, beside: Beside, expected: f64) {
     for (nodes, streams_per_s) in FLEETS {
         let scenario = Scenario {
             nodes,
             streams_per_s,
             killed,
+            beside,
         };
         for seed in 0..3 {
             let outcome = play(scenario, Way::Told, seed);
@@ -342,6 +512,7 @@
                 nodes,
                 streams_per_s,
                 killed,
+                beside: Beside::Nothing,
             };
             write!(table, "{name} of {nodes} killed:").expect("writing to a string cannot fail");
             for way in ways {
@@ -364,34 +535,114 @@
     insta::assert_snapshot!(table);
 }
 
+fn word(told: Option<&str>, live: Option<&[&str]>) -> Word {
+    Word {
+        told: told.map(Into::into),
+        live: live.map(|live| live.iter().map(|version| Name::from(*version)).collect()),
+    }
+}
+
+const NO_TIME: Times = Times {
+    now_us: 0,
+    life_us: LIFE_US,
+};
+
 /// Guards against a node that was out of step while runners of a new version registered: it knows one version only, and
 /// takes the streams of the other one for streams of that.
 #[parameterized(
-    current = { Currency::Current, None, Continuation::At("v1".into()) },
-    recent = { Currency::Recent, None, Continuation::AskOthers },
-    recent_without_answers = { Currency::Recent, Some((None, false)), Continuation::At("v1".into()) },
-    recent_and_told = { Currency::Recent, Some((Some("v2"), false)), Continuation::At("v2".into()) },
-    doubtful = { Currency::Doubtful, None, Continuation::AskOthers },
-    doubtful_and_told = { Currency::Doubtful, Some((Some("v2"), false)), Continuation::At("v2".into()) },
-    doubtful_and_denied = { Currency::Doubtful, Some((None, true)), Continuation::At("v1".into()) },
-    doubtful_without_answers = { Currency::Doubtful, Some((None, false)), Continuation::Unknown },
+    current = { true, Coverage::Complete, None, Continuation::At("v1".into()) },
+    not_current = { false, Coverage::Complete, None, Continuation::Undecided },
+    not_complete = { true, Coverage::Interrupted, None, Continuation::Undecided },
+    not_current_and_told = { false, Coverage::Complete, Some(vec![word(Some("v2"), None)]), Continuation::At("v2".into()) },
+    not_current_without_answers = { false, Coverage::Complete, Some(vec![]), Continuation::Undecided },
+    one_silent = { false, Coverage::Interrupted, Some(vec![word(None, Some(&["v1"])); 4]), Continuation::At("v1".into()) },
+    two_silent = { false, Coverage::Interrupted, Some(vec![word(None, Some(&["v1"])); 3]), Continuation::Unknown },
+    started_without_vouchers = { true, Coverage::Started, Some(vec![word(None, None); 5]), Continuation::Unknown },
+    started_with_vouchers = { true, Coverage::Started, Some(vec![word(None, Some(&["v1"])); 5]), Continuation::At("v1".into()) },
+    contradicted = { false, Coverage::Complete, Some(vec![
+        word(None, Some(&["v1"])), word(None, Some(&["v1"])), word(None, Some(&["v1"])), word(None, Some(&["v1"])),
+        word(None, Some(&["v1", "v2"])),
+    ]), Continuation::Unknown },
 )]
 fn node_out_of_step_does_not_take_its_only_version_for_granted(
-    currency: Currency,
-    answers: Option<(Option<&str>, bool)>,
+    is_current: bool,
+    coverage: Coverage,
+    words: Option<Vec<Word>>,
     expected: Continuation,
 ) {
     let mut history = VersionHistory::default();
-    history.on_registered(vec!["v1".into()], times(0));
+    history.on_registered(&["v1".into()], NO_TIME);
     let knowledge = VersionKnowledge {
         history: &history,
-        is_complete: true,
-        currency,
+        coverage,
+        is_current,
     };
-    let answers = answers.map(|(told, is_quorum)| Answers {
-        told: told.map(Into::into),
-        is_quorum,
-        ..Answers::default()
+    let answers = words.map(|words| Answers {
+        asked: ASKED,
+        words,
     });
     assert_eq!(continuation(None, knowledge, answers.as_ref()), expected);
 }
+
+/// Guards against streams of before a shorter timeout that are taken for ended, after one change, two, or a longer one.
+#[parameterized(
+    one_step = { &[6, 2], 6 },
+    two_steps = { &[6, 4, 2], 6 },
+    lengthened_first = { &[4, 6, 2], 6 },
+    lengthened_again = { &[6, 2, 8], 8 },
+)]
+fn streams_live_for_the_timeout_with_which_they_were_admitted(timeouts_s: &[u64], expected_s: u64) {
+    let mut life = StreamLife::open(timeouts_s[0] * SECOND_US);
+    for (step, timeout_s) in timeouts_s.iter().enumerate() {
+        life.on_configured(timeout_s * SECOND_US, step as u64 * SECOND_US / 2);
+    }
+    let last_us = (timeouts_s.len() as u64 - 1) * SECOND_US / 2;
+    assert_eq!(
+        life.longest_us(last_us + 5 * SECOND_US),
+        expected_s * SECOND_US
+    );
+    let newest_s = timeouts_s[timeouts_s.len() - 1];
+    assert_eq!(
+        life.longest_us(last_us + 60 * SECOND_US),
+        newest_s * SECOND_US
+    );
+}
+
+/// Guards against a node that started after a timeout was shortened, and takes the streams of before for ended.
+#[test]
+fn recorded_life_outlasts_a_shorter_timeout() {
+    let mut life = StreamLife::open(2 * SECOND_US);
+    life.on_recorded(6 * SECOND_US, 0);
+    life.on_configured(2 * SECOND_US, SECOND_US);
+    assert_eq!(life.longest_us(6 * SECOND_US), 6 * SECOND_US);
+}
+
+/// Guards against a node that takes what it has not heard for proof: before its start, while it was out of step, and since
+/// the copy from which the store came back.
+#[parameterized(
+    unheard = { None, 0, None, 100, Coverage::Started },
+    just_started = { Some(10), 10, None, 12, Coverage::Started },
+    started_with_a_record = { Some(10), 10, Some(11), 12, Coverage::Complete },
+    started_long_ago = { Some(10), 10, None, 17, Coverage::Complete },
+    interrupted = { Some(10), 30, Some(11), 31, Coverage::Interrupted },
+    interrupted_long_ago = { Some(10), 30, Some(11), 37, Coverage::Complete },
+    interrupted_with_a_record = { Some(10), 30, Some(30), 31, Coverage::Complete },
+)]
+fn knowledge_covers_what_was_heard(
+    begun_s: Option<u64>,
+    resumed_s: u64,
+    recorded_s: Option<u64>,
+    now_s: u64,
+    expected: Coverage,
+) {
+    let observation = Observation {
+        begun_us: begun_s.map(|begun_s| begun_s * SECOND_US),
+        resumed_us: resumed_s * SECOND_US,
+        recorded_us: recorded_s.map(|recorded_s| recorded_s * SECOND_US),
+    };
+    let times = Times {
+        now_us: now_s * SECOND_US,
+        life_us: LIFE_US,
+    };
+    assert_eq!(observation.coverage(times), expected);
+}
--- a/crates/tealsaddle-gateway/src/fleet_state.rs
+++ b/crates/tealsaddle-gateway/src/fleet_state.rs
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Takes over the other nodes that serve peers.
+    pub fn set_members(&mut self, members: Arc<[Member]>) {
+        self.peers = members.iter().map(|member| member.address).collect();
+        self.members = members;
+    }
+
     /// Applies a configuration if it is newer than the current one; returns whether it is.
     pub fn on_config(&mut self, config: FleetConfig, value: &[u8]) -> bool {
         let current = self.config.as_ref().map(|config| config.version);
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -75,7 +75,7 @@
     /// The fleet, as last published by the control thread.
     pub snapshot: Arc<ArcSwap<FleetSnapshot>>,
     /// How old the knowledge is that the fleet was published with.
-    pub knowledge: KnowledgeClock,
+    pub knowledge: Arc<KnowledgeClock>,
     /// Whether the process was paused and has received no update since.
     pub resumption: ResumptionClock,
     /// Ways to the runners, some of them through other nodes.
@@ -133,6 +133,7 @@
         connector: Arc<dyn Connect>,
     ) -> Arc<Self> {
         let metrics = Metrics::open();
+        let knowledge = Arc::new(KnowledgeClock::open(config.leaving_bound));
         let runner_paths = RunnerPaths::open(
             connector,
             Arc::clone(&snapshot),
@@ -162,13 +163,13 @@
             caller_memory: CallerMemory::open(config.limits, Arc::clone(&metrics)),
             lent_paths: LentPaths::default(),
             quarantine: Quarantine::open(config.peer_listen),
-            versions: StreamVersions::open(config.peer_listen, Arc::clone(&metrics)),
+            versions: StreamVersions::open(Arc::clone(&metrics), Arc::clone(&knowledge)),
             usage: Usage::open(
                 config.duties.as_ref().is_some_and(|d| d.usage.is_some()),
                 config.peer_listen,
                 Arc::clone(&metrics),
             ),
-            knowledge: KnowledgeClock::open(config.leaving_bound),
+            knowledge,
             resumption: ResumptionClock::open(),
             metrics,
             answer_cutoff: CancellationToken::new(),
--- a/crates/tealsaddle-gateway/src/knowledge.rs
+++ b/crates/tealsaddle-gateway/src/knowledge.rs
@@ -3,15 +3,11 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use tealsaddle_core::fleet::continuation::Currency;
+use tealsaddle_core::fleet::continuation::Observation;
 use tealsaddle_core::fleet::knowledge::{FreshnessTerms, Knowledge};
 
 use crate::clock;
 
-/// Time from the registration of a runner within which no caller has got the first event of a stream from it, and has lost
-/// its connection and come back.
-const CURRENT_AGE: Duration = Duration::from_millis(100);
-
 /// The age of the knowledge, written by the control thread and read by requests.
 #[derive(Debug)]
 pub struct KnowledgeClock {
@@ -35,7 +31,8 @@
 
     /// Records that the knowledge was complete at `as_of_us`, on the clock of [`clock::now_us`].
     pub fn confirm(&self, as_of_us: u64) {
-        self.knowledge().on_confirmed(as_of_us);
+        self.knowledge()
+            .on_confirmed(as_of_us, &self.terms, clock::now_us());
     }
 
     /// Time as of which the knowledge was complete; 0 before it was.
@@ -59,14 +56,13 @@
         self.knowledge().is_doubtful(&self.terms, clock::now_us())
     }
 
-    /// How far runners may have registered that this node does not know.
-    pub fn currency(&self) -> Currency {
-        if self.age() <= CURRENT_AGE {
-            Currency::Current
-        } else if self.is_doubtful() {
-            Currency::Doubtful
-        } else {
-            Currency::Recent
+    /// Since when this node has heard all changes. `recorded_us` is when it last asked for what others had recorded.
+    pub fn observation(&self, recorded_us: Option<u64>) -> Observation {
+        let knowledge = self.knowledge();
+        Observation {
+            begun_us: knowledge.begun_us(),
+            resumed_us: knowledge.resumed_us(),
+            recorded_us,
         }
     }
 
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -191,8 +191,7 @@
             let mut fleet = self.control.fleet();
             let is_changed = fleet.nodes != nodes || *fleet.members != *members;
             fleet.nodes = nodes;
-            fleet.peers = members.iter().map(|member| member.address).collect();
-            fleet.members = members;
+            fleet.set_members(members);
             is_changed
         };
         if is_changed {
--- a/crates/tealsaddle-gateway/src/orders.rs
+++ b/crates/tealsaddle-gateway/src/orders.rs
@@ -101,15 +101,16 @@
 
 /// The first era as a listing has it.
 #[derive(Debug, Clone, Copy, Default)]
-struct StoredFirstEra {
+pub struct StoredFirstEra {
     /// `None` if there is none, or it cannot be read.
-    era: Option<u64>,
+    pub era: Option<u64>,
     /// Revision of its key; 0 if there is none.
     revision: u64,
 }
 
 impl StoredFirstEra {
-    fn of(items: &[Item]) -> Self {
+    /// Takes it from a listing of the nodes' keys.
+    pub fn of(items: &[Item]) -> Self {
         let item = items.iter().find(|item| item.key == FIRST_ERA_KEY);
         item.map_or_else(Self::default, |item| Self {
             era: serde_json::from_slice(&item.value)
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use hyper::header::HeaderMap;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
+use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_core::fleet::store_words::REREGISTRATION_WINDOW_US;
 use tealsaddle_schema::fleet::QuarantineRecord;
 
@@ -50,6 +51,15 @@
     /// Quarantined parts; a node of an earlier release knows none.
     #[serde(default)]
     quarantined: Vec<QuarantineRecord>,
+    /// Nodes that serve peers, the answering one included; a node of an earlier release does not tell.
+    #[serde(default)]
+    members: Vec<PeerMember>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerMember {
+    address: SocketAddr,
+    zone: String,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -73,13 +83,19 @@
 }
 
 /// Encodes a node's state for a peer.
-pub fn encode(fleet: &FleetState, now_us: u64) -> String {
+pub fn encode(fleet: &FleetState, own: Option<Member>, now_us: u64) -> String {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     let listing = fleet.listing();
     let quarantined = fleet.quarantine().entries();
     let quarantined = quarantined.map(|entry| messages::encode_record(&entry.record_at(now_us)));
+    let members = fleet.members.iter().cloned().chain(own);
+    let members = members.map(|member| PeerMember {
+        address: member.address,
+        zone: member.zone.to_string(),
+    });
     let state = PeerState {
         quarantined: quarantined.collect(),
+        members: members.collect(),
         config: fleet.config_value().map(text),
         revision: listing.as_ref().map_or(0, |listing| listing.revision),
         era: listing.as_ref().and_then(|listing| listing.era),
@@ -103,17 +119,17 @@
 /// start all nodes ask the same few peers.
 const PEERS_AT_ONCE: usize = 2;
 
-/// Asks the peers in the settings until configuration and runners are known.
+/// Asks the peers in the settings until configuration, runners and nodes are known.
 pub async fn fetch_until_ready(control: Arc<Control>) {
     let upstreams = Upstreams::open();
     tokio::time::sleep(STORE_HEAD_START).await;
     let own = control.gateway.config.peer_listen;
     let mut seeds = control.gateway.config.seeds.clone();
     seeds.retain(|seed| Some(*seed) != own);
-    while !control.fleet().is_ready() {
+    while !is_informed(&control) {
         seeds.shuffle(&mut rand::rng());
         for batch in seeds.chunks(PEERS_AT_ONCE) {
-            if control.fleet().is_ready() {
+            if is_informed(&control) {
                 break;
             }
             let answers = batch.iter().map(|seed| fetch(&upstreams, *seed));
@@ -124,10 +140,17 @@
     }
 }
 
+/// Whether the node can serve, and knows the nodes that have to know of what it serves.
+fn is_informed(control: &Control) -> bool {
+    let fleet = control.fleet();
+    fleet.is_ready() && (fleet.nodes > 0 || !fleet.members.is_empty())
+}
+
 /// Takes over the fleet from the peers that have answered. One that is cut off may hold an old configuration, so the
 /// newest state comes first, and the configurations of the others count if they are newer still.
 fn apply_newest(control: &Arc<Control>, mut states: Vec<PeerState>) {
     states.sort_by_key(|state| Reverse((state.era, state.complete_revision.max(state.revision))));
+    take_members(control, &states);
     for state in states {
         if !control.fleet().is_ready() {
             apply(control, state);
@@ -137,6 +160,29 @@
     }
 }
 
+/// Takes over the nodes that any of the peers knows, unless the store has listed them.
+fn take_members(control: &Control, states: &[PeerState]) {
+    let own = control.gateway.config.peer_listen;
+    let told = states.iter().flat_map(|state| &state.members);
+    let mut members: Vec<Member> = told
+        .filter(|member| Some(member.address) != own)
+        .map(|member| Member {
+            address: member.address,
+            zone: member.zone.as_str().into(),
+        })
+        .collect();
+    members.sort_unstable();
+    members.dedup_by_key(|member| member.address);
+    let mut fleet = control.fleet();
+    if fleet.nodes > 0 || members.is_empty() {
+        return;
+    }
+    log::info!(nodes = members.len(); "nodes taken from peers");
+    fleet.set_members(members.into());
+    drop(fleet);
+    control.publish();
+}
+
 /// Applies the configuration that a peer holds; returns whether it is newer than that of this node.
 fn apply_config(control: &Control, state: &PeerState) -> bool {
     let config = state.config.as_ref();
--- a/crates/tealsaddle-gateway/src/rounds.rs
+++ b/crates/tealsaddle-gateway/src/rounds.rs
@@ -13,10 +13,11 @@
 use crate::control::{CALL_TIMEOUT, Control, with_timeout};
 use crate::duties::TermWatch;
 use crate::error::StoreError;
-use crate::external::{Freshness, Put, Transaction};
+use crate::external::{Freshness, Listing, Put, Transaction};
 use crate::membership::Membership;
 use crate::orders::Orders;
 use crate::sizing;
+use crate::versions::VERSIONS_PREFIX;
 
 /// Prefix of all keys that the nodes of this system write.
 const KEY_PREFIX: &str = "tealsaddle/";
@@ -111,6 +112,7 @@
             self.list_node_keys().await?;
         }
         self.orders.expire();
+        self.read_versions().await?;
         self.record_versions().await?;
         self.orders.issue().await
     }
@@ -126,6 +128,19 @@
         self.membership.join(sent_us).await
     }
 
+    /// Reads the records of software versions that may have streams, if this node may lack some.
+    async fn read_versions(&self) -> Result<(), StoreError> {
+        let versions = &self.control.gateway.versions;
+        if !versions.needs_records() {
+            return Ok(());
+        }
+        let asked_us = clock::now_us();
+        let list = self.control.store.list(VERSIONS_PREFIX, Freshness::Latest);
+        let records = with_timeout(LIST_TIMEOUT, list).await?;
+        versions.on_records(&records.items, records.era, asked_us);
+        Ok(())
+    }
+
     /// Records which software versions may have streams, if this node holds the authority to order.
     async fn record_versions(&self) -> Result<(), StoreError> {
         if !self.orders.has_authority() {
@@ -150,9 +165,9 @@
     /// authority to order if no node holds it.
     async fn list_node_keys(&mut self) -> Result<(), StoreError> {
         let list = self.control.store.list(KEY_PREFIX, Freshness::Stale);
-        let items = with_timeout(LIST_TIMEOUT, list).await?.items;
+        let Listing { items, era, .. } = with_timeout(LIST_TIMEOUT, list).await?;
         self.membership.on_listed(&items).await?;
-        self.control.gateway.versions.on_listed(&items);
+        self.control.gateway.versions.on_listed(&items, era);
         self.orders.on_listed(&items, self.membership.lease()).await
     }
 }
--- a/crates/tealsaddle-gateway/src/stream_version.rs
+++ b/crates/tealsaddle-gateway/src/stream_version.rs
@@ -16,17 +16,14 @@
         }
         let resumes = self.metadata.resumed_id();
         let versions = &self.gateway.versions;
-        let currency = self.gateway.knowledge.currency();
-        let decided = versions
-            .continuation(resumes, &self.service, currency)
-            .await;
+        let decided = versions.continuation(resumes, &self.service).await;
         let answer = match &decided {
             Continuation::At(version) => {
                 self.state.bind_version(version);
                 let is_served = self.is_version_served();
                 (!is_served).then_some(GatewayAnswer::StreamVersionGone)
             }
-            Continuation::Unknown | Continuation::AskOthers => {
+            Continuation::Unknown | Continuation::Undecided => {
                 Some(GatewayAnswer::StreamVersionUnknown)
             }
         };
