Count no usage window again that may have been recorded before the store came back from a copy

Cause: nodes that ran on and had not been told counted as proof that the window was not recorded. Change: the record names the era in which it was written; nodes keep when the store came back, and the node that had the duties what it had recorded until then; without its word, a successor whose record is of an earlier era leaves out the windows that had ended. Why it works: whatever was recorded in the earlier era had ended before its end.

--- a/crates/tealsaddle-core/src/fleet/usage/reports.rs
+++ b/crates/tealsaddle-core/src/fleet/usage/reports.rs
@@ -57,7 +57,7 @@
 pub enum SkipReason {
     /// Their counts are no longer kept by any process.
     TooOld,
-    /// Another node has recorded a report of this window or a later one, and that record is lost.
+    /// Another node has recorded a report of this window or a later one, or may have, and that record is lost.
     RecordLost,
     /// The platform has rejected the report several times.
     Rejected,
@@ -194,6 +194,19 @@
         })
     }
 
+    /// Takes over that the store came back from an older copy at `true_us`, and that no process is known to have had the duties
+    /// until then. Any window that had ended may have been reported, with a content that is lost; none of them is counted again.
+    pub fn on_records_lost(&mut self, true_us: u64) -> Option<Skipped> {
+        let first = self.windows.at(true_us);
+        let next = self.next.unwrap_or(first);
+        self.next = Some(next.max(first));
+        (next < first).then(|| Skipped {
+            from: next,
+            to: first - 1,
+            reason: SkipReason::RecordLost,
+        })
+    }
+
     /// Takes over since when, by the own clock, a process of the fleet has run. No process has counted windows that ended before
     /// the start of the oldest one, and after a power loss none knows whether they were reported, as the record may be lost too.
     /// What the oldest process knew is known to this node once it has answered, so its end changes nothing.
--- a/crates/tealsaddle-gateway/src/usage/collector.rs
+++ b/crates/tealsaddle-gateway/src/usage/collector.rs
@@ -15,9 +15,9 @@
 use tealsaddle_core::fleet::usage::true_time::TrueTime;
 use tealsaddle_core::fleet::usage::{Requests, add};
 
-use super::Usage;
 use super::copies::replicas;
 use super::messages::{CountAnswer, CountQuestion, QUESTION_PATH, SendTime};
+use super::{StoreReturn, Usage};
 use crate::clock::{self, jittered};
 use crate::gateway::Gateway;
 use crate::peer_message::{self, Connection};
@@ -73,6 +73,8 @@
     pub recorded: u64,
     /// Own clock when the first of the processes that answered was started, or somewhat later.
     pub running_since_us: u64,
+    /// The last return of the store from an older copy that a process has seen.
+    pub store_return: Option<StoreReturn>,
 }
 
 impl Collected {
@@ -223,6 +225,7 @@
     recorded: u64,
     /// Own clock when the first of the processes that answered was started; too late by the time that its answer took.
     running_since_us: u64,
+    store_return: Option<StoreReturn>,
     /// Counts by process as told by itself.
     told: HashMap<u64, Requests>,
     /// Counts by process as kept by others.
@@ -234,6 +237,7 @@
         let mut round = Self {
             recorded: 0,
             running_since_us: u64::MAX,
+            store_return: None,
             told: HashMap::default(),
             copied: HashMap::default(),
             inquiry,
@@ -272,6 +276,15 @@
         self.recorded = self.recorded.max(answer.recorded);
         let since_us = clock::now_us().saturating_sub(answer.uptime_us);
         self.running_since_us = self.running_since_us.min(since_us);
+        if let Some(told) = answer.store_return {
+            let told = StoreReturn {
+                era: told.era,
+                seen_us: clock::now_us().saturating_sub(told.age_us),
+                settled: told.settled,
+            };
+            let seen = self.store_return.map_or(told, |seen| seen.merge(told));
+            self.store_return = Some(seen);
+        }
         self.told.insert(answer.process, answer.requests);
         for copy in answer.copies {
             let kept = self.copied.entry(copy.process).or_default();
@@ -298,6 +311,7 @@
             missing,
             recorded: self.recorded,
             running_since_us: self.running_since_us,
+            store_return: self.store_return,
         }
     }
 }
--- a/crates/tealsaddle-gateway/src/usage/messages.rs
+++ b/crates/tealsaddle-gateway/src/usage/messages.rs
@@ -66,6 +66,23 @@
     /// Copies of counts of processes that have been silent lately, or that the question names.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub copies: Vec<CopiedRequests>,
+    /// The last return of the store from an older copy that this process has seen.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub store_return: Option<ToldReturn>,
+}
+
+/// A return of the store from an older copy, as a process has seen it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct ToldReturn {
+    /// Era since then.
+    #[serde(rename = "e")]
+    pub era: u64,
+    /// Time since the process saw it.
+    #[serde(rename = "a")]
+    pub age_us: u64,
+    /// Highest window that was recorded before, if this process had the duties until then.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub settled: Option<u64>,
 }
 
 /// Requests in the range of a question that were told by another process.
--- a/crates/tealsaddle-gateway/src/usage/mod.rs
+++ b/crates/tealsaddle-gateway/src/usage/mod.rs
@@ -11,6 +11,7 @@
 pub mod reporter;
 pub mod wall_clock;
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
@@ -29,7 +30,7 @@
 use crate::upstream::Upstreams;
 use messages::{
     COPY_PATH, CopiedRequests, CopyReply, CountAnswer, CountCopy, CountQuestion, QUESTION_PATH,
-    SendTime,
+    SendTime, ToldReturn,
 };
 use wall_clock::{SystemWallClock, WallClock};
 
@@ -100,6 +101,8 @@
     kept: HashMap<u64, Kept>,
     /// Highest window known to be recorded.
     recorded: u64,
+    /// The last return of the store from an older copy.
+    store_return: Option<StoreReturn>,
     /// Number of the first bucket that no other node has been told.
     untold_from: u64,
     /// Highest window whose start another node has been told; 0 if there is none.
@@ -129,6 +132,32 @@
     }
 }
 
+/// A return of the store from an older copy. The records that were written since the copy are lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreReturn {
+    /// Era since then.
+    pub era: u64,
+    /// Own clock when the first process saw it.
+    pub seen_us: u64,
+    /// Highest window that was recorded before; `None` if no process is known to have had the duties until then.
+    pub settled: Option<u64>,
+}
+
+impl StoreReturn {
+    /// Takes over what another process has seen of this return or a later one.
+    fn merge(self, other: Self) -> Self {
+        match self.era.cmp(&other.era) {
+            Ordering::Less => other,
+            Ordering::Greater => self,
+            Ordering::Equal => Self {
+                era: self.era,
+                seen_us: self.seen_us.min(other.seen_us),
+                settled: self.settled.max(other.settled),
+            },
+        }
+    }
+}
+
 /// Counts of this node and copies of those of others.
 #[derive(Debug)]
 pub struct Usage {
@@ -184,6 +213,17 @@
         self.state().peers = Arc::clone(&snapshot.peers);
     }
 
+    /// Records that the store has come back from an older copy. `settled` is the highest window that was recorded before, if
+    /// this node had the duties until then.
+    pub fn on_store_return(&self, era: u64, settled: Option<u64>) {
+        log::info!(era, settled; "store came back from an older copy; usage reports that were recorded since are lost");
+        self.state().store_return = Some(StoreReturn {
+            era,
+            seen_us: clock::now_us(),
+            settled,
+        });
+    }
+
     /// Counts a request of a customer that begins to run now.
     pub fn count(&self, customer: Option<&Customer>) {
         if let Some(customer) = customer.filter(|_customer| self.is_counting) {
@@ -237,6 +277,11 @@
             uptime_us: now_us.saturating_sub(self.started_us),
             unix_us,
             recorded: state.recorded,
+            store_return: state.store_return.map(|seen| ToldReturn {
+                era: seen.era,
+                age_us: now_us.saturating_sub(seen.seen_us),
+                settled: seen.settled,
+            }),
             requests: state.own.requests(question.window, from_us, to_us),
             copies,
         }
--- a/crates/tealsaddle-gateway/src/usage/reporter.rs
+++ b/crates/tealsaddle-gateway/src/usage/reporter.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tealsaddle_core::fleet::store_era::StoreEra;
 use tealsaddle_core::fleet::usage::Requests;
 use tealsaddle_core::fleet::usage::reports::{
     ReportPauses, Reports, SendOutcome, Skipped, Step, WindowUse,
@@ -46,6 +47,9 @@
 struct ReportRecord {
     window: u64,
     requests: Requests,
+    /// Era of the store in which it was written, if the store told; none from a node of an earlier release.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<u64>,
 }
 
 /// Reports usage while this node has the duties.
@@ -61,8 +65,14 @@
     read_in: Option<u64>,
     /// Revision of the record, 0 if there is none; `None` if it has to be read again.
     revision: Option<u64>,
+    /// Era in which the record was written that was read or written last. Before a later one, windows may have been reported
+    /// that it does not show.
+    record_era: Option<u64>,
     /// Window of the latest record that other nodes were told of.
     told: Option<u64>,
+    store_era: StoreEra,
+    /// Whether this node had the duties when it last looked.
+    had_duties: bool,
 }
 
 /// Starts the tasks of the usage reports, if they are among the duties.
@@ -108,14 +118,20 @@
             reports: Reports::new(windows, pauses),
             read_in: None,
             revision: None,
+            record_era: None,
             told: None,
+            store_era: StoreEra::default(),
+            had_duties: false,
         }
     }
 
     async fn run(mut self) {
         loop {
             tokio::time::sleep(TICK).await;
-            let Some(term) = self.term.current() else {
+            self.follow_era();
+            let term = self.term.current();
+            self.had_duties = term.is_some();
+            let Some(term) = term else {
                 continue;
             };
             if let Err(error) = self.act(&term).await {
@@ -127,6 +143,18 @@
         }
     }
 
+    /// Notices that the store has come back from an older copy.
+    fn follow_era(&mut self) {
+        let era = self.control.store.era();
+        if !self.store_era.rises_to(era) {
+            return;
+        }
+        if let Some(era) = era {
+            let settled = self.reports.recorded().filter(|_window| self.had_duties);
+            self.control.gateway.usage.on_store_return(era, settled);
+        }
+    }
+
     async fn act(&mut self, term: &DutyTerm) -> Result<(), StoreError> {
         if self.read_in != Some(term.fence()) || self.revision.is_none() {
             self.read_record(term).await?;
@@ -158,6 +186,7 @@
             let problem = json_problem(&error);
             StoreError::Protocol(format!("record of the usage report: {problem}"))
         })?;
+        self.record_era = record.as_ref().and_then(|record| record.era);
         let stored = record.map(|record| WindowUse {
             window: record.window,
             requests: record.requests,
@@ -241,6 +270,14 @@
             let skipped = self.reports.on_recorded_elsewhere(collected.recorded);
             self.log_skipped(skipped);
         }
+        if let Some(lost) = collected.store_return
+            && lost.settled.is_none()
+            && self.record_era < Some(lost.era)
+        {
+            let lost_us = to_other(lost.seen_us, offset_us);
+            let skipped = self.reports.on_records_lost(lost_us);
+            self.log_skipped(skipped);
+        }
     }
 
     /// Writes the record and sends the report, if this node still has the duties then.
@@ -251,9 +288,14 @@
     ) -> Result<(), StoreError> {
         let WindowUse { window, requests } = report;
         let recorded_us = clock::now_us();
-        let record = ReportRecord { window, requests };
+        let record = ReportRecord {
+            window,
+            requests,
+            era: self.control.store.era(),
+        };
         let revision = self.write_record(term, &record).await?;
         self.revision = Some(revision);
+        self.record_era = record.era;
         self.reports.on_recorded();
         if self.told.replace(window) != Some(window) {
             let told = self.collector.tell_recorded(window).await;
