Keep revisions of two eras of the store apart when a node takes its peer's state

Cause: a peer that lists the keys after the return told the revision of its changes, still of the old era, under the new era of its registrations; who took it over counted as fresh and missed all changes up to it. The same mix was possible when an answer came after a listing of a later era. Change: a revision is told only with its own era; answers to questions of an earlier era are dropped; a node that has no such revision asks peers again. Why it works: a position is a pair now wherever it is passed on.

--- a/crates/tealsaddle-gateway/src/follow/reader.rs
+++ b/crates/tealsaddle-gateway/src/follow/reader.rs
@@ -170,6 +170,9 @@
         } else {
             asked_us + wait.as_micros() as u64
         };
+        if !self.is_of_present_era(position) {
+            return Err(StoreError::OtherEra);
+        }
         self.control.on_store_word(as_of_us);
         self.apply(changes, revision);
         self.confirm(as_of_us, has_changes);
@@ -179,6 +182,13 @@
         })
     }
 
+    /// Whether the keys are known in the era of this position. They may have been listed in a later one since a question was
+    /// asked; revisions of the answer then mean nothing any more.
+    fn is_of_present_era(&self, position: Position) -> bool {
+        let known = self.control.fleet().changes.position();
+        known.is_some_and(|known| known.era == position.era)
+    }
+
     /// Asks a peer for changes, and applies them.
     pub async fn ask(&self, question: PeerQuestion) -> Result<Heard, PeerFailure> {
         let PeerQuestion {
@@ -195,6 +205,9 @@
         if reply.is_gap {
             return Err(PeerFailure::Gap);
         }
+        if !self.is_of_present_era(position) {
+            return Err(PeerFailure::NothingNew);
+        }
         let has_changes = !reply.changes.is_empty();
         if reply.has_more {
             // The answer says nothing of the age of what is known.
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -45,7 +45,7 @@
     /// Era of the store, if it tells.
     #[serde(default)]
     era: Option<u64>,
-    /// Revision up to which all changes are known; 0 if it is not known, as in an earlier release.
+    /// Revision of this era up to which all changes are known; 0 if it is not known, as in an earlier release.
     #[serde(default)]
     complete_revision: u64,
     /// Quarantined parts; a node of an earlier release knows none.
@@ -88,6 +88,10 @@
     let listing = fleet.listing();
     let quarantined = fleet.quarantine().entries();
     let quarantined = quarantined.map(|entry| messages::encode_record(&entry.record_at(now_us)));
+    // While this node lists the keys after a return of the store, the registrations may be of a later era than the changes.
+    let era = listing.as_ref().and_then(|listing| listing.era);
+    let position = fleet.changes.position();
+    let position = position.filter(|position| position.era == era);
     let members = fleet.members.iter().cloned().chain(own);
     let members = members.map(|member| PeerMember {
         address: member.address,
@@ -98,8 +102,8 @@
         members: members.collect(),
         config: fleet.config_value().map(text),
         revision: listing.as_ref().map_or(0, |listing| listing.revision),
-        era: listing.as_ref().and_then(|listing| listing.era),
-        complete_revision: fleet.changes.position().map_or(0, |p| p.revision),
+        era,
+        complete_revision: position.map_or(0, |position| position.revision),
         runners: listing.map(|listing| {
             let items = listing.items.into_iter().map(|item| PeerItem {
                 value: text(&item.value),
@@ -140,10 +144,11 @@
     }
 }
 
-/// Whether the node can serve, and knows the nodes that have to know of what it serves.
+/// Whether the node can serve, can hear of changes from other nodes, and knows the nodes that have to know of what it serves.
 fn is_informed(control: &Control) -> bool {
     let fleet = control.fleet();
-    fleet.is_ready() && (fleet.nodes > 0 || !fleet.members.is_empty())
+    let knows_nodes = fleet.nodes > 0 || !fleet.members.is_empty();
+    fleet.is_ready() && fleet.changes.position().is_some() && knows_nodes
 }
 
 /// Takes over the fleet from the peers that have answered. One that is cut off may hold an old configuration, so the
@@ -152,7 +157,12 @@
     states.sort_by_key(|state| Reverse((state.era, state.complete_revision.max(state.revision))));
     take_members(control, &states);
     for state in states {
-        if !control.fleet().is_ready() {
+        let (is_ready, is_following) = {
+            let fleet = control.fleet();
+            (fleet.is_ready(), fleet.changes.position().is_some())
+        };
+        // Registrations that have lapsed would begin to count as just lapsed, if a state were applied without need.
+        if !is_ready || (!is_following && state.complete_revision > 0) {
             apply(control, state);
         } else if apply_config(control, &state) {
             control.publish();
