--- a/crates/tealsaddle-gateway/src/stream_version.rs
+++ b/crates/tealsaddle-gateway/src/stream_version.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::GatewayAnswer;
 use crate::call::{Call, Refusal};
+use crate::timeout::timeout_at;
 
 impl Call {
     /// Binds a stream that the caller takes up to the version that began it, or refuses it.
@@ -16,7 +17,9 @@
         }
         let resumes = self.metadata.resumed_id();
         let versions = &self.gateway.versions;
-        let decided = versions.continuation(resumes, &self.service).await;
+        let decided = versions.continuation(resumes, &self.service);
+        let decided = timeout_at(self.deadline, decided).await;
+        let decided = decided.unwrap_or(Continuation::Unknown);
         let answer = match &decided {
             Continuation::At(version) => {
                 self.state.bind_version(version);
