Build a node's own member and the list of members in one place, and log a take-up once

Change: GatewayConfig::own_member, membership::distinct_members, StreamLife::on_earlier, one loop in StreamVersions::continuation that logs its last answers. What is decided stays as it is.

--- a/crates/tealsaddle-core/src/fleet/continuation.rs
+++ b/crates/tealsaddle-core/src/fleet/continuation.rs
@@ -54,15 +54,11 @@
     /// Takes over the longest life by the newest configuration.
     pub fn on_configured(&mut self, life_us: u64, now_us: u64) {
         let before_us = std::mem::replace(&mut self.newest_us, life_us);
-        self.remember(before_us, now_us);
+        self.on_earlier(before_us, now_us);
     }
 
-    /// Takes over the longest life that other nodes had recorded.
-    pub fn on_recorded(&mut self, life_us: u64, now_us: u64) {
-        self.remember(life_us, now_us);
-    }
-
-    fn remember(&mut self, life_us: u64, now_us: u64) {
+    /// Takes over the longest life by an earlier configuration, such as other nodes had recorded.
+    pub fn on_earlier(&mut self, life_us: u64, now_us: u64) {
         self.earlier.retain(|earlier| earlier.until_us > now_us);
         if life_us <= self.newest_us {
             return;
--- a/crates/tealsaddle-gateway/src/control.rs
+++ b/crates/tealsaddle-gateway/src/control.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_core::fleet::store_words::{REREGISTRATION_WINDOW_US, StoreWord};
 use tokio::sync::Notify;
 
@@ -107,11 +106,7 @@
 
     /// The encoded state of this node, for peers.
     pub fn peer_state(&self) -> String {
-        let config = &self.control.gateway.config;
-        let own = config.peer_listen.map(|address| Member {
-            address,
-            zone: Arc::clone(&config.zone),
-        });
+        let own = self.control.gateway.config.own_member();
         peers::encode(&self.control.fleet(), own, clock::now_us())
     }
 }
--- a/crates/tealsaddle-gateway/src/follow/mod.rs
+++ b/crates/tealsaddle-gateway/src/follow/mod.rs
@@ -149,7 +149,7 @@
     /// The sources of this node, computed again when the registered nodes or the round have changed.
     fn sources(&mut self) -> Vec<Source> {
         let config = &self.control.gateway.config;
-        let Some(address) = config.peer_listen else {
+        let Some(own) = config.own_member() else {
             return vec![Source::Store];
         };
         let members = Arc::clone(&self.control.fleet().members);
@@ -157,10 +157,6 @@
         if Arc::ptr_eq(&last.members, &members) && last.round == self.round {
             return last.ranked.clone();
         }
-        let own = Member {
-            address,
-            zone: Arc::clone(&config.zone),
-        };
         let ranked = if members.is_empty() {
             // The registered nodes have not been listed.
             let seeds = config.seeds.iter();
--- a/crates/tealsaddle-gateway/src/gateway.rs
+++ b/crates/tealsaddle-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use tealsaddle_core::fleet::change_sources::Member;
 use tealsaddle_core::fleet::config::CallerLimits;
 use tealsaddle_core::name::Name;
 use tokio::time::Instant;
@@ -65,6 +66,16 @@
     pub limits: Option<NodeLimits>,
 }
 
+impl GatewayConfig {
+    /// This node as its peers know it; `None` if it serves none.
+    pub fn own_member(&self) -> Option<Member> {
+        self.peer_listen.map(|address| Member {
+            address,
+            zone: Arc::clone(&self.zone),
+        })
+    }
+}
+
 /// State that all requests of a node share.
 #[derive(Debug)]
 pub struct Gateway {
--- a/crates/tealsaddle-gateway/src/membership.rs
+++ b/crates/tealsaddle-gateway/src/membership.rs
@@ -218,8 +218,16 @@
             zone: record.zone.as_str().into(),
         })
     };
-    let mut members: Vec<Member> = nodes.filter_map(member).collect();
-    members.retain(|member| Some(member.address) != own);
+    distinct_members(nodes.filter_map(member), own)
+}
+
+/// The members other than that at `own`, each once, in an order that all nodes share.
+pub fn distinct_members<I>(members: I, own: Option<SocketAddr>) -> Arc<[Member]>
+where
+    I: Iterator<Item = Member>,
+{
+    let others = members.filter(|member| Some(member.address) != own);
+    let mut members: Vec<Member> = others.collect();
     members.sort_unstable();
     members.dedup_by_key(|member| member.address);
     members.into()
--- a/crates/tealsaddle-gateway/src/peers.rs
+++ b/crates/tealsaddle-gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::error::json_problem;
 use crate::external::{Item, Listing, OutgoingCall};
 use crate::fleet_state::FleetState;
+use crate::membership::distinct_members;
 use crate::quarantine::messages;
 use crate::upstream::{Reuse, Upstreams};
 
@@ -172,23 +173,18 @@
 
 /// Takes over the nodes that any of the peers knows, unless the store has listed them.
 fn take_members(control: &Control, states: &[PeerState]) {
-    let own = control.gateway.config.peer_listen;
     let told = states.iter().flat_map(|state| &state.members);
-    let mut members: Vec<Member> = told
-        .filter(|member| Some(member.address) != own)
-        .map(|member| Member {
-            address: member.address,
-            zone: member.zone.as_str().into(),
-        })
-        .collect();
-    members.sort_unstable();
-    members.dedup_by_key(|member| member.address);
+    let told = told.map(|member| Member {
+        address: member.address,
+        zone: member.zone.as_str().into(),
+    });
+    let members = distinct_members(told, control.gateway.config.peer_listen);
     let mut fleet = control.fleet();
     if fleet.nodes > 0 || members.is_empty() {
         return;
     }
     log::info!(nodes = members.len(); "nodes taken from peers");
-    fleet.set_members(members.into());
+    fleet.set_members(members);
     drop(fleet);
     control.publish();
 }
--- a/crates/tealsaddle-gateway/src/versions/mod.rs
+++ b/crates/tealsaddle-gateway/src/versions/mod.rs
@@ -83,9 +83,9 @@
     None,
     /// Together with others, while its first event is passed on.
     Gathered,
-    /// Before its first event is passed on, as nodes may not know of its version; until then from this time on they do.
+    /// Before its first event is passed on, as nodes may not know of its version.
     Awaited {
-        /// When all nodes that are in step know of the version.
+        /// Time from which all nodes that are in step know of the version; the first event waits no longer.
         spread_us: u64,
     },
 }
@@ -225,25 +225,28 @@
     /// then; and if this node's knowledge is all that is missing, it is awaited.
     pub async fn continuation(&self, id: Option<&str>, service: &Name) -> Continuation {
         let taken_up_us = clock::now_us();
-        let mut decided = self.decide(id, service, taken_up_us, None);
-        while decided == Continuation::Undecided {
+        let decided = self.decide(id, service, taken_up_us, None);
+        if decided != Continuation::Undecided {
+            return decided;
+        }
+        loop {
             let answers = self.ask(id, service, taken_up_us).await;
-            decided = self.decide(id, service, taken_up_us, Some(&answers));
-            log::info!(id:% = id.unwrap_or("-"), service:%, answers:?, decided:?; "version of a stream asked of other nodes");
-            if matches!(decided, Continuation::At(_)) {
-                break;
-            }
-            let until_us = match decided {
+            let decided = self.decide(id, service, taken_up_us, Some(&answers));
+            let may_change_until_us = match decided {
+                Continuation::At(_) => 0,
+                Continuation::Unknown => self.told_until_us(service),
                 Continuation::Undecided => taken_up_us + self.knowledge.terms().doubt_us,
-                Continuation::Unknown | Continuation::At(_) => self.told_until_us(service),
             };
-            if clock::now_us() >= until_us {
-                return Continuation::Unknown;
+            if clock::now_us() < may_change_until_us {
+                tokio::time::sleep(ASK_PAUSE).await;
+                continue;
             }
-            decided = Continuation::Undecided;
-            tokio::time::sleep(ASK_PAUSE).await;
+            log::info!(id:% = id.unwrap_or("-"), service:%, answers:?, decided:?; "version of a stream asked of other nodes");
+            return match decided {
+                Continuation::At(version) => Continuation::At(version),
+                Continuation::Unknown | Continuation::Undecided => Continuation::Unknown,
+            };
         }
-        decided
     }
 
     /// Time until which other nodes may still be told of the streams that began before the newest version came.
--- a/crates/tealsaddle-gateway/src/versions/records.rs
+++ b/crates/tealsaddle-gateway/src/versions/records.rs
@@ -37,7 +37,7 @@
         for (service, record) in stored {
             log::info!(service:%, versions:? = record.versions, life_ms = record.life_us / 1_000, record_era = record.era, era;
                 "software versions taken from the record");
-            state.life.on_recorded(record.life_us, times.now_us);
+            state.life.on_earlier(record.life_us, times.now_us);
             state
                 .histories
                 .entry(service)
