--- a/crates/tealsaddle-core/tests/it/fleet/mod.rs
+++ b/crates/tealsaddle-core/tests/it/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod change_histories;
 mod change_sim;
 mod config;
+mod continuation;
 mod customers;
 mod events;
 mod generation;
